--- a/packages/auburnwall-base/src/auburnwall/base/clock.py
+++ b/packages/auburnwall-base/src/auburnwall/base/clock.py
@@ -30,8 +30,8 @@
     """Read the VM's own clocks."""
 
     def monotonic(self):
-        """Return ``time.monotonic()``."""
-        return time.monotonic()
+        """Return seconds since boot, counting those in which the VM was suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def time(self):
         """Return ``time.time()``."""
--- a/packages/auburnwall-base/src/auburnwall/base/http.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http.py
@@ -1,16 +1,34 @@
 """HTTP exchanges over ``urllib3``: one exchange, one answer, no hidden retry."""
 
 import json
+import socket
 
 import urllib3
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 
+# Milliseconds after which the kernel gives up data that the peer does not confirm.
+UNCONFIRMED_MS = 2_000
+# A silent connection is probed after 1 s, three times, 1 s apart: a peer that has
+# vanished is noticed within 4 s, also where no time limit of a caller applies.
+SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNCONFIRMED_MS),
+)
+
 
 def new_pool(connections=64):
     """Return a pool that never retries or follows a redirect by itself."""
     return urllib3.PoolManager(
-        num_pools=connections, maxsize=8, retries=False, block=False
+        num_pools=connections,
+        maxsize=8,
+        retries=False,
+        block=False,
+        socket_options=SOCKET_OPTIONS,
     )
 
 
--- a/packages/auburnwall-base/src/auburnwall/base/logs.py
+++ b/packages/auburnwall-base/src/auburnwall/base/logs.py
@@ -14,6 +14,8 @@
 
 from absl import flags, logging
 
+from .line_writer import LineWriter
+
 FORMATS = ("json", "keyvalue")
 RECENT_EVENTS = 5_000
 
@@ -47,16 +49,23 @@
 
 
 def set_up(style, level, node):
-    """Send all logs to standard error in ``style``, from ``level`` upwards."""
+    """Send all logs to standard output in ``style``, from ``level`` upwards.
+
+    Lines go through a bounded buffer, which the caller may ``drain`` at the end.
+    """
     if not flags.FLAGS.is_parsed():
         flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
-    handler.python_handler.stream = sys.stderr
+    writer = LineWriter(sys.stdout.fileno())
+    handler.python_handler.stream = writer
     handler.setFormatter(_StructuredFormatter(style, node))
     logging.set_verbosity(level)
     logging.set_stderrthreshold(level)
+    # The handler of absl's own logger writes every line; the root's would repeat it.
+    logging.get_absl_logger().propagate = False
     root = std_logging.getLogger()
     root.handlers = [handler]
+    return writer
 
 
 def event(name, /, *, level=logging.INFO, exc_info=None, **fields):
--- /dev/null
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/__init__.py
@@ -0,0 +1,1 @@
+"""Form, open, repair and close groups of servers that register themselves."""
--- /dev/null
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
@@ -0,0 +1,109 @@
+"""Which groups to form from free servers.
+
+Load pattern: servers are lost in twos every few seconds and new ones come empty, so
+the shortest way back to service decides: survivors that still hold a model come
+first, then hosts that have it staged, then loads from the weight store. The model
+with the least capacity for its demand goes first.
+"""
+
+from itertools import groupby
+from typing import NamedTuple
+
+# Seconds that a server takes to join when it was last in a group of the same model.
+REJOIN_S = 0.2
+# Demand below this many groups' worth is taken for this much, so that a model that
+# nobody asked for lately keeps something to serve the next request with.
+LEAST_DEMAND = 0.3
+
+
+class FreeServer(NamedTuple):
+    """A server that is in no group; ``model`` is the one that it last served."""
+
+    server: str
+    born: int
+    address: str
+    domain: str
+    data_center: str
+    model: str
+    staged: tuple
+
+
+class Formation(NamedTuple):
+    """A group to form, the head first; ``loads`` of its servers fetch weights."""
+
+    model: str
+    members: tuple
+    ready_s: float
+    loads: int
+
+
+def ready_time(server, model):
+    """Return seconds until ``server`` can be a member for ``model``."""
+    if server.model == model.name:
+        return REJOIN_S
+    return model.warm_s if model.name in server.staged else model.load_s
+
+
+def assemble(free, models, standing, demand, loads_left):
+    """Return the formations to begin now.
+
+    ``models`` are the service's ``ModelSpec`` by name, ``standing`` the number of
+    groups that serve or form by model and data centre (a mapping of pairs), ``demand``
+    the groups' worth of work by model, ``loads_left`` how many loads may begin.
+    """
+    free, standing = list(free), dict(standing)
+    formations = []
+    while True:
+        found = _next_formation(free, models, standing, demand, loads_left)
+        if found is None:
+            return formations
+        formations.append(found)
+        loads_left -= found.loads
+        chosen = {member.server for member in found.members}
+        free = [server for server in free if server.server not in chosen]
+        place = found.model, found.members[0].data_center
+        standing[place] = standing.get(place, 0) + 1
+
+
+def coverage(model, standing, demand):
+    """Return groups that serve or form for ``model`` over those it has work for."""
+    groups = sum(count for (name, _), count in standing.items() if name == model)
+    return groups / max(demand.get(model, 0.0), LEAST_DEMAND)
+
+
+def _next_formation(free, models, standing, demand, loads_left):
+    for name in sorted(models, key=lambda name: coverage(name, standing, demand)):
+        candidates = [
+            found
+            for _, servers in _by_domain(free)
+            if (found := _best_members(servers, models[name]))
+            and found.loads <= loads_left
+        ]
+        if candidates:
+            return min(candidates, key=lambda f: _cost(f, standing))
+    return None
+
+
+def _by_domain(free):
+    ordered = sorted(free, key=lambda server: server.domain)
+    return [
+        (domain, list(servers))
+        for domain, servers in groupby(ordered, key=lambda server: server.domain)
+    ]
+
+
+def _best_members(servers, model):
+    """Return the formation from one domain that is ready first, or ``None``."""
+    if len(servers) < model.members:
+        return None
+    ordered = sorted(servers, key=lambda s: (ready_time(s, model), s.server))
+    members = tuple(ordered[: model.members])
+    times = [ready_time(server, model) for server in members]
+    loads = sum(time >= model.load_s for time in times)
+    return Formation(model.name, members, max(times), loads)
+
+
+def _cost(formation, standing):
+    """Order formations by time, then by how few groups the data centre has."""
+    place = formation.model, formation.members[0].data_center
+    return formation.ready_s, standing.get(place, 0), formation.members[0].domain
--- /dev/null
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/election.py
@@ -0,0 +1,44 @@
+"""Which node plans.
+
+Nothing rests on there being only one planner: each decision is written only if the
+table stands as the planner has read it, and servers refuse orders of an older epoch.
+The election only keeps two nodes from doing the same work.
+"""
+
+from auburnwall.base.logs import event
+from auburnwall.base.rendezvous import owner
+from auburnwall.state.exceptions import StateError
+
+
+class Election:
+    """Take the planning over when the planner is gone.
+
+    ``peers`` offers ``able_to_plan()``: the names of the nodes, this one included,
+    that are heard of, are not stopping and can read the tables.
+    """
+
+    def __init__(self, state, writer, peers, identity):
+        self._state = state
+        self._writer = writer
+        self._peers = peers
+        self._identity = identity
+
+    def step(self):
+        """Become the planner if the present one cannot plan and this node is next."""
+        able = self._peers.able_to_plan()
+        planner = self._state.planner
+        if planner is not None and able.get(planner.node) == planner.incarnation:
+            return
+        if owner("planner", sorted(able)) != self._identity.node:
+            return
+        try:
+            self._writer.take_over()
+        except StateError as exc:
+            event("planning not taken over", step=exc.step, why=exc.detail)
+            return
+        event(
+            "planning taken over",
+            term=self._state.planner.term if self._state.planner else 0,
+            instead_of=planner.node if planner else "",
+            able=sorted(able),
+        )
--- /dev/null
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/lifecycle.py
@@ -0,0 +1,162 @@
+"""The next step of one group: which orders to give, and when its servers are free.
+
+A group may be opened once all its members have said themselves that they are ready
+at its epoch. Its servers are free for another group once its head can serve it no
+more: the head was seen to have moved on, is broken, or is gone. Until then nothing
+that the planner does not know of, such as an order that is carried out late, can make
+the head run a request with members that work elsewhere.
+"""
+
+from enum import Enum
+from typing import NamedTuple
+
+from ..engines.group import CloseOrder, JoinOrder, OpenOrder
+from ..registrations import BROKEN, CLOSING, JOINING, OPEN, READY
+from .records import SERVING
+
+# What ends a group that only waits for its members, in times of the slowest load.
+FORMING_LOADS = 3.0
+# A group that drains is cut off after this long; servers that leave keep their group
+# for 10 s while it has work.
+DRAIN_LIMIT_S = 9.0
+
+
+class Life(Enum):
+    """What is known of a server of a group.
+
+    One that does not answer is enough to end its group, but only a server that is
+    gone for sure cannot be serving any more.
+    """
+
+    ALIVE = "alive"
+    SILENT = "silent"
+    GONE = "gone"
+
+
+class MemberView(NamedTuple):
+    """A member as the planner sees it; ``standing`` is its own newest word."""
+
+    server: str
+    life: Life
+    leaving: bool
+    standing: object
+
+
+class GroupView(NamedTuple):
+    """A group, its members in their order, and how long it has been in its phase."""
+
+    group: object
+    members: tuple
+    phase_s: float
+    load_s: float
+
+
+class Step(NamedTuple):
+    """What is to be done: ``orders`` maps servers to orders.
+
+    ``end`` says why a serving group is to end, ``at_once`` that what runs in it is
+    lost anyhow; ``free`` that an ending group's servers may be used again.
+    """
+
+    orders: dict
+    end: str = ""
+    at_once: bool = False
+    free: bool = False
+
+
+NOTHING = Step({})
+
+
+def next_step(view):
+    """Return the next ``Step`` of a group."""
+    if view.group.phase == SERVING:
+        return _serve(view)
+    return _end(view)
+
+
+def retirement(group):
+    """Return the order that takes a head out of its group for good.
+
+    The head joins a group of its own at a later epoch, and so refuses whatever is
+    still under way to it for the old one.
+    """
+    return JoinOrder(
+        f"{group.name}-end", group.ending_epoch, group.model, (group.head.server,)
+    )
+
+
+def _serve(view):
+    group = view.group
+    lost = [member.server for member in view.members if member.life is not Life.ALIVE]
+    if lost:
+        return Step({}, end="lost " + ", ".join(lost), at_once=True)
+    leaving = [member.server for member in view.members if member.leaving]
+    if leaving:
+        return Step({}, end="leaving: " + ", ".join(leaving))
+    states = [_state_in(group, member) for member in view.members]
+    if states[0] == OPEN:
+        return _watch_open(view, states)
+    if states[0] == BROKEN:
+        return Step({}, end="the head says that it is broken", at_once=True)
+    if moved := [
+        member.server for member in view.members if _has_moved_on(group, member)
+    ]:
+        return Step({}, end="moved on: " + ", ".join(moved), at_once=True)
+    if all(state == READY for state in states):
+        return Step({group.head.server: OpenOrder(group.name, group.epoch)})
+    if view.phase_s > FORMING_LOADS * view.load_s:
+        return Step({}, end="it did not form in time", at_once=True)
+    join = JoinOrder(
+        group.name,
+        group.epoch,
+        group.model,
+        tuple(member.server for member in group.members),
+    )
+    return Step(
+        {
+            member.server: join
+            for member, state in zip(view.members, states, strict=True)
+            if not state
+        }
+    )
+
+
+def _watch_open(view, states):
+    """Keep an open group unless a member has left it."""
+    lost = [
+        member.server
+        for member, state in zip(view.members, states, strict=True)
+        if not state and member.standing is not None and member.life is Life.ALIVE
+    ]
+    if lost:
+        return Step({}, end="no longer in it: " + ", ".join(lost), at_once=True)
+    return NOTHING
+
+
+def _end(view):
+    group, head = view.group, view.members[0]
+    state = _state_in(group, head)
+    if head.life is Life.GONE or state == BROKEN or _has_moved_on(group, head):
+        return Step({}, free=True)
+    if state in (OPEN, CLOSING):
+        at_once = group.at_once or view.phase_s > DRAIN_LIMIT_S
+        if state == CLOSING and not at_once:
+            return NOTHING
+        order = CloseOrder(group.name, group.epoch, at_once)
+        return Step({group.head.server: order})
+    if state in (READY, JOINING, ""):
+        return Step({group.head.server: retirement(group)})
+    return NOTHING
+
+
+def _state_in(group, member):
+    """Return the member's state in the group, empty if it is not in it."""
+    standing = member.standing
+    if standing is None or standing.group != group.name:
+        return ""
+    return standing.state if standing.epoch == group.epoch else ""
+
+
+def _has_moved_on(group, member):
+    """Return whether the member has seen a later epoch than the group's."""
+    return member.standing is not None and member.standing.epoch > group.epoch
--- /dev/null
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
@@ -0,0 +1,199 @@
+"""What nodes keep in the fleet's table: the planner, the nodes and the groups.
+
+The table's order decides every race. A write names the end of the table that it was
+made from and fails if anything was written since, so two planners cannot both assign
+a server. A group's epoch is the offset of the record that created it, so epochs only
+rise and a server refuses an order that is older than what it has seen.
+"""
+
+import json
+from typing import NamedTuple
+
+from auburnwall.base.logs import event
+from auburnwall.state.exceptions import StateError
+
+PLANNER_KEY = "planner"
+NODE_PREFIX = "node/"
+GROUP_PREFIX = "group/"
+
+SERVING, ENDING = "serving", "ending"
+
+
+class NotPlannerError(StateError):
+    """Another node has taken over the planning."""
+
+
+class PlannerRecord(NamedTuple):
+    """The node that plans; each take-over has a term of its own."""
+
+    node: str
+    incarnation: str
+    term: int
+
+
+class NodeRecord(NamedTuple):
+    """A node that other nodes may talk to and callers may be sent to."""
+
+    node: str
+    incarnation: str
+    front: str
+    peer: str
+    data_center: str
+
+
+class Member(NamedTuple):
+    """A server in one of its incarnations."""
+
+    server: str
+    born: int
+    address: str
+
+
+class GroupRecord(NamedTuple):
+    """A group, the head first among its members.
+
+    ``phase`` goes from serving to ending and never back: a group is opened under one
+    epoch at most once. ``ending_epoch`` is the offset of the record that ended it,
+    ``at_once`` whether what runs is cut off.
+    """
+
+    name: str
+    epoch: int
+    service: str
+    model: str
+    members: tuple
+    phase: str = SERVING
+    at_once: bool = False
+    ending_epoch: int = -1
+
+    @property
+    def head(self):
+        """Return the member that takes requests."""
+        return self.members[0]
+
+
+class FleetState:
+    """The fleet's table, folded from its replica."""
+
+    def __init__(self, replica):
+        self.replica = replica
+        self.planner = None
+        self.nodes = {}
+        self.groups = {}
+        self.changes = 0
+        replica.listeners.append(self._take)
+
+    def group_of_server(self):
+        """Return the group's name for each server that is in one."""
+        return {
+            member.server: group.name
+            for group in self.groups.values()
+            for member in group.members
+        }
+
+    def _take(self, record):
+        self.changes += 1
+        try:
+            value = None if record.value is None else json.loads(record.value)
+            self._put(record.key, value)
+        except (ValueError, TypeError) as exc:
+            event("bad fleet record", key=record.key, why=repr(exc))
+
+    def _put(self, key, value):
+        if key == PLANNER_KEY:
+            self.planner = PlannerRecord(*value) if value else None
+        elif key.startswith(NODE_PREFIX):
+            _put(self.nodes, key, value and NodeRecord(*value))
+        elif key.startswith(GROUP_PREFIX):
+            _put(self.groups, key, value and _group_from(value))
+
+
+def encode(record):
+    """Return a record's value in the table."""
+    return json.dumps(record, separators=(",", ":")).encode()
+
+
+def _group_from(value):
+    group = GroupRecord(*value)
+    members = tuple(Member(*member) for member in group.members)
+    if not members:
+        raise ValueError("a group without members")
+    return group._replace(members=members)
+
+
+def _put(table, key, record):
+    name = key.partition("/")[2]
+    if record is None:
+        table.pop(name, None)
+    else:
+        table[name] = record
+
+
+class FleetWriter:
+    """Write to the fleet's table for one node."""
+
+    def __init__(self, state, client, clock, identity):
+        self._state = state
+        self._client = client
+        self._clock = clock
+        self._identity = identity
+
+    def announce(self, node):
+        """Write this node's own record."""
+        self._append([(NODE_PREFIX + node.node, encode(node))], at=None)
+
+    def withdraw(self):
+        """Remove this node's own record, and its claim to plan."""
+        mine = self.plans()
+        entries = [(NODE_PREFIX + self._identity.node, None)]
+        if mine:
+            entries.append((PLANNER_KEY, None))
+            self._append(entries, at=self._state.replica.end)
+        else:
+            self._append(entries, at=None)
+
+    def plans(self):
+        """Return whether this node is the planner, as far as it has read."""
+        planner = self._state.planner
+        return planner is not None and planner.incarnation == self._identity.incarnation
+
+    def take_over(self):
+        """Become the planner unless anything was written meanwhile."""
+        planner = self._state.planner
+        record = PlannerRecord(
+            self._identity.node,
+            self._identity.incarnation,
+            planner.term + 1 if planner else 1,
+        )
+        self._append([(PLANNER_KEY, encode(record))], at=self._state.replica.end)
+
+    def write_groups(self, ended, finished, formations, dropped_nodes=()):
+        """Write the planner's decisions in one step.
+
+        ``ended`` are pairs of a group and whether it ends at once, ``finished`` groups
+        whose servers are free now, ``formations`` tuples of service, model and members.
+        Raises ``NotPlannerError`` or ``TableChangedError``; nothing was written then.
+        """
+        if not self.plans():
+            raise NotPlannerError("another node plans", step="write groups")
+        at = self._state.replica.end
+        entries = [(GROUP_PREFIX + group.name, None) for group in finished]
+        entries += [(NODE_PREFIX + name, None) for name in dropped_nodes]
+        for group, at_once in ended:
+            ending = group._replace(
+                phase=ENDING, at_once=at_once, ending_epoch=at + len(entries)
+            )
+            entries.append((GROUP_PREFIX + group.name, encode(ending)))
+        for service, model, members in formations:
+            epoch = at + len(entries)
+            record = GroupRecord(f"g{epoch}", epoch, service, model, members)
+            entries.append((GROUP_PREFIX + record.name, encode(record)))
+        if entries:
+            self._append(entries, at=at)
+
+    def _append(self, entries, at):
+        asked_at = self._clock.monotonic()
+        replica = self._state.replica
+        offset = self._client.append(replica.table, entries, at=at)
+        if at is not None:
+            replica.learn_written(offset, entries, asked_at)
--- /dev/null
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/watch.py
@@ -0,0 +1,121 @@
+"""Whether the servers of groups live: registrations first, direct questions next."""
+
+from typing import NamedTuple
+
+from auburnwall.base.logs import event
+
+from ..exceptions import EngineError
+from ..registrations import Standing
+from .lifecycle import Life, MemberView
+
+# Time between two questions to a server that is in doubt.
+ASK_AGAIN_S = 0.25
+# Unanswered questions after which a server counts as silent, and, once its
+# registration has lapsed as well, as gone.
+SILENT_AFTER = 2
+# Doubt of a group is dropped when its members have answered for this long.
+DOUBT_S = 2.0
+
+
+class _Answers(NamedTuple):
+    """What a server answered when it was last asked directly."""
+
+    asked_at: float
+    report: object
+    failures: int
+
+
+class MemberWatch:
+    """Follow the members of groups on behalf of the planner.
+
+    ``reached_by_peer`` tells whether any other node reaches a server; it is asked
+    before a server counts as gone.
+    """
+
+    def __init__(self, registry, engine, reached_by_peer, clock, tasks):
+        self._registry = registry
+        self._engine = engine
+        self._reached_by_peer = reached_by_peer
+        self._clock = clock
+        self._tasks = tasks
+        self._answers = {}
+        self._asking = set()
+        self._doubted = {}
+
+    def doubt(self, group):
+        """Ask the members of a group that stands still."""
+        self._doubted[group] = self._clock.monotonic() + DOUBT_S
+
+    def view(self, group, member, out):
+        """Return the ``MemberView`` of ``member``; ``out`` are data centres to leave."""
+        entry = self._registry.servers.get(member.server)
+        if entry is not None and entry.born != member.born:
+            return MemberView(member.server, Life.GONE, False, entry.standing)
+        doubted = self._doubted.get(group.name, 0.0) > self._clock.monotonic()
+        if entry is None or doubted:
+            self._ask(member)
+        answers = self._answers.get(member.server)
+        life = self._life(member, entry, answers, doubted)
+        standing = entry.standing if entry else _standing_of(answers)
+        leaving = (
+            entry is None
+            or self._registry.usable(member.server) is None
+            or entry.data_center in out
+        )
+        return MemberView(member.server, life, leaving, standing)
+
+    def silent(self, server):
+        """Return whether a server did not answer when it was last asked."""
+        answers = self._answers.get(server)
+        return answers is not None and answers.failures >= SILENT_AFTER
+
+    def forget(self, servers):
+        """Drop what is held of servers other than ``servers``."""
+        self._answers = {k: v for k, v in self._answers.items() if k in servers}
+
+    def _life(self, member, entry, answers, doubted):
+        if answers is not None and answers.report is not None:
+            if answers.report.born != member.born:
+                return Life.GONE
+            if entry is None:
+                return Life.ALIVE
+        failures = answers.failures if answers else 0
+        if entry is None:
+            return Life.GONE if failures >= SILENT_AFTER else Life.ALIVE
+        return Life.SILENT if doubted and failures >= SILENT_AFTER else Life.ALIVE
+
+    def _ask(self, member):
+        answers = self._answers.get(member.server)
+        due_at = answers.asked_at + ASK_AGAIN_S if answers else 0.0
+        if member.server in self._asking or self._clock.monotonic() < due_at:
+            return
+        self._asking.add(member.server)
+        self._tasks.spawn(self._ask_now, member)
+
+    def _ask_now(self, member):
+        asked_at = self._clock.monotonic()
+        known = self._answers.get(member.server)
+        try:
+            report = self._engine.report(member.server, member.address)
+            failures = 0
+        except EngineError as exc:
+            report = None
+            failures = (known.failures if known else 0) + 1
+            event(
+                "server silent",
+                peer=member.server,
+                failures=failures,
+                registered=member.server in self._registry.servers,
+                why=exc.detail,
+            )
+            if failures >= SILENT_AFTER and self._reached_by_peer(member):
+                failures = 0
+        finally:
+            self._asking.discard(member.server)
+        self._answers[member.server] = _Answers(asked_at, report, failures)
+
+
+def _standing_of(answers):
+    """Return the standing that a server without registration last told."""
+    standing = answers.report.standing if answers and answers.report else None
+    return standing if isinstance(standing, Standing) else None
--- a/packages/auburnwall-node/src/auburnwall/node/__main__.py
+++ b/packages/auburnwall-node/src/auburnwall/node/__main__.py
@@ -27,11 +27,13 @@
 
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
+# Time for log lines to be written out at the end, in seconds.
+LOG_DRAIN_S = 0.5
 
 
 def run_node(cfg):
     """Run a node until it is told to stop."""
-    logs.set_up(cfg.log_format, cfg.log_level, cfg.node)
+    writer = logs.set_up(cfg.log_format, cfg.log_level, cfg.node)
     with ExitStack() as stack:
         tasks = stack.enter_context(TaskGroup())
         parts = Parts(cfg, new_backends(cfg, stack), tasks)
@@ -47,6 +49,7 @@
         logs.event("started", address=cfg.address, peer_address=cfg.peer_address)
         parts.drain.finished.wait()
     logs.event("stopped")
+    writer.drain(LOG_DRAIN_S)
 
 
 class RunCommand(Command):
--- a/packages/auburnwall-node/src/auburnwall/node/http.py
+++ b/packages/auburnwall-node/src/auburnwall/node/http.py
@@ -32,7 +32,7 @@
     body: bytes
 
 
-class _QuietLog:
+class QuietLog:
     """Send the server's own complaints to the structured log."""
 
     def write(self, text):
@@ -53,7 +53,7 @@
             make_app(parts),
             handler_class=make_handler(parts.cfg.write_stall_s),
             log=None,
-            error_log=_QuietLog(),
+            error_log=QuietLog(),
         )
 
     def start(self):
--- /dev/null
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/__init__.py
@@ -0,0 +1,1 @@
+"""A node that serves routes in front of servers that register themselves."""
--- /dev/null
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/demand.py
@@ -0,0 +1,41 @@
+"""How much work callers ask for, in groups' worth, by model."""
+
+from collections import defaultdict
+
+from auburnwall.routing.stepmodel import group_share
+
+# Weight of the past in the mean that is kept, per second: what callers asked for some
+# four seconds ago counts a third.
+MEMORY_PER_S = 0.75
+
+
+class DemandMeter:
+    """Measure the work that requests bring to this node."""
+
+    def __init__(self, clock):
+        self.has_traffic = False
+        self._clock = clock
+        self._sums = defaultdict(float)
+        self._rates = defaultdict(float)
+        self._from = clock.monotonic()
+
+    def note(self, request, engine):
+        """Count a request for a model."""
+        self.has_traffic = True
+        if engine is not None and (model := engine.models.get(request.model)):
+            self._sums[request.model] += group_share(engine, model, request.work)
+
+    def rates(self):
+        """Return groups' worth of work by model."""
+        return dict(self._rates)
+
+    def step(self):
+        """Take the last second or so into the means."""
+        now = self._clock.monotonic()
+        span_s = max(now - self._from, 0.1)
+        keep = MEMORY_PER_S**span_s
+        for model in set(self._rates) | set(self._sums):
+            present = self._sums.get(model, 0.0) / span_s
+            self._rates[model] = keep * self._rates[model] + (1 - keep) * present
+        self._sums.clear()
+        self._from = now
--- /dev/null
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -0,0 +1,236 @@
+"""The HTTP server for callers on routes: checks, routing, and the answer's way back."""
+
+import json
+from contextlib import ExitStack
+from http.client import responses
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_NODELAY,
+    TCP_USER_TIMEOUT,
+)
+
+import gevent
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from auburnwall.base.logs import event
+from auburnwall.routing.call import Call
+from auburnwall.routing.exceptions import BadRequestError, RequestError
+from auburnwall.routing.problem import problem_of
+
+from ..callers import CallerGoneError, CallerStalledError, hang_up_watch
+from ..http import QuietLog
+
+PROBLEM_TYPE = "application/problem+json"
+CALL_KEY = "auburnwall.call"
+SOCKET_KEY = "auburnwall.socket"
+# Time that a caller may stop reading its answer, in seconds: the longest deadline of
+# any caller is shorter.
+WRITE_STALL_S = 15.0
+# Longest request line, in bytes.
+MOST_LINE_BYTES = 8_190
+# Connections that wait to be accepted.
+BACKLOG = 1_024
+
+
+class Front:
+    """The WSGI application for callers.
+
+    ``gateway`` offers ``read(call)``, which returns a ``RoutedRequest`` or raises
+    ``RequestError``, ``forwarder``, ``limits()``, ``stopping()`` and ``note(...)``.
+    """
+
+    def __init__(self, gateway, clock):
+        self._gateway = gateway
+        self._clock = clock
+
+    def __call__(self, environ, start_response):
+        request_id = ""
+        with ExitStack() as stack:
+            try:
+                call = self._read_call(environ)
+                request_id = self._gateway.request_id(call)
+                stack.enter_context(self._gateway)
+                stack.enter_context(hang_up_watch(environ))
+                request = self._gateway.read(call)
+                reply = self._gateway.forwarder.serve(request)
+            except RequestError as exc:
+                return self._problem(start_response, exc, request_id)
+            except CallerGoneError:
+                event("caller gone", request=request_id, step="before the answer")
+                raise
+            return self._answer(start_response, reply, request, stack)
+
+    def _read_call(self, environ):
+        handler = environ[CALL_KEY]
+        limit = self._gateway.limits().body_bytes
+        if (handler.content_length or 0) > limit:
+            raise _too_large(limit)
+        body = environ["wsgi.input"].read(limit + 1)
+        if len(body) > limit:
+            raise _too_large(limit)
+        headers = tuple(handler.headers.items())
+        return Call(
+            handler.command, handler.path, headers, body, self._clock.monotonic()
+        )
+
+    def _answer(self, start_response, reply, request, stack):
+        headers = reply.headers + self._closing()
+        whole = isinstance(reply.body, bytes)
+        if whole:
+            headers.append(("Content-Length", str(len(reply.body))))
+        start_response(_status_line(reply.status), headers)
+        if whole:
+            self._gateway.note(request, reply.status)
+            return [reply.body]
+        body = _Relay(reply.body, request, self._gateway, stack.pop_all())
+        body.status = reply.status
+        return body
+
+    def _problem(self, start_response, exc, request_id):
+        event(
+            "request failed",
+            request=request_id,
+            status=exc.status,
+            step=exc.step,
+            peer=exc.peer,
+            ran=exc.ran,
+            why=exc.detail,
+            retry_after_s=exc.retry_after_s and round(exc.retry_after_s, 2),
+        )
+        body = json.dumps(problem_of(exc, request_id)).encode()
+        headers = [
+            ("Content-Type", PROBLEM_TYPE),
+            ("Content-Length", str(len(body))),
+            *self._gateway.echo(request_id),
+            *self._closing(),
+        ]
+        if exc.retry_after_s is not None and exc.status in (429, 503):
+            headers.append(("Retry-After", f"{exc.retry_after_s:.2f}"))
+        if exc.status in (400, 408, 413, 431):
+            headers.append(("Connection", "close"))
+        start_response(_status_line(exc.status), headers)
+        self._gateway.note_problem(exc)
+        return [body]
+
+    def _closing(self):
+        return [("Connection", "close")] if self._gateway.stopping() else []
+
+
+class _Relay:
+    """Body of a streamed answer; holds what the request holds until its end."""
+
+    def __init__(self, events, request, gateway, stack):
+        self.status = 200
+        self._events = events
+        self._request = request
+        self._gateway = gateway
+        self._stack = stack
+
+    def __iter__(self):
+        try:
+            yield from self._events
+        except RequestError as exc:
+            event(
+                "stream broken off",
+                request=self._request.request_id,
+                step=exc.step,
+                peer=exc.peer,
+                why=exc.detail,
+            )
+            self._gateway.note_problem(exc)
+            raise
+        self._gateway.note(self._request, self.status)
+
+    def close(self):
+        """End the exchange and release what the request holds."""
+        self._events.close()
+        self._stack.close()
+
+
+class CallerHandler(WSGIHandler):
+    """One caller's connection, within the limits that the configuration sets."""
+
+    gateway = None
+
+    def __init__(self, sock, *args, **kwargs):
+        sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+        sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, 5)
+        sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, 5)
+        sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, 3)
+        sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, 15_000)
+        super().__init__(sock, *args, **kwargs)
+
+    def read_requestline(self):
+        """Wait for the next request as long as the connection may be idle."""
+        with gevent.Timeout(self.gateway.limits().idle_s, OSError("idle")):
+            return super().read_requestline()
+
+    def read_request(self, raw_requestline):
+        """Read the head of a request within its limits of time and size."""
+        limits = self.gateway.limits()
+        with gevent.Timeout(limits.header_s, ValueError("the headers are too slow")):
+            done = super().read_request(raw_requestline)
+        self._check_framing()
+        return done
+
+    def get_environ(self):
+        """Give the application the request as it was sent."""
+        environ = super().get_environ()
+        environ[CALL_KEY] = self
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
+    def log_request(self):
+        """Leave the logging of requests to the application."""
+
+    def handle_error(self, kind, value, traceback):
+        """End the connection, so that an answer that was cut cannot look complete."""
+        if issubclass(kind, (CallerGoneError, CallerStalledError, RequestError)):
+            self.close_connection = True
+            return
+        event("handler failed", why=repr(value), step="answer")
+        super().handle_error(kind, value, traceback)
+
+    def _check_framing(self):
+        """Refuse a request whose end two readers could see in different places."""
+        lengths = self.headers.get_all("content-length") or []
+        coding = self.headers.get_all("transfer-encoding") or []
+        if len(lengths) > 1 or [c.strip().lower() for c in coding] not in (
+            [],
+            ["chunked"],
+        ):
+            raise ValueError("the length of the body is not clear")
+
+    def _sendall(self, data):
+        with gevent.Timeout(WRITE_STALL_S, CallerStalledError("caller stalled")):
+            super()._sendall(data)
+
+
+def new_front_server(address, gateway, clock):
+    """Return the server for callers at ``address``."""
+    host, _, port = address.rpartition(":")
+    handler = type("GatewayHandler", (CallerHandler,), {"gateway": gateway})
+    return WSGIServer(
+        (host, int(port)),
+        Front(gateway, clock),
+        handler_class=handler,
+        log=None,
+        error_log=QuietLog(),
+        backlog=BACKLOG,
+    )
+
+
+def _status_line(status):
+    return f"{status} {responses.get(status, 'Status')}"
+
+
+def _too_large(limit):
+    return BadRequestError(
+        f"the body is larger than {limit} bytes", status=413, title="Body too large"
+    )
--- /dev/null
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -0,0 +1,128 @@
+"""From a caller's call to a routed request: route, team, deadline, model."""
+
+from uuid import uuid4
+
+from auburnwall.routing.call import RoutedRequest, key_of, work_of
+from auburnwall.routing.exceptions import BadRequestError, OverloadedError, RequestError
+from auburnwall.routing.routes import ClientLimits, pick_target
+from auburnwall.routing.stepmodel import Work
+
+# When a caller is told to come back to a node that knows no configuration yet, in
+# seconds: the time that a node takes to start.
+STARTING_RETRY_S = 0.5
+# Rank of a request whose route and team name none.
+DEFAULT_RANK = 5
+
+
+class Gateway:
+    """Read calls on behalf of the front, and count what runs."""
+
+    def __init__(self, source, forwarder, dialect, clock, rng, metrics, demand):
+        self.forwarder = forwarder
+        self.running = 0
+        self.idle_since = clock.monotonic()
+        self.stop_begun = False
+        self.refusing = False
+        self._source = source
+        self._dialect = dialect
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._demand = demand
+
+    def __enter__(self):
+        self.running += 1
+        return self
+
+    def __exit__(self, *exc_info):
+        self.running -= 1
+        self.idle_since = self._clock.monotonic()
+
+    def limits(self):
+        """Return the ``ClientLimits`` in force."""
+        table = self._source.table
+        return table.config.limits if table else ClientLimits()
+
+    def stopping(self):
+        """Return whether connections are to be closed after their answers."""
+        return self.stop_begun
+
+    def request_id(self, call):
+        """Return the caller's id of the request, or a new one."""
+        return call.header(self._dialect.request_id) or uuid4().hex
+
+    def echo(self, request_id):
+        """Return the header that tells a caller which request is answered."""
+        return [(self._dialect.request_id, request_id)] if request_id else []
+
+    def note(self, request, status):
+        """Count an answer."""
+        took_s = self._clock.monotonic() - request.call.arrived_at
+        self._metrics.note(request.route.name, status, took_s)
+
+    def note_problem(self, exc):
+        """Count an answer of this node's own."""
+        self._metrics.note_problem(exc.status, exc.step)
+
+    def read(self, call):
+        """Return the ``RoutedRequest``; raise ``RequestError``."""
+        table = self._source.table
+        if table is None:
+            raise RequestError(
+                503,
+                "Starting",
+                "this node has no configuration yet",
+                step="find route",
+                retry_after_s=STARTING_RETRY_S,
+            )
+        if self.refusing:
+            raise OverloadedError(
+                "this node is stopping", STARTING_RETRY_S, step="stop"
+            )
+        path = call.path.partition("?")[0]
+        route = table.find(call.header("Host") or "", path)
+        if route is None:
+            raise RequestError(404, "No such route", path, step="find route")
+        team = self._team(table.config, route, call)
+        return self._routed(table.config, route, team, call)
+
+    def _team(self, config, route, call):
+        if config.teams_by_key is None or route.anonymous:
+            return None
+        team = config.team_of(key_of(call))
+        if team is None:
+            raise RequestError(401, "Unknown key", "", step="check key")
+        return team
+
+    def _routed(self, config, route, team, call):
+        service = pick_target(route, self._rng)
+        engine = config.services[service].engine if service in config.services else None
+        model = (call.header(self._dialect.model) or "") if engine else ""
+        rank = DEFAULT_RANK if route.priority is None else route.priority
+        if team is not None and team.priority is not None:
+            rank = team.priority
+        request = RoutedRequest(
+            call,
+            self.request_id(call),
+            route,
+            service,
+            team.name if team else "",
+            model,
+            work_of(call, self._dialect, engine) if engine else Work(0, 1),
+            self._deadline(route, call),
+            rank,
+            hides_key=config.teams_by_key is not None,
+        )
+        self._demand.note(request, engine)
+        return request
+
+    def _deadline(self, route, call):
+        raw = call.header(self._dialect.deadline_ms)
+        left_s = route.timeout_s
+        if raw is not None:
+            if not raw.isdigit():
+                raise BadRequestError(
+                    f"{self._dialect.deadline_ms}: {raw!r} is not a number"
+                )
+            left_s = min(left_s, int(raw) / 1000)
+        return call.arrived_at + left_s
--- /dev/null
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
@@ -0,0 +1,371 @@
+"""Build the parts of a routed node and start their tasks."""
+
+import random
+import signal
+from contextlib import ExitStack, closing
+from functools import partial
+from typing import NamedTuple
+
+import gevent
+
+from auburnwall.base import logs
+from auburnwall.base.clock import PauseDetector, SystemClock
+from auburnwall.base.tasks import TaskGroup, repeat, supervise
+from auburnwall.fleet.board import Board
+from auburnwall.fleet.formation.conductor import Conductor
+from auburnwall.fleet.formation.election import Election
+from auburnwall.fleet.formation.records import FleetState, FleetWriter, NodeRecord
+from auburnwall.fleet.formation.watch import MemberWatch
+from auburnwall.fleet.registrations import Registry
+from auburnwall.routing.channels import ChannelPool
+from auburnwall.routing.forwarder import Forwarder, ForwarderDeps
+from auburnwall.routing.inflight import InFlight
+from auburnwall.routing.placer import Placer
+from auburnwall.routing.repeats import RepeatBudget
+from auburnwall.routing.warmup import WarmupGate
+from auburnwall.state.exceptions import StateError
+from auburnwall.state.proposer import new_incarnation
+from auburnwall.state.table.replica import TableReplica
+from auburnwall.wire.client import PeerPool
+from auburnwall.wire.exceptions import PeerUnavailableError
+from auburnwall.wire.peer import Routed
+from auburnwall.wire.peer.ttypes import Pulse
+from auburnwall.wire.server import PeerServer
+
+from ..identity import Identity
+from .demand import DemandMeter
+from .entry import EntryPoints, new_directory_app, new_ready_app, new_server
+from .front import new_front_server
+from .gateway import Gateway
+from .metrics import RoutedMetrics
+from .peers import Peers, RoutedHandler
+from .source import ConfigSource
+from .stop import Stop
+from .tables import LONG_POLL_S, TableReader
+from .world import Doubts, PlanningWorld, RoutingWorld
+
+OPERATOR_TABLE, SERVER_TABLE, FLEET_TABLE = "operator", "servers", "fleet"
+
+# Time that a call to a peer may take, in seconds.
+PEER_TIMEOUT_S = 0.8
+# Time between two plans, in seconds; a plan over some dozens of groups takes a few ms.
+PLAN_S = 0.15
+# Time between two looks at who plans, in seconds.
+ELECTION_S = 0.3
+# Time between two looks at peers, demand and idle connections, in seconds.
+PEERS_S, DEMAND_S, SWEEP_S = 0.25, 1.0, 1.0
+# Time between two tries to write this node's record, in seconds.
+ANNOUNCE_S = 0.3
+# Gap in running after which everything that the node believes is read anew, in seconds.
+PAUSE_S = 1.0
+# Age of a copy of the tables up to which this node may plan, in seconds.
+PLANNING_AGE_S = 4.0
+# Time for log lines to be written out at the end, in seconds.
+LOG_DRAIN_S = 0.2
+
+
+class Platform(NamedTuple):
+    """What a routed node reaches the world through.
+
+    ``codec`` decodes the operators' table, ``decode_registration`` a server's entry;
+    ``directory`` is a ``DirectoryCodec``, ``ready_path`` where readiness is asked.
+    """
+
+    store: object
+    engine: object
+    dialect: object
+    codec: object
+    decode_registration: object
+    directory: object
+    ready_path: str
+
+
+class RoutedNode:
+    """Everything a routed node is made of; ``tasks`` owns what runs."""
+
+    def __init__(self, cfg, platform, tasks, stack, clock=None, rng=None):
+        self.cfg = cfg
+        self.tasks = tasks
+        self.clock = clock or SystemClock()
+        self.rng = rng or random.Random()
+        self._platform = platform
+        self._stack = stack
+        self.identity = Identity(
+            cfg.node,
+            new_incarnation(),
+            cfg.front_address,
+            cfg.peer_address,
+            cfg.data_center,
+        )
+        self._build_tables()
+        self._build_fleet()
+        self._build_routing()
+        self._pause = PauseDetector(self.clock, PAUSE_S)
+
+    def pulse(self):
+        """Return this node's pulse."""
+        return Pulse(
+            node=self.identity.node,
+            incarnation=self.identity.incarnation,
+            ready=self.is_ready(),
+            stopping=self.gateway.stop_begun,
+            reads_tables=self._reads_tables(),
+            table_ends={name: r.end for name, r in self.replicas.items()},
+            running=dict(self.in_flight.running),
+            demand=self.demand.rates(),
+            suspects=self.doubts.names(),
+            has_traffic=self.demand.has_traffic,
+        )
+
+    def is_ready(self):
+        """Return whether this node may be sent callers."""
+        return (
+            self.source.table is not None
+            and self.replicas[SERVER_TABLE].end >= 0
+            and self.replicas[FLEET_TABLE].end >= 0
+            and not self.gateway.stop_begun
+        )
+
+    def start(self):
+        """Start the servers and all tasks that run for the life of the node."""
+        cfg, spawn = self.cfg, self.tasks.spawn
+        for server in self._servers():
+            server.start()
+            self._stack.callback(server.stop)
+        for reader in self.readers.values():
+            spawn(supervise, self.clock, reader.run, f"table {reader.replica.table}")
+        spawn(supervise, self.clock, self.in_flight.watch, "progress watch")
+        for period_s, function, name in (
+            (PAUSE_S / 4, self._watch_for_pause, "pause watch"),
+            (PEERS_S, partial(self.peers.follow, self.tasks), "peers"),
+            (ANNOUNCE_S, self._keep_announced, "announcement"),
+            (ELECTION_S, self._step_election, "election"),
+            (PLAN_S, self._plan, "plan"),
+            (DEMAND_S, self.demand.step, "demand"),
+            (SWEEP_S, self.channels.sweep, "idle connections"),
+        ):
+            spawn(repeat, self.clock, period_s, function, name)
+        logs.event(
+            "started",
+            front=cfg.front_address,
+            peer=cfg.peer_address,
+            incarnation=self.identity.incarnation,
+        )
+
+    def _build_tables(self):
+        names = (OPERATOR_TABLE, SERVER_TABLE, FLEET_TABLE)
+        self.replicas = {
+            name: TableReplica(name, self._platform.store, self.clock) for name in names
+        }
+
+    def _build_fleet(self):
+        cfg, platform, clock = self.cfg, self._platform, self.clock
+        self.source = ConfigSource(self.replicas[OPERATOR_TABLE], platform.codec)
+        self.registry = Registry(
+            self.replicas[SERVER_TABLE], platform.decode_registration, clock
+        )
+        self.fleet = FleetState(self.replicas[FLEET_TABLE])
+        self.writer = FleetWriter(self.fleet, platform.store, clock, self.identity)
+        pool = PeerPool(timeout_s=PEER_TIMEOUT_S, service=Routed)
+        self._stack.enter_context(closing(pool))
+        self.peers = Peers(
+            self.identity, self.fleet, pool, self.pulse, clock, cfg.pulse_s
+        )
+        self.election = Election(self.fleet, self.writer, self.peers, self.identity)
+        self.member_watch = MemberWatch(
+            self.registry, platform.engine, self._reached_by_peer, clock, self.tasks
+        )
+        self.conductor = Conductor(
+            self.fleet,
+            self.writer,
+            self.registry,
+            self.member_watch,
+            platform.engine,
+            PlanningWorld(self.source, self.peers, self.pulse),
+            clock,
+            self.tasks,
+        )
+        self._build_readers()
+
+    def _build_readers(self):
+        def reader(table, wait_s, pause_s, after=None):
+            return TableReader(
+                self.replicas[table],
+                self.peers,
+                self.clock,
+                self.rng,
+                wait_s=wait_s,
+                pause_s=pause_s,
+                after=after,
+            )
+
+        self.readers = {
+            OPERATOR_TABLE: reader(OPERATOR_TABLE, LONG_POLL_S, lambda: 0.0),
+            FLEET_TABLE: reader(FLEET_TABLE, LONG_POLL_S, lambda: 0.0),
+            SERVER_TABLE: reader(
+                SERVER_TABLE, 0.0, self._registry_pause, self.registry.note_read
+            ),
+        }
+
+    def _build_routing(self):
+        cfg, clock = self.cfg, self.clock
+        self.doubts = Doubts(clock)
+        self.doubts.listeners.append(self.member_watch.doubt)
+        self.peers.on_suspects = self._take_suspects
+        self.in_flight = InFlight(clock, self.doubts.note)
+        self.channels = self._stack.enter_context(closing(ChannelPool(clock)))
+        self.demand = DemandMeter(clock)
+        self.board = Board(
+            self.registry, self.fleet, lambda: self.source.data_centers_out
+        )
+        world = RoutingWorld(
+            cfg.data_center,
+            self.source,
+            self.board,
+            self.registry,
+            self.peers,
+            self.in_flight,
+            self.doubts,
+        )
+        gate = WarmupGate(cfg.node, lambda: self.fleet.nodes, clock)
+        self.placer = Placer(world, self.in_flight, gate, clock, self.rng)
+        dialect = self._platform.dialect
+        deps = ForwarderDeps(self.placer, self.channels, self.in_flight, dialect, clock)
+        self._budgets = {}
+        self.metrics = RoutedMetrics()
+        self.gateway = Gateway(
+            self.source,
+            Forwarder(deps, self._budget_of),
+            dialect,
+            clock,
+            self.rng,
+            self.metrics,
+            self.demand,
+        )
+        self.stop = Stop(self.gateway, self.writer, clock, cfg, self.tasks)
+        self._build_gauges()
+
+    def _build_gauges(self):
+        for name, documentation, function in (
+            ("running", "Requests under way.", lambda: self.gateway.running),
+            ("waiting", "Requests that wait for a place.", self.placer.waiting),
+            ("groups", "Groups in the fleet's table.", lambda: len(self.fleet.groups)),
+            ("servers", "Registered servers.", lambda: len(self.registry.servers)),
+            ("peers", "Peers heard of lately.", lambda: len(self.peers.heard())),
+            ("connections", "Connections opened.", lambda: self.channels.opened),
+        ):
+            self.metrics.gauge(f"auburnwall_{name}", documentation, function)
+
+    def _servers(self):
+        cfg, platform = self.cfg, self._platform
+        host, _, port = cfg.peer_address.rpartition(":")
+        handler = RoutedHandler(self.peers, self.pulse, self.replicas, platform.engine)
+        entry_points = EntryPoints(
+            self.fleet, self.peers, self.pulse, cfg.most_entry_points
+        )
+        return (
+            PeerServer(host, int(port), handler, Routed),
+            new_server(
+                cfg.ready_address,
+                new_ready_app(platform.ready_path, self.is_ready, self.metrics),
+            ),
+            new_server(
+                cfg.directory_address,
+                new_directory_app(platform.directory, entry_points, cfg.entry_hold_s),
+            ),
+            new_front_server(cfg.front_address, self.gateway, self.clock),
+        )
+
+    def _registry_pause(self):
+        cfg = self.cfg
+        return cfg.planner_registry_s if self.writer.plans() else cfg.registry_s
+
+    def _reads_tables(self):
+        ages = [replica.age() for replica in self.replicas.values()]
+        return all(reader.reads for reader in self.readers.values()) and all(
+            age_s is not None and age_s < PLANNING_AGE_S for age_s in ages
+        )
+
+    def _budget_of(self, service):
+        if service not in self._budgets:
+            cfg = self.cfg
+            self._budgets[service] = RepeatBudget(
+                cfg.repeat_share,
+                cfg.repeat_reserve,
+                cfg.repeat_window_s,
+                lambda: len(self.fleet.nodes),
+                self.clock,
+            )
+        return self._budgets[service]
+
+    def _take_suspects(self, names, node):
+        for name in names:
+            if name in self.fleet.groups:
+                self.doubts.note(name, source=node)
+
+    def _reached_by_peer(self, member):
+        """Return whether any peer reaches a server that this node does not reach."""
+        calls = [
+            gevent.spawn(self._peer_reaches, name, member)
+            for name in self.peers.heard()
+        ]
+        gevent.joinall(calls)
+        return any(call.value for call in calls)
+
+    def _peer_reaches(self, name, member):
+        address = self.peers.address(name)
+        try:
+            return self.peers.call(address, "reaches", member.server, member.address)
+        except PeerUnavailableError as exc:
+            logs.event("peer not asked", peer=name, step="reaches", why=exc.detail)
+            return False
+
+    def _watch_for_pause(self):
+        if self._pause.beat():
+            logs.warn("paused", step="pause watch")
+            for replica in self.replicas.values():
+                replica.complete_at = None
+
+    def _keep_announced(self):
+        mine = self.fleet.nodes.get(self.cfg.node)
+        if self.gateway.stop_begun or self.replicas[FLEET_TABLE].end < 0:
+            return
+        if mine is not None and mine.incarnation == self.identity.incarnation:
+            return
+        record = NodeRecord(
+            self.identity.node,
+            self.identity.incarnation,
+            self.identity.address,
+            self.identity.peer_address,
+            self.identity.data_center,
+        )
+        try:
+            self.writer.announce(record)
+        except StateError as exc:
+            logs.event("node not announced", step=exc.step, why=exc.detail)
+
+    def _step_election(self):
+        if self._reads_tables() and not self.gateway.stop_begun:
+            self.election.step()
+
+    def _plan(self):
+        if self._reads_tables() and not self.gateway.stop_begun:
+            self.conductor.step()
+
+
+def run_routed_node(cfg, new_platform, on_reload=lambda: None):
+    """Run a node until it is told to stop.
+
+    ``new_platform(stack)`` returns the ``Platform``; ``on_reload`` is called at SIGHUP.
+    """
+    writer = logs.set_up(cfg.log_format, cfg.log_level, cfg.node)
+    with ExitStack() as stack:
+        tasks = stack.enter_context(TaskGroup())
+        node = RoutedNode(cfg, new_platform(stack), tasks, stack)
+        gevent.signal_handler(signal.SIGTERM, node.stop.begin)
+        gevent.signal_handler(signal.SIGINT, node.stop.begin)
+        gevent.signal_handler(signal.SIGHUP, on_reload)
+        node.start()
+        node.stop.finished.wait()
+    logs.event("stopped")
+    writer.drain(LOG_DRAIN_S)
--- /dev/null
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/world.py
@@ -0,0 +1,133 @@
+"""What the decisions on placing and planning see of the rest of the node."""
+
+from collections import Counter
+from typing import NamedTuple
+
+from auburnwall.base.logs import event
+from auburnwall.routing.stepmodel import service_time
+
+# A group that stood still gets nothing for this long, unless the planner ends it
+# before, in seconds: the time that the planner takes to ask its members.
+DOUBT_S = 2.0
+# Time that a request takes at a plain service until one was measured, in seconds.
+PLAIN_SERVICE_S = 0.1
+
+
+class Known(NamedTuple):
+    """What is known of a model's or service's capacity; see ``refusing.Outlook``."""
+
+    serving: float
+    forming: int
+    service_s: float
+
+
+class Doubts:
+    """Groups that stand still, by this node's own streams or a peer's word."""
+
+    def __init__(self, clock):
+        self.listeners = []
+        self._clock = clock
+        self._until = {}
+
+    def note(self, name, source="own streams"):
+        """Doubt a group from now on."""
+        now = self._clock.monotonic()
+        if self._until.get(name, 0.0) < now:
+            event("group doubted", group=name, source=source)
+            for listener in self.listeners:
+                listener(name)
+        if source == "own streams":
+            self._until[name] = now + DOUBT_S
+        else:
+            self._until.setdefault(name, now + DOUBT_S)
+
+    def __contains__(self, name):
+        return self._until.get(name, 0.0) >= self._clock.monotonic()
+
+    def names(self):
+        """Return the groups that are doubted now."""
+        now = self._clock.monotonic()
+        self._until = {n: at for n, at in self._until.items() if at > now - DOUBT_S}
+        return [name for name, at in self._until.items() if at >= now]
+
+
+class RoutingWorld:
+    """The placer's view."""
+
+    def __init__(self, data_center, source, board, registry, peers, in_flight, doubts):
+        self.data_center = data_center
+        self._source = source
+        self._board = board
+        self._registry = registry
+        self._peers = peers
+        self._in_flight = in_flight
+        self._doubts = doubts
+
+    def candidates(self, request):
+        """Return where a request may go."""
+        if self._engine(request) is not None:
+            return self._board.of_model(request.service, request.model)
+        return self._board.of_service(request.service)
+
+    def load(self, candidate):
+        """Return the requests that all nodes have at a candidate, as far as known."""
+        own = self._in_flight.count(candidate.name)
+        return own + self._peers.load(candidate.name)
+
+    def is_doubted(self, name):
+        """Return whether a group stands still."""
+        return name in self._doubts
+
+    def cold_rate(self, candidate):
+        """Return requests a second that a cold server bears, ``None`` for a warm one."""
+        if not self._registry.is_cold(candidate.server):
+            return None
+        entry = self._registry.servers.get(candidate.server)
+        service = self._source.config.services.get(entry.service) if entry else None
+        rate = service.cold_per_s if service else 0.0
+        return rate if rate > 0 else None
+
+    def outlook(self, request):
+        """Return what is ``Known`` of the capacity that a request needs."""
+        candidates = self.candidates(request)
+        serving = sum(self._in_flight.count(c.name) for c in candidates)
+        engine = self._engine(request)
+        if engine is None:
+            return Known(serving, 0, PLAIN_SERVICE_S)
+        model = engine.models.get(request.model)
+        service_s = (
+            service_time(engine, model, request.work, engine.slots) if model else 1.0
+        )
+        forming = self._board.forming(request.service, request.model)
+        return Known(serving, forming, service_s)
+
+    def _engine(self, request):
+        service = self._source.config.services.get(request.service)
+        return service.engine if service else None
+
+
+class PlanningWorld:
+    """The planner's view."""
+
+    def __init__(self, source, peers, own_pulse):
+        self._source = source
+        self._peers = peers
+        self._own_pulse = own_pulse
+
+    def config(self):
+        """Return the configuration in force, or ``None``."""
+        return self._source.config
+
+    def data_centers_out(self):
+        """Return the data centres that get nothing."""
+        return self._source.data_centers_out
+
+    def demand(self):
+        """Return groups' worth of work by model, ``None`` before any request."""
+        pulses = [*self._peers.heard().values(), self._own_pulse()]
+        if not any(pulse.has_traffic for pulse in pulses):
+            return None
+        total = Counter()
+        for pulse in pulses:
+            total.update(pulse.demand)
+        return total
--- /dev/null
+++ b/packages/auburnwall-routing/src/auburnwall/routing/eventstream.py
@@ -0,0 +1,45 @@
+"""Events of a stream as bytes, cut at their ends."""
+
+_END = b"\n\n"
+_ID = b"id:"
+
+
+class EventSplitter:
+    """Collect bytes of a stream and give out whole events.
+
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b"id: 4\\ndata: x\\n\\nid: 5\\nda")
+    b'id: 4\\ndata: x\\n\\n'
+    >>> splitter.last_id
+    '4'
+    """
+
+    def __init__(self):
+        self.last_id = None
+        self._rest = b""
+
+    @property
+    def pending(self):
+        """Return whether part of an event has come."""
+        return bool(self._rest)
+
+    def feed(self, data):
+        """Return the events that are whole now, together, possibly none."""
+        rest = self._rest + data
+        end = rest.rfind(_END)
+        if end < 0:
+            self._rest = rest
+            return b""
+        whole, self._rest = rest[: end + 2], rest[end + 2 :]
+        self.last_id = _last_id(whole) or self.last_id
+        return whole
+
+
+def _last_id(events):
+    at = events.rfind(_ID)
+    while at > 0 and events[at - 1 : at] != b"\n":
+        at = events.rfind(_ID, 0, at)
+    if at < 0:
+        return None
+    line = events[at + len(_ID) :].partition(b"\n")[0]
+    return line.strip().decode("latin-1")
--- a/packages/auburnwall-state/src/auburnwall/state/exceptions.py
+++ b/packages/auburnwall-state/src/auburnwall/state/exceptions.py
@@ -28,3 +28,11 @@
 
 class OutcomeUnknownError(StateError):
     """A proposal was sent and nothing tells yet whether it took effect."""
+
+
+class TableChangedError(StateError):
+    """A conditional write came too late; ``end`` is where the table ends now."""
+
+    def __init__(self, end, *, step="", peer=""):
+        super().__init__(f"the table now ends at {end}", step=step, peer=peer)
+        self.end = end
--- a/packages/auburnwall-wire/src/auburnwall/wire/client.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/client.py
@@ -19,8 +19,9 @@
     late cannot be taken for the answer to another call.
     """
 
-    def __init__(self, address, *, timeout_s):
+    def __init__(self, address, *, timeout_s, service=Peer):
         self.address = address
+        self._service = service
         self._timeout_s = timeout_s
         self._transport = None
         self._client = None
@@ -57,15 +58,16 @@
             transport = TFramedTransport(socket)
             transport.open()
             self._transport = transport
-            self._client = Peer.Client(FACTORY.getProtocol(transport))
+            self._client = self._service.Client(FACTORY.getProtocol(transport))
         return self._client
 
 
 class PeerPool:
     """Own clients to many peers, as many to each as there are calls at once."""
 
-    def __init__(self, *, timeout_s):
+    def __init__(self, *, timeout_s, service=Peer):
         self._timeout_s = timeout_s
+        self._service = service
         self._idle = {}
 
     def call(self, address, name, *args):
@@ -90,4 +92,4 @@
         self._idle.clear()
 
     def _new(self, address):
-        return PeerClient(address, timeout_s=self._timeout_s)
+        return PeerClient(address, timeout_s=self._timeout_s, service=self._service)
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
@@ -141,3 +141,45 @@
   void release(1: i32 shard, 2: ClaimAsk ask) throws (1: PeerError error)
   Outcome outcome(1: string key, 2: string attempt) throws (1: PeerError error)
 }
+
+/**
+ * What a routed node tells a peer of itself, several times a second.
+ *
+ * `running` counts its requests at each group or server, `demand` the groups' worth of
+ * work that callers asked it for by model, -1 in all before the first request;
+ * `suspects` names groups that stand still. The ends tell how far it has read the
+ * platform's tables, `reads_tables` whether it reached them lately.
+ */
+struct Pulse {
+  1: string node
+  2: string incarnation
+  3: bool ready
+  4: bool stopping
+  5: bool reads_tables
+  6: map<string, i64> table_ends
+  7: map<string, i32> running
+  8: map<string, double> demand
+  9: list<string> suspects
+  10: bool has_traffic
+}
+
+struct TableRow {
+  1: i64 offset
+  2: string key
+  3: binary value
+  4: bool removed
+}
+
+/** Rows of a table from the offset asked for, or, if `whole`, the newest of all keys. */
+struct TableRows {
+  1: bool whole
+  2: i64 end
+  3: i64 age_ms
+  4: list<TableRow> rows
+}
+
+service Routed {
+  Pulse pulse(1: Pulse mine) throws (1: PeerError error)
+  TableRows rows(1: string table, 2: i64 from_offset) throws (1: PeerError error)
+  bool reaches(1: string server, 2: string address) throws (1: PeerError error)
+}
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/__init__.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/__init__.py
@@ -1,1 +1,1 @@
-__all__ = ['ttypes', 'constants', 'Peer']
+__all__ = ['ttypes', 'constants', 'Peer', 'Routed']
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
@@ -1464,6 +1464,398 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class Pulse(object):
+    """
+    What a routed node tells a peer of itself, several times a second.
+
+    `running` counts its requests at each group or server, `demand` the groups' worth of
+    work that callers asked it for by model, -1 in all before the first request;
+    `suspects` names groups that stand still. The ends tell how far it has read the
+    platform's tables, `reads_tables` whether it reached them lately.
+
+    Attributes:
+     - node
+     - incarnation
+     - ready
+     - stopping
+     - reads_tables
+     - table_ends
+     - running
+     - demand
+     - suspects
+     - has_traffic
+
+    """
+
+
+    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None,):
+        self.node = node
+        self.incarnation = incarnation
+        self.ready = ready
+        self.stopping = stopping
+        self.reads_tables = reads_tables
+        self.table_ends = table_ends
+        self.running = running
+        self.demand = demand
+        self.suspects = suspects
+        self.has_traffic = has_traffic
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.ready = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.stopping = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.reads_tables = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.MAP:
+                    self.table_ends = {}
+                    (_ktype38, _vtype39, _size37) = iprot.readMapBegin()
+                    for _i41 in range(_size37):
+                        _key42 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val43 = iprot.readI64()
+                        self.table_ends[_key42] = _val43
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.MAP:
+                    self.running = {}
+                    (_ktype45, _vtype46, _size44) = iprot.readMapBegin()
+                    for _i48 in range(_size44):
+                        _key49 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val50 = iprot.readI32()
+                        self.running[_key49] = _val50
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.MAP:
+                    self.demand = {}
+                    (_ktype52, _vtype53, _size51) = iprot.readMapBegin()
+                    for _i55 in range(_size51):
+                        _key56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val57 = iprot.readDouble()
+                        self.demand[_key56] = _val57
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.suspects.append(_elem63)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.has_traffic = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Pulse')
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 1)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.ready is not None:
+            oprot.writeFieldBegin('ready', TType.BOOL, 3)
+            oprot.writeBool(self.ready)
+            oprot.writeFieldEnd()
+        if self.stopping is not None:
+            oprot.writeFieldBegin('stopping', TType.BOOL, 4)
+            oprot.writeBool(self.stopping)
+            oprot.writeFieldEnd()
+        if self.reads_tables is not None:
+            oprot.writeFieldBegin('reads_tables', TType.BOOL, 5)
+            oprot.writeBool(self.reads_tables)
+            oprot.writeFieldEnd()
+        if self.table_ends is not None:
+            oprot.writeFieldBegin('table_ends', TType.MAP, 6)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_ends))
+            for kiter64, viter65 in self.table_ends.items():
+                oprot.writeString(kiter64.encode('utf-8') if sys.version_info[0] == 2 else kiter64)
+                oprot.writeI64(viter65)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.MAP, 7)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
+            for kiter66, viter67 in self.running.items():
+                oprot.writeString(kiter66.encode('utf-8') if sys.version_info[0] == 2 else kiter66)
+                oprot.writeI32(viter67)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.MAP, 8)
+            oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.demand))
+            for kiter68, viter69 in self.demand.items():
+                oprot.writeString(kiter68.encode('utf-8') if sys.version_info[0] == 2 else kiter68)
+                oprot.writeDouble(viter69)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.suspects))
+            for iter70 in self.suspects:
+                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.has_traffic is not None:
+            oprot.writeFieldBegin('has_traffic', TType.BOOL, 10)
+            oprot.writeBool(self.has_traffic)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableRow(object):
+    """
+    Attributes:
+     - offset
+     - key
+     - value
+     - removed
+
+    """
+
+
+    def __init__(self, offset=None, key=None, value=None, removed=None,):
+        self.offset = offset
+        self.key = key
+        self.value = value
+        self.removed = removed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.removed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableRow')
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 1)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 3)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        if self.removed is not None:
+            oprot.writeFieldBegin('removed', TType.BOOL, 4)
+            oprot.writeBool(self.removed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableRows(object):
+    """
+    Rows of a table from the offset asked for, or, if `whole`, the newest of all keys.
+
+    Attributes:
+     - whole
+     - end
+     - age_ms
+     - rows
+
+    """
+
+
+    def __init__(self, whole=None, end=None, age_ms=None, rows=None,):
+        self.whole = whole
+        self.end = end
+        self.age_ms = age_ms
+        self.rows = rows
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.end = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = TableRow()
+                        _elem76.read(iprot)
+                        self.rows.append(_elem76)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableRows')
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 1)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
+        if self.end is not None:
+            oprot.writeFieldBegin('end', TType.I64, 2)
+            oprot.writeI64(self.end)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter77 in self.rows:
+                iter77.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Observation)
 Observation.thrift_spec = (
     None,  # 0
@@ -1584,5 +1976,35 @@
     (1, TType.STRING, 'detail', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'step', 'UTF8', None, ),  # 2
 )
+all_structs.append(Pulse)
+Pulse.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'ready', None, None, ),  # 3
+    (4, TType.BOOL, 'stopping', None, None, ),  # 4
+    (5, TType.BOOL, 'reads_tables', None, None, ),  # 5
+    (6, TType.MAP, 'table_ends', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 6
+    (7, TType.MAP, 'running', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 7
+    (8, TType.MAP, 'demand', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 8
+    (9, TType.LIST, 'suspects', (TType.STRING, 'UTF8', False), None, ),  # 9
+    (10, TType.BOOL, 'has_traffic', None, None, ),  # 10
+)
+all_structs.append(TableRow)
+TableRow.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'offset', None, None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+    (4, TType.BOOL, 'removed', None, None, ),  # 4
+)
+all_structs.append(TableRows)
+TableRows.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'whole', None, None, ),  # 1
+    (2, TType.I64, 'end', None, None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
+    (4, TType.LIST, 'rows', (TType.STRUCT, [TableRow, None], False), None, ),  # 4
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/auburnwall-wire/src/auburnwall/wire/server.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/server.py
@@ -17,10 +17,13 @@
 
 
 class PeerServer:
-    """Accept connections on ``host:port`` and hand calls to ``handler``."""
+    """Accept connections on ``host:port`` and hand calls to ``handler``.
 
-    def __init__(self, host, port, handler):
-        self._processor = Peer.Processor(handler)
+    ``service`` is the generated module of the service that it implements.
+    """
+
+    def __init__(self, host, port, handler, service=Peer):
+        self._processor = service.Processor(handler)
         self._server = StreamServer((host, port), self._serve)
 
     def start(self):
--- a/scripts/generate-wire.sh
+++ b/scripts/generate-wire.sh
@@ -7,5 +7,5 @@
 thrift --gen py -out "$out" "$wire/peer.thrift"
 rm -rf "$wire/peer"
 mv "$out/auburnwall/wire/peer" "$wire/peer"
-rm -f "$wire/peer/Peer-remote"
+rm -f "$wire/peer/Peer-remote" "$wire/peer/Routed-remote"
 rm -rf "$out"
