--- a/packages/auburnwall-base/src/auburnwall/base/logs.py
+++ b/packages/auburnwall-base/src/auburnwall/base/logs.py
@@ -60,9 +60,8 @@
     handler.python_handler.stream = writer
     handler.setFormatter(_StructuredFormatter(style, node))
     logging.set_verbosity(level)
-    logging.set_stderrthreshold(level)
-    # The handler of absl's own logger writes every line; the root's would repeat it.
-    logging.get_absl_logger().propagate = False
+    # Lines from this level upwards would go to standard error as well.
+    logging.set_stderrthreshold("fatal")
     root = std_logging.getLogger()
     root.handlers = [handler]
     return writer
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -121,7 +121,8 @@
                 raise ExchangeError(
                     str(exc), step="connect", peer=candidate.server, sent=False
                 ) from exc
-        channel.connection.sock.settimeout(READ_S)
+        # The connection sets its own time limit anew before it sends and reads.
+        channel.connection.timeout = READ_S
 
     def _sent_headers(self):
         request, dialect = self._request, self._deps.dialect
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -147,8 +147,9 @@
             serving=known.serving,
             forming=known.forming,
             service_s=known.service_s,
-            left_s=left_s if patience_s is None else min(left_s, patience_s),
+            left_s=left_s,
             objective_s=objective_s,
+            patience_s=patience_s,
         )
 
     def _queue(self, request):
--- a/packages/auburnwall-routing/src/auburnwall/routing/refusing.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/refusing.py
@@ -13,6 +13,9 @@
 # Where groups are forming, requests wait for them this long at most, in seconds: the
 # time that a group takes from hosts that have its model.
 FORMING_WAIT_S = 1.5
+# A request whose objective has passed waits this long at most, in seconds, and no more
+# than this part of the time that its caller has left, so that it can still come back.
+LATE_WAIT_S, LATE_SHARE = 1.0, 0.25
 # What a refused caller is told at least, in seconds.
 LEAST_RETRY_AFTER_S = 0.3
 
@@ -20,9 +23,10 @@
 class Outlook(NamedTuple):
     """What is known when a request finds no place.
 
-    ``waiting`` requests are before it; ``serving`` are places in use by this node and
-    by its share of the rest, each taken for ``service_s``; ``forming`` groups are on
-    their way.
+    ``waiting`` requests are before it; ``serving`` places are in use by this node, each
+    taken for ``service_s``; ``forming`` groups are on their way. ``patience_s`` is how
+    long a stream that broke off may look for another server, ``None`` for a request
+    that has not begun.
     """
 
     waiting: int
@@ -31,6 +35,7 @@
     service_s: float
     left_s: float
     objective_s: float
+    patience_s: float | None = None
 
 
 class Verdict(NamedTuple):
@@ -46,18 +51,25 @@
     """Return the ``Verdict`` on a request that finds no place."""
     if outlook.serving > 0:
         expected_s = (outlook.waiting + 1) * outlook.service_s / outlook.serving
-        why = (
-            f"{outlook.waiting} wait, the next place is expected in {expected_s:.2f} s"
-        )
+        why = f"{outlook.waiting} wait, a place is expected in {expected_s:.2f} s"
     elif outlook.forming:
         expected_s = FORMING_WAIT_S
         why = f"no group serves, {outlook.forming} are forming"
     else:
         expected_s = 2 * FORMING_WAIT_S
         why = "nothing serves it and nothing is forming"
-    retry_after_s = max(LEAST_RETRY_AFTER_S, expected_s)
-    in_time = expected_s <= WORTH_WAITING * outlook.objective_s
-    limit_s = outlook.objective_s if outlook.serving > 0 else FORMING_WAIT_S
-    wait_s = min(limit_s, outlook.left_s)
-    worth = wait_s > 0 and (in_time or (outlook.forming > 0 and outlook.serving <= 0))
-    return Verdict(worth, max(0.0, wait_s), retry_after_s, why)
+    wait_s = max(0.0, min(_limit(outlook), outlook.left_s))
+    return Verdict(
+        expected_s <= wait_s, wait_s, max(LEAST_RETRY_AFTER_S, expected_s), why
+    )
+
+
+def _limit(outlook):
+    """Return how long it is worth while to wait, in seconds."""
+    if outlook.patience_s is not None:
+        return outlook.patience_s
+    if outlook.serving <= 0 and outlook.forming:
+        return FORMING_WAIT_S
+    in_time_s = WORTH_WAITING * outlook.objective_s
+    late_s = min(LATE_WAIT_S, LATE_SHARE * outlook.left_s)
+    return in_time_s if outlook.objective_s > 0 else late_s
