Keep servers free beside the largest groups; retire a head in one go

Cause: the model of four members lost a group with each member and found no fourth server in its domain, since the survivors went to the other model at once; a take-over of the planning forgot which servers were silent, and used them again.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
@@ -11,13 +11,19 @@
 
 # Seconds that a server takes to join when it was last in a group of the same model.
 REJOIN_S = 0.2
+# Coverage from which on a model takes no more servers: those that stay free replace
+# lost members without a wait.
+ENOUGH = 1.8
 # Demand below this many groups' worth is taken for this much, so that a model that
 # nobody asked for lately keeps something to serve the next request with.
 LEAST_DEMAND = 0.3
 
 
 class FreeServer(NamedTuple):
-    """A server that is in no group; ``model`` is the one that it last served."""
+    """A server that is in no group; ``model`` is the one that it last served.
+
+    ``reserved`` names the only model that it may be taken for, if there is one.
+    """
 
     server: str
     born: int
@@ -26,6 +32,7 @@
     data_center: str
     model: str
     staged: tuple
+    reserved: str = ""
 
 
 class Formation(NamedTuple):
@@ -73,10 +80,12 @@
 
 def _next_formation(free, models, standing, demand, loads_left):
     for name in sorted(models, key=lambda name: coverage(name, standing, demand)):
+        if coverage(name, standing, demand) >= ENOUGH:
+            return None
         candidates = [
             found
-            for _, servers in _by_domain(free)
-            if (found := _best_members(servers, models[name]))
+            for _, servers in by_domain(free)
+            if (found := best_members(servers, models[name]))
             and found.loads <= loads_left
         ]
         if candidates:
@@ -84,7 +93,8 @@
     return None
 
 
-def _by_domain(free):
+def by_domain(free):
+    """Return pairs of a domain and its servers."""
     ordered = sorted(free, key=lambda server: server.domain)
     return [
         (domain, list(servers))
@@ -92,8 +102,9 @@
     ]
 
 
-def _best_members(servers, model):
+def best_members(servers, model):
     """Return the formation from one domain that is ready first, or ``None``."""
+    servers = [s for s in servers if s.reserved in ("", model.name)]
     if len(servers) < model.members:
         return None
     ordered = sorted(servers, key=lambda s: (ready_time(s, model), s.server))
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -3,16 +3,21 @@
 from auburnwall.base.logs import event, warn
 from auburnwall.state.exceptions import StateError, TableChangedError
 
-from ..engines.group import JoinOrder, OrderOutcome
+from ..engines.group import OrderOutcome, StageOrder
 from ..exceptions import EngineError
 from .assembly import FreeServer, assemble, coverage
-from .lifecycle import GroupView, next_step
+from .lifecycle import GroupView, next_step, retirement
 from .loads import LoadAllowance
-from .records import SERVING, Member, NotPlannerError
+from .records import ENDING, SERVING, Member, NotPlannerError
+from .shifting import Holder, Shift, find_shift
+from .staging import HostView, choose_staging
 
 # Time until an order that shows no effect is given again: the registrations that
 # would show it are up to 0.5 s old.
 ORDER_AGAIN_S = 0.8
+# Time for which servers stay reserved for the model that they were freed for: the
+# longest drain and the steps after it.
+RESERVED_S = 15.0
 # A load before there is traffic takes this part of its time.
 QUIET_LOAD_SHARE = 0.1
 
@@ -36,10 +41,16 @@
         self._since = {}
         self._given = {}
         self._refused = {}
+        self._retired = set()
         self._loads = LoadAllowance()
+        self._shifts = []
+        self._staging = {}
 
     def step(self):
-        """Decide, write the decisions, and give the orders that follow from them."""
+        """Decide, write the decisions, and give the orders that follow from them.
+
+        Raises ``LogUnavailableError`` if the table cannot be read when it must be.
+        """
         config = self._world.config()
         if config is None or not self._writer.plans():
             return
@@ -50,24 +61,30 @@
         }
         views = self._views(engines)
         steps = {name: next_step(view) for name, view in views.items()}
+        ends = self._ends(views, steps)
+        finished = [views[name].group for name, step in steps.items() if step.free]
+        formations = []
+        for service, engine in engines.items():
+            found, shift = self._plan_service(service, engine, finished, ends)
+            formations += found
+            ends.update(dict.fromkeys(shift.groups, (False, shift.cause)))
+        if self._write(ends, finished, formations):
+            self._give_orders(views, steps)
+            for service, engine in engines.items():
+                self._stage(service, engine)
+
+    def _ends(self, views, steps):
+        """Return why groups end and whether at once, by name."""
         self._refused = {
             name: why
             for name, why in self._refused.items()
             if name in views and views[name].group.phase == SERVING
         }
-        ended = [
-            (views[name].group, step.at_once)
-            for name, step in steps.items()
-            if step.end or (name in self._refused and not step.free)
-        ]
-        finished = [views[name].group for name, step in steps.items() if step.free]
-        formations = [
-            formation
-            for service, engine in engines.items()
-            for formation in self._formations(service, engine, finished)
-        ]
-        if self._write(ended, finished, formations, steps):
-            self._give_orders(views, steps)
+        ends = {name: (True, why) for name, why in self._refused.items()}
+        ends.update(
+            {name: (step.at_once, step.end) for name, step in steps.items() if step.end}
+        )
+        return ends
 
     def _views(self, engines):
         now = self._clock.monotonic()
@@ -83,48 +100,115 @@
                 tuple(self._watch.view(group, m, out) for m in group.members),
                 now - since[key],
                 model.load_s if model else 0.0,
+                group.name in self._retired,
             )
         self._since = since
+        self._retired &= set(views)
         return views
 
-    def _formations(self, service, engine, finished):
-        """Return tuples of service, model and members to write."""
+    def _plan_service(self, service, engine, finished, ends):
+        """Return what to form, as service, model and members, and the ``Shift``."""
         now, demand = self._clock.monotonic(), self._world.demand()
+        self._shifts = [shift for shift in self._shifts if shift.until > now]
         free = self._free_servers(service, {group.name for group in finished})
-        standing = self._standing(service)
+        standing = self._standing(service, ends)
         quiet = demand is None
+        if quiet:
+            demand = self._expected_demand(engine)
         allowance = (
             len(free)
             if quiet
             else self._loads.left(engine.loads_per_s, engine.loads_at_once, now)
         )
-        if quiet:
-            demand = {
-                model.name: model.share / model.members * len(self._registry.servers)
-                for model in engine.models.values()
-            }
         found = assemble(free, engine.models, standing, demand, allowance)
         for formation in found:
-            load_s = engine.models[formation.model].load_s
-            share = QUIET_LOAD_SHARE if quiet else 1.0
-            self._loads.note(formation.loads, load_s * share, now)
+            self._note_formation(formation, engine, standing, demand, quiet)
+        if found or quiet:
+            return [_to_write(service, formation) for formation in found], Shift()
+        return [], self._shift(service, engine, free, standing, demand, ends)
+
+    def _expected_demand(self, engine):
+        """Return groups' worth of work by model as long as nothing was measured."""
+        servers = len(self._registry.servers)
+        return {
+            model.name: model.share / model.members * servers
+            for model in engine.models.values()
+        }
+
+    def _note_formation(self, formation, engine, standing, demand, quiet):
+        load_s = engine.models[formation.model].load_s
+        share = QUIET_LOAD_SHARE if quiet else 1.0
+        self._loads.note(formation.loads, load_s * share, self._clock.monotonic())
+        fulfilled = [s for s in self._shifts if s.model == formation.model][:1]
+        self._shifts = [shift for shift in self._shifts if shift not in fulfilled]
+        event(
+            "group planned",
+            model=formation.model,
+            peers=[member.server for member in formation.members],
+            ready_s=round(formation.ready_s, 1),
+            coverage=round(coverage(formation.model, standing, demand), 2),
+            demand=round(demand.get(formation.model, 0.0), 2),
+        )
+
+    def _shift(self, service, engine, free, standing, demand, ends):
+        """Return which groups give their servers to a model that lacks them."""
+        for shift in self._shifts:
+            place = shift.model, ""
+            standing[place] = standing.get(place, 0) + 1
+        holders = [
+            Holder(group.name, group.model, self._as_free(group))
+            for group in self._state.groups.values()
+            if group.phase == SERVING
+            and group.service == service
+            and group.name not in ends
+        ]
+        shift = find_shift(holders, free, engine.models, standing, demand)
+        if shift.groups:
+            until = self._clock.monotonic() + RESERVED_S
+            self._shifts.append(shift._replace(until=until))
             event(
-                "group planned",
-                model=formation.model,
-                peers=[member.server for member in formation.members],
-                ready_s=round(formation.ready_s, 1),
-                coverage=round(coverage(formation.model, standing, demand), 2),
-                demand=round(demand.get(formation.model, 0.0), 2),
-                free=len(free),
+                "servers shifted",
+                model=shift.model,
+                groups=shift.groups,
+                peers=shift.servers,
+                why=shift.cause,
             )
-        return [
-            (
-                service,
-                formation.model,
-                tuple(Member(m.server, m.born, m.address) for m in formation.members),
+        return shift
+
+    def _as_free(self, group):
+        """Return a group's servers as they would be if they were free."""
+        entries = (self._registry.servers.get(m.server) for m in group.members)
+        return tuple(_free_server(e, group.model, "") for e in entries if e is not None)
+
+    def _stage(self, service, engine):
+        """Let hosts load the weights that they may need next."""
+        now, quiet = self._clock.monotonic(), self._world.demand() is None
+        self._staging = {k: at for k, at in self._staging.items() if at > now}
+        in_group = {
+            member.server: group
+            for group in self._state.groups.values()
+            for member in group.members
+        }
+        hosts = [
+            HostView(
+                entry.server,
+                entry.domain,
+                entry.model,
+                entry.staged,
+                in_group[entry.server].model if entry.server in in_group else "",
+                settled=entry.server not in self._staging
+                and (entry.server not in in_group or entry.standing is not None),
             )
-            for formation in found
+            for entry in self._registry.of_service(service)
         ]
+        left = self._loads.left(engine.loads_per_s, engine.loads_at_once, now)
+        for server, model in choose_staging(hosts, engine.models, left, quiet):
+            load_s = engine.models[model].load_s * (QUIET_LOAD_SHARE if quiet else 1.0)
+            self._loads.note(1, load_s, now)
+            self._staging[server] = now + 2 * load_s
+            entry = self._registry.servers[server]
+            member = Member(server, entry.born, entry.address)
+            self._tasks.spawn(self._give, "", member, StageOrder(model))
 
     def _free_servers(self, service, finished):
         """Return the servers that a new group may take."""
@@ -134,47 +218,44 @@
             for server, name in self._state.group_of_server().items()
             if name not in finished
         }
+        reserved = {
+            server: shift.model for shift in self._shifts for server in shift.servers
+        }
         return [
-            FreeServer(
-                entry.server,
-                entry.born,
-                entry.address,
-                entry.domain,
-                entry.data_center,
-                entry.model,
-                entry.staged,
-            )
+            _free_server(entry, entry.model, reserved.get(entry.server, ""))
             for entry in self._registry.of_service(service)
             if entry.server not in taken
             and entry.data_center not in out
-            and not self._watch.silent(entry.server)
+            and self._watch.is_usable(entry)
         ]
 
-    def _standing(self, service):
-        """Return the number of serving groups by model and data centre."""
+    def _standing(self, service, ends):
+        """Return the number of groups that go on serving, by model and data centre."""
         counts = {}
         for group in self._state.groups.values():
             entry = self._registry.servers.get(group.head.server)
-            if group.phase == SERVING and group.service == service and entry:
+            goes_on = group.phase == SERVING and group.name not in ends
+            if goes_on and group.service == service and entry:
                 place = group.model, entry.data_center
                 counts[place] = counts.get(place, 0) + 1
         return counts
 
-    def _write(self, ended, finished, formations, steps):
+    def _write(self, ends, finished, formations):
         """Write the decisions; return whether orders may follow."""
-        if not (ended or finished or formations):
+        if not (ends or finished or formations):
             return True
+        ended = [(self._state.groups[name], ends[name][0]) for name in ends]
         try:
             self._writer.write_groups(ended, finished, formations)
         except (TableChangedError, NotPlannerError) as exc:
             event("plan overtaken", step=exc.step, why=exc.detail)
+            self._state.replica.refresh(0.0)
             return False
         except StateError as exc:
             warn("plan not written", step=exc.step, why=exc.detail)
             return False
-        for group, at_once in ended:
-            why = steps[group.name].end or self._refused[group.name]
-            event("group ended", group=group.name, why=why, at_once=at_once)
+        for name, (at_once, why) in ends.items():
+            event("group ended", group=name, why=why, at_once=at_once)
         for group in finished:
             event("group dissolved", group=group.name, model=group.model)
         return True
@@ -188,48 +269,71 @@
         for name, step in steps.items():
             if self._state.groups.get(name) != views[name].group:
                 continue
-            for server, order in step.orders.items():
-                self._give_once(views[name].group, server, order, now)
-
-    def give_joins_of_new_groups(self):
-        """Order the members of groups that were just written, without a round's wait."""
-        now = self._clock.monotonic()
-        for group in self._state.groups.values():
-            if (group.name, group.phase) in self._since or group.phase != SERVING:
-                continue
-            servers = tuple(member.server for member in group.members)
-            join = JoinOrder(group.name, group.epoch, group.model, servers)
-            for server in servers:
-                self._give_once(group, server, join, now)
+            for server, orders in step.orders.items():
+                self._give_once(views[name].group, server, orders, now)
 
-    def _give_once(self, group, server, order, now):
-        key = server, order
+    def _give_once(self, group, server, orders, now):
+        key = server, orders
         if key in self._given:
             return
         self._given[key] = now
         member = next(m for m in group.members if m.server == server)
-        self._tasks.spawn(self._give, group, member, order)
+        self._tasks.spawn(self._give_all, group, member, orders)
+
+    def _give_all(self, group, member, orders):
+        """Give orders one after the other, as long as the server takes them."""
+        outcome = None
+        for order in orders:
+            outcome = self._give(group.name, member, order)
+            if outcome is None:
+                return
+        done = outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS)
+        if group.phase == ENDING and orders[-1] == retirement(group)[-1] and done:
+            self._retired.add(group.name)
+        stale = outcome in (OrderOutcome.STALE, OrderOutcome.WRONG_SERVER)
+        if group.phase == SERVING and stale:
+            self._refused[group.name] = f"{member.server} refused: {outcome.value}"
 
     def _give(self, group, member, order):
+        """Give one order; return its outcome, ``None`` if there was no answer."""
+        name, epoch = type(order).__name__, getattr(order, "epoch", None)
         try:
             outcome = self._engine.give(member.server, member.address, order)
         except EngineError as exc:
             event(
                 "order unanswered",
                 peer=member.server,
-                group=group.name,
-                order=type(order).__name__,
+                group=group,
+                order=name,
+                epoch=epoch,
                 why=exc.detail,
             )
-            return
+            self._watch.doubt_server(member)
+            return None
         event(
             "order given",
             peer=member.server,
-            group=group.name,
-            order=type(order).__name__,
-            epoch=getattr(order, "epoch", None),
+            group=group,
+            order=name,
+            epoch=epoch,
             outcome=outcome.value,
         )
-        joins = isinstance(order, JoinOrder) and order.group == group.name
-        if joins and outcome in (OrderOutcome.STALE, OrderOutcome.WRONG_SERVER):
-            self._refused[group.name] = f"{member.server} refused: {outcome.value}"
+        return outcome
+
+
+def _free_server(entry, model, reserved):
+    return FreeServer(
+        entry.server,
+        entry.born,
+        entry.address,
+        entry.domain,
+        entry.data_center,
+        model,
+        entry.staged,
+        reserved,
+    )
+
+
+def _to_write(service, formation):
+    members = tuple(Member(m.server, m.born, m.address) for m in formation.members)
+    return service, formation.model, members
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/lifecycle.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/lifecycle.py
@@ -10,8 +10,8 @@
 from enum import Enum
 from typing import NamedTuple
 
-from ..engines.group import CloseOrder, JoinOrder, OpenOrder
-from ..registrations import BROKEN, CLOSING, JOINING, OPEN, READY
+from ..engines.group import CloseOrder, JoinOrder, LeaveOrder, OpenOrder
+from ..registrations import BROKEN, CLOSING, OPEN, READY
 from .records import SERVING
 
 # What ends a group that only waits for its members, in times of the slowest load.
@@ -43,16 +43,20 @@
 
 
 class GroupView(NamedTuple):
-    """A group, its members in their order, and how long it has been in its phase."""
+    """A group, its members in their order, and how long it has been in its phase.
+
+    ``retired`` tells that the head has accepted its retirement.
+    """
 
     group: object
     members: tuple
     phase_s: float
     load_s: float
+    retired: bool = False
 
 
 class Step(NamedTuple):
-    """What is to be done: ``orders`` maps servers to orders.
+    """What is to be done: ``orders`` maps servers to orders, given one by one.
 
     ``end`` says why a serving group is to end, ``at_once`` that what runs in it is
     lost anyhow; ``free`` that an ending group's servers may be used again.
@@ -75,14 +79,14 @@
 
 
 def retirement(group):
-    """Return the order that takes a head out of its group for good.
+    """Return the orders that take a head out of its group for good.
 
-    The head joins a group of its own at a later epoch, and so refuses whatever is
-    still under way to it for the old one.
+    It leaves, so that an open order that is still under way finds it gone, and joins a
+    group of its own at a later epoch, so that it also refuses an old join order.
     """
-    return JoinOrder(
-        f"{group.name}-end", group.ending_epoch, group.model, (group.head.server,)
-    )
+    head = group.head.server
+    own = JoinOrder(f"{group.name}-end", group.ending_epoch, group.model, (head,))
+    return LeaveOrder(group.name, group.epoch), own
 
 
 def _serve(view):
@@ -103,7 +107,7 @@
     ]:
         return Step({}, end="moved on: " + ", ".join(moved), at_once=True)
     if all(state == READY for state in states):
-        return Step({group.head.server: OpenOrder(group.name, group.epoch)})
+        return Step({group.head.server: (OpenOrder(group.name, group.epoch),)})
     if view.phase_s > FORMING_LOADS * view.load_s:
         return Step({}, end="it did not form in time", at_once=True)
     join = JoinOrder(
@@ -114,7 +118,7 @@
     )
     return Step(
         {
-            member.server: join
+            member.server: (join,)
             for member, state in zip(view.members, states, strict=True)
             if not state
         }
@@ -136,17 +140,17 @@
 def _end(view):
     group, head = view.group, view.members[0]
     state = _state_in(group, head)
-    if head.life is Life.GONE or state == BROKEN or _has_moved_on(group, head):
+    if view.retired or head.life is Life.GONE or _has_moved_on(group, head):
         return Step({}, free=True)
-    if state in (OPEN, CLOSING):
-        at_once = group.at_once or view.phase_s > DRAIN_LIMIT_S
+    if state in (OPEN, CLOSING) and not group.at_once:
+        at_once = view.phase_s > DRAIN_LIMIT_S
         if state == CLOSING and not at_once:
             return NOTHING
-        order = CloseOrder(group.name, group.epoch, at_once)
-        return Step({group.head.server: order})
-    if state in (READY, JOINING, ""):
-        return Step({group.head.server: retirement(group)})
-    return NOTHING
+        return Step({head.server: (CloseOrder(group.name, group.epoch, at_once),)})
+    if state in (OPEN, CLOSING):
+        close = CloseOrder(group.name, group.epoch, at_once=True)
+        return Step({head.server: (close, *retirement(group))})
+    return Step({head.server: retirement(group)})
 
 
 def _state_in(group, member):
--- /dev/null
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
@@ -0,0 +1,100 @@
+"""Which groups give up their servers to a model that lacks them.
+
+Load pattern: losses strike the model with many members hardest, since each one breaks
+a whole group and leaves survivors without a partner in their domain, while the others
+keep more groups than they have work for.
+"""
+
+from typing import NamedTuple
+
+from .assembly import ENOUGH, best_members, by_domain, coverage
+
+# Coverage below which a model gets servers of others.
+SHORT = 1.25
+
+
+class Holder(NamedTuple):
+    """A serving group and its servers as they would be if they were free."""
+
+    group: str
+    model: str
+    servers: tuple
+
+
+class Shift(NamedTuple):
+    """End ``groups`` and keep ``servers`` for ``model`` for a while."""
+
+    model: str = ""
+    groups: tuple = ()
+    servers: tuple = ()
+    cause: str = ""
+    until: float = 0.0
+
+
+def find_shift(holders, free, models, standing, demand):
+    """Return the best ``Shift``, one without groups if there is none worth while."""
+    if not models:
+        return Shift()
+    short = min(models, key=lambda name: coverage(name, standing, demand))
+    covered = coverage(short, standing, demand)
+    spare = _spare_groups(short, models, standing, demand)
+    if covered >= SHORT:
+        return _spares(holders, free, models, spare)
+    options = [
+        option
+        for domain, servers in by_domain(free + [s for h in holders for s in h.servers])
+        if (option := _option(domain, servers, holders, free, models[short], spare))
+    ]
+    if not options:
+        return Shift()
+    _, _, groups, members = min(options)
+    cause = f"{short} is covered {covered:.2f} times"
+    return Shift(short, groups, members, cause)
+
+
+def _spares(holders, free, models, spare):
+    """Return a ``Shift`` that frees servers beside the groups with most members."""
+    largest = max(models, key=lambda name: models[name].members)
+    domains = {h.servers[0].domain for h in holders if h.model == largest and h.servers}
+    domains -= {server.domain for server in free}
+    for holder in sorted(holders):
+        if holder.servers and spare.get(holder.model, 0) > 0:
+            domain = holder.servers[0].domain
+            if holder.model != largest and domain in domains:
+                servers = tuple(server.server for server in holder.servers)
+                cause = f"no server is free in {domain}"
+                return Shift(largest, (holder.group,), servers, cause)
+    return Shift()
+
+
+def _spare_groups(short, models, standing, demand):
+    """Return how many groups each other model can give up."""
+    spare = {}
+    for name in models:
+        if name != short:
+            groups = sum(count for (m, _), count in standing.items() if m == name)
+            kept = ENOUGH * groups / max(coverage(name, standing, demand), 1e-9)
+            spare[name] = max(0, int(groups - kept))
+    return spare
+
+
+def _option(domain, servers, holders, free, model, spare):
+    """Return seconds until ready, groups to end, their names and the servers."""
+    here = [s for s in free if s.domain == domain and s.reserved in ("", model.name)]
+    left, ended = dict(spare), []
+    donors = sorted(
+        (h for h in holders if h.servers and h.servers[0].domain == domain),
+        key=lambda h: sum(model.name not in server.staged for server in h.servers),
+    )
+    for holder in donors:
+        if len(here) >= model.members:
+            break
+        if left.get(holder.model, 0) > 0:
+            left[holder.model] -= 1
+            ended.append(holder.group)
+            here = here + list(holder.servers)
+    found = best_members(here, model)
+    if found is None or not ended:
+        return None
+    members = tuple(member.server for member in found.members)
+    return found.ready_s, len(ended), tuple(ended), members
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/watch.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/watch.py
@@ -7,9 +7,14 @@
 from ..exceptions import EngineError
 from ..registrations import Standing
 from .lifecycle import Life, MemberView
+from .records import Member
 
 # Time between two questions to a server that is in doubt.
-ASK_AGAIN_S = 0.25
+ASK_AGAIN_S = 0.15
+# A server whose last registration is older than this is asked before a new group may
+# have it, in seconds: a little more than the pause between two of them and the time
+# until they are read.
+FRESH_S = 2.2
 # Unanswered questions after which a server counts as silent, and, once its
 # registration has lapsed as well, as gone.
 SILENT_AFTER = 2
@@ -64,10 +69,23 @@
         )
         return MemberView(member.server, life, leaving, standing)
 
-    def silent(self, server):
-        """Return whether a server did not answer when it was last asked."""
-        answers = self._answers.get(server)
-        return answers is not None and answers.failures >= SILENT_AFTER
+    def doubt_server(self, member):
+        """Ask a server that has not answered an order."""
+        self._ask(member)
+
+    def is_usable(self, entry):
+        """Return whether a new group may have a server, as far as is known now."""
+        now = self._clock.monotonic()
+        answers = self._answers.get(entry.server)
+        beat_at = self._registry.heard_at.get(entry.server, 0.0)
+        asked_at = answers.asked_at if answers else 0.0
+        if answers is not None and answers.failures and asked_at >= beat_at:
+            self._ask(Member(entry.server, entry.born, entry.address))
+            return False
+        if max(beat_at, asked_at) >= now - FRESH_S:
+            return True
+        self._ask(Member(entry.server, entry.born, entry.address))
+        return False
 
     def forget(self, servers):
         """Drop what is held of servers other than ``servers``."""
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
@@ -62,6 +62,7 @@
         self.servers = {}
         self.left = {}
         self.cold_until = {}
+        self.heard_at = {}
         self.changes = 0
         self._decode = decode
         self._clock = clock
@@ -127,6 +128,7 @@
         if known is not None and entry.born < known.born:
             return
         self._removed_at.pop(entry.server, None)
+        self.heard_at[entry.server] = self._clock.monotonic()
         if entry.draining and self.left.get(entry.server) != entry.born:
             self.left[entry.server] = entry.born
             event("server draining", peer=entry.server, born=entry.born)
@@ -155,6 +157,7 @@
     def _remove(self, server, why):
         entry = self.servers.pop(server, None)
         self.cold_until.pop(server, None)
+        self.heard_at.pop(server, None)
         if entry is not None:
             self.changes += 1
             event("server gone", peer=server, why=why, born=entry.born)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
@@ -301,7 +301,7 @@
     def _take_suspects(self, names, node):
         for name in names:
             if name in self.fleet.groups:
-                self.doubts.note(name, source=node)
+                self.doubts.hear(name, node)
 
     def _reached_by_peer(self, member):
         """Return whether any peer reaches a server that this node does not reach."""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/world.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/world.py
@@ -22,33 +22,43 @@
 
 
 class Doubts:
-    """Groups that stand still, by this node's own streams or a peer's word."""
+    """Groups that stand still, by this node's own streams or a peer's word.
+
+    Only what this node saw itself is passed on: peers that repeated each other's word
+    would never end a doubt.
+    """
 
     def __init__(self, clock):
         self.listeners = []
         self._clock = clock
-        self._until = {}
+        self._own = {}
+        self._heard = {}
 
-    def note(self, name, source="own streams"):
-        """Doubt a group from now on."""
-        now = self._clock.monotonic()
-        if self._until.get(name, 0.0) < now:
-            event("group doubted", group=name, source=source)
-            for listener in self.listeners:
-                listener(name)
-        if source == "own streams":
-            self._until[name] = now + DOUBT_S
-        else:
-            self._until.setdefault(name, now + DOUBT_S)
+    def note(self, name):
+        """Doubt a group whose streams at this node stand still."""
+        self._doubt(self._own, name, "own streams")
+
+    def hear(self, name, node):
+        """Doubt a group because a peer does."""
+        self._doubt(self._heard, name, node)
 
     def __contains__(self, name):
-        return self._until.get(name, 0.0) >= self._clock.monotonic()
+        now = self._clock.monotonic()
+        return max(self._own.get(name, 0.0), self._heard.get(name, 0.0)) >= now
 
     def names(self):
-        """Return the groups that are doubted now."""
+        """Return the groups that this node's own streams make it doubt."""
         now = self._clock.monotonic()
-        self._until = {n: at for n, at in self._until.items() if at > now - DOUBT_S}
-        return [name for name, at in self._until.items() if at >= now]
+        self._own = {name: until for name, until in self._own.items() if until >= now}
+        self._heard = {name: u for name, u in self._heard.items() if u >= now}
+        return list(self._own)
+
+    def _doubt(self, doubts, name, source):
+        if name not in self:
+            event("group doubted", group=name, source=source)
+        doubts[name] = self._clock.monotonic() + DOUBT_S
+        for listener in self.listeners:
+            listener(name)
 
 
 class RoutingWorld:
