--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/watch.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/watch.py
@@ -15,8 +15,8 @@
 # have it, in seconds: a little more than the pause between two of them and the time
 # until they are read.
 FRESH_S = 2.2
-# Unanswered questions after which a server counts as silent, and, once its
-# registration has lapsed as well, as gone.
+# Unanswered questions after which a server whose registration has lapsed counts as
+# gone.
 SILENT_AFTER = 2
 # Doubt of a group is dropped when its members have answered for this long.
 DOUBT_S = 2.0
@@ -91,6 +91,10 @@
         """Drop what is held of servers other than ``servers``."""
         self._answers = {k: v for k, v in self._answers.items() if k in servers}
 
+    def _may_be_gone(self, member, failures):
+        lapsed = member.server not in self._registry.servers
+        return lapsed and failures >= SILENT_AFTER
+
     def _life(self, member, entry, answers, doubted):
         if answers is not None and answers.report is not None:
             if answers.report.born != member.born:
@@ -100,7 +104,8 @@
         failures = answers.failures if answers else 0
         if entry is None:
             return Life.GONE if failures >= SILENT_AFTER else Life.ALIVE
-        return Life.SILENT if doubted and failures >= SILENT_AFTER else Life.ALIVE
+        # Its streams stand still and it does not answer: two signs of the same.
+        return Life.SILENT if doubted and failures else Life.ALIVE
 
     def _ask(self, member):
         answers = self._answers.get(member.server)
@@ -126,7 +131,7 @@
                 registered=member.server in self._registry.servers,
                 why=exc.detail,
             )
-            if failures >= SILENT_AFTER and self._reached_by_peer(member):
+            if self._may_be_gone(member, failures) and self._reached_by_peer(member):
                 failures = 0
         finally:
             self._asking.discard(member.server)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/demand.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/demand.py
@@ -2,11 +2,13 @@
 
 from collections import defaultdict
 
-from auburnwall.routing.stepmodel import group_share
+from auburnwall.routing.stepmodel import Work, group_share
 
 # Weight of the past in the mean that is kept, per second: what callers asked for some
 # four seconds ago counts a third.
 MEMORY_PER_S = 0.75
+# Answers that are counted before the callers' guesses of their length are corrected.
+FEW_ANSWERS = 20
 
 
 class DemandMeter:
@@ -18,12 +20,30 @@
         self._sums = defaultdict(float)
         self._rates = defaultdict(float)
         self._from = clock.monotonic()
+        self._guessed = defaultdict(float)
+        self._written = defaultdict(float)
+        self._answers = defaultdict(int)
 
     def note(self, request, engine):
         """Count a request for a model."""
         self.has_traffic = True
         if engine is not None and (model := engine.models.get(request.model)):
-            self._sums[request.model] += group_share(engine, model, request.work)
+            answer = round(request.work.answer * self._correction(request.model))
+            work = Work(request.work.prompt, max(1, answer))
+            self._sums[request.model] += group_share(engine, model, work)
+
+    def note_answer(self, request, events, tokens_per_event):
+        """Compare a complete answer with its caller's guess of its length."""
+        if request.model:
+            self._guessed[request.model] += request.work.answer
+            self._written[request.model] += events * tokens_per_event
+            self._answers[request.model] += 1
+
+    def _correction(self, model):
+        """Return how many times longer answers are than guessed, on the whole."""
+        if self._answers[model] < FEW_ANSWERS:
+            return 1.0
+        return self._written[model] / max(1.0, self._guessed[model])
 
     def rates(self):
         """Return groups' worth of work by model."""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
@@ -235,7 +235,7 @@
         self.metrics = RoutedMetrics()
         self.gateway = Gateway(
             self.source,
-            Forwarder(deps, self._budget_of),
+            Forwarder(deps, self._budget_of, self._note_stream),
             dialect,
             clock,
             self.rng,
@@ -298,6 +298,11 @@
             )
         return self._budgets[service]
 
+    def _note_stream(self, request, events):
+        service = self.source.config.services.get(request.service)
+        if service is not None and service.engine is not None:
+            self.demand.note_answer(request, events, service.engine.tokens_per_event)
+
     def _take_suspects(self, names, node):
         for name in names:
             if name in self.fleet.groups:
--- a/packages/auburnwall-routing/src/auburnwall/routing/eventstream.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/eventstream.py
@@ -5,7 +5,7 @@
 
 
 class EventSplitter:
-    """Collect bytes of a stream and give out whole events.
+    """Collect bytes of a stream, give out whole events and count them.
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 4\\ndata: x\\n\\nid: 5\\nda")
@@ -16,6 +16,7 @@
 
     def __init__(self):
         self.last_id = None
+        self.count = 0
         self._rest = b""
 
     @property
@@ -32,6 +33,7 @@
             return b""
         whole, self._rest = rest[: end + 2], rest[end + 2 :]
         self.last_id = _last_id(whole) or self.last_id
+        self.count += whole.count(_END)
         return whole
 
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -41,11 +41,15 @@
 
 
 class Forwarder:
-    """The path of a routed request from its placing to the end of its answer."""
+    """The path of a routed request from its placing to the end of its answer.
 
-    def __init__(self, deps, budget_of):
+    ``note_stream`` is told of each complete stream and its number of events.
+    """
+
+    def __init__(self, deps, budget_of, note_stream):
         self._deps = deps
         self._budget_of = budget_of
+        self._note_stream = note_stream
 
     def serve(self, request):
         """Return the ``Reply``; raise ``RequestError``."""
@@ -88,7 +92,7 @@
         return Reply(tries.status, tries.kept_headers or headers, _Body(first, events))
 
     def _events(self, tries, attempt):
-        last_id, sent = None, False
+        last_id, sent, count = None, False, 0
         while True:
             try:
                 try:
@@ -101,11 +105,14 @@
                     if not sent:
                         tries.keep_head(attempt)
                     tries.note_answer(attempt, "streamed")
+                    count += attempt.splitter.count
+                    self._note_stream(tries.request, count)
                     return
                 except (ExchangeError, StoodStillError, OutOfTimeError) as exc:
                     tries.fail(attempt, exc)
             finally:
                 attempt.close()
+            count += attempt.splitter.count
             attempt = self._resumed(tries, last_id, sent)
 
     def _resumed(self, tries, last_id, sent):
@@ -131,7 +138,7 @@
 
     def __init__(self, deps, request, budget):
         self._deps = deps
-        self._request = request
+        self.request = request
         self._budget = budget
         self._avoid = frozenset()
         self._offers = 0
@@ -173,7 +180,7 @@
         sent = getattr(exc, "sent", True)
         self._ran += sent
         self._log(attempt, "attempt failed", why=exc.detail, step=exc.step)
-        request = self._request
+        request = self.request
         if isinstance(exc, OutOfTimeError):
             raise self._final(504, "Out of time", exc)
         if self._deps.clock.monotonic() >= request.deadline:
@@ -195,11 +202,11 @@
             status=attempt.status,
             events=exchange.events,
             offers=self._offers,
-            took_s=round(now - self._request.call.arrived_at, 3),
+            took_s=round(now - self.request.call.arrived_at, 3),
         )
 
     def _offer(self, last_id, patience_s):
-        request, deps = self._request, self._deps
+        request, deps = self.request, self._deps
         try:
             place = deps.placer.place(request, self._avoid, patience_s)
         except OverloadedError as exc:
@@ -217,7 +224,7 @@
 
     def _is_tried_again(self, attempt):
         """Return whether a failure that the server answered goes to another one."""
-        route = self._request.route
+        route = self.request.route
         if attempt.status < 500 or not route.repeatable:
             return False
         if self._ran + 1 >= route.most_servers or not self._budget.take():
@@ -262,7 +269,7 @@
         candidate = attempt.candidate
         event(
             name,
-            request=self._request.request_id,
+            request=self.request.request_id,
             peer=candidate.server,
             group=candidate.name,
             **fields,
