--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -25,8 +25,9 @@
 class Conductor:
     """Keep the groups of all services with engines.
 
-    ``world`` offers ``config()`` (a ``RoutingConfig`` or ``None``), ``data_centers_out()``
-    (names), ``demand()`` (groups' worth of work by model, ``None`` before traffic).
+    ``world`` offers ``config()`` (a ``RoutingConfig`` or ``None``),
+    ``data_centers_out()`` (names), ``has_traffic()`` and ``demand()`` (groups' worth of
+    work by model, empty until it was measured).
     """
 
     def __init__(self, state, writer, registry, watch, engine, world, clock, tasks):
@@ -112,8 +113,8 @@
         self._shifts = [shift for shift in self._shifts if shift.until > now]
         free = self._free_servers(service, {group.name for group in finished})
         standing = self._standing(service, ends)
-        quiet = demand is None
-        if quiet:
+        quiet, measured = not self._world.has_traffic(), bool(demand)
+        if not measured:
             demand = self._expected_demand(engine)
         allowance = (
             len(free)
@@ -123,7 +124,7 @@
         found = assemble(free, engine.models, standing, demand, allowance)
         for formation in found:
             self._note_formation(formation, engine, standing, demand, quiet)
-        if found or quiet:
+        if found or not measured:
             return [_to_write(service, formation) for formation in found], Shift()
         return [], self._shift(service, engine, free, standing, demand, ends)
 
@@ -182,7 +183,7 @@
 
     def _stage(self, service, engine):
         """Let hosts load the weights that they may need next."""
-        now, quiet = self._clock.monotonic(), self._world.demand() is None
+        now, quiet = self._clock.monotonic(), not self._world.has_traffic()
         self._staging = {k: at for k, at in self._staging.items() if at > now}
         in_group = {
             member.server: group
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
@@ -11,6 +11,8 @@
 
 # Coverage below which a model gets servers of others.
 SHORT = 1.25
+# Coverage from which on a model gives up a group just so that servers are free.
+PLENTY = 2.1
 
 
 class Holder(NamedTuple):
@@ -37,9 +39,10 @@
         return Shift()
     short = min(models, key=lambda name: coverage(name, standing, demand))
     covered = coverage(short, standing, demand)
-    spare = _spare_groups(short, models, standing, demand)
     if covered >= SHORT:
+        spare = _spare_groups(short, models, standing, demand, PLENTY)
         return _spares(holders, free, models, spare)
+    spare = _spare_groups(short, models, standing, demand, ENOUGH)
     options = [
         option
         for domain, servers in by_domain(free + [s for h in holders for s in h.servers])
@@ -67,13 +70,13 @@
     return Shift()
 
 
-def _spare_groups(short, models, standing, demand):
-    """Return how many groups each other model can give up."""
+def _spare_groups(short, models, standing, demand, least):
+    """Return how many groups each other model can give up and be covered ``least``."""
     spare = {}
     for name in models:
         if name != short:
             groups = sum(count for (m, _), count in standing.items() if m == name)
-            kept = ENOUGH * groups / max(coverage(name, standing, demand), 1e-9)
+            kept = least * groups / max(coverage(name, standing, demand), 1e-9)
             spare[name] = max(0, int(groups - kept))
     return spare
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/demand.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/demand.py
@@ -7,6 +7,8 @@
 # Weight of the past in the mean that is kept, per second: what callers asked for some
 # four seconds ago counts a third.
 MEMORY_PER_S = 0.75
+# Time with requests after which the means say enough to plan by, in seconds.
+SETTLED_S = 3.0
 # Answers that are counted before the callers' guesses of their length are corrected.
 FEW_ANSWERS = 20
 
@@ -16,6 +18,7 @@
 
     def __init__(self, clock):
         self.has_traffic = False
+        self._traffic_from = None
         self._clock = clock
         self._sums = defaultdict(float)
         self._rates = defaultdict(float)
@@ -26,7 +29,9 @@
 
     def note(self, request, engine):
         """Count a request for a model."""
-        self.has_traffic = True
+        if not self.has_traffic:
+            self.has_traffic = True
+            self._traffic_from = self._from = self._clock.monotonic()
         if engine is not None and (model := engine.models.get(request.model)):
             answer = round(request.work.answer * self._correction(request.model))
             work = Work(request.work.prompt, max(1, answer))
@@ -46,8 +51,17 @@
         return self._written[model] / max(1.0, self._guessed[model])
 
     def rates(self):
-        """Return groups' worth of work by model."""
-        return dict(self._rates)
+        """Return groups' worth of work by model; empty until that says enough.
+
+        The means begin at nothing; what they lack on that account is made up for.
+        """
+        if not self.has_traffic:
+            return {}
+        measured_s = self._from - self._traffic_from
+        if measured_s < SETTLED_S:
+            return {}
+        part = 1 - MEMORY_PER_S**measured_s
+        return {model: rate / part for model, rate in self._rates.items()}
 
     def step(self):
         """Take the last second or so into the means."""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/world.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/world.py
@@ -133,11 +133,19 @@
         return self._source.data_centers_out
 
     def demand(self):
-        """Return groups' worth of work by model, ``None`` before any request."""
+        """Return groups' worth of work by model, empty until it was measured.
+
+        Nodes that have not measured long enough count like the mean of the others.
+        """
         pulses = [*self._peers.heard().values(), self._own_pulse()]
-        if not any(pulse.has_traffic for pulse in pulses):
-            return None
+        measured = [pulse.demand for pulse in pulses if pulse.demand]
         total = Counter()
-        for pulse in pulses:
-            total.update(pulse.demand)
-        return total
+        for demand in measured:
+            total.update(demand)
+        share = len(pulses) / max(1, len(measured))
+        return {model: work * share for model, work in total.items()}
+
+    def has_traffic(self):
+        """Return whether any node has had a request."""
+        pulses = [*self._peers.heard().values(), self._own_pulse()]
+        return any(pulse.has_traffic for pulse in pulses)
