Form the largest model first at the start; exchange pulses each 120 ms

Cause: servers register one by one over two seconds, so pairs were taken before four servers of a domain were known (4 groups of the large model instead of 7), and loads known with 250 ms of delay put requests on groups that were nearly full (most late answers went to groups with 7 or more of 9 places taken).

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
@@ -51,9 +51,12 @@
     return model.warm_s if model.name in server.staged else model.load_s
 
 
-def assemble(free, models, standing, demand, loads_left):
+def assemble(free, models, standing, demand, loads_left, settled=True):
     """Return the formations to begin now.
 
+    Until the fleet is ``settled``, while servers still register one by one, a model
+    waits for one with more members that has less, which needs many in one domain.
+
     ``models`` are the service's ``ModelSpec`` by name, ``standing`` the number of
     groups that serve or form by model and data centre (a mapping of pairs), ``demand``
     the groups' worth of work by model, ``loads_left`` how many loads may begin.
@@ -61,7 +64,7 @@
     free, standing = list(free), dict(standing)
     formations = []
     while True:
-        found = _next_formation(free, models, standing, demand, loads_left)
+        found = _next_formation(free, models, standing, demand, loads_left, settled)
         if found is None:
             return formations
         formations.append(found)
@@ -78,8 +81,11 @@
     return groups / max(demand.get(model, 0.0), LEAST_DEMAND)
 
 
-def _next_formation(free, models, standing, demand, loads_left):
-    for name in sorted(models, key=lambda name: coverage(name, standing, demand)):
+def _next_formation(free, models, standing, demand, loads_left, settled):
+    def need(name):
+        return coverage(name, standing, demand), -models[name].members
+
+    for name in sorted(models, key=need):
         if coverage(name, standing, demand) >= ENOUGH:
             return None
         candidates = [
@@ -90,6 +96,8 @@
         ]
         if candidates:
             return min(candidates, key=lambda f: _cost(f, standing))
+        if not settled:
+            return None
     return None
 
 
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -1,10 +1,13 @@
 """Plan and order groups while this node is the planner."""
 
+from collections import Counter
+
 from auburnwall.base.logs import event, warn
 from auburnwall.state.exceptions import StateError, TableChangedError
 
 from ..engines.group import OrderOutcome, StageOrder
 from ..exceptions import EngineError
+from ..registrations import JOINING
 from .assembly import FreeServer, assemble, coverage
 from .lifecycle import GroupView, next_step, retirement
 from .loads import LoadAllowance
@@ -15,6 +18,13 @@
 # Time until an order that shows no effect is given again: the registrations that
 # would show it are up to 0.5 s old.
 ORDER_AGAIN_S = 0.8
+# Time without a new server after which all have registered that were there at the
+# start, in seconds: longer than servers take to follow each other.
+SETTLED_S = 1.0
+# Loads that staging leaves to groups which need them, once there is traffic.
+KEPT_LOADS = 4
+# Time between two log lines on how well the models are covered, in seconds.
+TELL_S = 2.0
 # Time for which servers stay reserved for the model that they were freed for: the
 # longest drain and the steps after it.
 RESERVED_S = 15.0
@@ -46,6 +56,7 @@
         self._loads = LoadAllowance()
         self._shifts = []
         self._staging = {}
+        self._told_at = {}
 
     def step(self):
         """Decide, write the decisions, and give the orders that follow from them.
@@ -121,12 +132,34 @@
             if quiet
             else self._loads.left(engine.loads_per_s, engine.loads_at_once, now)
         )
-        found = assemble(free, engine.models, standing, demand, allowance)
+        self._tell(service, free, standing, demand, allowance)
+        settled = not quiet or now - self._registry.grown_at >= SETTLED_S
+        found = assemble(free, engine.models, standing, demand, allowance, settled)
         for formation in found:
             self._note_formation(formation, engine, standing, demand, quiet)
         if found or not measured:
             return [_to_write(service, formation) for formation in found], Shift()
-        return [], self._shift(service, engine, free, standing, demand, ends)
+        soon = self._standing(service, ends, only_soon=True)
+        return [], self._shift(service, engine, free, soon, demand, ends)
+
+    def _tell(self, service, free, standing, demand, allowance):
+        """Log how well each model is covered, now and then."""
+        now = self._clock.monotonic()
+        if now - self._told_at.get(service, -TELL_S) < TELL_S:
+            return
+        self._told_at[service] = now
+        groups = Counter()
+        for (model, _), count in standing.items():
+            groups[model] += count
+        event(
+            "capacity",
+            service=service,
+            groups=dict(groups),
+            demand={model: round(work, 2) for model, work in demand.items()},
+            free=len(free),
+            loads_left=allowance,
+            shifts=len(self._shifts),
+        )
 
     def _expected_demand(self, engine):
         """Return groups' worth of work by model as long as nothing was measured."""
@@ -203,6 +236,8 @@
             for entry in self._registry.of_service(service)
         ]
         left = self._loads.left(engine.loads_per_s, engine.loads_at_once, now)
+        if not quiet:
+            left -= KEPT_LOADS
         for server, model in choose_staging(hosts, engine.models, left, quiet):
             load_s = engine.models[model].load_s * (QUIET_LOAD_SHARE if quiet else 1.0)
             self._loads.note(1, load_s, now)
@@ -230,17 +265,34 @@
             and self._watch.is_usable(entry)
         ]
 
-    def _standing(self, service, ends):
-        """Return the number of groups that go on serving, by model and data centre."""
+    def _standing(self, service, ends, only_soon=False):
+        """Return the number of groups that go on serving, by model and data centre.
+
+        With ``only_soon`` those are left out that still load weights.
+        """
         counts = {}
         for group in self._state.groups.values():
             entry = self._registry.servers.get(group.head.server)
             goes_on = group.phase == SERVING and group.name not in ends
+            if only_soon and goes_on and self._loads_weights(group):
+                continue
             if goes_on and group.service == service and entry:
                 place = group.model, entry.data_center
                 counts[place] = counts.get(place, 0) + 1
         return counts
 
+    def _loads_weights(self, group):
+        """Return whether a member of a group that forms has its model to load."""
+        entries = (self._registry.servers.get(m.server) for m in group.members)
+        return any(
+            entry is not None
+            and entry.standing is not None
+            and entry.standing.state == JOINING
+            and group.model not in entry.staged
+            and entry.model != group.model
+            for entry in entries
+        )
+
     def _write(self, ends, finished, formations):
         """Write the decisions; return whether orders may follow."""
         if not (ends or finished or formations):
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/staging.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/staging.py
@@ -34,4 +34,4 @@
         if target is None or target in host.staged or target == host.model:
             continue
         wanted.append((ordered.index(target), host.server, target))
-    return [(server, model) for _, server, model in sorted(wanted)[:left]]
+    return [(server, model) for _, server, model in sorted(wanted)[: max(0, left)]]
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
@@ -63,6 +63,7 @@
         self.left = {}
         self.cold_until = {}
         self.heard_at = {}
+        self.grown_at = 0.0
         self.changes = 0
         self._decode = decode
         self._clock = clock
@@ -133,6 +134,7 @@
             self.left[entry.server] = entry.born
             event("server draining", peer=entry.server, born=entry.born)
         if known is None or known.born != entry.born:
+            self.grown_at = self._clock.monotonic()
             event(
                 "server registered",
                 peer=entry.server,
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -14,7 +14,7 @@
 from auburnwall.wire.peer.ttypes import Pulse, TableRow, TableRows
 
 # Calls a second that a node begins at most for its pulses.
-MOST_PULSES_PER_S = 30.0
+MOST_PULSES_PER_S = 50.0
 # A peer that was not heard of for this long is not named to callers, in seconds: within
 # the few seconds in which they may still be sent to a node that is gone.
 HEARD_S = 2.5
--- a/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
@@ -23,7 +23,7 @@
     grace_s: float = 8.0
     registry_s: float = 0.8
     planner_registry_s: float = 0.3
-    pulse_s: float = 0.25
+    pulse_s: float = 0.12
     repeat_share: float = 0.1
     repeat_reserve: float = 10.0
     repeat_window_s: float = 10.0
--- a/packages/auburnwall-routing/src/auburnwall/routing/call.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/call.py
@@ -42,6 +42,17 @@
     hides_key: bool = False
     weight: float = 1.0
 
+    @property
+    def objective_at(self):
+        """Return the moment of the route's objective.
+
+        A caller that comes back says so by the time that it has left: what is lacking
+        from the route's time-out has passed before this call.
+        """
+        left_s = self.deadline - self.call.arrived_at
+        passed_s = max(0.0, self.route.timeout_s - left_s)
+        return self.call.arrived_at + self.route.objective_s - passed_s
+
     @property
     def priority(self):
         """Return the queue's priority, the highest first."""
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -98,6 +98,7 @@
                 try:
                     for events in attempt.events():
                         last_id = attempt.splitter.last_id or last_id
+                        tries.note_events()
                         if not sent:
                             tries.keep_head(attempt)
                             sent = True
@@ -146,6 +147,18 @@
         self._first_last_id = request.call.header(deps.dialect.last_event_id)
         self.status = 0
         self.kept_headers = None
+        self._first_s = None
+        self._events_at = request.call.arrived_at
+        self._longest_s = 0.0
+
+    def note_events(self):
+        """Measure the time to the first event and the longest pause after it."""
+        now = self._deps.clock.monotonic()
+        if self._first_s is None:
+            self._first_s = now - self.request.call.arrived_at
+        else:
+            self._longest_s = max(self._longest_s, now - self._events_at)
+        self._events_at = now
 
     def keep_head(self, attempt):
         """Keep status and headers of the first server that the caller hears of."""
@@ -202,6 +215,8 @@
             status=attempt.status,
             events=exchange.events,
             offers=self._offers,
+            first_s=self._first_s and round(self._first_s, 3),
+            longest_pause_s=round(self._longest_s, 3),
             took_s=round(now - self.request.call.arrived_at, 3),
         )
 
@@ -219,7 +234,15 @@
         may_go_on = self._ran + 1 < request.route.most_servers
         exchange.movable = request.route.may_run_again and may_go_on
         exchange.patience_s = FIRST_STILL_S + 0.5 * request.route.objective_s
-        self._log(attempt, "request placed", offer=self._offers, resume_after=last_id)
+        self._log(
+            attempt,
+            "request placed",
+            model=request.model or None,
+            offer=self._offers,
+            running=place.load,
+            waited_s=round(deps.clock.monotonic() - request.call.arrived_at, 3),
+            resume_after=last_id,
+        )
         return attempt
 
     def _is_tried_again(self, attempt):
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -21,9 +21,10 @@
 
 
 class Place(NamedTuple):
-    """Leave to send one request to ``candidate``."""
+    """Leave to send one request to ``candidate``, which had ``load`` others."""
 
     candidate: object
+    load: int
 
 
 class Placer:
@@ -130,8 +131,9 @@
         rate = world.cold_rate(found)
         if rate is not None:
             self._gate.note_sent(found.server, rate)
+        load = world.load(found)
         self._in_flight.reserve(found.name)
-        return Place(found)
+        return Place(found, load)
 
     def _gate_open(self, candidate):
         rate = self._world.cold_rate(candidate)
@@ -140,7 +142,7 @@
     def _outlook(self, request, queue, patience_s):
         now = self._clock.monotonic()
         left_s = request.deadline - now
-        objective_s = request.route.objective_s - (now - request.call.arrived_at)
+        objective_s = request.objective_at - now
         known = self._world.outlook(request)
         return Outlook(
             waiting=len(queue),
--- a/packages/auburnwall-routing/src/auburnwall/routing/refusing.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/refusing.py
@@ -16,8 +16,9 @@
 # A request whose objective has passed waits this long at most, in seconds, and no more
 # than this part of the time that its caller has left, so that it can still come back.
 LATE_WAIT_S, LATE_SHARE = 1.0, 0.25
-# What a refused caller is told at least, in seconds.
-LEAST_RETRY_AFTER_S = 0.3
+# What a refused caller is told at least, in seconds: what is full now is filled by
+# requests that come meanwhile for about as long as one is served.
+LEAST_RETRY_AFTER_S = 1.0
 
 
 class Outlook(NamedTuple):
