--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,13 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 
-.PHONY: setup demo test lint format faults bench capacity wire clean
+.PHONY: setup demo demo-platform test lint format faults bench capacity wire clean
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: requirements.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.ready: requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
@@ -17,6 +17,9 @@
 demo: setup
 	$(BIN)/python -m demo
 
+demo-platform: setup
+	$(BIN)/python -m demo.platform
+
 test: setup
 	$(BIN)/python -m tests
 
--- /dev/null
+++ b/demo/platform_cluster.py
@@ -0,0 +1,210 @@
+"""Start and end nodes on a stand-in of the users' platform, on loopback addresses."""
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from contextlib import ExitStack
+from pathlib import Path
+
+import urllib3
+
+from .cluster import ENDS_WITHIN_S, POLL_S, STARTS_WITHIN_S, free_addresses
+
+KEY = "demo-key"
+HOST = "shop.example"
+SETTINGS = """Node={node}
+Zone=norte
+Ip=127.0.0.1
+Listen.Front={front}
+Listen.Ready={ready}
+Listen.Directory={directory}
+PortRange={peer_port},{peer_port}
+Bounds.GraceS=4
+Bounds.BudgetRatio=0.2
+Bounds.BudgetSlack=50
+Bounds.BudgetWindowS=10
+Platform.Address={store}
+"""
+
+
+def routes():
+    """Return the demo's configuration in the platform's form."""
+    usual = {"Host": HOST, "TimeoutMs": 5000, "SloMs": 300, "GapSloMs": 200}
+    engine = {
+        "BatchSlots": 9,
+        "KvCapacity": 900000,
+        "Models": [{"Name": "big", "size": 2, "Share": 1.0, "LoadS": 1, "WarmS": 0.2}],
+        "step_ms": 8.0,
+        "per_seq_ms": 0.2,
+        "context_per_k": 0.02,
+        "read_per_s": 50000.0,
+        "pairs_per_m": 0.4,
+        "LoadsPerS": 5.0,
+        "loads_at_once": 7,
+    }
+    return {
+        "Version": 1,
+        "Routes": [
+            {
+                **usual,
+                "Name": "ask",
+                "PathPrefix": "/ask/",
+                "Type": "streaming",
+                "Service": "assist",
+                "Attempts": 2,
+                "Resumable": True,
+                "Affinity": True,
+            },
+            {
+                **usual,
+                "Name": "book",
+                "PathPrefix": "/book/",
+                "Type": "mutating",
+                "Service": "desk",
+                "Attempts": 1,
+            },
+        ],
+        "Services": [
+            {"Name": "assist", "HealthPath": "/healthz", "Engine": engine},
+            {"Name": "desk", "HealthPath": "/healthz"},
+        ],
+        "Limits": {},
+        "Tenants": [{"Name": "blue", "ApiKeys": [KEY]}],
+    }
+
+
+class PlatformCluster:
+    """A stand-in platform and nodes as processes; leaving the context ends them."""
+
+    def __init__(self, node_count, out):
+        self.nodes = {}
+        self._count = node_count
+        self._out = Path(out)
+        self._stack = ExitStack()
+        self._processes = {}
+        self._http = urllib3.PoolManager(retries=False, timeout=5.0)
+
+    def __enter__(self):
+        self._out.mkdir(parents=True, exist_ok=True)
+        self._stack.callback(self._end_all)
+        self.store = free_addresses(1)[0]
+        command = [sys.executable, "-m", "standins", "users-platform"]
+        self._start("platform", [*command, "--address", self.store], {})
+        self.wait(self._store_answers, "the store answers")
+        self.put("keyed.op", "config", routes())
+        for number in range(self._count):
+            self.add_node(f"edge-norte-{number + 1}")
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stack.close()
+
+    def add_node(self, name):
+        """Start a node."""
+        front, ready, directory, peer = free_addresses(4)
+        self.nodes[name] = {"front": front, "ready": ready, "directory": directory}
+        text = SETTINGS.format(
+            node=name,
+            peer_port=peer.rpartition(":")[2],
+            store=self.store,
+            **self.nodes[name],
+        )
+        path = self._out / f"{name}.conf"
+        path.write_text(text, "utf-8")
+        command = [sys.executable, "-m", "auburnwall.platform"]
+        self._start(name, command, {"AUBURNWALL_SETTINGS": str(path)})
+
+    def put(self, topic, key, value):
+        """Write a record as the operator or a server would."""
+        self._post("/standin/put", {"topic": topic, "key": key, "value": value})
+
+    def stop_server(self, server):
+        """Make a server vanish."""
+        self._post("/standin/stop", {"server": server})
+
+    def set_trouble(self, trouble):
+        """Let the store be in trouble, or not with an empty name."""
+        self._post("/standin/trouble", {"trouble": trouble})
+
+    def signal(self, node, number):
+        """Send a signal to a node."""
+        self._processes[node].send_signal(number)
+
+    def exit_code(self, node):
+        """Return a node's exit code, ``None`` while it runs."""
+        return self._processes[node].poll()
+
+    def ready(self, node):
+        """Return whether a node says that it is ready."""
+        try:
+            url = f"http://{self.nodes[node]['ready']}/-/readyz"
+            return self._http.request("GET", url).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def named(self, node):
+        """Return the addresses that a node's directory names."""
+        url = f"http://{self.nodes[node]['directory']}/-/resolve?Name={HOST}&Zone=norte"
+        return self._http.request("GET", url).json().get("Addresses", [])
+
+    def metrics(self, node):
+        """Return a node's metrics as text."""
+        url = f"http://{self.nodes[node]['ready']}/metrics"
+        return self._http.request("GET", url).data.decode()
+
+    def ask(self, node, request_id, path="/ask/x", key=KEY):
+        """Return status and body of a request to a node."""
+        conn = http.client.HTTPConnection(self.nodes[node]["front"], timeout=8.0)
+        headers = {"Host": HOST, "X-Attempt-Id": request_id, "X-Model": "big"}
+        headers["Authorization"] = f"Bearer {key}"
+        try:
+            conn.request("POST", path, body=b"{}", headers=headers)
+            resp = conn.getresponse()
+            return resp.status, resp.read()
+        finally:
+            conn.close()
+
+    def log(self, node):
+        """Return the events that a node has logged."""
+        lines = (self._out / f"{node}.log").read_text("utf-8").splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def wait(self, holds, what, timeout_s=STARTS_WITHIN_S):
+        """Wait until ``holds()`` is true; raise ``TimeoutError``."""
+        deadline = time.monotonic() + timeout_s
+        while not holds():
+            if time.monotonic() >= deadline:
+                raise TimeoutError(f"not in time: {what}")
+            time.sleep(POLL_S)
+
+    def _store_answers(self):
+        try:
+            self._post("/standin/trouble", {"trouble": ""})
+        except urllib3.exceptions.HTTPError:
+            return False
+        return True
+
+    def _post(self, path, body):
+        self._http.request("POST", f"http://{self.store}{path}", json=body)
+
+    def _start(self, name, command, environ):
+        log = self._stack.enter_context((self._out / f"{name}.log").open("ab"))
+        self._processes[name] = subprocess.Popen(
+            command,
+            stdout=log,
+            stderr=log,
+            stdin=subprocess.DEVNULL,
+            cwd=Path(__file__).parent.parent,
+            env={**os.environ, **environ},
+        )
+
+    def _end_all(self):
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGKILL)
+        for process in self._processes.values():
+            process.wait(ENDS_WITHIN_S)
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -12,13 +12,22 @@
 from .engine import EngineFleet  # noqa: E402
 from .log import LogStandin  # noqa: E402
 from .platform import VmListStandin, WeightStoreStandin  # noqa: E402
+from .usersplatform import UsersPlatform  # noqa: E402
 
 
 def main():
     """Start the stand-in that the arguments name and run until killed."""
     parser = argparse.ArgumentParser(prog="standins")
     parser.add_argument(
-        "name", choices=["log", "vm-list", "weight-store", "engines", "booking"]
+        "name",
+        choices=[
+            "log",
+            "vm-list",
+            "weight-store",
+            "engines",
+            "booking",
+            "users-platform",
+        ],
     )
     parser.add_argument("--address", required=True)
     parser.add_argument("--weight-store-url", default="")
@@ -42,6 +51,7 @@
             "vm-list": VmListStandin,
             "weight-store": WeightStoreStandin,
             "booking": BookingService,
+            "users-platform": UsersPlatform,
         }[args.name](args.address)
     standin.server.start()
     Event().wait()
--- /dev/null
+++ b/tests/fleet/test_registrations.py
@@ -0,0 +1,87 @@
+"""Registrations as evidence: who may get new work, and for how long."""
+
+import unittest
+
+from auburnwall.fleet.registrations import LAPSE_GRACE_S, Registration, Registry
+from auburnwall.state.table.base import TableRecord
+from auburnwall.state.table.replica import TableReplica
+from tests.state.test_table import FakeClock
+
+
+def registration(server, **changes):
+    """Return a registration with some fields changed."""
+    usual = Registration(
+        server, "assist", "127.0.0.1:1", "norte", 9, False, 0.0, 1, "d0", "", (), None
+    )
+    return usual._replace(**changes)
+
+
+class RegistryTests(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.offset = FakeClock(), 0
+        self.replica = TableReplica("servers", None, self.clock)
+        self.registry = Registry(self.replica, self.decode, self.clock)
+
+    def decode(self, key, value):
+        if value is None or isinstance(value, str):
+            raise ValueError(value)
+        return value
+
+    def write(self, key, value):
+        self.replica.learn(
+            [TableRecord(self.offset, key, value)], self.offset + 1, self.clock.now
+        )
+        self.offset += 1
+
+    def test_server_that_drains_stays_left_for_its_incarnation(self):
+        self.write("i-1", registration("i-1"))
+        self.write("i-1", registration("i-1", draining=True))
+        self.write("i-1", registration("i-1"))
+        self.assertIsNone(self.registry.usable("i-1"))
+        self.write("i-1", registration("i-1", born=2))
+        self.assertIsNotNone(self.registry.usable("i-1"))
+
+    def test_entry_of_an_earlier_incarnation_is_ignored(self):
+        self.write("i-1", registration("i-1", born=5))
+        self.write("i-1", registration("i-1", born=4, draining=True))
+        self.assertEqual(self.registry.usable("i-1").born, 5)
+
+    def test_removed_server_gets_nothing_at_once(self):
+        self.registry.note_read()
+        self.write("i-1", registration("i-1"))
+        self.write("i-1", None)
+        self.registry.note_read()
+        self.assertIsNone(self.registry.usable("i-1"))
+
+    def test_registrations_that_lapsed_in_an_outage_get_time_to_come_back(self):
+        self.write("i-1", registration("i-1"))
+        self.write("i-2", registration("i-2"))
+        self.registry.note_read()
+        self.clock.now += 6.0
+        self.registry.note_read()
+        self.write("i-1", None)
+        self.write("i-2", None)
+        self.registry.expire()
+        self.assertIsNotNone(self.registry.usable("i-1"))
+        self.write("i-1", registration("i-1"))
+        self.clock.now += LAPSE_GRACE_S + 0.01
+        self.registry.note_read()
+        self.assertIsNotNone(self.registry.usable("i-1"))
+        self.assertIsNone(self.registry.usable("i-2"))
+
+    def test_entry_that_cannot_be_read_names_no_server_and_is_told_once(self):
+        self.write("i-1", registration("i-1"))
+        with self.assertLogs("absl", "INFO") as logs:
+            for _ in range(3):
+                self.write("i-1", "no such state")
+        told = [line for line in logs.output if "bad registration" in line]
+        self.assertEqual(len(told), 1)
+        self.assertIsNone(self.registry.usable("i-1"))
+        self.write("i-1", registration("i-1"))
+        self.assertIsNotNone(self.registry.usable("i-1"))
+
+    def test_cold_time_counts_down(self):
+        self.write("i-1", registration("i-1", cold_s=2.0))
+        self.assertTrue(self.registry.is_cold("i-1"))
+        self.clock.now += 2.1
+        self.assertFalse(self.registry.is_cold("i-1"))
--- /dev/null
+++ b/tests/routed/support.py
@@ -0,0 +1,174 @@
+"""A forwarder in front of stand-in servers, and a front server for callers."""
+
+import json
+import random
+from contextlib import ExitStack, closing
+
+import gevent
+
+from auburnwall.base.clock import SystemClock
+from auburnwall.base.tasks import TaskGroup
+from auburnwall.fleet.board import Candidate
+from auburnwall.node.routed.demand import DemandMeter
+from auburnwall.node.routed.front import new_front_server
+from auburnwall.node.routed.gateway import Gateway
+from auburnwall.node.routed.metrics import RoutedMetrics
+from auburnwall.node.routed.world import Doubts, Known
+from auburnwall.platform.headers import DIALECT
+from auburnwall.platform.operator import OperatorCodec
+from auburnwall.routing.channels import ChannelPool
+from auburnwall.routing.forwarder import Forwarder, ForwarderDeps
+from auburnwall.routing.inflight import InFlight
+from auburnwall.routing.placer import Placer
+from auburnwall.routing.repeats import RepeatBudget
+from auburnwall.routing.routes import RouteTable
+from auburnwall.routing.warmup import WarmupGate
+from standins.modelserver import ModelServerStandin
+from standins.store import StoreStandin
+
+KEY = "callers-key"
+
+
+def route(prefix, kind, **changes):
+    """Return a route of the platform's configuration."""
+    return {
+        "Name": prefix.strip("/"),
+        "Host": "shop.example",
+        "PathPrefix": prefix,
+        "Type": kind,
+        "TimeoutMs": 3000,
+        "SloMs": 300,
+        "GapSloMs": 200,
+        "Attempts": 2,
+        "Service": "assist" if kind == "streaming" else "desk",
+        **changes,
+    }
+
+
+def config(**limits):
+    """Return a configuration in the platform's form."""
+    engine = {
+        "BatchSlots": 9,
+        "KvCapacity": 900000,
+        "Models": [{"Name": "big", "size": 2, "LoadS": 1.0, "WarmS": 0.2}],
+        "step_ms": 8.0,
+        "per_seq_ms": 0.2,
+        "context_per_k": 0.02,
+        "read_per_s": 50000.0,
+        "pairs_per_m": 0.4,
+    }
+    return {
+        "Version": 3,
+        "Routes": [
+            route("/ask/", "streaming", Resumable=True),
+            route("/once/", "streaming", Resumable=False),
+            route("/book/", "mutating", Attempts=1),
+            route("/look/", "idempotent"),
+            route("/open/", "idempotent", Anonymous=True),
+        ],
+        "Services": [
+            {"Name": "assist", "HealthPath": "/healthz", "Engine": engine},
+            {"Name": "desk", "HealthPath": "/healthz"},
+        ],
+        "Limits": {"MaxBodyBytes": 100_000, **limits},
+        "Tenants": [{"Name": "blue", "ApiKeys": [KEY]}],
+    }
+
+
+class Source:
+    """A configuration in force, as the node's own source has it."""
+
+    def __init__(self, body):
+        self.table = RouteTable(OperatorCodec().config(json.dumps(body).encode()))
+
+    @property
+    def config(self):
+        return self.table.config
+
+
+class World:
+    """The placer's view of stand-in servers."""
+
+    data_center = "norte"
+
+    def __init__(self, servers, clock):
+        self.servers = servers
+        self.doubts = Doubts(clock)
+        self.in_flight = None
+
+    def candidates(self, request):
+        return [
+            Candidate(s.server, s.server, 1, s.address, "norte", 9)
+            for s in self.servers[request.service]
+        ]
+
+    def load(self, candidate):
+        return self.in_flight.count(candidate.name)
+
+    def is_doubted(self, name):
+        return name in self.doubts
+
+    def cold_rate(self, candidate):
+        return None
+
+    def outlook(self, request):
+        return Known(0, 0, 0.1)
+
+
+class FrontWithServers:
+    """Two servers of each service and a front on loopback."""
+
+    def __init__(self, body=None):
+        self._body = body or config()
+        self._stack = ExitStack()
+
+    def __enter__(self):
+        clock = SystemClock()
+        store = StoreStandin()
+        self.desks = self._servers(store, "desk", "")
+        self.engines = self._servers(store, "assist", "d0")
+        world = World({"desk": self.desks, "assist": self.engines}, clock)
+        self.in_flight = InFlight(clock, world.doubts.note)
+        world.in_flight = self.in_flight
+        gate = WarmupGate("n1", lambda: ["n1"], clock)
+        self.channels = self._stack.enter_context(closing(ChannelPool(clock)))
+        self.placer = Placer(world, self.in_flight, gate, clock, random.Random(4))
+        deps = ForwarderDeps(self.placer, self.channels, self.in_flight, DIALECT, clock)
+        self.budget = RepeatBudget(0.2, 20.0, 10.0, lambda: 1, clock)
+        forwarder = Forwarder(deps, lambda service: self.budget, lambda r, n: None)
+        self.gateway = Gateway(
+            Source(self._body),
+            forwarder,
+            DIALECT,
+            clock,
+            random.Random(5),
+            RoutedMetrics(),
+            DemandMeter(clock),
+        )
+        server = new_front_server("127.0.0.1:0", self.gateway, clock)
+        server.start()
+        self._stack.callback(server.stop, 0.2)
+        self.address = f"127.0.0.1:{server.server_port}"
+        tasks = self._stack.enter_context(TaskGroup())
+        tasks.spawn(self.in_flight.watch)
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stack.close()
+
+    def _servers(self, store, service, domain):
+        servers = []
+        for number in range(2):
+            name = f"{service}-{number}"
+            server = ModelServerStandin(store, name, service, "norte", domain)
+            server.start()
+            self._stack.callback(server.stop)
+            servers.append(server)
+        return servers
+
+
+def wait_until(ready, timeout_s=5.0):
+    """Wait until ``ready()`` holds; raise ``AssertionError`` if it does not."""
+    with gevent.Timeout(timeout_s, AssertionError("not in time")):
+        while not ready():
+            gevent.sleep(0.01)
--- /dev/null
+++ b/tests/routing/test_deciding.py
@@ -0,0 +1,195 @@
+"""Placing, waiting, refusing and repeating: each on the load that it answers."""
+
+import random
+import unittest
+
+from auburnwall.fleet.board import Candidate
+from auburnwall.routing.eventstream import EventSplitter
+from auburnwall.routing.placing import choose
+from auburnwall.routing.refusing import FORMING_WAIT_S, Outlook, judge
+from auburnwall.routing.repeats import RepeatBudget
+from auburnwall.routing.routes import EngineSpec, ModelSpec
+from auburnwall.routing.stepmodel import Work, group_share, service_time
+from auburnwall.routing.warmup import MOST_SENDERS, WarmupGate
+from tests.state.test_table import FakeClock
+
+
+def candidates(count, data_center="norte", slots=9):
+    """Return candidates of one data centre."""
+    return [
+        Candidate(f"{data_center}{n}", f"s-{data_center}{n}", 1, "", data_center, slots)
+        for n in range(count)
+    ]
+
+
+class PlacingTests(unittest.TestCase):
+    def test_seven_nodes_that_know_little_of_each_other_spread_a_burst(self):
+        """Each node sees the others' requests 120 ms late, here not at all."""
+        groups, load = candidates(14), {}
+        nodes = [(random.Random(n), {}) for n in range(7)]
+        for turn in range(56):
+            rng, own = nodes[turn % 7]
+            found = choose(groups, lambda c, o=own: o.get(c.name, 0), "norte", rng)
+            own[found.name] = own.get(found.name, 0) + 1
+            load[found.name] = load.get(found.name, 0) + 1
+        self.assertLessEqual(max(load.values()), 9)
+
+    def test_own_data_centre_goes_first_until_it_is_busier(self):
+        groups = candidates(2) + candidates(2, "sur")
+        rng = random.Random(1)
+        near = choose(groups, lambda c: 2, "norte", rng)
+        self.assertEqual(near.data_center, "norte")
+        busy = {"norte0": 6, "norte1": 6, "sur0": 2, "sur1": 2}
+        far = choose(groups, lambda c: busy[c.name], "norte", rng)
+        self.assertEqual(far.data_center, "sur")
+
+    def test_full_candidates_get_nothing(self):
+        self.assertIsNone(choose(candidates(3), lambda c: 9, "", random.Random(1)))
+
+
+class RefusingTests(unittest.TestCase):
+    def outlook(self, **changes):
+        usual = Outlook(0, 20, 0, 1.5, 6.0, 0.3)
+        return judge(usual._replace(**changes))
+
+    def test_burst_waits_only_as_long_as_it_can_be_in_time(self):
+        """Full groups give a place every 75 ms; the objective is 0.3 s away."""
+        waits = [self.outlook(waiting=n).wait for n in range(8)]
+        self.assertEqual(waits, [True, True, True, False, False, False, False, False])
+
+    def test_refusal_tells_when_the_queue_is_served(self):
+        self.assertAlmostEqual(self.outlook(waiting=39).retry_after_s, 3.0)
+        self.assertGreaterEqual(self.outlook(waiting=4).retry_after_s, 1.0)
+
+    def test_lost_groups_that_are_forming_again_are_waited_for(self):
+        verdict = self.outlook(serving=0, forming=1)
+        self.assertEqual((verdict.wait, verdict.wait_s), (True, FORMING_WAIT_S))
+
+    def test_nothing_serves_and_nothing_forms(self):
+        self.assertFalse(self.outlook(serving=0).wait)
+
+    def test_caller_that_came_back_late_waits_for_what_is_left_over(self):
+        self.assertTrue(self.outlook(waiting=5, objective_s=-1.0).wait)
+        self.assertFalse(self.outlook(waiting=20, objective_s=-1.0).wait)
+
+    def test_broken_stream_looks_on_though_its_objective_has_passed(self):
+        verdict = self.outlook(waiting=3, objective_s=-1.0, patience_s=1.4)
+        self.assertEqual((verdict.wait, verdict.wait_s), (True, 1.4))
+
+    def test_nobody_waits_past_the_deadline(self):
+        self.assertFalse(self.outlook(left_s=0.0).wait)
+        self.assertEqual(self.outlook(left_s=0.1).wait_s, 0.1)
+
+
+class RepeatTests(unittest.TestCase):
+    def total(self, nodes, requests, tries):
+        """Return how many repeats all nodes allow of ``tries`` each in a window."""
+        clock = FakeClock()
+        budgets = [
+            RepeatBudget(0.2, 105.0, 10.0, lambda: nodes, clock) for _ in range(nodes)
+        ]
+        allowed = 0
+        for budget in budgets:
+            for _ in range(requests):
+                budget.note_request()
+            allowed += sum(budget.take() for _ in range(tries))
+        return allowed
+
+    def test_failing_servers_do_not_bring_the_sum_over_the_budget(self):
+        for nodes in (1, 7, 74):
+            for requests in (0, 10, 200):
+                sum_allowed = self.total(nodes, requests, 500)
+                self.assertLessEqual(sum_allowed, 0.2 * requests * nodes + 105)
+
+    def test_the_rest_of_the_nodes_keep_to_it_when_some_are_lost(self):
+        clock, count = FakeClock(), [7]
+        budgets = [
+            RepeatBudget(0.2, 105.0, 10.0, lambda: count[0], clock) for _ in range(7)
+        ]
+        before = sum(b.take() for b in budgets for _ in range(50))
+        count[0] = 4
+        clock.now += 1.0
+        after = sum(b.take() for b in budgets[:4] for _ in range(50))
+        self.assertLessEqual(before + after, 105)
+
+    def test_old_repeats_are_forgotten(self):
+        clock = FakeClock()
+        budget = RepeatBudget(0.0, 10.0, 10.0, lambda: 1, clock)
+        self.assertEqual(sum(budget.take() for _ in range(50)), 7)
+        clock.now += 10.1
+        self.assertEqual(sum(budget.take() for _ in range(50)), 7)
+
+
+class WarmupTests(unittest.TestCase):
+    def test_cold_server_gets_its_rate_over_all_nodes(self):
+        """Every node of a large fleet has requests for it all the time."""
+        clock = FakeClock()
+        names = [f"n{n}" for n in range(74)]
+        gates = [WarmupGate(name, lambda: names, clock) for name in names]
+        sent = 0
+        for _ in range(200):
+            for gate in gates:
+                if gate.may_send("s1", 36.0):
+                    gate.note_sent("s1", 36.0)
+                    sent += 1
+            clock.now += 0.005
+        self.assertLessEqual(sent, 36 + MOST_SENDERS)
+        self.assertGreater(sent, 30)
+
+
+class StepModelTests(unittest.TestCase):
+    ENGINE = EngineSpec(
+        9,
+        900_000,
+        {},
+        0.0078,
+        0.000179,
+        1.8e-8,
+        1 / 45_900,
+        4.3e-10,
+        5,
+        5.0,
+        7,
+        979,
+        154,
+    )
+    MODEL = ModelSpec("big", 4, 1.0, 0.5, 16.0, 1.6)
+
+    def test_more_requests_make_each_one_slower_and_the_group_faster(self):
+        work = Work(979, 154)
+        alone = service_time(self.ENGINE, self.MODEL, work, 1)
+        full = service_time(self.ENGINE, self.MODEL, work, 9)
+        self.assertLess(alone, full)
+        self.assertLess(group_share(self.ENGINE, self.MODEL, work), alone)
+
+    def test_pace_of_the_model_counts(self):
+        fast = self.MODEL._replace(pace=0.6)
+        work = Work(979, 154)
+        self.assertAlmostEqual(
+            service_time(self.ENGINE, fast, work, 4),
+            0.6 * service_time(self.ENGINE, self.MODEL, work, 4),
+        )
+
+
+class EventTests(unittest.TestCase):
+    STREAM = b"id: 1\ndata: a\n\nid: 2\nx-version: 3\ndata: id:9\n\nid: 3\ndata: c\n\n"
+
+    def test_any_cut_of_the_bytes_gives_the_same_events(self):
+        for size in range(1, 12):
+            splitter, out = EventSplitter(), b""
+            for at in range(0, len(self.STREAM), size):
+                out += splitter.feed(self.STREAM[at : at + size])
+            self.assertEqual(out, self.STREAM)
+            self.assertEqual((splitter.last_id, splitter.count), ("3", 3))
+            self.assertFalse(splitter.pending)
+
+    def test_part_of_an_event_is_kept_back(self):
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(self.STREAM[:20]), b"id: 1\ndata: a\n\n")
+        self.assertEqual(splitter.last_id, "1")
+        self.assertTrue(splitter.pending)
+
+    def test_data_that_looks_like_an_id_is_none(self):
+        splitter = EventSplitter()
+        splitter.feed(b"id: 4\ndata: id: 7\n\n")
+        self.assertEqual(splitter.last_id, "4")
--- /dev/null
+++ b/tests/state/test_table.py
@@ -0,0 +1,117 @@
+"""Copies of tables: complete, never going back, passed on to peers."""
+
+import unittest
+
+from auburnwall.state.exceptions import LogTruncatedError
+from auburnwall.state.table.base import TableBatch, TableClient, TableRecord
+from auburnwall.state.table.replica import TableReplica
+
+
+class FakeClock:
+    """A clock that the test moves."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+    def sleep(self, seconds):
+        self.now += seconds
+
+
+class FakeTable(TableClient):
+    """A table in memory that may drop its history or answer with old pages."""
+
+    def __init__(self):
+        self.records = []
+        self.first = 0
+        self.page_end = None
+
+    def write(self, key, value):
+        self.records.append(TableRecord(len(self.records), key, value))
+
+    def newest(self, table):
+        end = len(self.records) if self.page_end is None else self.page_end
+        found = {record.key: record for record in self.records}
+        kept = [record for record in found.values() if record.value is not None]
+        return TableBatch(kept, end)
+
+    def read(self, table, offset, *, wait_s):
+        if offset < self.first:
+            raise LogTruncatedError(self.first)
+        return TableBatch(self.records[offset:], len(self.records))
+
+    def append(self, table, entries, *, at=None):
+        raise NotImplementedError
+
+
+class ReplicaTests(unittest.TestCase):
+    def setUp(self):
+        self.table, self.clock = FakeTable(), FakeClock()
+        self.replica = TableReplica("servers", self.table, self.clock)
+        self.heard = []
+        self.replica.listeners.append(self.heard.append)
+
+    def values(self, replica=None):
+        entries = (replica or self.replica).entries
+        return {key: record.value for key, record in entries.items()}
+
+    def test_first_reading_and_what_follows(self):
+        self.table.write("a", b"1")
+        self.replica.refresh(0.0)
+        self.table.write("b", b"2")
+        self.table.write("a", None)
+        self.replica.refresh(0.0)
+        self.assertEqual(self.values(), {"b": b"2"})
+        self.assertEqual(self.replica.end, 3)
+
+    def test_what_is_written_between_two_pages_is_not_missed(self):
+        self.table.write("a", b"1")
+        self.table.write("b", b"2")
+        self.table.page_end = 1
+        self.replica.refresh(0.0)
+        self.assertEqual(self.replica.end, 1)
+        self.replica.refresh(0.0)
+        self.assertEqual(self.values(), {"a": b"1", "b": b"2"})
+
+    def test_removal_within_a_dropped_history_is_noticed(self):
+        self.table.write("a", b"1")
+        self.table.write("b", b"1")
+        self.replica.refresh(0.0)
+        self.table.write("a", None)
+        self.table.write("b", b"2")
+        self.table.first = 4
+        self.replica.refresh(0.0)
+        self.assertEqual(self.values(), {"b": b"2"})
+        removed = [record.key for record in self.heard if record.value is None]
+        self.assertEqual(removed, ["a"])
+
+    def test_older_answers_change_nothing(self):
+        self.table.write("a", b"1")
+        self.table.write("a", b"2")
+        self.replica.refresh(0.0)
+        self.replica.learn([TableRecord(0, "a", b"1")], 1, self.clock.now)
+        self.replica.replace([TableRecord(0, "a", b"1")], 1, self.clock.now)
+        self.assertEqual(self.values(), {"a": b"2"})
+        self.assertEqual(self.replica.end, 2)
+
+    def test_peer_takes_over_from_any_point(self):
+        for number in range(6):
+            self.table.write(f"k{number % 3}", str(number).encode())
+        self.replica.refresh(0.0)
+        for start in (-1, 0, 4, 6):
+            with self.subTest(start):
+                peer = TableReplica("servers", self.table, self.clock)
+                peer.end = start
+                records, whole = self.replica.since(start)
+                take = peer.replace if whole else peer.learn
+                take(records, self.replica.end, self.clock.now)
+                self.assertEqual(peer.end, 6)
+                if start < 4:
+                    self.assertEqual(self.values(peer), self.values())
+
+    def test_age_counts_from_before_asking(self):
+        self.replica.refresh(0.0)
+        self.clock.now += 1.5
+        self.assertEqual(self.replica.age(), 1.5)
