Doubt a server that takes no connection

Cause: a head that is gone without a trace was doubted only by streams that stood still; one that refuses connections was tried by each request anew. The test failed first.

--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -192,6 +192,8 @@
         self._avoid |= {attempt.candidate.server}
         sent = getattr(exc, "sent", True)
         self._ran += sent
+        if not sent:
+            self._deps.in_flight.doubt(attempt.candidate.name)
         self._log(attempt, "attempt failed", why=exc.detail, step=exc.step)
         request = self.request
         if isinstance(exc, OutOfTimeError):
--- a/packages/auburnwall-routing/src/auburnwall/routing/inflight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/inflight.py
@@ -55,7 +55,7 @@
     def __init__(self, clock, doubt):
         self.running = {}
         self._clock = clock
-        self._doubt = doubt
+        self.doubt = doubt
         self._exchanges = set()
         self._progress = {}
 
@@ -124,7 +124,7 @@
         return silent_s > exchange.patience_s
 
     def _note_still(self, exchange, now):
-        self._doubt(exchange.candidate.name)
+        self.doubt(exchange.candidate.name)
         if exchange.movable:
             silent_s = round(now - exchange.progress_at, 2)
             detail = f"no progress for {silent_s} s"
--- a/standins/usersplatform.py
+++ b/standins/usersplatform.py
@@ -1,12 +1,15 @@
 """Stand-in of the users' platform as one process: the store and its servers."""
 
 import bottle
+import gevent
 
-from .modelserver import ModelServerStandin
+from .modelserver import TOPIC, ModelServerStandin
 from .store import StoreStandin
 
 ENGINES = 6
 DESKS = 2
+# Silence after which a registration is removed: three beats.
+LAPSE_S = 1.2
 
 
 class UsersPlatform:
@@ -34,4 +37,6 @@
         )
 
     def _stop(self):
-        self.servers.pop(bottle.request.json["server"]).stop()
+        name = bottle.request.json["server"]
+        self.servers.pop(name).stop()
+        gevent.spawn_later(LAPSE_S, self.store.put, TOPIC, name, None)
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -51,6 +51,7 @@
         self.cluster.stop_server("i-engine-1")
         self.cluster.wait(lambda: self.planner() != planner, "another node plans")
         self.cluster.wait(lambda: self.events("group ended"), "lost groups end")
+        self.cluster.wait(lambda: self.served("anew", others[0]), "a group is open")
         for number in range(6):
             self.assertTrue(self.served(f"k-{number}", others[number % 2]))
 
--- a/tests/routed/test_front.py
+++ b/tests/routed/test_front.py
@@ -176,3 +176,18 @@
             "GET", "/open/x", headers={"Host": "shop.example", "X-Attempt-Id": "s"}
         )
         self.assertEqual(conn.getresponse().status, 503)
+
+
+class DoubtTests(unittest.TestCase):
+    def test_server_that_takes_no_connection_is_doubted(self):
+        front = self.enterContext(FrontWithServers())
+        front.desks[0].stop()
+        doubted = []
+        front.in_flight.doubt = doubted.append
+        for number in range(6):
+            conn = http.client.HTTPConnection(front.address, timeout=3.0)
+            headers = {"Host": "shop.example", "X-Attempt-Id": f"r-{number}"}
+            conn.request("GET", "/open/x", headers=headers)
+            self.assertEqual(conn.getresponse().status, 200)
+            conn.close()
+        self.assertIn("desk-0", doubted)
