Shift servers only where no weights must be loaded; hold the peak of demand

Cause: shifts ended two groups for one whose members loaded for 16 s; demand that fell while nodes stopped and started gave groups away.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
@@ -13,7 +13,7 @@
 REJOIN_S = 0.2
 # Coverage from which on a model takes no more servers: those that stay free replace
 # lost members without a wait.
-ENOUGH = 1.8
+ENOUGH = 2.5
 # Demand below this many groups' worth is taken for this much, so that a model that
 # nobody asked for lately keeps something to serve the next request with.
 LEAST_DEMAND = 0.3
@@ -123,6 +123,7 @@
 
 
 def _cost(formation, standing):
-    """Order formations by time, then by how few groups the data centre has."""
+    """Order formations by time, loads, and how few groups the data centre has."""
     place = formation.model, formation.members[0].data_center
-    return formation.ready_s, standing.get(place, 0), formation.members[0].domain
+    domain = formation.members[0].domain
+    return formation.ready_s, formation.loads, standing.get(place, 0), domain
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -22,7 +22,10 @@
 # start, in seconds: longer than servers take to follow each other.
 SETTLED_S = 1.0
 # Loads that staging leaves to groups which need them, once there is traffic.
-KEPT_LOADS = 4
+KEPT_LOADS = 6
+# What is kept of a model's demand for each second in which it seems to be less: nodes
+# that stop and start take their callers' requests from what is measured for a while.
+DEMAND_KEPT_PER_S = 0.96
 # Time between two log lines on how well the models are covered, in seconds.
 TELL_S = 2.0
 # Time for which servers stay reserved for the model that they were freed for: the
@@ -57,6 +60,8 @@
         self._shifts = []
         self._staging = {}
         self._told_at = {}
+        self._demand = {}
+        self._demand_at = clock.monotonic()
 
     def step(self):
         """Decide, write the decisions, and give the orders that follow from them.
@@ -120,7 +125,7 @@
 
     def _plan_service(self, service, engine, finished, ends):
         """Return what to form, as service, model and members, and the ``Shift``."""
-        now, demand = self._clock.monotonic(), self._world.demand()
+        now, demand = self._clock.monotonic(), self._steady_demand()
         self._shifts = [shift for shift in self._shifts if shift.until > now]
         free = self._free_servers(service, {group.name for group in finished})
         standing = self._standing(service, ends)
@@ -161,6 +166,17 @@
             shifts=len(self._shifts),
         )
 
+    def _steady_demand(self):
+        """Return the measured demand, which falls more slowly than it rises."""
+        now, measured = self._clock.monotonic(), self._world.demand()
+        keep = DEMAND_KEPT_PER_S ** (now - self._demand_at)
+        self._demand_at = now
+        self._demand = {
+            model: max(measured.get(model, 0.0), keep * self._demand.get(model, 0.0))
+            for model in set(measured) | set(self._demand)
+        }
+        return dict(self._demand)
+
     def _expected_demand(self, engine):
         """Return groups' worth of work by model as long as nothing was measured."""
         servers = len(self._registry.servers)
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
@@ -7,12 +7,14 @@
 
 from typing import NamedTuple
 
-from .assembly import ENOUGH, best_members, by_domain, coverage
+from .assembly import best_members, by_domain, coverage
 
 # Coverage below which a model gets servers of others.
 SHORT = 1.25
+# Coverage that a model keeps when it gives up groups to one that is short.
+KEPT = 1.6
 # Coverage from which on a model gives up a group just so that servers are free.
-PLENTY = 2.1
+PLENTY = 3.2
 
 
 class Holder(NamedTuple):
@@ -42,7 +44,7 @@
     if covered >= SHORT:
         spare = _spare_groups(short, models, standing, demand, PLENTY)
         return _spares(holders, free, models, spare)
-    spare = _spare_groups(short, models, standing, demand, ENOUGH)
+    spare = _spare_groups(short, models, standing, demand, KEPT)
     options = [
         option
         for domain, servers in by_domain(free + [s for h in holders for s in h.servers])
@@ -82,7 +84,11 @@
 
 
 def _option(domain, servers, holders, free, model, spare):
-    """Return seconds until ready, groups to end, their names and the servers."""
+    """Return seconds until ready, groups to end, their names and the servers.
+
+    A shift that has weights to load takes capacity away for longer than it takes until
+    the next loss, so it is no option.
+    """
     here = [s for s in free if s.domain == domain and s.reserved in ("", model.name)]
     left, ended = dict(spare), []
     donors = sorted(
@@ -97,7 +103,7 @@
             ended.append(holder.group)
             here = here + list(holder.servers)
     found = best_members(here, model)
-    if found is None or not ended:
+    if found is None or not ended or found.loads:
         return None
     members = tuple(member.server for member in found.members)
     return found.ready_s, len(ended), tuple(ended), members
