--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -113,11 +113,15 @@
             store=self.store,
             **self.nodes[name],
         )
-        path = self._out / f"{name}.conf"
+        path = self.settings_path(name)
         path.write_text(text, "utf-8")
         command = [sys.executable, "-m", "auburnwall.platform"]
         self._start(name, command, {"AUBURNWALL_SETTINGS": str(path)})
 
+    def settings_path(self, node):
+        """Return the path of a node's settings file."""
+        return self._out / f"{node}.conf"
+
     def put(self, topic, key, value):
         """Write a record as the operator or a server would."""
         self._post("/standin/put", {"topic": topic, "key": key, "value": value})
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
@@ -167,7 +167,12 @@
         )
         self._append([(PLANNER_KEY, encode(record))], at=self._state.replica.end)
 
-    def write_groups(self, ended, finished, formations, dropped_nodes=()):
+    def drop_nodes(self, names):
+        """Remove the records of nodes that are gone; one that lives announces anew."""
+        entries = [(NODE_PREFIX + name, None) for name in names]
+        self._append(entries, at=self._state.replica.end)
+
+    def write_groups(self, ended, finished, formations):
         """Write the planner's decisions in one step.
 
         ``ended`` are pairs of a group and whether it ends at once, ``finished`` groups
@@ -178,7 +183,6 @@
             raise NotPlannerError("another node plans", step="write groups")
         at = self._state.replica.end
         entries = [(GROUP_PREFIX + group.name, None) for group in finished]
-        entries += [(NODE_PREFIX + name, None) for name in dropped_nodes]
         for group, at_once in ended:
             ending = group._replace(
                 phase=ENDING, at_once=at_once, ending_epoch=at + len(entries)
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/watch.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/watch.py
@@ -52,7 +52,7 @@
         self._doubted[group] = self._clock.monotonic() + DOUBT_S
 
     def view(self, group, member, out):
-        """Return the ``MemberView`` of ``member``; ``out`` are data centres to leave."""
+        """Return a ``MemberView``; ``out`` are the data centres to be left."""
         entry = self._registry.servers.get(member.server)
         if entry is not None and entry.born != member.born:
             return MemberView(member.server, Life.GONE, False, entry.standing)
--- a/packages/auburnwall-node/src/auburnwall/node/http.py
+++ b/packages/auburnwall-node/src/auburnwall/node/http.py
@@ -36,6 +36,7 @@
     """Send the server's own complaints to the structured log."""
 
     def write(self, text):
+        """Log one complaint."""
         if text.strip():
             event("http server", why=text.strip()[:2000])
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/entry.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/entry.py
@@ -12,16 +12,21 @@
     """Which nodes callers are told to use.
 
     Nodes in the caller's data centre come alone if there are enough of them, since the
-    way to the others is longer; all are named otherwise.
+    way to the others is longer; all are named otherwise. ``cfg()`` returns the node's
+    settings as they are now.
     """
 
     ENOUGH_NEAR = 2
 
-    def __init__(self, state, peers, own_pulse, most):
+    def __init__(self, state, peers, own_pulse, cfg):
         self._state = state
         self._peers = peers
         self._own_pulse = own_pulse
-        self._most = most
+        self._cfg = cfg
+
+    def hold_s(self):
+        """Return how long callers may keep an answer, in seconds."""
+        return self._cfg().entry_hold_s
 
     def addresses(self, near):
         """Return the front addresses for a caller in the data centre ``near``."""
@@ -34,7 +39,7 @@
         nodes = [node for name, node in self._state.nodes.items() if name in ready]
         close = [node for node in nodes if node.data_center == near]
         chosen = close if len(close) >= self.ENOUGH_NEAR else nodes
-        return [node.front for node in chosen][: self._most]
+        return [node.front for node in chosen][: self._cfg().most_entry_points]
 
 
 class DirectoryCodec:
@@ -46,7 +51,7 @@
         self.answer = answer
 
 
-def new_directory_app(codec, entry_points, hold_s):
+def new_directory_app(codec, entry_points):
     """Return the application that tells callers where to connect."""
     app = bottle.Bottle()
 
@@ -56,7 +61,7 @@
         if not addresses:
             bottle.response.status = 503
         bottle.response.content_type = "application/json"
-        return json.dumps(codec.answer(addresses, hold_s)).encode()
+        return json.dumps(codec.answer(addresses, entry_points.hold_s())).encode()
 
     app.route(codec.path, "GET", resolve)
     return app
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -49,6 +49,7 @@
         self._clock = clock
 
     def __call__(self, environ, start_response):
+        """Answer one request."""
         request_id = ""
         with ExitStack() as stack:
             try:
--- a/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
@@ -10,6 +10,7 @@
 
 from auburnwall.base import logs
 from auburnwall.base.clock import PauseDetector, SystemClock
+from auburnwall.base.exceptions import AuburnwallError
 from auburnwall.base.tasks import TaskGroup, repeat, supervise
 from auburnwall.fleet.board import Board
 from auburnwall.fleet.formation.conductor import Conductor
@@ -54,16 +55,39 @@
 ELECTION_S = 0.3
 # Time between two looks at peers, demand and idle connections, in seconds.
 PEERS_S, DEMAND_S, SWEEP_S = 0.25, 1.0, 1.0
+# Time between two looks at which nodes are gone for good, and at the settings, in
+# seconds; these may change without a signal.
+FORGET_S, SETTINGS_S = 5.0, 2.0
 # Time between two tries to write this node's record, in seconds.
 ANNOUNCE_S = 0.3
 # Gap in running after which everything that the node believes is read anew, in seconds.
 PAUSE_S = 1.0
 # Age of a copy of the tables up to which this node may plan, in seconds.
 PLANNING_AGE_S = 4.0
+# Time between two readings of the fleet's table by a node that does not plan, in
+# seconds; the heads' own registrations, which it waits for, are read less often.
+FLEET_PAUSE_S = 0.3
 # Time for log lines to be written out at the end, in seconds.
 LOG_DRAIN_S = 0.2
 
 
+# Settings that a running node cannot change: they would need new sockets.
+FIXED_SETTINGS = frozenset(
+    {
+        "node",
+        "data_center",
+        "front_address",
+        "ready_address",
+        "directory_address",
+        "peer_address",
+        "store_address",
+        "log_format",
+        "log_level",
+        "pulse_s",
+    }
+)
+
+
 class Platform(NamedTuple):
     """What a routed node reaches the world through.
 
@@ -83,8 +107,11 @@
 class RoutedNode:
     """Everything a routed node is made of; ``tasks`` owns what runs."""
 
-    def __init__(self, cfg, platform, tasks, stack, clock=None, rng=None):
+    def __init__(self, cfg, platform, tasks, stack, read_cfg, clock=None, rng=None):
         self.cfg = cfg
+        self._read_cfg = read_cfg
+        self._cfg_as_read = cfg
+        self._bad_settings = ""
         self.tasks = tasks
         self.clock = clock or SystemClock()
         self.rng = rng or random.Random()
@@ -143,6 +170,8 @@
             (PLAN_S, self._plan, "plan"),
             (DEMAND_S, self.demand.step, "demand"),
             (SWEEP_S, self.channels.sweep, "idle connections"),
+            (FORGET_S, self._forget_nodes, "nodes gone"),
+            (SETTINGS_S, self._look_at_settings, "settings"),
         ):
             spawn(repeat, self.clock, period_s, function, name)
         logs.event(
@@ -201,7 +230,7 @@
 
         self.readers = {
             OPERATOR_TABLE: reader(OPERATOR_TABLE, LONG_POLL_S, lambda: 0.0),
-            FLEET_TABLE: reader(FLEET_TABLE, LONG_POLL_S, lambda: 0.0),
+            FLEET_TABLE: reader(FLEET_TABLE, LONG_POLL_S, self._fleet_pause),
             SERVER_TABLE: reader(
                 SERVER_TABLE, 0.0, self._registry_pause, self.registry.note_read
             ),
@@ -260,9 +289,7 @@
         cfg, platform = self.cfg, self._platform
         host, _, port = cfg.peer_address.rpartition(":")
         handler = RoutedHandler(self.peers, self.pulse, self.replicas, platform.engine)
-        entry_points = EntryPoints(
-            self.fleet, self.peers, self.pulse, cfg.most_entry_points
-        )
+        entry_points = EntryPoints(self.fleet, self.peers, self.pulse, lambda: self.cfg)
         return (
             PeerServer(host, int(port), handler, Routed),
             new_server(
@@ -271,7 +298,7 @@
             ),
             new_server(
                 cfg.directory_address,
-                new_directory_app(platform.directory, entry_points, cfg.entry_hold_s),
+                new_directory_app(platform.directory, entry_points),
             ),
             new_front_server(cfg.front_address, self.gateway, self.clock),
         )
@@ -280,6 +307,10 @@
         cfg = self.cfg
         return cfg.planner_registry_s if self.writer.plans() else cfg.registry_s
 
+    def _fleet_pause(self):
+        """Let a burst of the planner's records be read at once by the other nodes."""
+        return 0.0 if self.writer.plans() else FLEET_PAUSE_S
+
     def _reads_tables(self):
         ages = [replica.age() for replica in self.replicas.values()]
         return all(reader.reads for reader in self.readers.values()) and all(
@@ -349,6 +380,48 @@
         except StateError as exc:
             logs.event("node not announced", step=exc.step, why=exc.detail)
 
+    def _forget_nodes(self):
+        if not self.writer.plans() or not self._reads_tables():
+            return
+        if names := self.peers.forgotten():
+            try:
+                self.writer.drop_nodes(names)
+            except StateError as exc:
+                logs.event("nodes not dropped", step=exc.step, why=exc.detail)
+                return
+            logs.event("nodes dropped", peers=names)
+
+    def _look_at_settings(self):
+        """Take changed settings over; keep the old ones if the new ones are bad."""
+        try:
+            cfg = self._read_cfg()
+        except AuburnwallError as exc:
+            if str(exc) != self._bad_settings:
+                logs.warn("settings kept", step="reload", why=str(exc))
+            self._bad_settings = str(exc)
+            return
+        self._bad_settings = ""
+        if cfg != self._cfg_as_read:
+            self._take_settings(cfg)
+
+    def _take_settings(self, cfg):
+        changed = {
+            name: new
+            for name, old, new in zip(cfg._fields, self._cfg_as_read, cfg, strict=True)
+            if old != new
+        }
+        self._cfg_as_read = cfg
+        kept = sorted(FIXED_SETTINGS & changed.keys())
+        self.cfg = cfg._replace(**{name: getattr(self.cfg, name) for name in kept})
+        self.stop.cfg = self.cfg
+        self._budgets.clear()
+        logs.event("settings changed", step="reload", changed=changed, kept=kept)
+
+    def reload(self):
+        """Read the settings now, as at SIGHUP."""
+        logs.event("reload", step="reload")
+        self._look_at_settings()
+
     def _step_election(self):
         if self._reads_tables() and not self.gateway.stop_begun:
             self.election.step()
@@ -358,18 +431,19 @@
             self.conductor.step()
 
 
-def run_routed_node(cfg, new_platform, on_reload=lambda: None):
+def run_routed_node(cfg, new_platform, read_cfg):
     """Run a node until it is told to stop.
 
-    ``new_platform(stack)`` returns the ``Platform``; ``on_reload`` is called at SIGHUP.
+    ``new_platform(stack)`` returns the ``Platform``; ``read_cfg`` reads the settings
+    anew and raises ``AuburnwallError`` if they are bad.
     """
     writer = logs.set_up(cfg.log_format, cfg.log_level, cfg.node)
     with ExitStack() as stack:
         tasks = stack.enter_context(TaskGroup())
-        node = RoutedNode(cfg, new_platform(stack), tasks, stack)
+        node = RoutedNode(cfg, new_platform(stack), tasks, stack, read_cfg)
         gevent.signal_handler(signal.SIGTERM, node.stop.begin)
         gevent.signal_handler(signal.SIGINT, node.stop.begin)
-        gevent.signal_handler(signal.SIGHUP, on_reload)
+        gevent.signal_handler(signal.SIGHUP, node.reload)
         node.start()
         node.stop.finished.wait()
     logs.event("stopped")
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -27,6 +27,10 @@
 SPARE_PART = 0.7
 
 
+# A node that was not heard of for this long is taken out of the table, in seconds.
+FORGOTTEN_S = 30.0
+
+
 class PeerView(NamedTuple):
     """A peer's last pulse and when it came."""
 
@@ -47,6 +51,7 @@
         self._clock = clock
         self._period_s = period_s
         self._calling = set()
+        self._missed_from = {}
 
     def follow(self, tasks):
         """Keep one task for each peer in the fleet's table."""
@@ -71,6 +76,21 @@
             if view.heard_at >= floor and self._is_current(name, view.pulse)
         }
 
+    def forgotten(self):
+        """Return the nodes of the table that were not heard of for a long time."""
+        now = self._clock.monotonic()
+        others = [name for name in self._state.nodes if name != self._identity.node]
+        self._missed_from = {
+            name: self._missed_from.get(name, now)
+            for name in others
+            if name not in self.heard()
+        }
+        return sorted(
+            name
+            for name, since in self._missed_from.items()
+            if now - since >= FORGOTTEN_S
+        )
+
     def able_to_plan(self):
         """Return incarnations by node of those that may plan, this one included."""
         own = self._own_pulse()
--- a/packages/auburnwall-node/src/auburnwall/node/routed/stop.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/stop.py
@@ -30,7 +30,7 @@
         self._gateway = gateway
         self._writer = writer
         self._clock = clock
-        self._cfg = cfg
+        self.cfg = cfg
         self._tasks = tasks
 
     def begin(self):
@@ -42,7 +42,7 @@
         self._tasks.spawn(self._run)
 
     def _run(self):
-        gateway, cfg = self._gateway, self._cfg
+        gateway, cfg = self._gateway, self.cfg
         began_at = self._clock.monotonic()
         event("stop begun", running=gateway.running, grace_s=cfg.grace_s)
         self._tasks.spawn(self._withdraw)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/world.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/world.py
@@ -89,7 +89,7 @@
         return name in self._doubts
 
     def cold_rate(self, candidate):
-        """Return requests a second that a cold server bears, ``None`` for a warm one."""
+        """Return the requests a second that a cold server bears, or ``None``."""
         if not self._registry.is_cold(candidate.server):
             return None
         entry = self._registry.servers.get(candidate.server)
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -15,9 +15,6 @@
 TRY_AGAIN_S = 0.05
 # Requests that wait for one model or service at this node.
 MOST_WAITING = 256
-# Requests over its slots that a group is given: it begins the next one as soon as one
-# ends, with no way to a node and back in between.
-EXTRA = 1
 
 
 class Place(NamedTuple):
@@ -119,13 +116,7 @@
             and not world.is_doubted(candidate.name)
             and self._gate_open(candidate)
         ]
-        found = choose(
-            candidates,
-            world.load,
-            world.data_center,
-            self._rng,
-            lambda candidate: candidate.slots + EXTRA,
-        )
+        found = choose(candidates, world.load, world.data_center, self._rng)
         if found is None:
             return None
         rate = world.cold_rate(found)
--- a/packages/auburnwall-routing/src/auburnwall/routing/placing.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placing.py
@@ -11,17 +11,15 @@
 SAMPLE = 4
 
 
-def choose(candidates, load_of, data_center, rng, limit_of=lambda candidate: None):
-    """Return the best candidate with a free place, or ``None``.
+def choose(candidates, load_of, data_center, rng):
+    """Return the best candidate with a free slot, or ``None``.
 
-    ``load_of`` gives the requests that a candidate has, ``limit_of`` how many it may
-    have, ``None`` for its slots.
+    ``load_of`` gives the requests that a candidate has.
     """
     free = [
         (candidate, load)
         for candidate in candidates
-        if (load := load_of(candidate))
-        < (candidate.slots if (limit := limit_of(candidate)) is None else limit)
+        if (load := load_of(candidate)) < candidate.slots
     ]
     if not free:
         return None
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -87,13 +87,16 @@
         self.cluster.put("keyed.op", "evacuate/norte", None)
         self.cluster.wait(lambda: self.served("back"), "requests are served again")
 
-    def test_reload_keeps_the_settings_if_the_new_ones_are_bad(self):
+    def test_changed_settings_are_taken_over_and_bad_ones_are_not(self):
         node = self.names[0]
+        path = self.cluster.settings_path(node)
+        good = path.read_text("utf-8")
+        path.write_text(good.replace("GraceS=4", "GraceS=6"), "utf-8")
+        self.cluster.wait(lambda: self.told(node, "settings changed"), "the change")
+        path.write_text(good.replace("GraceS=4", "GraceS=soon"), "utf-8")
         self.cluster.signal(node, signal.SIGHUP)
-        self.cluster.wait(
-            lambda: any(
-                e["event"] == "settings read again" for e in self.cluster.log(node)
-            ),
-            "the settings are read again",
-        )
+        self.cluster.wait(lambda: self.told(node, "settings kept"), "the refusal")
         self.assertTrue(self.served("hup", node))
+
+    def told(self, node, name):
+        return any(event["event"] == name for event in self.cluster.log(node))
