--- a/packages/auburnwall-base/src/auburnwall/base/logs.py
+++ b/packages/auburnwall-base/src/auburnwall/base/logs.py
@@ -48,11 +48,14 @@
         )
 
 
-def set_up(style, level, node):
+def set_up(style, level, node, *, recent=RECENT_EVENTS):
     """Send all logs to standard output in ``style``, from ``level`` upwards.
 
-    Lines go through a bounded buffer, which the caller may ``drain`` at the end.
+    Lines go through a bounded buffer, which the caller may ``drain`` at the end. The
+    last ``recent`` events are kept for ``recent_events``.
     """
+    global _recent
+    _recent = deque(_recent, maxlen=recent)
     if not flags.FLAGS.is_parsed():
         flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
--- a/packages/auburnwall-cli/src/auburnwall/cli/commands/explain.py
+++ b/packages/auburnwall-cli/src/auburnwall/cli/commands/explain.py
@@ -5,6 +5,7 @@
 from cleo.helpers import option
 
 from ..base import SHARED_OPTIONS, BaseCommand
+from ..nodelogs import read_events, story_of
 from ..reading import LogReader, Nodes, rows_of
 
 
@@ -17,11 +18,19 @@
         *SHARED_OPTIONS,
         option("group", None, "Only this group", flag=False),
         option("request", None, "Only this request id", flag=False),
+        option(
+            "logs",
+            None,
+            "Files with nodes' log lines, separated by commas, instead of the system",
+            flag=False,
+        ),
         option("since-s", None, "Only the last seconds", flag=False, default="3600"),
     ]
 
     def run_command(self):
-        """Show decisions from the log, or events from the nodes."""
+        """Show decisions from the log, or events from the nodes or their log files."""
+        if self.option("logs"):
+            return self._from_files(self.option("logs").split(","))
         reader = LogReader(self.cfg.log_url)
         state = reader.catch_up()
         since = time.time() - float(self.option("since-s"))
@@ -41,6 +50,14 @@
             self._obstacle(state)
         return None
 
+    def _from_files(self, paths):
+        """Show the lines about a request, a group, or both, as the nodes wrote them."""
+        events = read_events(paths)
+        found = story_of(
+            events, self.option("request") or "", self.option("group") or ""
+        )
+        self.show(found, ["time", "node", "event", "group", "peer", "detail"])
+
     def _concerns(self, record):
         group = self.option("group")
         return not group or record.data.get("body", {}).get("group") == group
--- a/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
@@ -437,7 +437,7 @@
     ``new_platform(stack)`` returns the ``Platform``; ``read_cfg`` reads the settings
     anew and raises ``AuburnwallError`` if they are bad.
     """
-    writer = logs.set_up(cfg.log_format, cfg.log_level, cfg.node)
+    writer = logs.set_up(cfg.log_format, cfg.log_level, cfg.node, recent=0)
     with ExitStack() as stack:
         tasks = stack.enter_context(TaskGroup())
         node = RoutedNode(cfg, new_platform(stack), tasks, stack, read_cfg)
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -109,14 +109,9 @@
 
     def _try(self, request, avoid):
         world = self._world
-        candidates = [
-            candidate
-            for candidate in world.candidates(request)
-            if candidate.server not in avoid
-            and not world.is_doubted(candidate.name)
-            and self._gate_open(candidate)
-        ]
-        found = choose(candidates, world.load, world.data_center, self._rng)
+        found = choose(
+            self._open_to(request, avoid), world.load, world.data_center, self._rng
+        )
         if found is None:
             return None
         rate = world.cold_rate(found)
@@ -126,6 +121,20 @@
         self._in_flight.reserve(found.name)
         return Place(found, load)
 
+    def _open_to(self, request, avoid):
+        """Return the candidates that may get the request now.
+
+        A server that stands alone and is doubted is better than none at all: unlike a
+        group it may just be slow.
+        """
+        candidates = [
+            candidate
+            for candidate in self._world.candidates(request)
+            if candidate.server not in avoid and self._gate_open(candidate)
+        ]
+        sound = [c for c in candidates if not self._world.is_doubted(c.name)]
+        return sound if sound or request.model else candidates
+
     def _gate_open(self, candidate):
         rate = self._world.cold_rate(candidate)
         return rate is None or self._gate.may_send(candidate.server, rate)
--- /dev/null
+++ b/tests/cli/test_explain_logs.py
@@ -0,0 +1,74 @@
+"""``auburnwall explain --logs``: from a request's id to its cause."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from cleo.application import Application
+from cleo.testers.command_tester import CommandTester
+
+from auburnwall.cli.commands.explain import ExplainCommand
+
+EVENTS = [
+    ("10:00:00.100", "n1", "request placed", {"request": "r1", "group": "g7"}),
+    ("10:00:00.200", "n1", "request placed", {"request": "r2", "group": "g7"}),
+    ("10:00:00.900", "n2", "group doubted", {"group": "g7", "source": "own streams"}),
+    ("10:00:00.950", "n1", "exchange interrupted", {"request": "r1", "group": "g7"}),
+    ("10:00:01.000", "n1", "request placed", {"request": "r1", "group": "g9"}),
+    ("10:00:01.300", "n3", "group ended", {"group": "g7", "why": "lost s4"}),
+    ("10:00:02.000", "n1", "request streamed", {"request": "r1", "group": "g9"}),
+    ("10:00:09.000", "n3", "group dissolved", {"group": "g7"}),
+]
+
+
+class ExplainLogsTests(unittest.TestCase):
+    def setUp(self):
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        for node in ("n1", "n2", "n3"):
+            lines = [
+                "  12.1 " + json.dumps(self.event(*event))
+                for event in EVENTS
+                if event[1] == node
+            ]
+            text = "\n".join(["some other output {", *lines, "{torn"])
+            (self.folder / node).write_text(text, "utf-8")
+
+    def event(self, time, node, name, fields):
+        return {"time": f"2026-12-04T{time}Z", "node": node, "event": name, **fields}
+
+    def run_command(self, arguments, files=("n1", "n2", "n3")):
+        application = Application()
+        application.add(ExplainCommand())
+        tester = CommandTester(application.find("explain"))
+        paths = ",".join(str(self.folder / name) for name in files)
+        code = tester.execute(
+            f"--logs {paths} --log-url http://127.0.0.1:1 --format json {arguments}"
+        )
+        return code, tester.io.fetch_output(), tester.io.fetch_error()
+
+    def test_request_with_what_befell_its_groups_meanwhile(self):
+        code, output, _ = self.run_command("--request r1")
+        told = [(row["node"], row["event"]) for row in json.loads(output)]
+        self.assertEqual(code, 0)
+        self.assertEqual(
+            told,
+            [
+                ("n1", "request placed"),
+                ("n2", "group doubted"),
+                ("n1", "exchange interrupted"),
+                ("n1", "request placed"),
+                ("n3", "group ended"),
+                ("n1", "request streamed"),
+            ],
+        )
+
+    def test_group_alone(self):
+        _, output, _ = self.run_command("--group g7")
+        told = [row["event"] for row in json.loads(output)]
+        self.assertEqual(told, ["group doubted", "group ended", "group dissolved"])
+
+    def test_file_that_is_not_there(self):
+        code, _, error = self.run_command("--request r1", files=("n1", "n9"))
+        self.assertEqual(code, 2)
+        self.assertIn("n9", error)
--- a/tests/routed/test_front.py
+++ b/tests/routed/test_front.py
@@ -191,3 +191,14 @@
             self.assertEqual(conn.getresponse().status, 200)
             conn.close()
         self.assertIn("desk-0", doubted)
+
+    def test_doubted_server_is_used_if_there_is_no_other(self):
+        """All servers of a plain service were slow a moment ago."""
+        front = self.enterContext(FrontWithServers())
+        for desk in front.desks:
+            front.in_flight.doubt(desk.server)
+        conn = http.client.HTTPConnection(front.address, timeout=3.0)
+        self.addCleanup(conn.close)
+        headers = {"Host": "shop.example", "X-Attempt-Id": "r"}
+        conn.request("GET", "/open/x", headers=headers)
+        self.assertEqual(conn.getresponse().status, 200)
