--- a/packages/auburnwall-routing/src/auburnwall/routing/inflight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/inflight.py
@@ -14,8 +14,12 @@
 # A look that comes later than this tells of this node and not of the servers.
 OWN_LAG_S = 0.15
 # Silence of a stream's group that counts as standing still: several times the longest
-# usual pause, a step in which a long prompt is read.
+# usual pause, a step in which a long prompt is read. The group gets nothing more.
 STILL_S = 0.35
+# Further silence after which a request goes on elsewhere. Its answer is late by then
+# whatever is done; a group that is only slow finishes it with less work than another
+# one that has to read the prompt again.
+MOVE_AFTER_S = 0.45
 # The same before the first event, on top of the time that reading the prompt takes.
 FIRST_STILL_S = 0.6
 
@@ -115,20 +119,14 @@
                 continue
             if now >= exchange.request.deadline:
                 self._interrupt(exchange, OutOfTimeError("out of time", step="wait"))
-            elif self._stands_still(exchange, now):
-                self._note_still(exchange, now)
-
-    def _stands_still(self, exchange, now):
-        moved_at = self._progress.get(exchange.candidate.name, 0.0)
-        silent_s = now - max(exchange.progress_at, moved_at)
-        return silent_s > exchange.patience_s
-
-    def _note_still(self, exchange, now):
-        self.doubt(exchange.candidate.name)
-        if exchange.movable:
-            silent_s = round(now - exchange.progress_at, 2)
-            detail = f"no progress for {silent_s} s"
-            self._interrupt(exchange, StoodStillError(detail, step="wait"))
+                continue
+            moved_at = self._progress.get(exchange.candidate.name, 0.0)
+            silent_s = now - max(exchange.progress_at, moved_at)
+            if silent_s > exchange.patience_s:
+                self.doubt(exchange.candidate.name)
+            if exchange.movable and silent_s > exchange.patience_s + MOVE_AFTER_S:
+                detail = f"no progress for {now - exchange.progress_at:.2f} s"
+                self._interrupt(exchange, StoodStillError(detail, step="wait"))
 
     def _interrupt(self, exchange, error):
         exchange.reading = False
--- /dev/null
+++ b/tests/fleet/test_conductor.py
@@ -0,0 +1,207 @@
+"""The planner at work on servers that answer, and on a table that others write to."""
+
+import json
+import unittest
+from types import SimpleNamespace
+
+from auburnwall.fleet.engines.group import MemberEngine, MemberReport, OrderOutcome
+from auburnwall.fleet.formation.conductor import Conductor
+from auburnwall.fleet.formation.records import FleetState, FleetWriter
+from auburnwall.fleet.formation.watch import MemberWatch
+from auburnwall.fleet.registrations import Registry, Standing
+from auburnwall.routing.routes import EngineSpec, ModelSpec, ServiceSpec
+from auburnwall.state.exceptions import LogUnavailableError, TableChangedError
+from auburnwall.state.table.base import TableBatch, TableClient, TableRecord
+from auburnwall.state.table.replica import TableReplica
+from tests.fleet.test_registrations import registration
+from tests.state.test_table import FakeClock
+
+MODELS = {
+    "big": ModelSpec("big", 2, 1.0, 0.5, 16.0, 1.6),
+    "small": ModelSpec("small", 1, 0.6, 0.5, 12.0, 1.1),
+}
+ENGINE = EngineSpec(
+    9, 900_000, MODELS, 0.0078, 2e-4, 2e-8, 2e-5, 4e-10, 5, 5.0, 7, 979, 154
+)
+
+
+class MemoryTable(TableClient):
+    """A table in memory that can lose the answer to a write."""
+
+    def __init__(self):
+        self.records = []
+        self.lose_answers = False
+
+    def newest(self, table):
+        return TableBatch(list(self.records), len(self.records))
+
+    def read(self, table, offset, *, wait_s):
+        return TableBatch(self.records[offset:], len(self.records))
+
+    def append(self, table, entries, *, at=None):
+        if at is not None and at != len(self.records):
+            raise TableChangedError(len(self.records))
+        offset = len(self.records)
+        for key, value in entries:
+            self.records.append(TableRecord(len(self.records), key, value))
+        if self.lose_answers:
+            raise LogUnavailableError("no answer")
+        return offset
+
+
+class ObedientEngine(MemberEngine):
+    """Servers that take every order; ``orders`` holds them with their server."""
+
+    def __init__(self):
+        self.orders = []
+        self.silent = set()
+
+    def report(self, server, address):
+        return MemberReport(1, None, 0, 0, 1.0, False)
+
+    def give(self, server, address, order):
+        self.orders.append((server, order))
+        return OrderOutcome.BEGUN
+
+
+class Tasks:
+    """Run tasks at once."""
+
+    def spawn(self, function, *args):
+        function(*args)
+
+
+class World:
+    """What the planner sees of the rest."""
+
+    def __init__(self):
+        self.measured = {}
+        self.out = set()
+
+    def config(self):
+        service = ServiceSpec("assist", "/", 0, 0.0, 0.0, ENGINE)
+        return SimpleNamespace(services={"assist": service})
+
+    def data_centers_out(self):
+        return self.out
+
+    def has_traffic(self):
+        return True
+
+    def demand(self):
+        return self.measured
+
+
+class PlannerNode:
+    """One node's planner on a shared table."""
+
+    def __init__(self, name, table, clock, engine, world):
+        replica = TableReplica("fleet", table, clock)
+        self.state = FleetState(replica)
+        self.servers = TableReplica("servers", table, clock)
+        self.registry = Registry(self.servers, lambda key, value: value, clock)
+        identity = SimpleNamespace(node=name, incarnation=f"{name}-1")
+        self.writer = FleetWriter(self.state, table, clock, identity)
+        watch = MemberWatch(self.registry, engine, lambda m: False, clock, Tasks())
+        self.conductor = Conductor(
+            self.state,
+            self.writer,
+            self.registry,
+            watch,
+            engine,
+            world,
+            clock,
+            Tasks(),
+        )
+        replica.refresh(0.0)
+
+    def register(self, server, offset, **changes):
+        entry = registration(server, **changes)
+        self.servers.learn([TableRecord(offset, server, entry)], offset + 1, 0.0)
+
+
+class ConductorTests(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.table = FakeClock(), MemoryTable()
+        self.engine, self.world = ObedientEngine(), World()
+        self.node = self.new_node("n1")
+        self.node.writer.take_over()
+
+    def new_node(self, name):
+        node = PlannerNode(name, self.table, self.clock, self.engine, self.world)
+        for number in range(4):
+            node.register(f"s{number}", number)
+        return node
+
+    def groups(self):
+        state = FleetState(TableReplica("fleet", self.table, self.clock))
+        state.replica.refresh(0.0)
+        return state.groups
+
+    def test_no_order_goes_out_before_its_record_is_there(self):
+        self.node.conductor.step()
+        written = {
+            json.loads(record.value)[1]
+            for record in self.table.records
+            if record.key.startswith("group/")
+        }
+        self.node.conductor.step()
+        ordered = {order.epoch for _, order in self.engine.orders}
+        self.assertTrue(ordered)
+        self.assertLessEqual(ordered, written)
+
+    def test_epochs_are_the_offsets_of_the_records(self):
+        self.node.conductor.step()
+        for record in self.table.records:
+            if record.key.startswith("group/"):
+                self.assertEqual(json.loads(record.value)[1], record.offset)
+
+    def test_of_two_planners_at_once_one_has_its_plan(self):
+        """A planner was suspended, another one took over and planned."""
+        other = self.new_node("n2")
+        other.writer.take_over()
+        other.conductor.step()
+        planned = self.groups()
+        self.node.conductor.step()
+        self.assertEqual(self.groups(), planned)
+        self.node.conductor.step()
+        self.assertEqual(self.groups(), planned)
+        servers = [m.server for g in planned.values() for m in g.members]
+        self.assertEqual(len(servers), len(set(servers)))
+
+    def test_write_whose_answer_is_lost_is_not_made_twice(self):
+        self.table.lose_answers = True
+        self.node.conductor.step()
+        self.table.lose_answers = False
+        self.assertEqual(self.engine.orders, [])
+        for _ in range(3):
+            self.node.conductor.step()
+        servers = [m.server for g in self.groups().values() for m in g.members]
+        self.assertEqual(len(servers), len(set(servers)))
+
+    def test_demand_that_falls_while_nodes_restart_gives_no_group_away(self):
+        self.world.measured = {"big": 1.0, "small": 4.0}
+        self.assertEqual(self.node.conductor._steady_demand()["small"], 4.0)
+        self.world.measured = {"big": 1.0, "small": 1.5}
+        self.clock.now += 2.0
+        self.assertGreater(self.node.conductor._steady_demand()["small"], 3.5)
+        self.world.measured = {"big": 1.0, "small": 5.0}
+        self.assertEqual(self.node.conductor._steady_demand()["small"], 5.0)
+
+    def test_group_in_a_data_centre_that_is_out_ends(self):
+        self.node.conductor.step()
+        self.world.out = {"norte"}
+        self.node.conductor.step()
+        self.assertEqual({g.phase for g in self.groups().values()}, {"ending"})
+
+    def test_servers_of_an_ended_group_wait_for_its_head(self):
+        self.node.conductor.step()
+        group = next(g for g in self.groups().values() if g.model == "big")
+        head = group.head.server
+        standing = Standing(group.name, group.epoch, 0, "open")
+        self.node.register(head, 10, standing=standing)
+        self.node.register(group.members[1].server, 11, born=2)
+        self.node.conductor.step()
+        self.assertEqual(self.groups()[group.name].phase, "ending")
+        taken = {m.server: g.name for g in self.groups().values() for m in g.members}
+        self.assertEqual(taken[head], group.name)
--- /dev/null
+++ b/tests/routed/test_demand.py
@@ -0,0 +1,63 @@
+"""Demand by model: neither nothing in the first second nor what callers guess."""
+
+import unittest
+from types import SimpleNamespace
+
+from auburnwall.node.routed.demand import FEW_ANSWERS, DemandMeter
+from auburnwall.routing.routes import EngineSpec, ModelSpec
+from auburnwall.routing.stepmodel import Work, group_share
+from tests.state.test_table import FakeClock
+
+MODEL = ModelSpec("big", 4, 1.0, 0.5, 16.0, 1.6)
+ENGINE = EngineSpec(
+    9,
+    900_000,
+    {"big": MODEL},
+    0.0078,
+    0.000179,
+    1.8e-8,
+    1 / 45_900,
+    4.3e-10,
+    5,
+    5.0,
+    7,
+    979,
+    154,
+)
+
+
+class DemandTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = FakeClock()
+        self.meter = DemandMeter(self.clock)
+        self.request = SimpleNamespace(model="big", work=Work(1000, 100))
+
+    def run_for(self, seconds, per_s):
+        for _ in range(seconds):
+            for _ in range(per_s):
+                self.meter.note(self.request, ENGINE)
+            self.clock.now += 1.0
+            self.meter.step()
+
+    def test_nothing_is_said_before_some_seconds_were_measured(self):
+        self.run_for(2, 10)
+        self.assertEqual(self.meter.rates(), {})
+        self.run_for(2, 10)
+        self.assertIn("big", self.meter.rates())
+
+    def test_mean_makes_up_for_its_beginning(self):
+        self.run_for(4, 10)
+        expected = 10 * group_share(ENGINE, MODEL, self.request.work)
+        self.assertAlmostEqual(self.meter.rates()["big"], expected, delta=expected / 10)
+
+    def test_answers_twice_as_long_as_guessed_count_as_such(self):
+        for _ in range(FEW_ANSWERS):
+            self.meter.note_answer(self.request, 40, 5)
+        self.run_for(5, 10)
+        expected = 10 * group_share(ENGINE, MODEL, Work(1000, 200))
+        self.assertAlmostEqual(self.meter.rates()["big"], expected, delta=expected / 10)
+
+    def test_other_models_are_not_counted(self):
+        self.request.model = "other"
+        self.run_for(4, 10)
+        self.assertNotIn("other", self.meter.rates())
