--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
@@ -14,10 +14,6 @@
 # Coverage from which on a model takes no more servers: those that stay free replace
 # lost members without a wait.
 ENOUGH = 2.5
-# Coverage below which a model is short, and the one that another model must have to
-# leave its free servers to the short one.
-SHORT = 1.25
-KEPT = 1.6
 # Demand below this many groups' worth is taken for this much, so that a model that
 # nobody asked for lately keeps something to serve the next request with.
 LEAST_DEMAND = 0.3
@@ -89,10 +85,8 @@
     def need(name):
         return coverage(name, standing, demand), -models[name].members
 
-    by_need = sorted(models, key=need)
-    short = by_need and coverage(by_need[0], standing, demand) < SHORT
-    for name in by_need:
-        if coverage(name, standing, demand) >= (KEPT if short else ENOUGH):
+    for name in sorted(models, key=need):
+        if coverage(name, standing, demand) >= ENOUGH:
             return None
         candidates = [
             found
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -22,7 +22,7 @@
 # start, in seconds: longer than servers take to follow each other.
 SETTLED_S = 1.0
 # Loads that staging leaves to groups which need them, once there is traffic.
-KEPT_LOADS = 4
+KEPT_LOADS = 6
 # What is kept of a model's demand for each second in which it seems to be less: nodes
 # that stop and start take their callers' requests from what is measured for a while.
 DEMAND_KEPT_PER_S = 0.96
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
@@ -7,8 +7,12 @@
 
 from typing import NamedTuple
 
-from .assembly import KEPT, SHORT, best_members, by_domain, coverage
+from .assembly import best_members, by_domain, coverage
 
+# Coverage below which a model gets servers of others.
+SHORT = 1.25
+# Coverage that a model keeps when it gives up groups to one that is short.
+KEPT = 1.6
 # Coverage from which on a model gives up a group just so that servers are free.
 PLENTY = 3.2
 
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/staging.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/staging.py
@@ -1,9 +1,9 @@
 """Which hosts load weights ahead of need.
 
 Load pattern: a load from the weight store takes as long as a third of the time that
-losses leave to a group, one from the host a tenth of that. So hosts get a model that
-they do not serve: all of them before there is traffic, when loads are quick, and later
-with the loads that groups leave over. Servers go on serving meanwhile.
+losses leave to a group, one from the host a tenth of that. Before there is traffic
+loads are quick, so hosts then get a model that they do not serve; later only servers
+that wait for a partner use the time for it.
 """
 
 from typing import NamedTuple
@@ -23,19 +23,15 @@
 def choose_staging(hosts, models, left, quiet):
     """Return pairs of server and model to stage, ``left`` at most.
 
-    Models with the most members come first: they are the hardest to put together. Under
-    traffic only they are staged, on free servers first.
+    Models with the most members come first: they are the hardest to put together.
     """
     ordered = sorted(models, key=lambda name: -models[name].members)
     wanted = []
     for host in hosts:
-        target = next((name for name in ordered if name != host.group_model), None)
-        if not host.settled or target is None:
-            continue
-        if target in host.staged or target == host.model:
+        if not host.settled or (host.group_model and not quiet):
             continue
-        if not quiet and target != ordered[0]:
+        target = next((name for name in ordered if name != host.group_model), None)
+        if target is None or target in host.staged or target == host.model:
             continue
-        serves = bool(host.group_model)
-        wanted.append((ordered.index(target), serves, host.server, target))
-    return [(server, model) for _, _, server, model in sorted(wanted)[: max(0, left)]]
+        wanted.append((ordered.index(target), host.server, target))
+    return [(server, model) for _, server, model in sorted(wanted)[: max(0, left)]]
