Bound loads after a restart of everything; let groups of eight form; remember only what was written

Found by reading: after a power loss no node remembers a request, so the planner took all loads for free, which would break the ceiling on a larger fleet; a rate under one a second allowed no load at all, and no group of eight could form with seven loads at once; a plan that was overtaken left its loads and shifts behind. Tests for each; they fail on the code before (the new ones of the planner and of the allowance).

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -1,6 +1,7 @@
 """Plan and order groups while this node is the planner."""
 
 from collections import Counter
+from typing import NamedTuple
 
 from auburnwall.base.logs import event, warn
 from auburnwall.state.exceptions import StateError, TableChangedError
@@ -35,12 +36,24 @@
 QUIET_LOAD_SHARE = 0.1
 
 
+class Plan(NamedTuple):
+    """What is to be formed and shifted for a service, and what it rests on."""
+
+    service: str
+    engine: object
+    formations: list
+    shift: Shift
+    standing: dict
+    demand: dict
+    quiet: bool
+
+
 class Conductor:
     """Keep the groups of all services with engines.
 
     ``world`` offers ``config()`` (a ``RoutingConfig`` or ``None``),
-    ``data_centers_out()`` (names), ``has_traffic()`` and ``demand()`` (groups' worth of
-    work by model, empty until it was measured).
+    ``data_centers_out()`` (names), ``loads_are_free()`` (before the first request ever)
+    and ``demand()`` (groups' worth of work by model, empty until it was measured).
     """
 
     def __init__(self, state, writer, registry, watch, engine, world, clock, tasks):
@@ -80,12 +93,13 @@
         steps = {name: next_step(view) for name, view in views.items()}
         ends = self._ends(views, steps)
         finished = [views[name].group for name, step in steps.items() if step.free]
-        formations = []
-        for service, engine in engines.items():
-            found, shift = self._plan_service(service, engine, finished, ends)
-            formations += found
-            ends.update(dict.fromkeys(shift.groups, (False, shift.cause)))
-        if self._write(ends, finished, formations):
+        plans = [
+            self._plan_service(service, engine, finished, ends)
+            for service, engine in engines.items()
+        ]
+        for plan in plans:
+            ends.update(dict.fromkeys(plan.shift.groups, (False, plan.shift.cause)))
+        if self._write(ends, finished, plans):
             self._give_orders(views, steps)
             for service, engine in engines.items():
                 self._stage(service, engine)
@@ -124,28 +138,32 @@
         return views
 
     def _plan_service(self, service, engine, finished, ends):
-        """Return what to form, as service, model and members, and the ``Shift``."""
+        """Return the ``Plan`` for a service."""
         now, demand = self._clock.monotonic(), self._steady_demand()
         self._shifts = [shift for shift in self._shifts if shift.until > now]
         free = self._free_servers(service, {group.name for group in finished})
         standing = self._standing(service, ends)
-        quiet, measured = not self._world.has_traffic(), bool(demand)
+        quiet, measured = self._world.loads_are_free(), bool(demand)
         if not measured:
             demand = self._expected_demand(engine)
-        allowance = (
-            len(free)
-            if quiet
-            else self._loads.left(engine.loads_per_s, engine.loads_at_once, now)
-        )
+        allowance = len(free) if quiet else self._loads_left(engine)
         self._tell(service, free, standing, demand, allowance)
         settled = not quiet or now - self._registry.grown_at >= SETTLED_S
         found = assemble(free, engine.models, standing, demand, allowance, settled)
-        for formation in found:
-            self._note_formation(formation, engine, standing, demand, quiet)
-        if found or not measured:
-            return [_to_write(service, formation) for formation in found], Shift()
-        soon = self._standing(service, ends, only_soon=True)
-        return [], self._shift(service, engine, free, soon, demand, ends)
+        shift = Shift()
+        if measured and not found:
+            soon = self._standing(service, ends, only_soon=True)
+            shift = self._shift(service, engine, free, soon, demand, ends)
+        return Plan(service, engine, found, shift, standing, demand, quiet)
+
+    def _loads_left(self, engine):
+        """Return how many loads may begin now."""
+        return self._loads.left(
+            engine.loads_per_s,
+            engine.loads_at_once,
+            max((model.members for model in engine.models.values()), default=0),
+            self._clock.monotonic(),
+        )
 
     def _tell(self, service, free, standing, demand, allowance):
         """Log how well each model is covered, now and then."""
@@ -185,19 +203,35 @@
             for model in engine.models.values()
         }
 
-    def _note_formation(self, formation, engine, standing, demand, quiet):
-        load_s = engine.models[formation.model].load_s
-        share = QUIET_LOAD_SHARE if quiet else 1.0
+    def _note_plan(self, plan):
+        """Remember and log what was written of a plan."""
+        for formation in plan.formations:
+            self._note_formation(plan, formation)
+        if plan.shift.groups:
+            until = self._clock.monotonic() + RESERVED_S
+            self._shifts.append(plan.shift._replace(until=until))
+            event(
+                "servers shifted",
+                model=plan.shift.model,
+                groups=plan.shift.groups,
+                peers=plan.shift.servers,
+                why=plan.shift.cause,
+            )
+
+    def _note_formation(self, plan, formation):
+        model = formation.model
+        load_s = plan.engine.models[model].load_s
+        share = QUIET_LOAD_SHARE if plan.quiet else 1.0
         self._loads.note(formation.loads, load_s * share, self._clock.monotonic())
-        fulfilled = [s for s in self._shifts if s.model == formation.model][:1]
+        fulfilled = [shift for shift in self._shifts if shift.model == model][:1]
         self._shifts = [shift for shift in self._shifts if shift not in fulfilled]
         event(
             "group planned",
-            model=formation.model,
+            model=model,
             peers=[member.server for member in formation.members],
             ready_s=round(formation.ready_s, 1),
-            coverage=round(coverage(formation.model, standing, demand), 2),
-            demand=round(demand.get(formation.model, 0.0), 2),
+            coverage=round(coverage(model, plan.standing, plan.demand), 2),
+            demand=round(plan.demand.get(model, 0.0), 2),
         )
 
     def _shift(self, service, engine, free, standing, demand, ends):
@@ -212,18 +246,7 @@
             and group.service == service
             and group.name not in ends
         ]
-        shift = find_shift(holders, free, engine.models, standing, demand)
-        if shift.groups:
-            until = self._clock.monotonic() + RESERVED_S
-            self._shifts.append(shift._replace(until=until))
-            event(
-                "servers shifted",
-                model=shift.model,
-                groups=shift.groups,
-                peers=shift.servers,
-                why=shift.cause,
-            )
-        return shift
+        return find_shift(holders, free, engine.models, standing, demand)
 
     def _as_free(self, group):
         """Return a group's servers as they would be if they were free."""
@@ -232,7 +255,7 @@
 
     def _stage(self, service, engine):
         """Let hosts load the weights that they may need next."""
-        now, quiet = self._clock.monotonic(), not self._world.has_traffic()
+        now, quiet = self._clock.monotonic(), self._world.loads_are_free()
         self._staging = {k: at for k, at in self._staging.items() if at > now}
         in_group = {
             member.server: group
@@ -251,9 +274,7 @@
             )
             for entry in self._registry.of_service(service)
         ]
-        left = self._loads.left(engine.loads_per_s, engine.loads_at_once, now)
-        if not quiet:
-            left -= KEPT_LOADS
+        left = self._loads_left(engine) - (0 if quiet else KEPT_LOADS)
         for server, model in choose_staging(hosts, engine.models, left, quiet):
             load_s = engine.models[model].load_s * (QUIET_LOAD_SHARE if quiet else 1.0)
             self._loads.note(1, load_s, now)
@@ -309,8 +330,13 @@
             for entry in entries
         )
 
-    def _write(self, ends, finished, formations):
+    def _write(self, ends, finished, plans):
         """Write the decisions; return whether orders may follow."""
+        formations = [
+            _to_write(plan.service, formation)
+            for plan in plans
+            for formation in plan.formations
+        ]
         if not (ends or finished or formations):
             return True
         ended = [(self._state.groups[name], ends[name][0]) for name in ends]
@@ -327,6 +353,8 @@
             event("group ended", group=name, why=why, at_once=at_once)
         for group in finished:
             event("group dissolved", group=group.name, model=group.model)
+        for plan in plans:
+            self._note_plan(plan)
         return True
 
     def _give_orders(self, views, steps):
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/loads.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/loads.py
@@ -2,26 +2,35 @@
 
 from collections import deque
 
+# Time over which the rate of beginning loads counts, in seconds. A group's servers all
+# begin at once, so the rate cannot hold in every single second; the platform counts
+# over the same time.
+WINDOW_S = 5.0
+
 
 class LoadAllowance:
-    """At most ``per_s`` loads begin in a second and ``at_once`` run at a time.
+    """At most ``per_s`` loads begin in a second, on the mean of the window.
 
-    Before there is traffic neither bound applies. A load counts for as long as it is
-    expected to take.
+    ``at_once`` run at a time, since more would take each other's rate away; a group
+    with more members than that loads alone. A load counts for as long as it is expected
+    to take.
     """
 
-    WINDOW_S = 1.0
-
     def __init__(self):
         self._begun = deque()
         self._ends = []
 
-    def left(self, per_s, at_once, now):
-        """Return how many loads may begin at ``now``."""
-        while self._begun and self._begun[0] <= now - self.WINDOW_S:
+    def left(self, per_s, at_once, largest, now):
+        """Return how many loads may begin at ``now``.
+
+        ``largest`` is the number of members of the largest group.
+        """
+        while self._begun and self._begun[0] <= now - WINDOW_S:
             self._begun.popleft()
         self._ends = [end for end in self._ends if end > now]
-        return max(0, min(int(per_s) - len(self._begun), at_once - len(self._ends)))
+        places = at_once if self._ends else max(at_once, largest)
+        rate_left = int(per_s * WINDOW_S) - len(self._begun)
+        return max(0, min(rate_left, places - len(self._ends)))
 
     def note(self, count, load_s, now):
         """Count ``count`` loads that begin now."""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
@@ -84,6 +84,7 @@
         "log_format",
         "log_level",
         "pulse_s",
+        "first_start",
     }
 )
 
@@ -210,7 +211,7 @@
             self.registry,
             self.member_watch,
             platform.engine,
-            PlanningWorld(self.source, self.peers, self.pulse),
+            PlanningWorld(self.source, self.peers, self.pulse, cfg.first_start),
             clock,
             self.tasks,
         )
--- a/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
@@ -20,6 +20,7 @@
     log_level: str = "info"
     entry_hold_s: float = 2.0
     most_entry_points: int = 64
+    first_start: bool = False
     grace_s: float = 8.0
     registry_s: float = 0.8
     planner_registry_s: float = 0.3
@@ -53,6 +54,9 @@
     "most_entry_points": About(
         "Entry points in an answer of the directory", "", 1, 1_000
     ),
+    "first_start": About(
+        "Whether the whole system starts for the first time, with nothing loaded yet"
+    ),
     "grace_s": About("Time from SIGTERM to SIGKILL", "s", 1.0, 3_600.0),
     "registry_s": About("Time between readings of the registrations", "s", 0.1, 1.5),
     "planner_registry_s": About("The same at the planner", "s", 0.05, 1.5),
--- a/packages/auburnwall-node/src/auburnwall/node/routed/world.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/world.py
@@ -119,10 +119,11 @@
 class PlanningWorld:
     """The planner's view."""
 
-    def __init__(self, source, peers, own_pulse):
+    def __init__(self, source, peers, own_pulse, first_start):
         self._source = source
         self._peers = peers
         self._own_pulse = own_pulse
+        self._first_start = first_start
 
     def config(self):
         """Return the configuration in force, or ``None``."""
@@ -145,7 +146,10 @@
         share = len(pulses) / max(1, len(measured))
         return {model: work * share for model, work in total.items()}
 
-    def has_traffic(self):
-        """Return whether any node has had a request."""
+    def loads_are_free(self):
+        """Return whether the system starts for the first time and had no request yet.
+
+        After a restart of everything nobody remembers the requests before it.
+        """
         pulses = [*self._peers.heard().values(), self._own_pulse()]
-        return any(pulse.has_traffic for pulse in pulses)
+        return self._first_start and not any(pulse.has_traffic for pulse in pulses)
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -133,12 +133,35 @@
 
 
 class LoadAllowanceTests(unittest.TestCase):
-    def test_rate_and_number_at_once_are_bounded(self):
+    def begin_all(self, per_s, at_once, largest, seconds, load_s=2.0):
+        """Begin as many loads as may; return the moments at which each began."""
+        allowance, begun = LoadAllowance(), []
+        for tick in range(int(seconds * 10)):
+            now = 100.0 + tick / 10
+            left = allowance.left(per_s, at_once, largest, now)
+            allowance.note(left, load_s, now)
+            begun += [now] * left
+        return begun
+
+    def test_no_window_has_more_than_the_rate(self):
+        """The platform allows a tenth and three more than the rate in any 5 s."""
+        for per_s in (0.5, 1.0, 5.0):
+            begun = self.begin_all(per_s, 99, 4, 40, load_s=0.1)
+            most = max(sum(t <= other < t + 5.0 for other in begun) for t in begun)
+            self.assertLessEqual(most, per_s * 5 * 1.1 + 3)
+            self.assertGreater(len(begun), per_s * 25)
+
+    def test_number_at_once_is_bounded(self):
         allowance = LoadAllowance()
-        self.assertEqual(allowance.left(5.0, 7, 10.0), 5)
+        self.assertEqual(allowance.left(5.0, 7, 4, 10.0), 7)
         allowance.note(5, 12.0, 10.0)
-        self.assertEqual(allowance.left(5.0, 7, 10.5), 0)
-        self.assertEqual(allowance.left(5.0, 7, 11.1), 2)
-        allowance.note(2, 12.0, 11.1)
-        self.assertEqual(allowance.left(5.0, 7, 20.0), 0)
-        self.assertEqual(allowance.left(5.0, 7, 22.1), 5)
+        self.assertEqual(allowance.left(5.0, 7, 4, 10.1), 2)
+        allowance.note(2, 12.0, 10.1)
+        self.assertEqual(allowance.left(5.0, 7, 4, 20.0), 0)
+        self.assertEqual(allowance.left(5.0, 7, 4, 22.05), 5)
+
+    def test_group_with_more_members_than_loads_at_once_can_form(self):
+        allowance = LoadAllowance()
+        self.assertEqual(allowance.left(5.0, 7, 8, 10.0), 8)
+        allowance.note(1, 12.0, 10.0)
+        self.assertEqual(allowance.left(5.0, 7, 8, 10.1), 6)
--- a/tests/fleet/test_conductor.py
+++ b/tests/fleet/test_conductor.py
@@ -85,8 +85,8 @@
     def data_centers_out(self):
         return self.out
 
-    def has_traffic(self):
-        return True
+    def loads_are_free(self):
+        return False
 
     def demand(self):
         return self.measured
@@ -150,6 +150,23 @@
         self.assertTrue(ordered)
         self.assertLessEqual(ordered, written)
 
+    def test_plan_that_was_overtaken_leaves_nothing_behind(self):
+        self.table.append("fleet", [("node/x", b"[]")])
+        self.node.conductor.step()
+        self.assertEqual(self.groups(), {})
+        left = self.node.conductor._loads_left(ENGINE)
+        self.assertEqual((left, self.node.conductor._shifts), (7, []))
+
+    def test_after_a_restart_of_everything_loads_are_bounded(self):
+        """Sixty empty servers, and no node that remembers a request."""
+        for number in range(60):
+            self.node.register(f"t{number}", 20 + number, domain=f"d{number // 10}")
+        for _ in range(20):
+            self.node.conductor.step()
+            self.clock.now += 0.1
+        members = [m for g in self.groups().values() for m in g.members]
+        self.assertLessEqual(len(members), ENGINE.loads_at_once)
+
     def test_epochs_are_the_offsets_of_the_records(self):
         self.node.conductor.step()
         for record in self.table.records:
--- /dev/null
+++ b/tests/routed/test_world.py
@@ -0,0 +1,48 @@
+"""What the planner and the placer see of the rest of a node."""
+
+import unittest
+from types import SimpleNamespace
+
+from auburnwall.node.routed.world import DOUBT_S, Doubts, PlanningWorld
+from tests.state.test_table import FakeClock
+
+
+def pulse(has_traffic=False, **demand):
+    """Return what a planner reads of a pulse."""
+    return SimpleNamespace(has_traffic=has_traffic, demand=demand)
+
+
+class PlanningWorldTests(unittest.TestCase):
+    def world(self, own, others=(), first_start=True):
+        peers = SimpleNamespace(heard=lambda: dict(enumerate(others)))
+        return PlanningWorld(None, peers, lambda: own, first_start)
+
+    def test_loads_are_free_only_before_the_first_request_ever(self):
+        self.assertTrue(self.world(pulse(), [pulse()]).loads_are_free())
+        busy = self.world(pulse(), [pulse(has_traffic=True)])
+        self.assertFalse(busy.loads_are_free())
+        restarted = self.world(pulse(), [pulse()], first_start=False)
+        self.assertFalse(restarted.loads_are_free())
+
+    def test_nodes_that_just_started_count_like_the_others(self):
+        world = self.world(pulse(True, big=1.0), [pulse(True, big=2.0), pulse()])
+        self.assertAlmostEqual(world.demand()["big"], 4.5)
+
+    def test_nothing_measured_is_nothing_known(self):
+        self.assertEqual(self.world(pulse(), [pulse()]).demand(), {})
+
+
+class DoubtTests(unittest.TestCase):
+    def test_nodes_that_hear_each_other_s_doubts_end_them(self):
+        clock = FakeClock()
+        one, two = Doubts(clock), Doubts(clock)
+        one.note("g1")
+        for _ in range(40):
+            for name in one.names():
+                two.hear(name, "one")
+            for name in two.names():
+                one.hear(name, "two")
+            clock.now += 0.1
+        clock.now += DOUBT_S
+        self.assertNotIn("g1", one)
+        self.assertNotIn("g1", two)
