--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -222,7 +222,8 @@
         model = formation.model
         load_s = plan.engine.models[model].load_s
         share = QUIET_LOAD_SHARE if plan.quiet else 1.0
-        self._loads.note(formation.loads, load_s * share, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._loads.note(formation.loads, load_s * share, now, free=plan.quiet)
         fulfilled = [shift for shift in self._shifts if shift.model == model][:1]
         self._shifts = [shift for shift in self._shifts if shift not in fulfilled]
         event(
@@ -277,7 +278,7 @@
         left = self._loads_left(engine) - (0 if quiet else KEPT_LOADS)
         for server, model in choose_staging(hosts, engine.models, left, quiet):
             load_s = engine.models[model].load_s * (QUIET_LOAD_SHARE if quiet else 1.0)
-            self._loads.note(1, load_s, now)
+            self._loads.note(1, load_s, now, free=quiet)
             self._staging[server] = now + 2 * load_s
             entry = self._registry.servers[server]
             member = Member(server, entry.born, entry.address)
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/loads.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/loads.py
@@ -32,7 +32,11 @@
         rate_left = int(per_s * WINDOW_S) - len(self._begun)
         return max(0, min(rate_left, places - len(self._ends)))
 
-    def note(self, count, load_s, now):
-        """Count ``count`` loads that begin now."""
-        self._begun.extend([now] * count)
+    def note(self, count, load_s, now, *, free=False):
+        """Count ``count`` loads that begin now.
+
+        Loads that are ``free`` count for the number at once, not for the rate.
+        """
+        if not free:
+            self._begun.extend([now] * count)
         self._ends.extend([now + load_s] * count)
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -160,6 +160,12 @@
         self.assertEqual(allowance.left(5.0, 7, 4, 20.0), 0)
         self.assertEqual(allowance.left(5.0, 7, 4, 22.05), 5)
 
+    def test_loads_before_the_first_request_leave_the_rate_alone(self):
+        allowance = LoadAllowance()
+        allowance.note(60, 1.6, 10.0, free=True)
+        self.assertEqual(allowance.left(5.0, 7, 4, 10.1), 0)
+        self.assertEqual(allowance.left(5.0, 7, 4, 11.7), 7)
+
     def test_group_with_more_members_than_loads_at_once_can_form(self):
         allowance = LoadAllowance()
         self.assertEqual(allowance.left(5.0, 7, 8, 10.0), 8)
