Keep hop-by-hop headers once, drop fields that nothing uses, go on with no stream without ids

A stream whose events carry no ids was begun anew at another server after a break and would have been joined from two runs; it ends as broken off now (the test failed first). Proofs with the mechanism switched off for whole groups, conditional writes, the shared budget and cold servers.

--- a/benchmarks/routed.py
+++ b/benchmarks/routed.py
@@ -126,9 +126,8 @@
     found = measure()
     for name in ("pulse bytes", "pulse cpu", "plan cpu"):
         line = found[name]
-        print(
-            f"| {line.name}, {line.unit} | {line.base:.3g} | {line.slope:.3g} a {line.per} |"
-        )
+        slope = f"{line.slope:.3g} a {line.per}"
+        print(f"| {line.name}, {line.unit} | {line.base:.3g} | {slope} |")
     print(f"| registration | {found['registration bytes']} bytes |", end=" ")
     print(f"{found['registration cpu']:.3g} CPU s |")
     for nodes, servers, groups in SIZES:
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/engines/group.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/engines/group.py
@@ -6,18 +6,10 @@
 
 
 class MemberReport(NamedTuple):
-    """What a server says of itself when asked.
-
-    ``pace`` is how many times slower than specified it works, ``standing`` the group
-    that it is in.
-    """
+    """What a server says of itself when asked: its incarnation and its group."""
 
     born: int
     standing: object
-    running: int
-    queued: int
-    pace: float
-    busy: bool
 
 
 class JoinOrder(NamedTuple):
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -5,6 +5,7 @@
 
 from .eventstream import EventSplitter
 from .exceptions import ExchangeError
+from .hopbyhop import HOP_BY_HOP
 
 # Bytes taken at once from an answer.
 READ_BYTES = 65_536
@@ -13,22 +14,6 @@
 # Longest silence that a read allows; what stands still is interrupted long before.
 READ_S = 60.0
 
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-    }
-)
-REFUSALS = frozenset({421, 429, 503})
-
 
 class Attempt:
     """Own a place and a channel until the exchange is over."""
@@ -205,7 +190,7 @@
 def _hidden_headers(call):
     """Return the names of headers that concern the caller's connection only."""
     named = call.header("Connection") or ""
-    return {*HOP_BY_HOP, *(name.strip().lower() for name in named.split(","))}
+    return {*HOP_BY_HOP, "expect", *(n.strip().lower() for n in named.split(","))}
 
 
 def _joined(headers, name, value):
--- a/packages/auburnwall-routing/src/auburnwall/routing/dialect.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/dialect.py
@@ -24,4 +24,3 @@
     model: str
     tokens: str
     answer_hint: str
-    urgency: str
--- a/packages/auburnwall-routing/src/auburnwall/routing/exchange.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/exchange.py
@@ -11,23 +11,14 @@
 from auburnwall.base.http import new_pool, timeout
 
 from .exceptions import ExchangeError
+from .hopbyhop import HOP_BY_HOP
 from .request import Answer
 
 CONNECT_S = 0.5
 MOST_ANSWER_BYTES = 16 * 1024 * 1024
 READ_BYTES = 65_536
-_HOP_BY_HOP = {
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "host",
-}
+# Headers of a caller or an answer that are not passed on.
+NOT_FORWARDED = HOP_BY_HOP | {"host"}
 
 
 class Exchanges:
@@ -117,5 +108,5 @@
     return {
         name: value
         for name, value in headers.items()
-        if name.lower() not in _HOP_BY_HOP
+        if name.lower() not in NOT_FORWARDED
     }
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -9,8 +9,9 @@
 
 from auburnwall.base.logs import event
 
-from .attempt import HOP_BY_HOP, Attempt
+from .attempt import Attempt
 from .exceptions import NOT_RUN, UNKNOWN, ExchangeError, OverloadedError, RequestError
+from .hopbyhop import HOP_BY_HOP
 from .inflight import FIRST_STILL_S, OutOfTimeError, StoodStillError
 
 # Servers that one request may be offered to, counting those that refuse it unrun.
@@ -56,15 +57,12 @@
         budget = self._budget_of(request.service)
         budget.note_request()
         tries = _Tries(self._deps, request, budget)
-        attempt = tries.next_answer(request.call.header(self._last_id_name()))
+        attempt = tries.next_answer()
         headers = _kept_headers(attempt.headers)
         if request.route.streams and 200 <= attempt.status < 300:
             return self._stream(tries, attempt, headers)
         return self._whole(tries, attempt)
 
-    def _last_id_name(self):
-        return self._deps.dialect.last_event_id
-
     def _whole(self, tries, attempt):
         while True:
             try:
@@ -75,7 +73,7 @@
                 tries.fail(attempt, exc)
             finally:
                 attempt.close()
-            attempt = tries.next_answer(None)
+            attempt = tries.next_answer()
 
     def _stream(self, tries, attempt, headers):
         """Return a reply whose body goes on elsewhere if its server breaks off.
@@ -117,7 +115,12 @@
             attempt = self._resumed(tries, last_id, sent)
 
     def _resumed(self, tries, last_id, sent):
-        """Return the attempt that goes on after ``last_id``."""
+        """Return the attempt that goes on after ``last_id``.
+
+        Without the id of an event that the caller has nobody knows where to go on.
+        """
+        if sent and last_id is None:
+            raise tries.unresumable()
         while True:
             attempt = tries.next_answer(last_id, RESUME_PATIENCE_S if sent else None)
             if 200 <= attempt.status < 300:
@@ -166,8 +169,11 @@
             self.status = attempt.status
             self.kept_headers = _kept_headers(attempt.headers)
 
-    def next_answer(self, last_id, patience_s=None):
-        """Return an attempt whose answer has begun; raise ``RequestError``."""
+    def next_answer(self, last_id=None, patience_s=None):
+        """Return an attempt whose answer has begun; raise ``RequestError``.
+
+        Without ``last_id`` a stream begins where the caller asked it to.
+        """
         if last_id is None:
             last_id = self._first_last_id
         while True:
@@ -207,6 +213,16 @@
         if sent and not self._budget.take():
             raise self._final(502, "No repeats left", exc)
 
+    def unresumable(self):
+        """Return the error of a stream that broke off and has no ids to go on from."""
+        return RequestError(
+            502,
+            "Stream broke off",
+            "its events have no ids",
+            ran=UNKNOWN,
+            step="resume",
+        )
+
     def note_answer(self, attempt, event_name):
         """Log the end of a request that was answered."""
         exchange = attempt.exchange
--- a/packages/auburnwall-routing/src/auburnwall/routing/routes.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/routes.py
@@ -33,7 +33,6 @@
     gap_objective_s: float
     priority: int
     anonymous: bool
-    names_model: bool
 
     @property
     def may_run_again(self):
@@ -70,7 +69,6 @@
     """
 
     slots: int
-    kv_tokens: int
     models: dict
     step_s: float
     step_per_request_s: float
@@ -88,9 +86,6 @@
     """A service; a cold server of it takes ``cold_per_s`` requests a second."""
 
     name: str
-    health_path: str
-    most_connections: int
-    cold_s: float
     cold_per_s: float
     engine: EngineSpec | None
 
--- a/standins/modelserver.py
+++ b/standins/modelserver.py
@@ -17,8 +17,9 @@
     """One server; ``faults`` names what it does wrong with requests.
 
     ``faults`` may hold ``"stall"`` (accepts and does nothing more), ``"cut"`` (breaks
-    off after two events), ``"shed"`` (refuses unrun), ``"unsealed"``, ``"foreign"``
-    (answers another request), ``"short"`` (a body that ends early) or ``"fail"``.
+    off after two events), ``"no-ids"`` (events without ids), ``"shed"`` (refuses
+    unrun), ``"unsealed"``, ``"foreign"`` (answers another request), ``"short"`` (a body
+    that ends early) or ``"fail"``.
     """
 
     def __init__(self, store, server, service, zone, domain="", *, slots=9, beat_s=0.4):
@@ -186,7 +187,8 @@
                 if "cut" in self.faults and number == first + 2:
                     yield b"id: 99\ndata: torn"
                     raise OSError("cut")
-                yield f"id: {number}\ndata: piece-{number}\n\n".encode()
+                head = "" if "no-ids" in self.faults else f"id: {number}\n"
+                yield f"{head}data: piece-{number}\n\n".encode()
                 gevent.sleep(self.event_s)
         finally:
             self.running -= 1
--- a/tests/fleet/test_conductor.py
+++ b/tests/fleet/test_conductor.py
@@ -20,17 +20,16 @@
     "big": ModelSpec("big", 2, 1.0, 0.5, 16.0, 1.6),
     "small": ModelSpec("small", 1, 0.6, 0.5, 12.0, 1.1),
 }
-ENGINE = EngineSpec(
-    9, 900_000, MODELS, 0.0078, 2e-4, 2e-8, 2e-5, 4e-10, 5, 5.0, 7, 979, 154
-)
+ENGINE = EngineSpec(9, MODELS, 0.0078, 2e-4, 2e-8, 2e-5, 4e-10, 5, 5.0, 7, 979, 154)
 
 
 class MemoryTable(TableClient):
-    """A table in memory that can lose the answer to a write."""
+    """A table in memory that can lose the answer to a write, or its conditions."""
 
     def __init__(self):
         self.records = []
         self.lose_answers = False
+        self.checks = True
 
     def newest(self, table):
         return TableBatch(list(self.records), len(self.records))
@@ -39,7 +38,7 @@
         return TableBatch(self.records[offset:], len(self.records))
 
     def append(self, table, entries, *, at=None):
-        if at is not None and at != len(self.records):
+        if self.checks and at is not None and at != len(self.records):
             raise TableChangedError(len(self.records))
         offset = len(self.records)
         for key, value in entries:
@@ -57,7 +56,7 @@
         self.silent = set()
 
     def report(self, server, address):
-        return MemberReport(1, None, 0, 0, 1.0, False)
+        return MemberReport(1, None)
 
     def give(self, server, address, order):
         self.orders.append((server, order))
@@ -79,7 +78,7 @@
         self.out = set()
 
     def config(self):
-        service = ServiceSpec("assist", "/", 0, 0.0, 0.0, ENGINE)
+        service = ServiceSpec("assist", 0.0, ENGINE)
         return SimpleNamespace(services={"assist": service})
 
     def data_centers_out(self):
@@ -173,19 +172,29 @@
             if record.key.startswith("group/"):
                 self.assertEqual(json.loads(record.value)[1], record.offset)
 
-    def test_of_two_planners_at_once_one_has_its_plan(self):
-        """A planner was suspended, another one took over and planned."""
+    def plan_twice(self):
+        """Return the servers of all groups after two planners have planned at once.
+
+        A planner was suspended, another one took over and planned.
+        """
         other = self.new_node("n2")
         other.writer.take_over()
         other.conductor.step()
         planned = self.groups()
-        self.node.conductor.step()
-        self.assertEqual(self.groups(), planned)
-        self.node.conductor.step()
+        for _ in range(2):
+            self.node.conductor.step()
+        return planned, [m.server for g in self.groups().values() for m in g.members]
+
+    def test_of_two_planners_at_once_one_has_its_plan(self):
+        planned, servers = self.plan_twice()
         self.assertEqual(self.groups(), planned)
-        servers = [m.server for g in planned.values() for m in g.members]
         self.assertEqual(len(servers), len(set(servers)))
 
+    def test_without_conditions_two_planners_take_the_same_servers(self):
+        self.table.checks = False
+        _, servers = self.plan_twice()
+        self.assertGreater(len(servers), len(set(servers)))
+
     def test_write_whose_answer_is_lost_is_not_made_twice(self):
         self.table.lose_answers = True
         self.node.conductor.step()
--- a/tests/fleet/test_lifecycle.py
+++ b/tests/fleet/test_lifecycle.py
@@ -183,11 +183,12 @@
 class LateWorld:
     """Servers, records and planners; orders may be lost or carried out late."""
 
-    def __init__(self, seed, retires=True):
+    def __init__(self, seed, retires=True, waits=True):
         self.rng = random.Random(seed)
         self.now = 0
         self.offset = 0
         self.retires = retires
+        self.waits = waits
         self.servers = {f"s{n}": ModelServer(f"s{n}") for n in range(7)}
         self.groups = {}
         self.late = []
@@ -255,6 +256,9 @@
                 continue
             for server, orders in step.orders.items():
                 self.give_all(group, server, orders)
+            if not self.waits and group.phase != ENDING:
+                head = group.head.server
+                self.give_all(group, head, (OpenOrder(group.name, group.epoch),))
         taken = {m.server for g in self.groups.values() for m in g.members}
         free = sorted(set(self.servers) - taken)
         if len(free) >= 3:
@@ -290,10 +294,10 @@
 
 
 class LateOrderTests(unittest.TestCase):
-    def faults(self, retires):
+    def faults(self, **mechanisms):
         found = []
         for seed in range(120):
-            world = LateWorld(seed, retires)
+            world = LateWorld(seed, **mechanisms)
             for _ in range(150):
                 world.step()
             found += world.faults
@@ -301,7 +305,10 @@
         return found
 
     def test_late_orders_open_nothing_that_is_not_whole(self):
-        self.assertEqual(self.faults(retires=True), [])
+        self.assertEqual(self.faults(), [])
 
     def test_without_retirement_late_orders_bring_an_ended_group_back(self):
         self.assertNotEqual(self.faults(retires=False), [])
+
+    def test_head_that_opens_on_its_own_word_opens_groups_that_are_not_whole(self):
+        self.assertNotEqual(self.faults(waits=False), [])
--- a/tests/routed/test_demand.py
+++ b/tests/routed/test_demand.py
@@ -11,7 +11,6 @@
 MODEL = ModelSpec("big", 4, 1.0, 0.5, 16.0, 1.6)
 ENGINE = EngineSpec(
     9,
-    900_000,
     {"big": MODEL},
     0.0078,
     0.000179,
--- a/tests/routed/test_front.py
+++ b/tests/routed/test_front.py
@@ -68,6 +68,13 @@
             self.call("/once/x")
         self.assertEqual(len(self.seen(self.front.engines)), 1)
 
+    def test_stream_whose_events_have_no_ids_is_not_joined_from_two_runs(self):
+        for server in self.front.engines:
+            server.faults |= {"cut", "no-ids"}
+        with self.assertRaises((http.client.IncompleteRead, OSError)):
+            self.call("/ask/x")
+        self.assertEqual(len(self.seen(self.front.engines)), 1)
+
     def test_group_that_stands_still_is_left(self):
         self.front.engines[0].faults.add("stall")
         for number in range(4):
--- a/tests/routing/test_deciding.py
+++ b/tests/routing/test_deciding.py
@@ -82,11 +82,11 @@
 
 
 class RepeatTests(unittest.TestCase):
-    def total(self, nodes, requests, tries):
+    def total(self, nodes, requests, tries, counted=None):
         """Return how many repeats all nodes allow of ``tries`` each in a window."""
-        clock = FakeClock()
+        clock, count = FakeClock(), counted or nodes
         budgets = [
-            RepeatBudget(0.2, 105.0, 10.0, lambda: nodes, clock) for _ in range(nodes)
+            RepeatBudget(0.2, 105.0, 10.0, lambda: count, clock) for _ in range(nodes)
         ]
         allowed = 0
         for budget in budgets:
@@ -101,6 +101,9 @@
                 sum_allowed = self.total(nodes, requests, 500)
                 self.assertLessEqual(sum_allowed, 0.2 * requests * nodes + 105)
 
+    def test_nodes_that_do_not_share_the_reserve_go_over_it(self):
+        self.assertGreater(self.total(7, 10, 500, counted=1), 0.2 * 10 * 7 + 105)
+
     def test_the_rest_of_the_nodes_keep_to_it_when_some_are_lost(self):
         clock, count = FakeClock(), [7]
         budgets = [
@@ -123,9 +126,20 @@
 class WarmupTests(unittest.TestCase):
     def test_cold_server_gets_its_rate_over_all_nodes(self):
         """Every node of a large fleet has requests for it all the time."""
+        sent = self.sent_by(74, lambda names, own: names)
+        self.assertLessEqual(sent, 36 + MOST_SENDERS)
+        self.assertGreater(sent, 30)
+
+    def test_nodes_that_all_send_go_over_it(self):
+        self.assertGreater(self.sent_by(74, lambda names, own: [own]), 36 * 1.5 + 5)
+
+    def sent_by(self, count, known):
+        """Return the requests of a second; ``known`` are the nodes each one counts."""
         clock = FakeClock()
-        names = [f"n{n}" for n in range(74)]
-        gates = [WarmupGate(name, lambda: names, clock) for name in names]
+        names = [f"n{n}" for n in range(count)]
+        gates = [
+            WarmupGate(name, lambda n=name: known(names, n), clock) for name in names
+        ]
         sent = 0
         for _ in range(200):
             for gate in gates:
@@ -133,14 +147,12 @@
                     gate.note_sent("s1", 36.0)
                     sent += 1
             clock.now += 0.005
-        self.assertLessEqual(sent, 36 + MOST_SENDERS)
-        self.assertGreater(sent, 30)
+        return sent
 
 
 class StepModelTests(unittest.TestCase):
     ENGINE = EngineSpec(
         9,
-        900_000,
         {},
         0.0078,
         0.000179,
