Refuse new requests early in a stop; count the loads that servers say are under way

Cause: requests were taken for 0.7 of the grace time, longer than the rest of it leaves for a stream. Ruled out: a crash of the server (it was at work when the channel closed).

Loads are counted from the registrations as well.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -158,11 +158,13 @@
 
     def _loads_left(self, engine):
         """Return how many loads may begin now."""
+        members = (m for group in self._state.groups.values() for m in group.members)
         return self._loads.left(
             engine.loads_per_s,
             engine.loads_at_once,
             max((model.members for model in engine.models.values()), default=0),
             self._clock.monotonic(),
+            seen=sum(self._is_loading(member.server) for member in members),
         )
 
     def _tell(self, service, free, standing, demand, allowance):
@@ -321,15 +323,15 @@
 
     def _loads_weights(self, group):
         """Return whether a member of a group that forms has its model to load."""
-        entries = (self._registry.servers.get(m.server) for m in group.members)
-        return any(
-            entry is not None
-            and entry.standing is not None
-            and entry.standing.state == JOINING
-            and group.model not in entry.staged
-            and entry.model != group.model
-            for entry in entries
-        )
+        return any(self._is_loading(member.server) for member in group.members)
+
+    def _is_loading(self, server):
+        """Return whether a server joins a group and has its model to load."""
+        entry = self._registry.servers.get(server)
+        if entry is None or entry.standing is None or entry.standing.state != JOINING:
+            return False
+        group = self._state.groups.get(entry.standing.group)
+        return group is not None and group.model not in (*entry.staged, entry.model)
 
     def _write(self, ends, finished, plans):
         """Write the decisions; return whether orders may follow."""
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/loads.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/loads.py
@@ -20,17 +20,20 @@
         self._begun = deque()
         self._ends = []
 
-    def left(self, per_s, at_once, largest, now):
+    def left(self, per_s, at_once, largest, now, seen=0):
         """Return how many loads may begin at ``now``.
 
-        ``largest`` is the number of members of the largest group.
+        ``largest`` is the number of members of the largest group, ``seen`` the loads
+        that servers say are under way: more than this planner began if it took over,
+        or if they take longer than expected.
         """
         while self._begun and self._begun[0] <= now - WINDOW_S:
             self._begun.popleft()
         self._ends = [end for end in self._ends if end > now]
-        places = at_once if self._ends else max(at_once, largest)
+        running = max(len(self._ends), seen)
+        places = at_once if running else max(at_once, largest)
         rate_left = int(per_s * WINDOW_S) - len(self._begun)
-        return max(0, min(rate_left, places - len(self._ends)))
+        return max(0, min(rate_left, places - running))
 
     def note(self, count, load_s, now, *, free=False):
         """Count ``count`` loads that begin now.
--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -10,6 +10,8 @@
 # When a caller is told to come back to a node that knows no configuration yet, in
 # seconds: the time that a node takes to start.
 STARTING_RETRY_S = 0.5
+# The same at a node that stops, in seconds: the caller goes to another one.
+STOPPING_RETRY_S = 0.05
 # Rank of a request whose route and team name none.
 DEFAULT_RANK = 5
 
@@ -77,7 +79,7 @@
             )
         if self.refusing:
             raise OverloadedError(
-                "this node is stopping", STARTING_RETRY_S, step="stop"
+                "this node is stopping", STOPPING_RETRY_S, step="stop"
             )
         path = call.path.partition("?")[0]
         route = table.find(call.header("Host") or "", path)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
@@ -18,7 +18,7 @@
     store_address: str = ""
     log_format: str = "json"
     log_level: str = "info"
-    entry_hold_s: float = 2.0
+    entry_hold_s: float = 1.0
     most_entry_points: int = 64
     first_start: bool = False
     grace_s: float = 8.0
--- a/packages/auburnwall-node/src/auburnwall/node/routed/stop.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/stop.py
@@ -1,8 +1,9 @@
 """Stop a routed node without cutting off a request.
 
 At once it is named to callers no more and says that it is not ready, while it serves on
-through the longest answer of the directory that callers keep. Then it refuses what is
-new, and it ends when nothing runs, before it would be killed.
+through the longest answer of the directory that callers keep, as far as the grace time
+allows. Then it refuses what is new, and it ends when nothing runs, before it would be
+killed.
 """
 
 from gevent.event import Event
@@ -13,9 +14,9 @@
 POLL_S = 0.05
 # Callers keep an answer of the directory for up to three times what it says.
 HOLDS = 3
-# Part of the grace time in which requests are still taken; what is taken at its end has
-# the rest of it to finish.
-TAKING_SHARE = 0.7
+# Part of the grace time in which requests are still taken. What is taken at its end has
+# the rest to finish: the longest streams under load take half of the grace time.
+TAKING_SHARE = 0.36
 # Part of the grace time after which the node ends whatever still runs.
 END_SHARE = 0.93
 # Time without any request after which nobody is taken to come any more, in seconds.
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -166,6 +166,12 @@
         self.assertEqual(allowance.left(5.0, 7, 4, 10.1), 0)
         self.assertEqual(allowance.left(5.0, 7, 4, 11.7), 7)
 
+    def test_loads_that_another_planner_began_take_their_places(self):
+        allowance = LoadAllowance()
+        self.assertEqual(allowance.left(5.0, 7, 4, 10.0, seen=5), 2)
+        allowance.note(2, 12.0, 10.0)
+        self.assertEqual(allowance.left(5.0, 7, 4, 10.5, seen=9), 0)
+
     def test_group_with_more_members_than_loads_at_once_can_form(self):
         allowance = LoadAllowance()
         self.assertEqual(allowance.left(5.0, 7, 8, 10.0), 8)
--- a/tests/fleet/test_conductor.py
+++ b/tests/fleet/test_conductor.py
@@ -166,6 +166,18 @@
         members = [m for g in self.groups().values() for m in g.members]
         self.assertLessEqual(len(members), ENGINE.loads_at_once)
 
+    def test_loads_under_way_are_known_after_a_take_over(self):
+        """The planner before was lost; its loads take longer than expected."""
+        self.node.conductor.step()
+        other, offset = self.new_node("n2"), 30
+        for group in self.groups().values():
+            for rank, member in enumerate(group.members):
+                standing = Standing(group.name, group.epoch, rank, "joining")
+                other.register(member.server, offset, standing=standing)
+                offset += 1
+        running = sum(len(group.members) for group in self.groups().values())
+        self.assertEqual(other.conductor._loads_left(ENGINE), 7 - running)
+
     def test_epochs_are_the_offsets_of_the_records(self):
         self.node.conductor.step()
         for record in self.table.records:
