Let a closed head only leave unless an order to it may still be under way

Ruled out: stagings that were late (registrations show the model staged at -3.9 s and gone at the join).

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -6,11 +6,11 @@
 from auburnwall.base.logs import event, warn
 from auburnwall.state.exceptions import StateError, TableChangedError
 
-from ..engines.group import OrderOutcome, StageOrder
+from ..engines.group import CloseOrder, OrderOutcome, StageOrder
 from ..exceptions import EngineError
 from ..registrations import JOINING
 from .assembly import FreeServer, assemble, coverage
-from .lifecycle import GroupView, next_step, retirement
+from .lifecycle import GroupView, next_step
 from .loads import LoadAllowance
 from .records import ENDING, SERVING, Member, NotPlannerError
 from .shifting import Holder, Shift, find_shift
@@ -24,6 +24,9 @@
 SETTLED_S = 1.0
 # Loads that staging leaves to groups which need them, once there is traffic.
 KEPT_LOADS = 6
+# Time after which an order that was not answered is surely not carried out any more,
+# in seconds: servers do so up to 12 s later.
+ORDERS_LATE_S = 15.0
 # What is kept of a model's demand for each second in which it seems to be less: nodes
 # that stop and start take their callers' requests from what is measured for a while.
 DEMAND_KEPT_PER_S = 0.96
@@ -69,6 +72,9 @@
         self._given = {}
         self._refused = {}
         self._retired = set()
+        self._unanswered = {}
+        self._plans_from = None
+        self._own_epochs_from = 0
         self._loads = LoadAllowance()
         self._shifts = []
         self._staging = {}
@@ -83,7 +89,11 @@
         """
         config = self._world.config()
         if config is None or not self._writer.plans():
+            self._plans_from = None
             return
+        if self._plans_from is None:
+            self._plans_from = self._clock.monotonic()
+            self._own_epochs_from = self._state.replica.end
         engines = {
             service.name: service.engine
             for service in config.services.values()
@@ -132,11 +142,22 @@
                 now - since[key],
                 model.load_s if model else 0.0,
                 group.name in self._retired,
+                self._is_pending(group, now),
             )
         self._since = since
         self._retired &= set(views)
         return views
 
+    def _is_pending(self, group, now):
+        """Return whether an order to a group's head may still be under way.
+
+        Of the orders of an earlier planner nobody knows which were answered.
+        """
+        since = self._unanswered.get(group.head.server, -ORDERS_LATE_S)
+        if group.epoch < self._own_epochs_from:
+            since = max(since, self._plans_from)
+        return now - since < ORDERS_LATE_S
+
     def _plan_service(self, service, engine, finished, ends):
         """Return the ``Plan`` for a service."""
         now, demand = self._clock.monotonic(), self._steady_demand()
@@ -388,7 +409,7 @@
             if outcome is None:
                 return
         done = outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS)
-        if group.phase == ENDING and orders[-1] == retirement(group)[-1] and done:
+        if group.phase == ENDING and done and not isinstance(orders[-1], CloseOrder):
             self._retired.add(group.name)
         stale = outcome in (OrderOutcome.STALE, OrderOutcome.WRONG_SERVER)
         if group.phase == SERVING and stale:
@@ -408,6 +429,7 @@
                 epoch=epoch,
                 why=exc.detail,
             )
+            self._unanswered[member.server] = self._clock.monotonic()
             self._watch.doubt_server(member)
             return None
         event(
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/lifecycle.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/lifecycle.py
@@ -45,7 +45,8 @@
 class GroupView(NamedTuple):
     """A group, its members in their order, and how long it has been in its phase.
 
-    ``retired`` tells that the head has accepted its retirement.
+    ``retired`` tells that the head has accepted its retirement, ``pending`` that an
+    order to the head may still be under way.
     """
 
     group: object
@@ -53,6 +54,7 @@
     phase_s: float
     load_s: float
     retired: bool = False
+    pending: bool = True
 
 
 class Step(NamedTuple):
@@ -78,15 +80,20 @@
     return _end(view)
 
 
-def retirement(group):
+def retirement(group, pending):
     """Return the orders that take a head out of its group for good.
 
-    It leaves, so that an open order that is still under way finds it gone, and joins a
-    group of its own at a later epoch, so that it also refuses an old join order.
+    It leaves, so that an open order that is still under way finds it gone. Where a join
+    order may be under way too, it joins a group of its own at a later epoch and so
+    refuses the old one. That makes the host stage the group's model again, which costs
+    another model its place there, so it is done only where it must be.
     """
+    leave = LeaveOrder(group.name, group.epoch)
+    if not pending:
+        return (leave,)
     head = group.head.server
     own = JoinOrder(f"{group.name}-end", group.ending_epoch, group.model, (head,))
-    return LeaveOrder(group.name, group.epoch), own
+    return leave, own
 
 
 def _serve(view):
@@ -142,6 +149,8 @@
     state = _state_in(group, head)
     if view.retired or head.life is Life.GONE or _has_moved_on(group, head):
         return Step({}, free=True)
+    if not state and not view.pending:
+        return Step({}, free=True)
     if state in (OPEN, CLOSING) and not group.at_once:
         at_once = view.phase_s > DRAIN_LIMIT_S
         if state == CLOSING and not at_once:
@@ -149,8 +158,8 @@
         return Step({head.server: (CloseOrder(group.name, group.epoch, at_once),)})
     if state in (OPEN, CLOSING):
         close = CloseOrder(group.name, group.epoch, at_once=True)
-        return Step({head.server: (close, *retirement(group))})
-    return Step({head.server: retirement(group)})
+        return Step({head.server: (close, *retirement(group, view.pending))})
+    return Step({head.server: retirement(group, view.pending)})
 
 
 def _state_in(group, member):
--- a/tests/fleet/test_lifecycle.py
+++ b/tests/fleet/test_lifecycle.py
@@ -19,7 +19,6 @@
     Life,
     MemberView,
     next_step,
-    retirement,
 )
 from auburnwall.fleet.formation.records import ENDING, GroupRecord, Member
 from auburnwall.fleet.registrations import Standing
@@ -32,7 +31,7 @@
     return group._replace(**changes)
 
 
-def view(group, *states, phase_s=0.0, retired=False):
+def view(group, *states, phase_s=0.0, retired=False, pending=True):
     """Return a view whose members are in the group in ``states``, "" for not."""
     members = tuple(
         MemberView(
@@ -43,7 +42,7 @@
         )
         for rank, (member, state) in enumerate(zip(group.members, states, strict=True))
     )
-    return GroupView(group, members, phase_s, 16.0, retired)
+    return GroupView(group, members, phase_s, 16.0, retired, pending)
 
 
 def changed(group_view, index, **changes):
@@ -123,6 +122,13 @@
         self.assertFalse(step.free)
         self.assertTrue(next_step(view(self.group(), "ready", "", retired=True)).free)
 
+    def test_without_orders_under_way_it_only_leaves(self):
+        """Joining once more would cost the host another model that it has staged."""
+        step = next_step(view(self.group(), "ready", "ready", pending=False))
+        self.assertEqual(step.orders, {"a": (LeaveOrder("g7", 7),)})
+        self.assertTrue(next_step(view(self.group(), "", "", pending=False)).free)
+        self.assertFalse(next_step(view(self.group(), "", "", pending=True)).free)
+
     def test_silent_head_may_still_serve(self):
         step = next_step(
             changed(view(self.group(True), "open", "ready"), 0, life=Life.SILENT)
@@ -183,15 +189,17 @@
 class LateWorld:
     """Servers, records and planners; orders may be lost or carried out late."""
 
-    def __init__(self, seed, retires=True, waits=True):
+    def __init__(self, seed, retires=True, waits=True, bumps=True):
         self.rng = random.Random(seed)
         self.now = 0
         self.offset = 0
         self.retires = retires
         self.waits = waits
+        self.bumps = bumps
         self.servers = {f"s{n}": ModelServer(f"s{n}") for n in range(7)}
         self.groups = {}
         self.late = []
+        self.unanswered = {}
         self.members_of = {}
         self.was_ready = set()
         self.retired = set()
@@ -279,10 +287,11 @@
             luck = self.rng.random()
             if luck < 0.15:
                 self.late.append((self.now + self.rng.randint(2, 12), server, order))
+                self.unanswered[server] = self.now
                 return
             if not self.servers[server].take(order, self):
                 return
-        if group.phase == ENDING and orders[-1] == retirement(group)[-1]:
+        if group.phase == ENDING and not isinstance(orders[-1], CloseOrder):
             self.retired.add(group.name)
 
     def view(self, group):
@@ -290,7 +299,9 @@
             MemberView(m.server, Life.ALIVE, False, self.servers[m.server].standing)
             for m in group.members
         )
-        return GroupView(group, members, 0.0, 1e9, group.name in self.retired)
+        pending = self.now - self.unanswered.get(group.head.server, -99) <= 12
+        retired = group.name in self.retired
+        return GroupView(group, members, 0.0, 1e9, retired, pending and self.bumps)
 
 
 class LateOrderTests(unittest.TestCase):
