--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -151,11 +151,14 @@
     def _is_pending(self, group, now):
         """Return whether an order to a group's head may still be under way.
 
-        Of the orders of an earlier planner nobody knows which were answered.
+        Of the orders of an earlier planner nobody knows which were answered, but it
+        gave the last ones that matter before the head was seen open.
         """
-        since = self._unanswered.get(group.head.server, -ORDERS_LATE_S)
+        head = group.head.server
+        since = self._unanswered.get(head, -ORDERS_LATE_S)
         if group.epoch < self._own_epochs_from:
-            since = max(since, self._plans_from)
+            open_since = self._registry.open_since(head, group.epoch)
+            since = max(since, open_since or self._plans_from)
         return now - since < ORDERS_LATE_S
 
     def _plan_service(self, service, engine, finished, ends):
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
@@ -64,6 +64,7 @@
         self.cold_until = {}
         self.heard_at = {}
         self.grown_at = 0.0
+        self.opened = {}
         self.changes = 0
         self._decode = decode
         self._clock = clock
@@ -130,6 +131,7 @@
             return
         self._removed_at.pop(entry.server, None)
         self.heard_at[entry.server] = self._clock.monotonic()
+        self._note_opened(entry)
         if entry.draining and self.left.get(entry.server) != entry.born:
             self.left[entry.server] = entry.born
             event("server draining", peer=entry.server, born=entry.born)
@@ -149,6 +151,19 @@
             self.changes += 1
         self.servers[entry.server] = entry
 
+    def open_since(self, server, epoch):
+        """Return when a head was first seen open at ``epoch``, or ``None``."""
+        seen_epoch, since = self.opened.get(server, (None, None))
+        return since if seen_epoch == epoch else None
+
+    def _note_opened(self, entry):
+        standing = entry.standing
+        if standing is None or standing.state != OPEN:
+            return
+        if self.opened.get(entry.server, (None,))[0] != standing.epoch:
+            now = self._clock.monotonic()
+            self.opened[entry.server] = (standing.epoch, now)
+
     def _drop_bad(self, record, exc):
         """Take an entry that cannot be read as naming no server; log it once."""
         if self._bad.get(record.key) != str(exc):
@@ -160,6 +175,7 @@
         entry = self.servers.pop(server, None)
         self.cold_until.pop(server, None)
         self.heard_at.pop(server, None)
+        self.opened.pop(server, None)
         if entry is not None:
             self.changes += 1
             event("server gone", peer=server, why=why, born=entry.born)
--- a/tests/fleet/test_conductor.py
+++ b/tests/fleet/test_conductor.py
@@ -178,6 +178,19 @@
         running = sum(len(group.members) for group in self.groups().values())
         self.assertEqual(other.conductor._loads_left(ENGINE), 7 - running)
 
+    def test_orders_of_an_earlier_planner_are_over_once_a_group_was_long_open(self):
+        self.node.conductor.step()
+        group = next(g for g in self.groups().values() if g.model == "big")
+        other = self.new_node("n2")
+        other.writer.take_over()
+        standing = Standing(group.name, group.epoch, 0, "open")
+        other.register(group.head.server, 30, standing=standing)
+        self.clock.now += 16.0
+        other.conductor.step()
+        self.assertFalse(other.conductor._is_pending(group, self.clock.now))
+        unseen = group._replace(epoch=group.epoch - 1)
+        self.assertTrue(other.conductor._is_pending(unseen, self.clock.now))
+
     def test_epochs_are_the_offsets_of_the_records(self):
         self.node.conductor.step()
         for record in self.table.records:
--- a/tests/fleet/test_registrations.py
+++ b/tests/fleet/test_registrations.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from auburnwall.fleet.registrations import LAPSE_GRACE_S, Registration, Registry
+from auburnwall.fleet.registrations import (
+    LAPSE_GRACE_S,
+    Registration,
+    Registry,
+    Standing,
+)
 from auburnwall.state.table.base import TableRecord
 from auburnwall.state.table.replica import TableReplica
 from tests.state.test_table import FakeClock
@@ -80,6 +85,18 @@
         self.write("i-1", registration("i-1"))
         self.assertIsNotNone(self.registry.usable("i-1"))
 
+    def test_moment_at_which_a_head_was_first_seen_open(self):
+        standing = Standing("g7", 7, 0, "open")
+        self.write("i-1", registration("i-1", standing=standing))
+        opened_at = self.clock.now
+        self.clock.now += 5.0
+        self.write("i-1", registration("i-1", standing=standing, slots=8))
+        closing = standing._replace(state="closing")
+        self.write("i-1", registration("i-1", standing=closing))
+        self.assertEqual(self.registry.open_since("i-1", 7), opened_at)
+        self.assertIsNone(self.registry.open_since("i-1", 6))
+        self.assertIsNone(self.registry.open_since("i-2", 7))
+
     def test_cold_time_counts_down(self):
         self.write("i-1", registration("i-1", cold_s=2.0))
         self.assertTrue(self.registry.is_cold("i-1"))
