Build the routed front's connection handler on the one that callers already have

front.py repeated the handler of callers.py: the caller's socket in the environment, the time limit on writes, quiet ends of callers that left, and the type of problem answers. It now extends that handler.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -10,24 +10,26 @@
     TCP_KEEPCNT,
     TCP_KEEPIDLE,
     TCP_KEEPINTVL,
-    TCP_NODELAY,
     TCP_USER_TIMEOUT,
 )
 
 import gevent
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIServer
 
 from auburnwall.base.logs import event
 from auburnwall.routing.call import Call
 from auburnwall.routing.exceptions import BadRequestError, RequestError
 from auburnwall.routing.problem import problem_of
 
-from ..callers import CallerGoneError, CallerStalledError, hang_up_watch
-from ..http import QuietLog
+from ..callers import (
+    CallerGoneError,
+    CallerStalledError,
+    hang_up_watch,
+    make_handler,
+)
+from ..http import PROBLEM_TYPE, QuietLog
 
-PROBLEM_TYPE = "application/problem+json"
 CALL_KEY = "auburnwall.call"
-SOCKET_KEY = "auburnwall.socket"
 # Time that a caller may stop reading its answer, in seconds: the longest deadline of
 # any caller is shorter.
 WRITE_STALL_S = 15.0
@@ -161,13 +163,12 @@
         self.status = status
 
 
-class CallerHandler(WSGIHandler):
+class CallerHandler(make_handler(WRITE_STALL_S)):
     """One caller's connection, within the limits that the configuration sets."""
 
     gateway = None
 
     def __init__(self, sock, *args, **kwargs):
-        sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
         sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, 5)
         sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, 5)
@@ -198,18 +199,15 @@
         """Give the application the request as it was sent."""
         environ = super().get_environ()
         environ[CALL_KEY] = self
-        environ[SOCKET_KEY] = self.socket
         return environ
 
-    def log_request(self):
-        """Leave the logging of requests to the application."""
-
     def handle_error(self, kind, value, traceback):
         """End the connection, so that an answer that was cut cannot look complete."""
-        if issubclass(kind, (CallerGoneError, CallerStalledError, RequestError)):
+        if issubclass(kind, RequestError):
             self.close_connection = True
             return
-        event("handler failed", why=repr(value), step="answer")
+        if not issubclass(kind, (CallerGoneError, CallerStalledError)):
+            event("handler failed", why=repr(value), step="answer")
         super().handle_error(kind, value, traceback)
 
     def _handle_client_error(self, exc):
@@ -230,10 +228,6 @@
         ):
             raise ValueError("the length of the body is not clear")
 
-    def _sendall(self, data):
-        with gevent.Timeout(WRITE_STALL_S, CallerStalledError("caller stalled")):
-            super()._sendall(data)
-
 
 def new_front_server(address, gateway, clock):
     """Return the server for callers at ``address``."""
