Load no configuration schema in a routed node

Cause: the readiness and directory servers took two constants from the module of the other node's HTTP interface, which brought in its gateway, the fold and with them jsonschema and its libraries. What the servers share is a module of its own now.

--- a/packages/auburnwall-node/src/auburnwall/node/http.py
+++ b/packages/auburnwall-node/src/auburnwall/node/http.py
@@ -14,11 +14,14 @@
 from .callers import CallerGoneError, hang_up_watch, make_handler
 from .gateway import read_json, request_id
 from .status import status_of
+from .webserver import (
+    JSON_TYPE,
+    METRICS_TYPE,
+    PROBLEM_TYPE,
+    SSE_TYPE,
+    QuietLog,
+)
 
-PROBLEM_TYPE = "application/problem+json"
-JSON_TYPE = "application/json"
-SSE_TYPE = "text/event-stream"
-METRICS_TYPE = "text/plain; version=0.0.4"
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 BURN_SINCE_S = 86_400
 ID_KEY = "auburnwall.request_id"
@@ -32,18 +35,6 @@
     body: bytes
 
 
-class QuietLog:
-    """Send the server's own complaints to the structured log."""
-
-    def write(self, text):
-        """Log one complaint."""
-        if text.strip():
-            event("http server", why=text.strip()[:2000])
-
-    def flush(self):
-        """Do nothing; every line is written at once."""
-
-
 class HttpServer:
     """Serve callers on the node's address."""
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/entry.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/entry.py
@@ -5,7 +5,7 @@
 import bottle
 from gevent.pywsgi import WSGIServer
 
-from ..http import METRICS_TYPE, QuietLog
+from ..webserver import METRICS_TYPE, QuietLog
 
 
 class EntryPoints:
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -27,7 +27,7 @@
     hang_up_watch,
     make_handler,
 )
-from ..http import PROBLEM_TYPE, QuietLog
+from ..webserver import PROBLEM_TYPE, QuietLog
 
 CALL_KEY = "auburnwall.call"
 # Time that a caller may stop reading its answer, in seconds: the longest deadline of
