Count a caller's request once, however often it comes back

A caller that lacks time against what callers of its route usually have has called before; the objective of its answer is counted from there as well, instead of from the route's time-out, which callers' deadlines need not match.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/demand.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/demand.py
@@ -28,10 +28,12 @@
         self._answers = defaultdict(int)
 
     def note(self, request, engine):
-        """Count a request for a model."""
+        """Count a request for a model, once however often its caller comes back."""
         if not self.has_traffic:
             self.has_traffic = True
             self._traffic_from = self._from = self._clock.monotonic()
+        if request.came_back:
+            return
         if engine is not None and (model := engine.models.get(request.model)):
             answer = round(request.work.answer * self._correction(request.model))
             work = Work(request.work.prompt, max(1, answer))
--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -3,6 +3,7 @@
 from uuid import uuid4
 
 from auburnwall.routing.call import RoutedRequest, key_of, work_of
+from auburnwall.routing.comebacks import CallerPatience
 from auburnwall.routing.exceptions import BadRequestError, OverloadedError, RequestError
 from auburnwall.routing.routes import ClientLimits, pick_target
 from auburnwall.routing.stepmodel import Work
@@ -31,6 +32,7 @@
         self._rng = rng
         self._metrics = metrics
         self._demand = demand
+        self._patience = CallerPatience()
 
     def __enter__(self):
         self.running += 1
@@ -103,6 +105,7 @@
         rank = DEFAULT_RANK if route.priority is None else route.priority
         if team is not None and team.priority is not None:
             rank = team.priority
+        deadline, passed_s = self._deadline(route, call)
         request = RoutedRequest(
             call,
             self.request_id(call),
@@ -111,20 +114,23 @@
             team.name if team else "",
             model,
             work_of(call, self._dialect, engine) if engine else Work(0, 1),
-            self._deadline(route, call),
+            deadline,
             rank,
             hides_key=config.teams_by_key is not None,
+            passed_s=passed_s,
         )
         self._demand.note(request, engine)
         return request
 
     def _deadline(self, route, call):
+        """Return the deadline and how much of the caller's time had passed before."""
         raw = call.header(self._dialect.deadline_ms)
-        left_s = route.timeout_s
-        if raw is not None:
-            if not raw.isdigit():
-                raise BadRequestError(
-                    f"{self._dialect.deadline_ms}: {raw!r} is not a number"
-                )
-            left_s = min(left_s, int(raw) / 1000)
-        return call.arrived_at + left_s
+        if raw is None:
+            return call.arrived_at + route.timeout_s, 0.0
+        if not raw.isdigit():
+            raise BadRequestError(
+                f"{self._dialect.deadline_ms}: {raw!r} is not a number"
+            )
+        left_s = int(raw) / 1000
+        passed_s = self._patience.passed((route.host, route.path_prefix), left_s)
+        return call.arrived_at + min(route.timeout_s, left_s), passed_s
--- a/packages/auburnwall-routing/src/auburnwall/routing/call.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/call.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from .comebacks import CAME_BACK_S
 from .stepmodel import Work
 
 BEARER = "bearer "
@@ -25,6 +26,7 @@
 class RoutedRequest(NamedTuple):
     """A call whose route is known; ``deadline`` is on the node's monotonic clock.
 
+    ``passed_s`` is how much of the caller's time had passed before this call.
     ``rank`` is how urgent it is, 0 first. ``model`` is empty on routes without models.
     ``hides_key`` keeps the caller's key from the server.
     ``weight`` and ``priority`` are what the fair queue goes by.
@@ -41,17 +43,17 @@
     rank: int
     hides_key: bool = False
     weight: float = 1.0
+    passed_s: float = 0.0
 
     @property
     def objective_at(self):
-        """Return the moment of the route's objective.
-
-        A caller that comes back says so by the time that it has left: what is lacking
-        from the route's time-out has passed before this call.
-        """
-        left_s = self.deadline - self.call.arrived_at
-        passed_s = max(0.0, self.route.timeout_s - left_s)
-        return self.call.arrived_at + self.route.objective_s - passed_s
+        """Return the moment of the route's objective, counted from the first call."""
+        return self.call.arrived_at + self.route.objective_s - self.passed_s
+
+    @property
+    def came_back(self):
+        """Return whether the caller called before with the same request."""
+        return self.passed_s > CAME_BACK_S
 
     @property
     def priority(self):
--- a/tests/routed/test_demand.py
+++ b/tests/routed/test_demand.py
@@ -29,7 +29,9 @@
     def setUp(self):
         self.clock = FakeClock()
         self.meter = DemandMeter(self.clock)
-        self.request = SimpleNamespace(model="big", work=Work(1000, 100))
+        self.request = SimpleNamespace(
+            model="big", work=Work(1000, 100), came_back=False
+        )
 
     def run_for(self, seconds, per_s):
         for _ in range(seconds):
@@ -56,6 +58,15 @@
         expected = 10 * group_share(ENGINE, MODEL, Work(1000, 200))
         self.assertAlmostEqual(self.meter.rates()["big"], expected, delta=expected / 10)
 
+    def test_callers_that_come_back_in_a_shortage_are_counted_once(self):
+        self.run_for(4, 10)
+        before = self.meter.rates()["big"]
+        again = SimpleNamespace(model="big", work=Work(1000, 100), came_back=True)
+        for _ in range(30):
+            self.meter.note(again, ENGINE)
+        self.run_for(1, 10)
+        self.assertAlmostEqual(self.meter.rates()["big"], before, delta=before / 10)
+
     def test_other_models_are_not_counted(self):
         self.request.model = "other"
         self.run_for(4, 10)
