Give places to those first who can still be in time, the newest first

Of some 1,200 streams 300 waited at a node until only a late answer was left, though a server takes 0.17 s of the 0.3 s until the first event, and each took the place of one that could have been in time: everything in the queue became late together. Ruled out: the servers' own slowness (first events of those that did not wait: 0.17 s at the median, a fifth over 0.3 s).

Now a request waits only as long as the measured time to a first event leaves; of those the newest goes first and the oldest gives way; what is late in any case takes what is left over and is refused at once while places are short; broken streams go before all. Refused callers come back after a third of the time they have left.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
@@ -23,6 +23,7 @@
 from auburnwall.routing.inflight import InFlight
 from auburnwall.routing.placer import Placer
 from auburnwall.routing.repeats import RepeatBudget
+from auburnwall.routing.starting import StartTimes
 from auburnwall.routing.warmup import WarmupGate
 from auburnwall.state.exceptions import StateError
 from auburnwall.state.proposer import new_incarnation
@@ -245,6 +246,7 @@
         self.in_flight = InFlight(clock, self.doubts.note)
         self.channels = self._stack.enter_context(closing(ChannelPool(clock)))
         self.demand = DemandMeter(clock)
+        self.starts = StartTimes()
         self.board = Board(
             self.registry, self.fleet, lambda: self.source.data_centers_out
         )
@@ -256,11 +258,14 @@
             self.peers,
             self.in_flight,
             self.doubts,
+            self.starts,
         )
         gate = WarmupGate(cfg.node, lambda: self.fleet.nodes, clock)
         self.placer = Placer(world, self.in_flight, gate, clock, self.rng)
         dialect = self._platform.dialect
-        deps = ForwarderDeps(self.placer, self.channels, self.in_flight, dialect, clock)
+        deps = ForwarderDeps(
+            self.placer, self.channels, self.in_flight, dialect, clock, self.starts
+        )
         self._budgets = {}
         self.metrics = RoutedMetrics()
         self.gateway = Gateway(
--- a/packages/auburnwall-node/src/auburnwall/node/routed/world.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/world.py
@@ -19,6 +19,7 @@
     serving: float
     forming: int
     service_s: float
+    start_s: float = 0.0
 
 
 class Doubts:
@@ -64,7 +65,9 @@
 class RoutingWorld:
     """The placer's view."""
 
-    def __init__(self, data_center, source, board, registry, peers, in_flight, doubts):
+    def __init__(
+        self, data_center, source, board, registry, peers, in_flight, doubts, starts
+    ):
         self.data_center = data_center
         self._source = source
         self._board = board
@@ -72,6 +75,7 @@
         self._peers = peers
         self._in_flight = in_flight
         self._doubts = doubts
+        self._starts = starts
 
     def candidates(self, request):
         """Return where a request may go."""
@@ -101,15 +105,16 @@
         """Return what is ``Known`` of the capacity that a request needs."""
         candidates = self.candidates(request)
         serving = sum(self._in_flight.count(c.name) for c in candidates)
+        start_s = self._starts.usual(request.service, request.model)
         engine = self._engine(request)
         if engine is None:
-            return Known(serving, 0, PLAIN_SERVICE_S)
+            return Known(serving, 0, PLAIN_SERVICE_S, start_s)
         model = engine.models.get(request.model)
         service_s = (
             service_time(engine, model, request.work, engine.slots) if model else 1.0
         )
         forming = self._board.forming(request.service, request.model)
-        return Known(serving, forming, service_s)
+        return Known(serving, forming, service_s, start_s)
 
     def _engine(self, request):
         service = self._source.config.services.get(request.service)
--- a/packages/auburnwall-routing/src/auburnwall/routing/admission.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/admission.py
@@ -7,13 +7,17 @@
 
 
 class Waiting:
-    """One request in the queue; ``slot`` is set to the result when it leaves."""
+    """One request in a queue; ``result`` is set when it leaves.
+
+    ``number`` tells in which order requests came to their queue.
+    """
 
     def __init__(self, request, avoid, result):
         self.request = request
         self.avoid = avoid
         self.result = result
         self.gone = False
+        self.number = 0
 
 
 class _TeamQueue:
@@ -31,10 +35,15 @@
     team that is furthest behind is next. A team that was idle starts ``CREDIT``
     requests behind the present virtual time, so that a few at once need not wait for
     the turns of the others, and has no more credit than that from the past.
+
+    With ``newest_first`` a team's requests of equal priority leave in the opposite
+    order: of those that must begin within a moment, some then begin at once, instead
+    of all of them when that moment is over.
     """
 
-    def __init__(self, most):
+    def __init__(self, most, *, newest_first=False):
         self._most = most
+        self._newest_first = newest_first
         self._teams = {}
         self._virtual = 0.0
         self._order = count()
@@ -60,7 +69,8 @@
         team = self._teams.setdefault(request.team, _TeamQueue())
         if not team.heap:
             team.tag = max(team.tag, self._virtual - CREDIT / request.weight)
-        rank = (-request.priority, request.deadline, next(self._order))
+        waiting.number = next(self._order)
+        rank = self._rank(request, waiting.number)
         heapq.heappush(team.heap, (rank, waiting))
         self._size += 1
         return shed
@@ -93,6 +103,19 @@
             if not waiting.gone
         ]
 
+    def oldest_of_largest(self):
+        """Return what has waited longest of the team of which the most waits."""
+        by_team = {}
+        for waiting in self.entries():
+            by_team.setdefault(waiting.request.team, []).append(waiting)
+        largest = max(by_team.values(), key=len)
+        return min(largest, key=lambda waiting: waiting.number)
+
+    def _rank(self, request, number):
+        if self._newest_first:
+            return -request.priority, -number
+        return -request.priority, request.deadline, number
+
     def _lowest(self, newcomer):
         return min(
             reversed([*self.entries(), newcomer]), key=lambda w: w.request.priority
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -39,6 +39,7 @@
     in_flight: object
     dialect: object
     clock: object
+    starts: object
 
 
 class Forwarder:
@@ -96,7 +97,7 @@
                 try:
                     for events in attempt.events():
                         last_id = attempt.splitter.last_id or last_id
-                        tries.note_events()
+                        tries.note_events(attempt)
                         if not sent:
                             tries.keep_head(attempt)
                             sent = True
@@ -154,10 +155,11 @@
         self._events_at = request.call.arrived_at
         self._longest_s = 0.0
 
-    def note_events(self):
+    def note_events(self, attempt):
         """Measure the time to the first event and the longest pause after it."""
         now = self._deps.clock.monotonic()
         if self._first_s is None:
+            self._note_start(attempt, now)
             self._first_s = now - self.request.call.arrived_at
         else:
             self._longest_s = max(self._longest_s, now - self._events_at)
@@ -227,6 +229,8 @@
         """Log the end of a request that was answered."""
         exchange = attempt.exchange
         now = self._deps.clock.monotonic()
+        if not exchange.events:
+            self._note_start(attempt, now)
         self._log(
             attempt,
             f"request {event_name}",
@@ -238,6 +242,11 @@
             took_s=round(now - self.request.call.arrived_at, 3),
         )
 
+    def _note_start(self, attempt, now):
+        request = self.request
+        took_s = now - attempt.exchange.began_at
+        self._deps.starts.note(request.service, request.model, took_s)
+
     def _offer(self, last_id, patience_s):
         request, deps = self.request, self._deps
         try:
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -1,5 +1,6 @@
 """Give each request a place at a server, or tell its caller when to come back."""
 
+from collections import defaultdict
 from typing import NamedTuple
 
 from gevent.event import AsyncResult
@@ -9,12 +10,18 @@
 from .admission import FairQueue, Waiting
 from .exceptions import OverloadedError
 from .placing import choose
-from .refusing import Outlook, judge
+from .refusing import Hope, Outlook, Shortage, hope_of, judge
 
 # Time between two tries to place what waits, while nothing else wakes the queue.
 TRY_AGAIN_S = 0.05
 # Requests that wait for one model or service at this node.
 MOST_WAITING = 256
+# Places of a model or service that late requests leave free while places are short:
+# the one that has just been given back, from which the next caller is served in time.
+KEPT_IN_TIME = 1
+# Part of its objective that a request is expected to need at its server at most: where
+# most answers begin late, some still begin in time.
+MOST_START_PART = 0.7
 
 
 class Place(NamedTuple):
@@ -24,6 +31,31 @@
     load: int
 
 
+class _OvertakenError(Exception):
+    """A waiting request has to give way to newer ones."""
+
+
+class _Line:
+    """Who waits for one model or service, by what waiting can still win."""
+
+    def __init__(self):
+        self.queues = {
+            Hope.GOING_ON: FairQueue(MOST_WAITING),
+            Hope.IN_TIME: FairQueue(MOST_WAITING, newest_first=True),
+            Hope.LATE: FairQueue(MOST_WAITING),
+        }
+        self.shortage = Shortage()
+
+    def __len__(self):
+        return sum(len(queue) for queue in self.queues.values())
+
+    def ahead(self, hope):
+        """Return how many requests are given places before a new one."""
+        if hope is Hope.IN_TIME:
+            return len(self.queues[Hope.GOING_ON])
+        return sum(len(queue) for at, queue in self.queues.items() if at <= hope)
+
+
 class Placer:
     """Place requests of all services.
 
@@ -38,31 +70,31 @@
         self._gate = gate
         self._clock = clock
         self._rng = rng
-        self._queues = {}
+        self._lines = defaultdict(_Line)
 
     def waiting(self):
         """Return how many requests wait."""
-        return sum(len(queue) for queue in self._queues.values())
+        return sum(len(line) for line in self._lines.values())
 
     def place(self, request, avoid=frozenset(), patience_s=None):
         """Return a ``Place``, waiting for it if that is worth while.
 
         Raises ``OverloadedError`` as soon as it is known that none comes in time.
         """
-        queue = self._queue(request)
-        if not len(queue) and (place := self._try(request, avoid)):
+        line = self._lines[request.service, request.model]
+        outlook = self._outlook(request, line, patience_s)
+        goes_first = outlook.hope is not Hope.LATE or not len(line)
+        kept = self._kept(line, outlook.hope)
+        place = self._try(request, avoid, kept) if goes_first else None
+        if outlook.hope is Hope.IN_TIME:
+            if place := place or self._wait(request, avoid, line, outlook):
+                line.shortage.note_placed()
+                return place
+            outlook = self._outlook(request, line, patience_s, overtaken=True)
+            self._note_missed(line)
+        if place := place or self._wait(request, avoid, line, outlook):
             return place
-        verdict = judge(self._outlook(request, queue, patience_s))
-        if not verdict.wait:
-            self._log_refusal(request, verdict, queue)
-            raise OverloadedError(verdict.why, verdict.retry_after_s)
-        waiting = Waiting(request, avoid, AsyncResult())
-        shed = queue.push(waiting)
-        if shed is not None:
-            shed.result.set_exception(
-                OverloadedError("the queue is full", verdict.retry_after_s)
-            )
-        return self._wait(waiting, queue, verdict)
+        raise self._refusal(request, line, outlook)
 
     def give_back(self, place):
         """Return a place and let the next request have it."""
@@ -71,47 +103,68 @@
 
     def pump(self):
         """Place what can be placed now."""
-        for queue in self._queues.values():
-            progress = len(queue) > 0
-            while progress:
-                progress = any(
-                    self._place_waiting(queue, waiting) for waiting in queue.heads()
-                )
-
-    def _wait(self, waiting, queue, verdict):
-        request = waiting.request
+        for line in self._lines.values():
+            for hope, queue in line.queues.items():
+                while len(queue) and self._place_next(line, hope, queue):
+                    pass
+
+    def _wait(self, request, avoid, line, outlook):
+        """Return a place, or ``None`` if it is not worth while to wait any longer."""
+        verdict = judge(outlook)
+        if not verdict.wait:
+            return None
+        waiting = Waiting(request, avoid, AsyncResult())
+        queue = line.queues[outlook.hope]
+        _push(queue, waiting, verdict.room)
         until = self._clock.monotonic() + verdict.wait_s
         try:
             while not waiting.result.ready():
                 left_s = until - self._clock.monotonic()
                 if left_s <= 0:
-                    self._log_refusal(request, verdict, queue)
-                    raise OverloadedError(
-                        f"no place within {verdict.wait_s:.2f} s",
-                        verdict.retry_after_s,
-                    )
+                    return None
                 if not self._clock.wait(waiting.result, min(left_s, TRY_AGAIN_S)):
                     self.pump()
             return waiting.result.get()
+        except _OvertakenError:
+            return None
         except BaseException:
-            queue.discard(waiting)
             if waiting.result.successful():
                 self.give_back(waiting.result.value)
             raise
+        finally:
+            queue.discard(waiting)
 
-    def _place_waiting(self, queue, waiting):
-        place = self._try(waiting.request, waiting.avoid)
-        if place is None:
-            return False
-        queue.take(waiting)
-        waiting.result.set(place)
-        return True
-
-    def _try(self, request, avoid):
+    def _note_missed(self, line):
+        """Note a miss; let those that are late know at once if places are short."""
+        now = self._clock.monotonic()
+        line.shortage.note_missed(now)
+        if line.shortage.lasted(now):
+            queue = line.queues[Hope.LATE]
+            for waiting in queue.entries():
+                queue.discard(waiting)
+                waiting.result.set_exception(_OvertakenError())
+
+    def _place_next(self, line, hope, queue):
+        """Place one of those that are next; return whether there was a place."""
+        for waiting in queue.heads():
+            kept = self._kept(line, hope)
+            if place := self._try(waiting.request, waiting.avoid, kept):
+                queue.take(waiting)
+                waiting.result.set(place)
+                return True
+            if not waiting.avoid:
+                break
+        return False
+
+    def _kept(self, line, hope):
+        """Return how many free places are kept for other requests."""
+        is_short = line.shortage.lasted(self._clock.monotonic()) > 0
+        return KEPT_IN_TIME if hope is Hope.LATE and is_short else 0
+
+    def _try(self, request, avoid, kept):
         world = self._world
-        found = choose(
-            self._open_to(request, avoid), world.load, world.data_center, self._rng
-        )
+        candidates = self._open_to(request, avoid)
+        found = choose(candidates, world.load, world.data_center, self._rng, kept)
         if found is None:
             return None
         rate = world.cold_rate(found)
@@ -139,35 +192,50 @@
         rate = self._world.cold_rate(candidate)
         return rate is None or self._gate.may_send(candidate.server, rate)
 
-    def _outlook(self, request, queue, patience_s):
+    def _outlook(self, request, line, patience_s, overtaken=False):
         now = self._clock.monotonic()
-        left_s = request.deadline - now
-        objective_s = request.objective_at - now
         known = self._world.outlook(request)
+        objective_s = request.objective_at - now
+        start_s = min(known.start_s, MOST_START_PART * request.route.objective_s)
+        hope = hope_of(objective_s, start_s, patience_s is not None, overtaken)
         return Outlook(
-            waiting=len(queue),
+            hope=hope,
+            ahead=line.ahead(hope),
             serving=known.serving,
             forming=known.forming,
             service_s=known.service_s,
-            left_s=left_s,
+            start_s=start_s,
+            left_s=request.deadline - now,
             objective_s=objective_s,
+            short_s=line.shortage.lasted(now),
             patience_s=patience_s,
         )
 
-    def _queue(self, request):
-        key = request.service, request.model
-        if key not in self._queues:
-            self._queues[key] = FairQueue(MOST_WAITING)
-        return self._queues[key]
-
-    def _log_refusal(self, request, verdict, queue):
+    def _refusal(self, request, line, outlook):
+        """Log a refusal and return the error that tells when to come back."""
+        verdict = judge(outlook)
         event(
             "request refused",
             request=request.request_id,
             step="place",
             model=request.model,
-            waiting=len(queue),
+            hope=outlook.hope.name.lower(),
+            waiting=len(line),
+            short_s=round(outlook.short_s, 2),
             candidates=len(self._world.candidates(request)),
             why=verdict.why,
             retry_after_s=round(verdict.retry_after_s, 2),
         )
+        return OverloadedError(verdict.why, verdict.retry_after_s)
+
+
+def _push(queue, waiting, room):
+    """Queue ``waiting``; what has waited longest gives way if there is no room."""
+    shed = [queue.push(waiting)]
+    while len(queue) > room:
+        oldest = queue.oldest_of_largest()
+        queue.discard(oldest)
+        shed.append(oldest)
+    for entry in shed:
+        if entry is not None:
+            entry.result.set_exception(_OvertakenError())
--- a/packages/auburnwall-routing/src/auburnwall/routing/refusing.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/refusing.py
@@ -1,14 +1,18 @@
 """Whether a request that finds no place waits for one or is refused at once.
 
-Load pattern: more requests than the groups that are left can serve. One that waits
-too long is served late and makes those behind it late as well, so only as many wait
-as can still begin in time; the others learn at once when to come back.
+Load pattern: more requests than the groups that are left can serve, for many seconds.
+If they are served in their order, each one waits until its objective has passed, and
+all of them are late. So what can still be in time goes first, the newest before the
+older, and only as many wait as can begin in time; what is late in any case gets the
+places that are left over, and learns at once when there are none.
 """
 
+from collections import deque
+from enum import IntEnum
 from typing import NamedTuple
 
 # A request waits if it is predicted to begin within this part of what is left until
-# its objective.
+# its objective once the server's own time to begin is taken off.
 WORTH_WAITING = 0.8
 # Where groups are forming, requests wait for them this long at most, in seconds: the
 # time that a group takes from hosts that have its model.
@@ -16,61 +20,158 @@
 # A request whose objective has passed waits this long at most, in seconds, and no more
 # than this part of the time that its caller has left, so that it can still come back.
 LATE_WAIT_S, LATE_SHARE = 1.0, 0.25
-# What a refused caller is told at least, in seconds: what is full now is filled by
-# requests that come meanwhile for about as long as one is served.
-LEAST_RETRY_AFTER_S = 1.0
+# What a refused caller is told at least and at most, in seconds: what is full now is
+# filled by requests that come meanwhile for about as long as one is served; callers
+# have to be served within some seconds.
+LEAST_RETRY_AFTER_S, MOST_RETRY_AFTER_S = 1.0, 3.0
+# Where all places are taken, a caller is told to come back after this part of the time
+# that it has left: bursts have passed more often than after a second, and there is
+# enough time left to be served.
+RETURN_SHARE = 1 / 3
+# Places are short if of the last so many requests of a node that could be in time so
+# many missed their objective: at nine tenths of the load one in ten does.
+OUTCOMES, MANY_MISSES = 12, 4
+# Time without such a request after which places are no longer short, in seconds.
+SHORTAGE_S = 1.0
+# A shortage that has only just begun has lasted this long, in seconds.
+MOMENT_S = 0.001
+
+
+class Hope(IntEnum):
+    """What waiting can still win, in the order in which places are given out."""
+
+    # A stream that has begun and broke off.
+    GOING_ON = 0
+    # An answer within the objective.
+    IN_TIME = 1
+    # An answer that is late.
+    LATE = 2
 
 
 class Outlook(NamedTuple):
     """What is known when a request finds no place.
 
-    ``waiting`` requests are before it; ``serving`` places are in use by this node, each
-    taken for ``service_s``; ``forming`` groups are on their way. ``patience_s`` is how
-    long a stream that broke off may look for another server, ``None`` for a request
-    that has not begun.
+    ``ahead`` requests are given places before it; ``serving`` places are in use by
+    this node, each taken for ``service_s``; ``forming`` groups are on their way. A
+    server takes ``start_s`` until its answer begins. Requests have missed their
+    objective for want of a place for ``short_s``. ``patience_s`` is how long a stream
+    that broke off may look for another server. All times are in seconds.
     """
 
-    waiting: int
+    hope: Hope
+    ahead: int
     serving: float
     forming: int
     service_s: float
+    start_s: float
     left_s: float
     objective_s: float
+    short_s: float = 0.0
     patience_s: float | None = None
 
 
+class Shortage:
+    """Whether places are short: many requests miss their objective for want of one.
+
+    One that misses it now and then is no shortage.
+    """
+
+    def __init__(self):
+        self._missed = deque(maxlen=OUTCOMES)
+        self._missed_at = None
+        self._since = None
+
+    def note_placed(self):
+        """Note a request that could be in time and was given a place."""
+        self._missed.append(False)
+
+    def note_missed(self, now):
+        """Note a request that could have been in time and found no place."""
+        if not self.lasted(now):
+            self._since = now
+        self._missed.append(True)
+        self._missed_at = now
+
+    def lasted(self, now):
+        """Return for how many seconds places have been short, 0 if they are not."""
+        if sum(self._missed) < MANY_MISSES or now - self._missed_at > SHORTAGE_S:
+            return 0.0
+        return max(now - self._since, MOMENT_S)
+
+
 class Verdict(NamedTuple):
-    """Wait for ``wait_s`` at most, or come back after ``retry_after_s``."""
+    """Wait for ``wait_s`` at most, or come back after ``retry_after_s``.
+
+    As many as ``room`` may wait at once, the newest of them.
+    """
 
     wait: bool
     wait_s: float
+    room: int
     retry_after_s: float
     why: str
 
 
+def hope_of(objective_s, start_s, resumes, overtaken):
+    """Return the ``Hope`` of a request that has ``objective_s`` until its objective.
+
+    ``overtaken`` tells that it has waited as long as it may for being in time, or has
+    had to give way to newer ones.
+    """
+    if resumes:
+        return Hope.GOING_ON
+    in_time = objective_s > start_s and not overtaken
+    return Hope.IN_TIME if in_time else Hope.LATE
+
+
 def judge(outlook):
     """Return the ``Verdict`` on a request that finds no place."""
-    if outlook.serving > 0:
-        expected_s = (outlook.waiting + 1) * outlook.service_s / outlook.serving
-        why = f"{outlook.waiting} wait, a place is expected in {expected_s:.2f} s"
-    elif outlook.forming:
-        expected_s = FORMING_WAIT_S
-        why = f"no group serves, {outlook.forming} are forming"
-    else:
-        expected_s = 2 * FORMING_WAIT_S
-        why = "nothing serves it and nothing is forming"
+    expected_s, why = _next_place(outlook)
     wait_s = max(0.0, min(_limit(outlook), outlook.left_s))
     return Verdict(
-        expected_s <= wait_s, wait_s, max(LEAST_RETRY_AFTER_S, expected_s), why
+        expected_s <= wait_s and not _is_hopeless(outlook),
+        wait_s,
+        _room(outlook, wait_s),
+        _retry_after(outlook, expected_s),
+        why,
     )
 
 
+def _retry_after(outlook, expected_s):
+    """Return when a refused caller has the best chance, in seconds."""
+    return_s = RETURN_SHARE * outlook.left_s if outlook.serving > 0 else 0.0
+    best_s = max(LEAST_RETRY_AFTER_S, expected_s, outlook.short_s, return_s)
+    return min(MOST_RETRY_AFTER_S, best_s)
+
+
+def _is_hopeless(outlook):
+    """Return whether all places go to requests that can still be in time."""
+    return outlook.hope is Hope.LATE and outlook.short_s > 0 and outlook.serving > 0
+
+
+def _next_place(outlook):
+    """Return when a place is expected, in seconds, and what that rests on."""
+    if outlook.serving > 0:
+        expected_s = (outlook.ahead + 1) * outlook.service_s / outlook.serving
+        return expected_s, f"{outlook.ahead} go first, a place in {expected_s:.2f} s"
+    if outlook.forming:
+        return FORMING_WAIT_S, f"no group serves, {outlook.forming} are forming"
+    return 2 * FORMING_WAIT_S, "nothing serves it and nothing is forming"
+
+
 def _limit(outlook):
     """Return how long it is worth while to wait, in seconds."""
-    if outlook.patience_s is not None:
+    if outlook.hope is Hope.GOING_ON:
         return outlook.patience_s
     if outlook.serving <= 0 and outlook.forming:
         return FORMING_WAIT_S
-    in_time_s = WORTH_WAITING * outlook.objective_s
-    late_s = min(LATE_WAIT_S, LATE_SHARE * outlook.left_s)
-    return in_time_s if outlook.objective_s > 0 else late_s
+    if outlook.hope is Hope.IN_TIME:
+        return WORTH_WAITING * (outlook.objective_s - outlook.start_s)
+    return min(LATE_WAIT_S, LATE_SHARE * outlook.left_s)
+
+
+def _room(outlook, wait_s):
+    """Return how many may wait so that each of them has a chance of a place."""
+    if outlook.serving <= 0 or outlook.hope is not Hope.IN_TIME:
+        return 2**31
+    return max(1, int(wait_s * outlook.serving / outlook.service_s))
