Take callers that allow less time than others for new ones

Three quarters of the new requests looked as if they had come back and counted as no demand, so the planner took the groups away. The code before compared with the time-out, and so took the objective of most new requests for past.

--- a/packages/auburnwall-routing/src/auburnwall/routing/call.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/call.py
@@ -2,7 +2,6 @@
 
 from typing import NamedTuple
 
-from .comebacks import CAME_BACK_S
 from .stepmodel import Work
 
 BEARER = "bearer "
@@ -53,7 +52,7 @@
     @property
     def came_back(self):
         """Return whether the caller called before with the same request."""
-        return self.passed_s > CAME_BACK_S
+        return self.passed_s > 0
 
     @property
     def priority(self):
--- a/packages/auburnwall-routing/src/auburnwall/routing/comebacks.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/comebacks.py
@@ -12,9 +12,9 @@
 # Part of them that may have more time than usual: a few callers with much patience do
 # not make all others look as if they had come back.
 UNUSUAL_PART = 0.1
-# A caller that lacks more than this of the usual time has come back, in seconds: above
-# what connecting takes, below any time that callers are told to stay away.
-CAME_BACK_S = 0.05
+# Callers of one route differ by up to this part in the time that they allow; one that
+# has less left has called before. Refused callers come back with two thirds at most.
+SPREAD_PART = 0.2
 
 
 class CallerPatience:
@@ -26,9 +26,11 @@
     def passed(self, route, left_s):
         """Return how much of a caller's time had passed before this call, in seconds.
 
-        ``left_s`` is what it says that it has left.
+        ``left_s`` is what it says that it has left. The result is 0 for a caller that
+        may be a new one.
         """
         seen = self._left[route]
         seen.append(left_s)
         usual_s = sorted(seen, reverse=True)[int(UNUSUAL_PART * len(seen))]
-        return max(0.0, usual_s - left_s)
+        came_back = left_s < (1 - SPREAD_PART) * usual_s
+        return usual_s - left_s if came_back else 0.0
