Leave groups that refuse or never move, for longer each time

A group that refuses is doubted now; a doubted one that has not moved since is left for twice as long and then tried with one request of a node at a time.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
@@ -244,6 +244,7 @@
         self.doubts.listeners.append(self.member_watch.doubt)
         self.peers.on_suspects = self._take_suspects
         self.in_flight = InFlight(clock, self.doubts.note)
+        self.doubts.moved_at = self.in_flight.moved_at
         self.channels = self._stack.enter_context(closing(ChannelPool(clock)))
         self.demand = DemandMeter(clock)
         self.starts = StartTimes()
--- a/packages/auburnwall-node/src/auburnwall/node/routed/world.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/world.py
@@ -9,6 +9,11 @@
 # A group that stood still gets nothing for this long, unless the planner ends it
 # before, in seconds: the time that the planner takes to ask its members.
 DOUBT_S = 2.0
+# The same at most for one that is doubted again and again, in seconds: the time after
+# which a group that lost a member refuses everything by itself.
+MOST_DOUBT_S = 8.0
+# Time after which an earlier doubt says nothing any more, in seconds.
+FORGOTTEN_S = 30.0
 # Time that a request takes at a plain service until one was measured, in seconds.
 PLAIN_SERVICE_S = 0.1
 
@@ -26,14 +31,18 @@
     """Groups that stand still, by this node's own streams or a peer's word.
 
     Only what this node saw itself is passed on: peers that repeated each other's word
-    would never end a doubt.
+    would never end a doubt. A group that is doubted again without having moved is left
+    for longer each time, and in between it is tried with one request at a time.
+    ``moved_at(name)`` is when its streams at this node last moved.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, moved_at=lambda name: 0.0):
         self.listeners = []
+        self.moved_at = moved_at
         self._clock = clock
         self._own = {}
         self._heard = {}
+        self._doubted = {}
 
     def note(self, name):
         """Doubt a group whose streams at this node stand still."""
@@ -47,21 +56,42 @@
         now = self._clock.monotonic()
         return max(self._own.get(name, 0.0), self._heard.get(name, 0.0)) >= now
 
+    def on_trial(self, name):
+        """Return whether a group was doubted and has not moved since."""
+        doubted = self._doubted.get(name)
+        return doubted is not None and self.moved_at(name) <= doubted.at
+
     def names(self):
         """Return the groups that this node's own streams make it doubt."""
         now = self._clock.monotonic()
         self._own = {name: until for name, until in self._own.items() if until >= now}
         self._heard = {name: u for name, u in self._heard.items() if u >= now}
+        self._doubted = {
+            name: doubted
+            for name, doubted in self._doubted.items()
+            if now - doubted.at < FORGOTTEN_S
+        }
         return list(self._own)
 
     def _doubt(self, doubts, name, source):
+        now = self._clock.monotonic()
         if name not in self:
-            event("group doubted", group=name, source=source)
-        doubts[name] = self._clock.monotonic() + DOUBT_S
+            again = self.on_trial(name)
+            for_s = 2 * self._doubted[name].for_s if again else DOUBT_S
+            self._doubted[name] = _Doubted(now, min(for_s, MOST_DOUBT_S))
+            event("group doubted", group=name, source=source, for_s=for_s)
+        doubts[name] = now + self._doubted[name].for_s
         for listener in self.listeners:
             listener(name)
 
 
+class _Doubted(NamedTuple):
+    """When a group came to be doubted, and for how long."""
+
+    at: float
+    for_s: float
+
+
 class RoutingWorld:
     """The placer's view."""
 
@@ -89,8 +119,10 @@
         return own + self._peers.load(candidate.name)
 
     def is_doubted(self, name):
-        """Return whether a group stands still."""
-        return name in self._doubts
+        """Return whether a group stands still, or is being tried with a request."""
+        if name in self._doubts:
+            return True
+        return self._doubts.on_trial(name) and self._in_flight.count(name) > 0
 
     def cold_rate(self, candidate):
         """Return the requests a second that a cold server bears, or ``None``."""
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -285,8 +285,14 @@
         return True
 
     def _note_refusal(self, attempt):
-        """Go on elsewhere after a server's word that it did not run the request."""
+        """Go on elsewhere after a server's word that it did not run the request.
+
+        Groups bear more requests than they are given; one that refuses is broken or
+        closing, though the tables may not say so yet.
+        """
         attempt.close()
+        if self.request.model:
+            self._deps.in_flight.doubt(attempt.candidate.name)
         fault = attempt.headers.get(self._deps.dialect.server_at_fault, "")
         self._avoid |= {attempt.candidate.server}
         self._log(
--- a/packages/auburnwall-routing/src/auburnwall/routing/inflight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/inflight.py
@@ -22,6 +22,8 @@
 MOVE_AFTER_S = 0.45
 # The same before the first event, on top of the time that reading the prompt takes.
 FIRST_STILL_S = 0.6
+# Time for which progress is remembered, in seconds: longer than any doubt.
+PROGRESS_S = 30.0
 
 
 class StoodStillError(AuburnwallError):
@@ -70,6 +72,10 @@
     def __len__(self):
         return len(self._exchanges)
 
+    def moved_at(self, name):
+        """Return when a candidate was last seen to move, 0 if not lately."""
+        return self._progress.get(name, 0.0)
+
     def begin(self, request, candidate):
         """Count an exchange that begins and return it."""
         exchange = Exchange(request, candidate, self._clock.monotonic())
@@ -112,7 +118,7 @@
     def look(self, now):
         """Interrupt the exchanges that are out of time or can go on elsewhere."""
         self._progress = {
-            name: at for name, at in self._progress.items() if now - at < 10.0
+            name: at for name, at in self._progress.items() if now - at < PROGRESS_S
         }
         for exchange in list(self._exchanges):
             if not exchange.reading:
@@ -120,7 +126,7 @@
             if now >= exchange.request.deadline:
                 self._interrupt(exchange, OutOfTimeError("out of time", step="wait"))
                 continue
-            moved_at = self._progress.get(exchange.candidate.name, 0.0)
+            moved_at = self.moved_at(exchange.candidate.name)
             silent_s = now - max(exchange.progress_at, moved_at)
             if silent_s > exchange.patience_s:
                 self.doubt(exchange.candidate.name)
--- a/tests/routed/test_front.py
+++ b/tests/routed/test_front.py
@@ -199,6 +199,21 @@
             conn.close()
         self.assertIn("desk-0", doubted)
 
+    def test_group_that_refuses_is_left_for_a_while(self):
+        """A broken group answers at once and so always looks the least loaded."""
+        front = self.enterContext(FrontWithServers())
+        front.engines[0].faults.add("shed")
+        doubted = []
+        doubt = front.in_flight.doubt
+        front.in_flight.doubt = lambda name: (doubted.append(name), doubt(name))
+        for number in range(8):
+            conn = http.client.HTTPConnection(front.address, timeout=3.0)
+            headers = {"Host": "shop.example", "X-Attempt-Id": f"r-{number}", **BEARER}
+            conn.request("POST", "/ask/x", headers={**headers, "X-Model": "big"})
+            self.assertEqual(conn.getresponse().status, 200)
+            conn.close()
+        self.assertEqual(doubted, ["assist-0"])
+
     def test_doubted_server_is_used_if_there_is_no_other(self):
         """All servers of a plain service were slow a moment ago."""
         front = self.enterContext(FrontWithServers())
--- a/tests/routed/test_world.py
+++ b/tests/routed/test_world.py
@@ -3,7 +3,12 @@
 import unittest
 from types import SimpleNamespace
 
-from auburnwall.node.routed.world import DOUBT_S, Doubts, PlanningWorld
+from auburnwall.node.routed.world import (
+    DOUBT_S,
+    Doubts,
+    PlanningWorld,
+    RoutingWorld,
+)
 from tests.state.test_table import FakeClock
 
 
@@ -33,6 +38,36 @@
 
 
 class DoubtTests(unittest.TestCase):
+    def test_group_that_never_moves_is_left_for_longer_each_time(self):
+        """The store is away, so nobody learns that the group has broken."""
+        clock, moved = FakeClock(), {}
+        doubts, lengths = Doubts(clock, lambda name: moved.get(name, 0.0)), []
+        for _ in range(4):
+            doubts.note("g1")
+            began = clock.now
+            while "g1" in doubts:
+                clock.now += 0.1
+            lengths.append(round(clock.now - began))
+            self.assertTrue(doubts.on_trial("g1"))
+        self.assertEqual(lengths, [2, 4, 8, 8])
+        moved["g1"] = clock.now
+        self.assertFalse(doubts.on_trial("g1"))
+        clock.now += 1.0
+        doubts.note("g1")
+        clock.now += DOUBT_S + 0.1
+        self.assertNotIn("g1", doubts)
+
+    def test_group_on_trial_has_one_request_of_a_node_at_a_time(self):
+        clock, count = FakeClock(), {"g1": 0}
+        doubts = Doubts(clock)
+        in_flight = SimpleNamespace(count=count.get)
+        world = RoutingWorld("", None, None, None, None, in_flight, doubts, None)
+        doubts.note("g1")
+        clock.now += DOUBT_S + 0.1
+        self.assertFalse(world.is_doubted("g1"))
+        count["g1"] = 1
+        self.assertTrue(world.is_doubted("g1"))
+
     def test_nodes_that_hear_each_other_s_doubts_end_them(self):
         clock = FakeClock()
         one, two = Doubts(clock), Doubts(clock)
