Shift warm servers to a model that is short before loading weights for it

Three reasons: a shift was looked for only if nothing could be formed at all; cold free servers of a domain counted as if they could make up the group; and at second 10.5 three of four servers freed by a shift were taken at once with a cold one, while the last was being asked whether it lives.

A shift goes before formations with loads of the same model, counts only servers that need no load, keeps its servers until all of them are free, and is over when one of them is lost.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
@@ -22,7 +22,8 @@
 class FreeServer(NamedTuple):
     """A server that is in no group; ``model`` is the one that it last served.
 
-    ``reserved`` names the only model that it may be taken for, if there is one.
+    ``reserved`` names the only model that it may be taken for, if there is one, in a
+    group that loads no weights.
     """
 
     server: str
@@ -93,6 +94,7 @@
             for _, servers in by_domain(free)
             if (found := best_members(servers, models[name]))
             and found.loads <= loads_left
+            and not (found.loads and _takes_reserved(found))
         ]
         if candidates:
             return min(candidates, key=lambda f: _cost(f, standing))
@@ -101,6 +103,14 @@
     return None
 
 
+def _takes_reserved(formation):
+    """Return whether a formation has servers that were freed for one without loads.
+
+    The others that were freed with them are about to be free as well.
+    """
+    return any(member.reserved for member in formation.members)
+
+
 def by_domain(free):
     """Return pairs of a domain and its servers."""
     ordered = sorted(free, key=lambda server: server.domain)
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -163,8 +163,8 @@
 
     def _plan_service(self, service, engine, finished, ends):
         """Return the ``Plan`` for a service."""
-        now, demand = self._clock.monotonic(), self._steady_demand()
-        self._shifts = [shift for shift in self._shifts if shift.until > now]
+        demand = self._steady_demand()
+        self._drop_shifts()
         free = self._free_servers(service, {group.name for group in finished})
         standing = self._standing(service, ends)
         quiet, measured = self._world.loads_are_free(), bool(demand)
@@ -172,14 +172,25 @@
             demand = self._expected_demand(engine)
         allowance = len(free) if quiet else self._loads_left(engine)
         self._tell(service, free, standing, demand, allowance)
-        settled = not quiet or now - self._registry.grown_at >= SETTLED_S
+        grown_s = self._clock.monotonic() - self._registry.grown_at
+        settled = not quiet or grown_s >= SETTLED_S
         found = assemble(free, engine.models, standing, demand, allowance, settled)
         shift = Shift()
-        if measured and not found:
+        if measured and all(formation.loads for formation in found):
             soon = self._standing(service, ends, only_soon=True)
             shift = self._shift(service, engine, free, soon, demand, ends)
+            found = [f for f in found if _goes_beside(f, shift)]
         return Plan(service, engine, found, shift, standing, demand, quiet)
 
+    def _drop_shifts(self):
+        """Forget the shifts that are over or have lost a server."""
+        now = self._clock.monotonic()
+        self._shifts = [
+            shift
+            for shift in self._shifts
+            if shift.until > now and all(map(self._registry.usable, shift.servers))
+        ]
+
     def _loads_left(self, engine):
         """Return how many loads may begin now."""
         members = (m for group in self._state.groups.values() for m in group.members)
@@ -459,6 +470,15 @@
     )
 
 
+def _goes_beside(formation, shift):
+    """Return whether a formation with loads is still wanted beside a shift.
+
+    For the model that servers are shifted to it would come much later.
+    """
+    taken = {member.server for member in formation.members} & set(shift.servers)
+    return formation.model != shift.model and not taken
+
+
 def _to_write(service, formation):
     members = tuple(Member(m.server, m.born, m.address) for m in formation.members)
     return service, formation.model, members
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-from .assembly import best_members, by_domain, coverage
+from .assembly import best_members, by_domain, coverage, ready_time
 
 # Coverage below which a model gets servers of others.
 SHORT = 1.25
@@ -89,7 +89,13 @@
     A shift that has weights to load takes capacity away for longer than it takes until
     the next loss, so it is no option.
     """
-    here = [s for s in free if s.domain == domain and s.reserved in ("", model.name)]
+    here = [
+        server
+        for server in free
+        if server.domain == domain
+        and server.reserved in ("", model.name)
+        and ready_time(server, model) < model.load_s
+    ]
     left, ended = dict(spare), []
     donors = sorted(
         (h for h in holders if h.servers and h.servers[0].domain == domain),
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -63,10 +63,20 @@
         self.assertLessEqual(sum(f.loads for f in formations), 5)
 
     def test_reserved_servers_are_for_their_model_only(self):
-        servers = several(4, reserved="big")
+        servers = several(4, reserved="big", staged=("big", "small"))
         found = assemble(servers, MODELS, {}, {"big": 0.3, "small": 9.0}, 99)
         self.assertEqual({f.model for f in found}, {"big"})
 
+    def test_reserved_servers_wait_for_the_rest_of_their_group(self):
+        """Three of the four are free a moment before the last one."""
+        servers = several(3, reserved="big", staged=("big",)) + [free("cold")]
+        demand = {"big": 0.3, "small": 0.1}
+        found = assemble(servers, MODELS, {("small", "norte"): 9}, demand, 99)
+        self.assertEqual(found, [])
+        servers.append(free("last", reserved="big", staged=("big",)))
+        (found,) = assemble(servers, MODELS, {("small", "norte"): 9}, demand, 99)
+        self.assertEqual((found.model, found.loads), ("big", 0))
+
     def test_at_the_start_pairs_wait_for_the_domain_to_fill_up(self):
         """Servers register one by one over two seconds."""
         demand = {"big": 7.5, "small": 15.0}
@@ -99,6 +109,14 @@
         self.assertEqual(len(shift.groups), 1)
         self.assertEqual(len(shift.servers), 4)
 
+    def test_free_servers_that_would_have_to_load_keep_nobody_from_shifting(self):
+        survivors = [free(f"s{n}", model="big") for n in range(3)]
+        standing = {("big", "norte"): 2, ("small", "norte"): 12}
+        demand = {"big": 3.0, "small": 4.0}
+        idle = survivors + several(4)
+        shift = find_shift(self.holders(3), idle, MODELS, standing, demand)
+        self.assertEqual((shift.model, len(shift.groups)), ("big", 1))
+
     def test_model_that_needs_its_groups_gives_none_up(self):
         survivors = [free(f"s{n}", model="big") for n in range(3)]
         standing = {("big", "norte"): 2, ("small", "norte"): 6}
--- a/tests/fleet/test_conductor.py
+++ b/tests/fleet/test_conductor.py
@@ -6,7 +6,7 @@
 
 from auburnwall.fleet.engines.group import MemberEngine, MemberReport, OrderOutcome
 from auburnwall.fleet.formation.conductor import Conductor
-from auburnwall.fleet.formation.records import FleetState, FleetWriter
+from auburnwall.fleet.formation.records import FleetState, FleetWriter, Member
 from auburnwall.fleet.formation.watch import MemberWatch
 from auburnwall.fleet.registrations import Registry, Standing
 from auburnwall.routing.routes import EngineSpec, ModelSpec, ServiceSpec
@@ -239,6 +239,40 @@
         self.world.measured = {"big": 1.0, "small": 5.0}
         self.assertEqual(self.node.conductor._steady_demand()["small"], 5.0)
 
+    def test_shift_of_warm_servers_goes_before_a_load(self):
+        """The large model lost a member; pairs of the other one have it staged."""
+        self.world.measured = {"big": 2.0, "small": 0.5}
+        for number in range(4):
+            self.node.register(
+                f"s{number}", 10 + number, staged=("big",), model="small"
+            )
+        self.node.conductor._staging = {f"s{n}": 1e9 for n in range(4)}
+        groups = [("assist", "small", (self.member(number),)) for number in range(4)]
+        self.node.writer.write_groups([], [], groups)
+        for group in self.groups().values():
+            standing = Standing(group.name, group.epoch, 0, "open")
+            name = group.head.server
+            warm = {"staged": ("big",), "model": "small", "standing": standing}
+            self.node.register(name, 20 + int(name[1:]), **warm)
+        self.node.register("cold0", 30)
+        self.node.register("cold1", 31)
+        self.node.conductor.step()
+        planned = [g for g in self.groups().values() if g.model == "big"]
+        self.assertEqual(planned, [])
+        (shift,) = self.node.conductor._shifts
+        self.assertEqual(shift.model, "big")
+
+    def member(self, number):
+        return Member(f"s{number}", 1, "127.0.0.1:1")
+
+    def test_shift_that_lost_a_server_is_over(self):
+        self.test_shift_of_warm_servers_goes_before_a_load()
+        (shift,) = self.node.conductor._shifts
+        self.node.servers.learn([TableRecord(40, shift.servers[0], None)], 41, 0.0)
+        self.node.registry.expire()
+        self.node.conductor._drop_shifts()
+        self.assertEqual(self.node.conductor._shifts, [])
+
     def test_group_in_a_data_centre_that_is_out_ends(self):
         self.node.conductor.step()
         self.world.out = {"norte"}
