--- a/tests/routed/test_world.py
+++ b/tests/routed/test_world.py
@@ -35,7 +35,7 @@
         self.assertAlmostEqual(world.demand()["big"], 6.0)
 
     def test_nodes_that_are_added_or_restarted_bring_no_demand_of_their_own(self):
-        """Three of ten nodes restart in turn and three are new; callers stay as many."""
+        """Two of ten nodes restart and two are new; callers stay as many."""
         others = [pulse(True, big=1.0) for _ in range(5)]
         starting = [pulse(), pulse(True), pulse(), pulse(True)]
         world = self.world(pulse(True, big=1.0), [*others, *starting])
