Let one node of each data centre read the store for the others

Cause: calls to the store. Each node read the registrations and the fleet's table itself. The operators' table is still read by all: configurations must be in force everywhere at nearly the same time.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
@@ -43,7 +43,7 @@
 from .peers import Peers, RoutedHandler
 from .source import ConfigSource
 from .stop import Stop
-from .tables import LONG_POLL_S, TableReader
+from .tables import LONG_POLL_S, StoreReaders, TableReader
 from .world import Doubts, PlanningWorld, RoutingWorld
 
 OPERATOR_TABLE, SERVER_TABLE, FLEET_TABLE = "operator", "servers", "fleet"
@@ -219,7 +219,9 @@
         self._build_readers()
 
     def _build_readers(self):
-        def reader(table, wait_s, pause_s, after=None):
+        readers = StoreReaders(self.identity, self.fleet, self.peers, self.writer.plans)
+
+        def reader(table, wait_s, pause_s, after=None, to_follow=lambda: None):
             return TableReader(
                 self.replicas[table],
                 self.peers,
@@ -228,13 +230,23 @@
                 wait_s=wait_s,
                 pause_s=pause_s,
                 after=after,
+                to_follow=to_follow,
             )
 
         self.readers = {
             OPERATOR_TABLE: reader(OPERATOR_TABLE, LONG_POLL_S, lambda: 0.0),
-            FLEET_TABLE: reader(FLEET_TABLE, LONG_POLL_S, self._fleet_pause),
+            FLEET_TABLE: reader(
+                FLEET_TABLE,
+                LONG_POLL_S,
+                self._fleet_pause,
+                to_follow=readers.to_follow,
+            ),
             SERVER_TABLE: reader(
-                SERVER_TABLE, 0.0, self._registry_pause, self.registry.note_read
+                SERVER_TABLE,
+                0.0,
+                self._registry_pause,
+                self.registry.note_read,
+                readers.to_follow,
             ),
         }
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
@@ -22,7 +22,7 @@
     most_entry_points: int = 64
     first_start: bool = False
     grace_s: float = 8.0
-    registry_s: float = 0.8
+    registry_s: float = 0.6
     planner_registry_s: float = 0.3
     pulse_s: float = 0.12
     repeat_share: float = 0.1
