Stage weights while the store is away

Staging needs no record and no group, so the planner goes on with it as long as nobody reads the store; loads stay within their allowance.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -112,7 +112,20 @@
         if self._write(ends, finished, plans):
             self._give_orders(views, steps)
             for service, engine in engines.items():
-                self._stage(service, engine)
+                self._stage(service, engine, KEPT_LOADS)
+
+    def prepare(self):
+        """Stage weights while the tables cannot be read, so that nothing is planned.
+
+        Load pattern: servers are lost while the store is away, and no group can be
+        formed before it is back. What hosts have loaded by then need not be waited for.
+        """
+        config = self._world.config()
+        if config is None or not self._writer.plans():
+            return
+        for service in config.services.values():
+            if service.engine:
+                self._stage(service.name, service.engine, 0)
 
     def _ends(self, views, steps):
         """Return why groups end and whether at once, by name."""
@@ -291,8 +304,11 @@
         entries = (self._registry.servers.get(m.server) for m in group.members)
         return tuple(_free_server(e, group.model, "") for e in entries if e is not None)
 
-    def _stage(self, service, engine):
-        """Let hosts load the weights that they may need next."""
+    def _stage(self, service, engine, kept):
+        """Let hosts load the weights that they may need next.
+
+        ``kept`` of the loads that may begin are left to groups.
+        """
         now, quiet = self._clock.monotonic(), self._world.loads_are_free()
         self._staging = {k: at for k, at in self._staging.items() if at > now}
         in_group = {
@@ -312,7 +328,7 @@
             )
             for entry in self._registry.of_service(service)
         ]
-        left = self._loads_left(engine) - (0 if quiet else KEPT_LOADS)
+        left = self._loads_left(engine) - (0 if quiet else kept)
         for server, model in choose_staging(hosts, engine.models, left, quiet):
             load_s = engine.models[model].load_s * (QUIET_LOAD_SHARE if quiet else 1.0)
             self._loads.note(1, load_s, now, free=quiet)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
@@ -446,8 +446,18 @@
             self.election.step()
 
     def _plan(self):
-        if self._reads_tables() and not self.gateway.stop_begun:
+        if self.gateway.stop_begun:
+            return
+        if self._reads_tables():
             self.conductor.step()
+        elif self._is_store_away():
+            self.conductor.prepare()
+
+    def _is_store_away(self):
+        """Return whether nobody reads the store; others may plan if anybody does."""
+        pulses = self.peers.heard().values()
+        own = any(reader.reads for reader in self.readers.values())
+        return bool(pulses) and not own and not any(p.reads_tables for p in pulses)
 
 
 def run_routed_node(cfg, new_platform, read_cfg):
--- a/tests/fleet/test_conductor.py
+++ b/tests/fleet/test_conductor.py
@@ -4,7 +4,12 @@
 import unittest
 from types import SimpleNamespace
 
-from auburnwall.fleet.engines.group import MemberEngine, MemberReport, OrderOutcome
+from auburnwall.fleet.engines.group import (
+    MemberEngine,
+    MemberReport,
+    OrderOutcome,
+    StageOrder,
+)
 from auburnwall.fleet.formation.conductor import Conductor
 from auburnwall.fleet.formation.records import FleetState, FleetWriter, Member
 from auburnwall.fleet.formation.watch import MemberWatch
@@ -273,6 +278,31 @@
         self.node.conductor._drop_shifts()
         self.assertEqual(self.node.conductor._shifts, [])
 
+    def staged(self):
+        return [s for s, order in self.engine.orders if isinstance(order, StageOrder)]
+
+    def test_hosts_load_while_the_store_is_away(self):
+        """Nothing can be planned, but what is free need not stand idle."""
+        self.world.measured = {"big": 2.0, "small": 0.5}
+        written = len(self.table.records)
+        self.node.conductor.prepare()
+        self.assertEqual(sorted(self.staged()), ["s0", "s1", "s2", "s3"])
+        self.node.conductor.prepare()
+        self.assertEqual(len(self.staged()), 4)
+        self.assertEqual(len(self.table.records), written)
+
+    def test_loads_while_the_store_is_away_are_bounded(self):
+        for number in range(60):
+            self.node.register(f"t{number}", 20 + number, domain=f"d{number // 10}")
+        for _ in range(50):
+            self.node.conductor.prepare()
+            self.clock.now += 0.1
+        self.assertLessEqual(len(self.staged()), ENGINE.loads_at_once)
+
+    def test_node_that_does_not_plan_prepares_nothing(self):
+        self.new_node("n2").conductor.prepare()
+        self.assertEqual(self.engine.orders, [])
+
     def test_group_in_a_data_centre_that_is_out_ends(self):
         self.node.conductor.step()
         self.world.out = {"norte"}
