--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
@@ -9,7 +9,7 @@
 
 from .assembly import best_members, by_domain, coverage, ready_time
 
-# Coverage after the next loss below which a model gets servers of others.
+# Coverage below which a model gets servers of others.
 SHORT = 1.25
 # Coverage that a model keeps when it gives up groups to one that is short.
 KEPT = 1.6
@@ -39,9 +39,9 @@
     """Return the best ``Shift``, one without groups if there is none worth while."""
     if not models:
         return Shift()
-    rest = {name: _after_a_loss(name, standing, demand) for name in models}
-    short = min(rest, key=rest.get)
-    if rest[short] >= SHORT:
+    short = min(models, key=lambda name: coverage(name, standing, demand))
+    covered = coverage(short, standing, demand)
+    if covered >= SHORT:
         spare = _spare_groups(short, models, standing, demand, PLENTY)
         return _spares(holders, free, models, spare)
     spare = _spare_groups(short, models, standing, demand, KEPT)
@@ -53,16 +53,10 @@
     if not options:
         return Shift()
     _, _, groups, members = min(options)
-    cause = f"{short} is covered {rest[short]:.2f} times after a loss"
+    cause = f"{short} is covered {covered:.2f} times"
     return Shift(short, groups, members, cause)
 
 
-def _after_a_loss(model, standing, demand):
-    """Return a model's coverage once it has lost a group, the next thing to happen."""
-    groups = sum(count for (name, _), count in standing.items() if name == model)
-    return coverage(model, {(model, ""): max(0, groups - 1)}, demand)
-
-
 def _spares(holders, free, models, spare):
     """Return a ``Shift`` that frees servers beside the groups with most members."""
     largest = max(models, key=lambda name: models[name].members)
