--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
@@ -14,9 +14,8 @@
 # Coverage from which on a model takes no more servers: those that stay free replace
 # lost members without a wait.
 ENOUGH = 2.5
-# Coverage below which a model gets servers of others, and that which these keep. A
-# model that has the latter even after its next loss begins no loads while another one
-# has not: a loss strikes the model with many members hardest.
+# Coverage below which a model is short, and that from which on a model begins no loads
+# while another one is short, and gives up groups for it.
 SHORT, COMFORTABLE = 1.25, 1.6
 # Demand below this many groups' worth is taken for this much, so that a model that
 # nobody asked for lately keeps something to serve the next request with.
@@ -86,26 +85,21 @@
     return groups / max(demand.get(model, 0.0), LEAST_DEMAND)
 
 
-def after_loss(model, standing, demand):
-    """Return the coverage that is left once ``model`` has lost its next group."""
-    groups = sum(count for (name, _), count in standing.items() if name == model)
-    return coverage(model, {(model, ""): max(0, groups - 1)}, demand)
-
-
 def is_short(models, standing, demand):
-    """Return whether a model would have too little after the next loss."""
-    return any(after_loss(name, standing, demand) < COMFORTABLE for name in models)
+    """Return whether a model has less than it should to bear the next losses."""
+    return any(coverage(name, standing, demand) < SHORT for name in models)
 
 
 def _next_formation(free, models, standing, demand, loads_left, settled):
     def need(name):
-        return after_loss(name, standing, demand), -models[name].members
+        return coverage(name, standing, demand), -models[name].members
 
     short = is_short(models, standing, demand)
     for name in sorted(models, key=need):
-        if coverage(name, standing, demand) >= ENOUGH:
-            continue
-        if short and after_loss(name, standing, demand) >= COMFORTABLE:
+        covered = coverage(name, standing, demand)
+        if covered >= ENOUGH:
+            return None
+        if short and covered >= COMFORTABLE:
             loads_left = 0
         candidates = [
             found
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -55,9 +55,8 @@
     """Keep the groups of all services with engines.
 
     ``world`` offers ``config()`` (a ``RoutingConfig`` or ``None``),
-    ``data_centers_out()`` (names), ``loads_are_free()`` (before the first request
-    ever), ``demand()`` (groups' worth of work by model, empty until it was measured)
-    and ``is_measuring()`` (whether that is about to be known).
+    ``data_centers_out()`` (names), ``loads_are_free()`` (before the first request ever)
+    and ``demand()`` (groups' worth of work by model, empty until it was measured).
     """
 
     def __init__(self, state, writer, registry, watch, engine, world, clock, tasks):
@@ -185,8 +184,6 @@
         if not measured:
             demand = self._expected_demand(engine)
         allowance = len(free) if quiet else self._loads_left(engine)
-        if self._world.is_measuring():
-            allowance = 0
         self._tell(service, free, standing, demand, allowance)
         grown_s = self._clock.monotonic() - self._registry.grown_at
         settled = not quiet or grown_s >= SETTLED_S
--- a/packages/auburnwall-node/src/auburnwall/node/routed/world.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/world.py
@@ -189,15 +189,6 @@
         share = len(asked) / max(1, len(measured)) if few else 1.0
         return {model: work * share for model, work in total.items()}
 
-    def is_measuring(self):
-        """Return whether requests come and it will soon be known how many.
-
-        Loads for a model that turns out to have enough would keep others waiting.
-        """
-        pulses = [*self._peers.heard().values(), self._own_pulse()]
-        asked = any(pulse.has_traffic for pulse in pulses)
-        return asked and not any(pulse.demand for pulse in pulses)
-
     def loads_are_free(self):
         """Return whether the system starts for the first time and had no request yet.
 
--- a/tests/fleet/test_assembly.py
+++ b/tests/fleet/test_assembly.py
@@ -67,18 +67,10 @@
         warm = servers + several(2, "d2", staged=("small",))
         (found,) = assemble(warm, MODELS, standing, demand, 7)
         self.assertEqual((found.model, found.loads), ("small", 0))
-        standing["big", "norte"] = 6
+        standing["big", "norte"] = 5
         found = assemble(servers, MODELS, standing, demand, 7)
         self.assertIn("small", [f.model for f in found])
 
-    def test_loads_go_to_the_model_that_the_next_loss_leaves_with_the_least(self):
-        """Five of 2.9 is more than 14 of 6.6 for the moment; one loss takes a fifth."""
-        standing = {("big", "norte"): 5, ("small", "norte"): 13}
-        demand = {"big": 2.9, "small": 6.6}
-        servers = several(5, "d0") + several(2, "d1")
-        found = assemble(servers, MODELS, standing, demand, 7)
-        self.assertEqual(found[0].model, "big")
-
     def test_no_more_loads_begin_than_may(self):
         formations = assemble(several(8), MODELS, {}, {"big": 0.3, "small": 5.0}, 5)
         self.assertLessEqual(sum(f.loads for f in formations), 5)
--- a/tests/fleet/test_conductor.py
+++ b/tests/fleet/test_conductor.py
@@ -80,7 +80,6 @@
 
     def __init__(self):
         self.measured = {}
-        self.measuring = False
         self.out = set()
 
     def config(self):
@@ -96,9 +95,6 @@
     def demand(self):
         return self.measured
 
-    def is_measuring(self):
-        return self.measuring
-
 
 class PlannerNode:
     """One node's planner on a shared table."""
@@ -175,14 +171,6 @@
         members = [m for g in self.groups().values() for m in g.members]
         self.assertLessEqual(len(members), ENGINE.loads_at_once)
 
-    def test_no_loads_begin_on_a_guess_that_is_about_to_be_measured(self):
-        self.world.measuring = True
-        self.node.conductor.step()
-        self.assertEqual(self.groups(), {})
-        self.world.measuring = False
-        self.node.conductor.step()
-        self.assertNotEqual(self.groups(), {})
-
     def test_loads_under_way_are_known_after_a_take_over(self):
         """The planner before was lost; its loads take longer than expected."""
         self.node.conductor.step()
--- a/tests/routed/test_world.py
+++ b/tests/routed/test_world.py
@@ -41,11 +41,6 @@
         world = self.world(pulse(True, big=1.0), [*others, *starting])
         self.assertAlmostEqual(world.demand()["big"], 6.0)
 
-    def test_demand_is_about_to_be_known_between_the_first_request_and_the_sum(self):
-        self.assertFalse(self.world(pulse(), [pulse()]).is_measuring())
-        self.assertTrue(self.world(pulse(), [pulse(True)]).is_measuring())
-        self.assertFalse(self.world(pulse(True, big=1.0), [pulse()]).is_measuring())
-
     def test_nothing_measured_is_nothing_known(self):
         self.assertEqual(self.world(pulse(), [pulse()]).demand(), {})
 
