--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
@@ -14,9 +14,6 @@
 # Coverage from which on a model takes no more servers: those that stay free replace
 # lost members without a wait.
 ENOUGH = 2.5
-# Coverage below which a model is short, and that from which on a model begins no loads
-# while another one is short, and gives up groups for it.
-SHORT, COMFORTABLE = 1.25, 1.6
 # Demand below this many groups' worth is taken for this much, so that a model that
 # nobody asked for lately keeps something to serve the next request with.
 LEAST_DEMAND = 0.3
@@ -85,22 +82,13 @@
     return groups / max(demand.get(model, 0.0), LEAST_DEMAND)
 
 
-def is_short(models, standing, demand):
-    """Return whether a model has less than it should to bear the next losses."""
-    return any(coverage(name, standing, demand) < SHORT for name in models)
-
-
 def _next_formation(free, models, standing, demand, loads_left, settled):
     def need(name):
         return coverage(name, standing, demand), -models[name].members
 
-    short = is_short(models, standing, demand)
     for name in sorted(models, key=need):
-        covered = coverage(name, standing, demand)
-        if covered >= ENOUGH:
+        if coverage(name, standing, demand) >= ENOUGH:
             return None
-        if short and covered >= COMFORTABLE:
-            loads_left = 0
         candidates = [
             found
             for _, servers in by_domain(free)
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -9,7 +9,7 @@
 from ..engines.group import CloseOrder, OrderOutcome, StageOrder
 from ..exceptions import EngineError
 from ..registrations import JOINING
-from .assembly import FreeServer, assemble, coverage, is_short
+from .assembly import FreeServer, assemble, coverage
 from .lifecycle import GroupView, next_step
 from .loads import LoadAllowance
 from .records import ENDING, SERVING, Member, NotPlannerError
@@ -111,8 +111,8 @@
             ends.update(dict.fromkeys(plan.shift.groups, (False, plan.shift.cause)))
         if self._write(ends, finished, plans):
             self._give_orders(views, steps)
-            for plan in plans:
-                self._stage(plan.service, plan.engine, _kept_loads(plan))
+            for service, engine in engines.items():
+                self._stage(service, engine, KEPT_LOADS)
 
     def prepare(self):
         """Stage weights while the tables cannot be read, so that nothing is planned.
@@ -486,16 +486,6 @@
     )
 
 
-def _kept_loads(plan):
-    """Return how many loads staging leaves to groups.
-
-    While a model is short, of which no group can be made of what is free, its hosts
-    load one by one until there are enough of them in a domain.
-    """
-    short = is_short(plan.engine.models, plan.standing, plan.demand)
-    return 0 if short and not plan.formations else KEPT_LOADS
-
-
 def _goes_beside(formation, shift):
     """Return whether a formation with loads is still wanted beside a shift.
 
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
@@ -7,15 +7,12 @@
 
 from typing import NamedTuple
 
-from .assembly import (
-    COMFORTABLE,
-    SHORT,
-    best_members,
-    by_domain,
-    coverage,
-    ready_time,
-)
+from .assembly import best_members, by_domain, coverage, ready_time
 
+# Coverage below which a model gets servers of others.
+SHORT = 1.25
+# Coverage that a model keeps when it gives up groups to one that is short.
+KEPT = 1.6
 # Coverage from which on a model gives up a group just so that servers are free.
 PLENTY = 3.2
 
@@ -47,7 +44,7 @@
     if covered >= SHORT:
         spare = _spare_groups(short, models, standing, demand, PLENTY)
         return _spares(holders, free, models, spare)
-    spare = _spare_groups(short, models, standing, demand, COMFORTABLE)
+    spare = _spare_groups(short, models, standing, demand, KEPT)
     options = [
         option
         for domain, servers in by_domain(free + [s for h in holders for s in h.servers])
