Do not ask a silent reader of the store again and again

A peer that is heard of but does not answer costs each step 0.8 s before the store is read, which with the pause between two readings comes near the 2 s in which a server that drains must be noticed. After one such failure a node reads for itself until the peer would no longer be heard of.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
@@ -16,6 +16,9 @@
 # in seconds, and how old these may be: a little more than the pause between two of its
 # readings. Both together stay within the 2 s in which a server that leaves is noticed.
 FOLLOW_S, FOLLOWED_AGE_S = 0.3, 1.0
+# Time for which a node reads the store itself after the peer that reads for it did not
+# answer, in seconds: until that peer is no longer heard of, if it is gone.
+ALONE_S = 2.5
 # Time between two readings of a store that refuses or fails, in seconds.
 FIRST_BACKOFF_S, MOST_BACKOFF_S = 0.1, 1.0
 
@@ -79,6 +82,7 @@
         self._after = after or (lambda: None)
         self._to_follow = to_follow
         self._followed = None
+        self._alone_until = 0.0
         self._backoff_s = FIRST_BACKOFF_S
 
     def run(self):
@@ -110,8 +114,12 @@
 
     def _follow(self):
         """Take what the peer that reads for this node has; return whether it is new."""
-        name = self._to_follow() if self.replica.end >= 0 else None
+        now = self._clock.monotonic()
+        may_follow = self.replica.end >= 0 and now >= self._alone_until
+        name = self._to_follow() if may_follow else None
         followed = name is not None and self._take_rows(name, FOLLOWED_AGE_S)
+        if name is not None and not followed:
+            self._alone_until = self._clock.monotonic() + ALONE_S
         if followed and self._followed != name:
             event(
                 "table followed",
--- a/tests/routed/test_tables.py
+++ b/tests/routed/test_tables.py
@@ -152,6 +152,28 @@
         for node in self.nodes.values():
             self.assertEqual("b" in node.replica.entries, node.alive)
 
+    def test_reader_that_does_not_answer_is_not_asked_again_and_again(self):
+        """It is heard of, but calls to it end in silence after most of a second."""
+        best = self.nodes[self.best_of("norte")]
+        calls = []
+
+        def silent(table, offset):
+            calls.append(self.clock.now)
+            self.clock.now += 0.8
+            raise PeerUnavailableError("timed out", step="call", peer=best.name)
+
+        best.rows = silent
+        follower = next(
+            node
+            for node in self.nodes.values()
+            if node is not best and node.reader._to_follow() == best.name
+        )
+        for _ in range(4):
+            follower.reader.step()
+            self.clock.now += 0.6
+        self.assertEqual(len(calls), 1)
+        self.assertTrue(follower.reader.reads)
+
     def test_reader_that_the_store_refuses_hands_over(self):
         best = self.best_of("norte")
         self.table.away_for.add(best)
