Add a fault soak of real nodes between proxies

Three nodes as processes, the store and eight servers as stand-ins behind loopback proxies; troubles drawn from a seed, in series and overlapping: nodes killed, paused, stopped and told to reload, the store busy, silent, losing answers, late or without its history, ways to the store and to servers that delay, reset, silence or drop answers, servers that vanish, come back in a new incarnation or answer wrongly. Checked from what callers and servers saw: bookings run once, refusals are true, answers whole and of the own request, no open group with a member in another one, deadlines, stops, recovery.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := $(wildcard packages/*) platform
 
-.PHONY: setup demo demo-platform test lint format faults bench capacity wire clean
+.PHONY: setup demo demo-platform test lint format faults soak bench capacity wire clean
 
 setup: $(VENV)/.ready
 
@@ -34,6 +34,9 @@
 faults: setup
 	$(BIN)/python -m tests.faults
 
+soak: setup
+	$(BIN)/python -m tests.soak --seeds $(or $(SEEDS),1-50)
+
 bench: setup
 	$(BIN)/python -m benchmarks
 
--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -91,10 +91,7 @@
     def __enter__(self):
         self._out.mkdir(parents=True, exist_ok=True)
         self._stack.callback(self._end_all)
-        self.store = free_addresses(1)[0]
-        command = [sys.executable, "-m", "standins", "users-platform"]
-        self._start("platform", [*command, "--address", self.store], {})
-        self.wait(self._store_answers, "the store answers")
+        self._start_platform()
         self.put("keyed.op", "config", routes())
         for number in range(self._count):
             self.add_node(f"edge-norte-{number + 1}")
@@ -103,14 +100,21 @@
     def __exit__(self, *exc_info):
         self._stack.close()
 
-    def add_node(self, name):
-        """Start a node."""
+    def _start_platform(self):
+        """Start the store and its servers."""
+        self.store = free_addresses(1)[0]
+        command = [sys.executable, "-m", "standins", "users-platform"]
+        self._start("platform", [*command, "--address", self.store], {})
+        self.wait(self._store_answers, "the store answers")
+
+    def add_node(self, name, store=None):
+        """Start a node, which reaches the store at ``store`` if that is named."""
         front, ready, directory, peer = free_addresses(4)
         self.nodes[name] = {"front": front, "ready": ready, "directory": directory}
         text = SETTINGS.format(
             node=name,
             peer_port=peer.rpartition(":")[2],
-            store=self.store,
+            store=store or self.store,
             **self.nodes[name],
         )
         path = self.settings_path(name)
--- a/standins/modelserver.py
+++ b/standins/modelserver.py
@@ -27,6 +27,7 @@
         self.faults = set()
         self.state = "ready"
         self.group = None
+        self.members = []
         self.models = []
         self.staged = []
         self.orders = []
@@ -35,6 +36,8 @@
         self.event_s = 0.02
         self.events = 10
         self.join_s = 0.1
+        # Where others reach it, if that is not its own address.
+        self.registered_address = None
         self._store = store
         self._entry = {"Service": service, "Zone": zone, "BatchSlots": slots}
         self._domain = domain
@@ -54,6 +57,11 @@
         """Return the address at which it serves."""
         return self._http.address
 
+    @property
+    def up(self):
+        """Return whether it runs."""
+        return self._http.up
+
     def start(self):
         """Serve and register."""
         self._http.start()
@@ -67,7 +75,8 @@
     def register(self):
         """Write the entry as it is now."""
         self._beats += 1
-        entry = {**self._entry, "Address": self.address, "State": self.state}
+        address = self.registered_address or self.address
+        entry = {**self._entry, "Address": address, "State": self.state}
         entry.update(Seqno=self._beats, born=self._born, WarmupLeftMs=0, Version="v1")
         if self._domain:
             entry.update(self._about_engine())
@@ -104,6 +113,7 @@
         if self.group and self.group["epoch"] == order["epoch"]:
             return 200
         self._newest_epoch = order["epoch"]
+        self.members = order["Members"]
         self.group = {
             "Name": order["group"],
             "epoch": order["epoch"],
