End without a complaint about the log's stream

Found by the fault soak's logs: at its end each node wrote a traceback, since the log handler closes its stream and the bounded writer had no such method.

--- a/packages/auburnwall-base/src/auburnwall/base/line_writer.py
+++ b/packages/auburnwall-base/src/auburnwall/base/line_writer.py
@@ -43,6 +43,9 @@
     def flush(self):
         """Do nothing; ``drain`` writes out at the end."""
 
+    def close(self):
+        """Do nothing; the descriptor is the process's own."""
+
     def drain(self, timeout_s):
         """Wait until all lines are written, for ``timeout_s`` at most."""
         with gevent.Timeout(timeout_s, False):
