--- a/packages/auburnwall-routing/src/auburnwall/routing/refusing.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/refusing.py
@@ -124,8 +124,11 @@
     """Return the ``Verdict`` on a request that finds no place."""
     expected_s, why = _next_place(outlook)
     wait_s = max(0.0, min(_limit(outlook), outlook.left_s))
+    hopeless = _is_hopeless(outlook)
+    if hopeless:
+        why = f"late, and places have been short for {outlook.short_s:.2f} s"
     return Verdict(
-        expected_s <= wait_s and not _is_hopeless(outlook),
+        expected_s <= wait_s and not hopeless,
         wait_s,
         _room(outlook, wait_s),
         _retry_after(outlook, expected_s),
--- a/tests/routing/test_deciding.py
+++ b/tests/routing/test_deciding.py
@@ -98,7 +98,9 @@
         self.assertFalse(self.late(ahead=20).wait)
 
     def test_late_caller_is_refused_at_once_while_places_are_short(self):
-        self.assertFalse(self.late(short_s=0.4).wait)
+        verdict = self.late(short_s=0.4)
+        self.assertFalse(verdict.wait)
+        self.assertIn("short for 0.40 s", verdict.why)
         self.assertTrue(self.outlook(short_s=0.4).wait)
 
     def test_broken_stream_looks_on_though_its_objective_has_passed(self):
