Keep servers behind a cut in their groups until their head is heard of

A data centre was cut off for 5.9 s; after 3 s its servers' entries lapsed, nobody else reached them, and the planner took their heads for gone and dissolved the groups, while the heads served callers of their own data centre. When the cut was over it gave the members to new groups within half a second, before the heads were heard of. Ruled out: two planners at once (one wrote, the other was refused by the condition).

A server counts as gone only while others of its data centre are heard of and have been for two seconds, and a head of which nothing is known frees nobody. Two tests, one failed before, the other one is of the new function.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/lifecycle.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/lifecycle.py
@@ -34,12 +34,16 @@
 
 
 class MemberView(NamedTuple):
-    """A member as the planner sees it; ``standing`` is its own newest word."""
+    """A member as the planner sees it; ``standing`` is its own newest word.
+
+    ``known`` tells that there is such a word, be it that it is in no group.
+    """
 
     server: str
     life: Life
     leaving: bool
     standing: object
+    known: bool = True
 
 
 class GroupView(NamedTuple):
@@ -149,6 +153,8 @@
     state = _state_in(group, head)
     if view.retired or head.life is Life.GONE or _has_moved_on(group, head):
         return Step({}, free=True)
+    if not head.known:
+        return NOTHING
     if not state and not view.pending:
         return Step({}, free=True)
     if state in (OPEN, CLOSING) and not group.at_once:
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/watch.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/watch.py
@@ -55,19 +55,22 @@
         """Return a ``MemberView``; ``out`` are the data centres to be left."""
         entry = self._registry.servers.get(member.server)
         if entry is not None and entry.born != member.born:
-            return MemberView(member.server, Life.GONE, False, entry.standing)
+            return MemberView(member.server, Life.GONE, False, entry.standing, True)
         doubted = self._doubted.get(group.name, 0.0) > self._clock.monotonic()
         if entry is None or doubted:
             self._ask(member)
         answers = self._answers.get(member.server)
         life = self._life(member, entry, answers, doubted)
         standing = entry.standing if entry else _standing_of(answers)
+        known = entry is not None or (
+            answers is not None and answers.report is not None
+        )
         leaving = (
             entry is None
             or self._registry.usable(member.server) is None
             or entry.data_center in out
         )
-        return MemberView(member.server, life, leaving, standing)
+        return MemberView(member.server, life, leaving, standing, known)
 
     def doubt_server(self, member):
         """Ask a server that has not answered an order."""
@@ -99,10 +102,21 @@
                 return Life.ALIVE
         failures = answers.failures if answers else 0
         if entry is None:
-            return Life.GONE if failures >= SILENT_AFTER else Life.ALIVE
+            return self._life_unregistered(member, failures)
         # Its streams stand still and it does not answer: two signs of the same.
         return Life.SILENT if doubted and failures else Life.ALIVE
 
+    def _life_unregistered(self, member, failures):
+        """Judge a server without an entry that has not answered ``failures`` times.
+
+        Where nothing is heard of its whole data centre, it may well be serving callers
+        there.
+        """
+        if failures < SILENT_AFTER:
+            return Life.ALIVE
+        is_gone = self._registry.is_in_touch(member.server)
+        return Life.GONE if is_gone else Life.SILENT
+
     def _ask(self, member):
         answers = self._answers.get(member.server)
         due_at = answers.asked_at + ASK_AGAIN_S if answers else 0.0
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
@@ -19,6 +19,14 @@
 # A gap between two readings that counts as an outage of the table.
 OUTAGE_S = 2.5
 
+# Silence of all servers of a data centre after which it counts as cut off, in seconds:
+# two heartbeats of a single server, and less than it takes an entry to lapse.
+SILENT_S = 2.5
+# Time after such a silence in which the servers that live have registered again.
+SETTLED_S = 2.0
+# Servers of which the data centre is remembered once they are gone.
+MOST_HOMES = 10_000
+
 
 class Standing(NamedTuple):
     """A server's own word of the group that it is in."""
@@ -70,6 +78,8 @@
         self._clock = clock
         self._bad = {}
         self._removed_at = {}
+        self._homes = {}
+        self._in_touch = {}
         self._last_read = None
         self._grace_until = 0.0
         replica.listeners.append(self._take)
@@ -131,6 +141,7 @@
             return
         self._removed_at.pop(entry.server, None)
         self.heard_at[entry.server] = self._clock.monotonic()
+        self._note_touch(entry)
         self._note_opened(entry)
         if entry.draining and self.left.get(entry.server) != entry.born:
             self.left[entry.server] = entry.born
@@ -156,6 +167,31 @@
         seen_epoch, since = self.opened.get(server, (None, None))
         return since if seen_epoch == epoch else None
 
+    def is_in_touch(self, server):
+        """Return whether a server that lives would have registered by now.
+
+        It would not while its data centre is cut off from the table: then no server of
+        it is heard of. A server that was never heard of is taken to be in touch.
+        """
+        data_center = self._homes.get(server)
+        if data_center is None:
+            return True
+        since, last = self._in_touch[data_center]
+        now = self._clock.monotonic()
+        return now - last <= SILENT_S and now - since >= SETTLED_S
+
+    def _note_touch(self, entry):
+        now = self._clock.monotonic()
+        since, last = self._in_touch.get(entry.data_center, (now, now))
+        if now - last > SILENT_S:
+            event("data centre in touch again", data_center=entry.data_center)
+            since = now
+        self._in_touch[entry.data_center] = (since, now)
+        self._homes.pop(entry.server, None)
+        self._homes[entry.server] = entry.data_center
+        if len(self._homes) > MOST_HOMES:
+            del self._homes[next(iter(self._homes))]
+
     def _note_opened(self, entry):
         standing = entry.standing
         if standing is None or standing.state != OPEN:
--- a/tests/fleet/test_conductor.py
+++ b/tests/fleet/test_conductor.py
@@ -10,6 +10,7 @@
     OrderOutcome,
     StageOrder,
 )
+from auburnwall.fleet.exceptions import EngineError
 from auburnwall.fleet.formation.conductor import Conductor
 from auburnwall.fleet.formation.records import FleetState, FleetWriter, Member
 from auburnwall.fleet.formation.watch import MemberWatch
@@ -59,11 +60,16 @@
     def __init__(self):
         self.orders = []
         self.silent = set()
+        self.standings = {}
 
     def report(self, server, address):
-        return MemberReport(1, None)
+        if server in self.silent:
+            raise EngineError("no answer", step="report", peer=server)
+        return MemberReport(1, self.standings.get(server))
 
     def give(self, server, address, order):
+        if server in self.silent:
+            raise EngineError("no answer", step="order", peer=server)
         self.orders.append((server, order))
         return OrderOutcome.BEGUN
 
@@ -309,6 +315,41 @@
         self.node.conductor.step()
         self.assertEqual({g.phase for g in self.groups().values()}, {"ending"})
 
+    def test_servers_behind_a_cut_stay_in_their_group_until_its_head_is_heard_of(self):
+        """A data centre is cut off for six seconds; its groups serve on in it."""
+        node, clock = self.node, self.clock
+        cut = {f"c{number}": "sur" for number in range(2)}
+        for number, name in enumerate(cut):
+            node.register(name, 20 + number, data_center="sur", domain="sur-d0")
+        node.writer.write_groups([], [], [("assist", "big", self.members(*cut))])
+        (group,) = (g for g in self.groups().values() if g.head.server == "c0")
+        standing = Standing(group.name, group.epoch, 0, "open")
+        node.register("c0", 30, data_center="sur", domain="sur-d0", standing=standing)
+        self.engine.standings["c0"] = standing
+        self.engine.silent |= set(cut)
+        offset = 40
+        for step in range(60):
+            clock.now += 0.1
+            offset += 1
+            node.register("s0", offset)
+            if step == 36:
+                for name in cut:
+                    offset += 1
+                    node.servers.learn(
+                        [TableRecord(offset, name, None)], offset + 1, 0.0
+                    )
+            node.registry.expire()
+            node.conductor.step()
+        self.engine.silent.clear()
+        node.register("c1", offset + 10, data_center="sur", domain="sur-d0")
+        for _ in range(3):
+            clock.now += 0.1
+            node.conductor.step()
+        self.assertIn(group.name, self.groups())
+
+    def members(self, *names):
+        return tuple(Member(name, 1, "127.0.0.1:1") for name in names)
+
     def test_servers_of_an_ended_group_wait_for_its_head(self):
         self.node.conductor.step()
         group = next(g for g in self.groups().values() if g.model == "big")
--- a/tests/fleet/test_registrations.py
+++ b/tests/fleet/test_registrations.py
@@ -102,3 +102,19 @@
         self.assertTrue(self.registry.is_cold("i-1"))
         self.clock.now += 2.1
         self.assertFalse(self.registry.is_cold("i-1"))
+
+    def test_data_centre_of_which_nothing_is_heard_is_not_in_touch(self):
+        """Its servers' entries lapse, and come back within two seconds of the cut."""
+        self.write("i-1", registration("i-1", data_center="sur"))
+        self.clock.now += 3.0
+        self.write("i-2", registration("i-2"))
+        self.assertFalse(self.registry.is_in_touch("i-1"))
+        self.write("i-1", None)
+        self.registry.expire()
+        self.write("i-3", registration("i-3", data_center="sur"))
+        self.assertFalse(self.registry.is_in_touch("i-1"))
+        for _ in range(3):
+            self.clock.now += 1.0
+            self.write("i-3", registration("i-3", data_center="sur"))
+        self.assertTrue(self.registry.is_in_touch("i-1"))
+        self.assertTrue(self.registry.is_in_touch("never heard of"))
