Name the queue's classes in plain terms

Hope, going on, hopeless and kept become wait class, resuming, refused at once and reserved; the placer's first steps are split. Behaviour as before.

--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -10,7 +10,7 @@
 from .admission import FairQueue, Waiting
 from .exceptions import OverloadedError
 from .placing import choose
-from .refusing import Hope, Outlook, Shortage, hope_of, judge
+from .refusing import Outlook, Shortage, WaitClass, judge, wait_class_of
 
 # Time between two tries to place what waits, while nothing else wakes the queue.
 TRY_AGAIN_S = 0.05
@@ -18,7 +18,7 @@
 MOST_WAITING = 256
 # Places of a model or service that late requests leave free while places are short:
 # the one that has just been given back, from which the next caller is served in time.
-KEPT_IN_TIME = 1
+RESERVED_IN_TIME = 1
 # Part of its objective that a request is expected to need at its server at most: where
 # most answers begin late, some still begin in time.
 MOST_START_PART = 0.7
@@ -31,29 +31,29 @@
     load: int
 
 
-class _OvertakenError(Exception):
-    """A waiting request has to give way to newer ones."""
+class _EvictedError(Exception):
+    """A waiting request has left its queue without a place."""
 
 
 class _Line:
-    """Who waits for one model or service, by what waiting can still win."""
+    """Those that wait for one model or service, a queue for each class."""
 
     def __init__(self):
         self.queues = {
-            Hope.GOING_ON: FairQueue(MOST_WAITING),
-            Hope.IN_TIME: FairQueue(MOST_WAITING, newest_first=True),
-            Hope.LATE: FairQueue(MOST_WAITING),
+            WaitClass.RESUMING: FairQueue(MOST_WAITING),
+            WaitClass.IN_TIME: FairQueue(MOST_WAITING, newest_first=True),
+            WaitClass.LATE: FairQueue(MOST_WAITING),
         }
         self.shortage = Shortage()
 
     def __len__(self):
         return sum(len(queue) for queue in self.queues.values())
 
-    def ahead(self, hope):
+    def ahead(self, wait_class):
         """Return how many requests are given places before a new one."""
-        if hope is Hope.IN_TIME:
-            return len(self.queues[Hope.GOING_ON])
-        return sum(len(queue) for at, queue in self.queues.items() if at <= hope)
+        if wait_class is WaitClass.IN_TIME:
+            return len(self.queues[WaitClass.RESUMING])
+        return sum(len(queue) for at, queue in self.queues.items() if at <= wait_class)
 
 
 class Placer:
@@ -82,27 +82,32 @@
         Raises ``OverloadedError`` as soon as it is known that none comes in time.
         """
         line = self._lines[request.service, request.model]
-        hope = self._hope(request, patience_s)
-        if hope is not Hope.LATE or not len(line):
-            place = self._try(request, avoid, self._kept(line, hope))
-        else:
-            place = None
-        if hope is Hope.IN_TIME:
-            if place := place or self._wait(request, avoid, line, hope):
-                line.shortage.note_placed()
-                return place
-            return self._place_late(request, avoid, line)
-        if place := place or self._wait(request, avoid, line, hope, patience_s):
-            return place
-        raise self._refusal(request, line, hope, patience_s)
+        wait_class = self._wait_class(request, patience_s)
+        place = self._try_first(request, avoid, line, wait_class)
+        if place is None:
+            outlook = self._outlook(request, line, wait_class, patience_s)
+            place = self._wait(request, avoid, line, outlook)
+        if wait_class is WaitClass.IN_TIME:
+            if place is None:
+                return self._place_late(request, avoid, line)
+            line.shortage.note_placed()
+        elif place is None:
+            raise self._refusal(request, line, wait_class, patience_s)
+        return place
 
     def _place_late(self, request, avoid, line):
         """Return a place for a request that found none while it could be in time."""
-        outlook = self._outlook(request, line, Hope.LATE)
+        outlook = self._outlook(request, line, WaitClass.LATE)
         self._note_missed(line)
-        if place := self._wait_as(request, avoid, line, outlook):
+        if place := self._wait(request, avoid, line, outlook):
             return place
-        raise self._refusal(request, line, Hope.LATE)
+        raise self._refusal(request, line, WaitClass.LATE)
+
+    def _try_first(self, request, avoid, line, wait_class):
+        """Return a place that is free now, unless others have to be given it first."""
+        if wait_class is WaitClass.LATE and len(line):
+            return None
+        return self._try(request, avoid, self._reserved(line, wait_class))
 
     def give_back(self, place):
         """Return a place and let the next request have it."""
@@ -112,21 +117,17 @@
     def pump(self):
         """Place what can be placed now."""
         for line in self._lines.values():
-            for hope, queue in line.queues.items():
-                while len(queue) and self._place_next(line, hope, queue):
+            for wait_class, queue in line.queues.items():
+                while len(queue) and self._place_next(line, wait_class, queue):
                     pass
 
-    def _wait(self, request, avoid, line, hope, patience_s=None):
-        outlook = self._outlook(request, line, hope, patience_s)
-        return self._wait_as(request, avoid, line, outlook)
-
-    def _wait_as(self, request, avoid, line, outlook):
+    def _wait(self, request, avoid, line, outlook):
         """Return a place, or ``None`` if it is not worth while to wait any longer."""
         verdict = judge(outlook)
         if not verdict.wait:
             return None
         waiting = Waiting(request, avoid, AsyncResult())
-        queue = line.queues[outlook.hope]
+        queue = line.queues[outlook.wait_class]
         _push(queue, waiting, verdict.room)
         until = self._clock.monotonic() + verdict.wait_s
         try:
@@ -137,7 +138,7 @@
                 if not self._clock.wait(waiting.result, min(left_s, TRY_AGAIN_S)):
                     self.pump()
             return waiting.result.get()
-        except _OvertakenError:
+        except _EvictedError:
             return None
         except BaseException:
             if waiting.result.successful():
@@ -151,16 +152,16 @@
         now = self._clock.monotonic()
         line.shortage.note_missed(now)
         if line.shortage.lasted(now):
-            queue = line.queues[Hope.LATE]
+            queue = line.queues[WaitClass.LATE]
             for waiting in queue.entries():
                 queue.discard(waiting)
-                waiting.result.set_exception(_OvertakenError())
+                waiting.result.set_exception(_EvictedError())
 
-    def _place_next(self, line, hope, queue):
+    def _place_next(self, line, wait_class, queue):
         """Place one of those that are next; return whether there was a place."""
         for waiting in queue.heads():
-            kept = self._kept(line, hope)
-            if place := self._try(waiting.request, waiting.avoid, kept):
+            reserved = self._reserved(line, wait_class)
+            if place := self._try(waiting.request, waiting.avoid, reserved):
                 queue.take(waiting)
                 waiting.result.set(place)
                 return True
@@ -168,15 +169,15 @@
                 break
         return False
 
-    def _kept(self, line, hope):
+    def _reserved(self, line, wait_class):
         """Return how many free places are kept for other requests."""
         is_short = line.shortage.lasted(self._clock.monotonic()) > 0
-        return KEPT_IN_TIME if hope is Hope.LATE and is_short else 0
+        return RESERVED_IN_TIME if wait_class is WaitClass.LATE and is_short else 0
 
-    def _try(self, request, avoid, kept):
+    def _try(self, request, avoid, reserved):
         world = self._world
         candidates = self._open_to(request, avoid)
-        found = choose(candidates, world.load, world.data_center, self._rng, kept)
+        found = choose(candidates, world.load, world.data_center, self._rng, reserved)
         if found is None:
             return None
         rate = world.cold_rate(found)
@@ -204,21 +205,23 @@
         rate = self._world.cold_rate(candidate)
         return rate is None or self._gate.may_send(candidate.server, rate)
 
-    def _hope(self, request, patience_s):
+    def _wait_class(self, request, patience_s):
         objective_s = request.objective_at - self._clock.monotonic()
-        return hope_of(objective_s, self._start_s(request), patience_s is not None)
+        return wait_class_of(
+            objective_s, self._start_s(request), patience_s is not None
+        )
 
     def _start_s(self, request):
         """Return how long a server is expected to take to begin its answer."""
         most_s = MOST_START_PART * request.route.objective_s
         return min(self._world.start_s(request), most_s)
 
-    def _outlook(self, request, line, hope, patience_s=None):
+    def _outlook(self, request, line, wait_class, patience_s=None):
         now = self._clock.monotonic()
         known = self._world.outlook(request)
         return Outlook(
-            hope=hope,
-            ahead=line.ahead(hope),
+            wait_class=wait_class,
+            ahead=line.ahead(wait_class),
             serving=known.serving,
             forming=known.forming,
             service_s=known.service_s,
@@ -229,16 +232,16 @@
             patience_s=patience_s,
         )
 
-    def _refusal(self, request, line, hope, patience_s=None):
+    def _refusal(self, request, line, wait_class, patience_s=None):
         """Log a refusal and return the error that tells when to come back."""
-        outlook = self._outlook(request, line, hope, patience_s)
+        outlook = self._outlook(request, line, wait_class, patience_s)
         verdict = judge(outlook)
         event(
             "request refused",
             request=request.request_id,
             step="place",
             model=request.model,
-            hope=hope.name.lower(),
+            wait_class=wait_class.name.lower(),
             waiting=len(line),
             short_s=round(outlook.short_s, 2),
             candidates=len(self._world.candidates(request)),
@@ -257,4 +260,4 @@
         shed.append(oldest)
     for entry in shed:
         if entry is not None:
-            entry.result.set_exception(_OvertakenError())
+            entry.result.set_exception(_EvictedError())
--- a/packages/auburnwall-routing/src/auburnwall/routing/placing.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placing.py
@@ -11,18 +11,18 @@
 SAMPLE = 4
 
 
-def choose(candidates, load_of, data_center, rng, kept=0):
+def choose(candidates, load_of, data_center, rng, reserved=0):
     """Return the best candidate with a free slot, or ``None``.
 
-    ``load_of`` gives the requests that a candidate has; ``kept`` of all free slots
-    together are not for this request.
+    ``load_of`` gives the requests that a candidate has; ``reserved`` of all free
+    slots together are not for this request.
     """
     free = [
         (candidate, load)
         for candidate in candidates
         if (load := load_of(candidate)) < candidate.slots
     ]
-    if sum(candidate.slots - load for candidate, load in free) <= kept:
+    if sum(candidate.slots - load for candidate, load in free) <= reserved:
         return None
     near = [pair for pair in free if pair[0].data_center == data_center]
     sample = rng.sample(near, min(SAMPLE, len(near)))
--- a/packages/auburnwall-routing/src/auburnwall/routing/refusing.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/refusing.py
@@ -37,14 +37,14 @@
 MOMENT_S = 0.001
 
 
-class Hope(IntEnum):
-    """What waiting can still win, in the order in which places are given out."""
+class WaitClass(IntEnum):
+    """Classes of waiting requests, in the order in which places are given to them."""
 
-    # A stream that has begun and broke off.
-    GOING_ON = 0
-    # An answer within the objective.
+    # Streams that have begun and broke off.
+    RESUMING = 0
+    # Requests that can still be answered within their objective.
     IN_TIME = 1
-    # An answer that is late.
+    # Requests whose answer will be late.
     LATE = 2
 
 
@@ -52,14 +52,13 @@
     """What is known when a request finds no place.
 
     ``ahead`` requests are given places before it; ``serving`` places are this node's
-    part of those in use, each taken for ``service_s``; ``forming`` groups are on their
-    way. A
-    server takes ``start_s`` until its answer begins. Requests have missed their
-    objective for want of a place for ``short_s``. ``patience_s`` is how long a stream
-    that broke off may look for another server. All times are in seconds.
+    part of those in use, each taken for ``service_s``; ``forming`` groups are not open
+    yet. A server takes ``start_s`` until its answer begins. Places have been short for
+    ``short_s``. ``patience_s`` is how long a stream that broke off may look for another
+    server. All times are in seconds.
     """
 
-    hope: Hope
+    wait_class: WaitClass
     ahead: int
     serving: float
     forming: int
@@ -113,22 +112,22 @@
     why: str
 
 
-def hope_of(objective_s, start_s, resumes):
-    """Return the ``Hope`` of a request that has ``objective_s`` until its objective."""
+def wait_class_of(objective_s, start_s, resumes):
+    """Return the ``WaitClass`` of a request whose objective is ``objective_s`` away."""
     if resumes:
-        return Hope.GOING_ON
-    return Hope.IN_TIME if objective_s > start_s else Hope.LATE
+        return WaitClass.RESUMING
+    return WaitClass.IN_TIME if objective_s > start_s else WaitClass.LATE
 
 
 def judge(outlook):
     """Return the ``Verdict`` on a request that finds no place."""
     expected_s, why = _next_place(outlook)
     wait_s = max(0.0, min(_limit(outlook), outlook.left_s))
-    hopeless = _is_hopeless(outlook)
-    if hopeless:
+    refused = _must_not_wait(outlook)
+    if refused:
         why = f"late, and places have been short for {outlook.short_s:.2f} s"
     return Verdict(
-        expected_s <= wait_s and not hopeless,
+        expected_s <= wait_s and not refused,
         wait_s,
         _room(outlook, wait_s),
         _retry_after(outlook, expected_s),
@@ -143,9 +142,13 @@
     return min(MOST_RETRY_AFTER_S, best_s)
 
 
-def _is_hopeless(outlook):
-    """Return whether all places go to requests that can still be in time."""
-    return outlook.hope is Hope.LATE and outlook.short_s > 0 and outlook.serving > 0
+def _must_not_wait(outlook):
+    """Return whether a late request is refused since places are short."""
+    return (
+        outlook.wait_class is WaitClass.LATE
+        and outlook.short_s > 0
+        and outlook.serving > 0
+    )
 
 
 def _next_place(outlook):
@@ -160,17 +163,17 @@
 
 def _limit(outlook):
     """Return how long it is worth while to wait, in seconds."""
-    if outlook.hope is Hope.GOING_ON:
+    if outlook.wait_class is WaitClass.RESUMING:
         return outlook.patience_s
     if outlook.serving <= 0 and outlook.forming:
         return FORMING_WAIT_S
-    if outlook.hope is Hope.IN_TIME:
+    if outlook.wait_class is WaitClass.IN_TIME:
         return WORTH_WAITING * (outlook.objective_s - outlook.start_s)
     return min(LATE_WAIT_S, LATE_SHARE * outlook.left_s)
 
 
 def _room(outlook, wait_s):
     """Return how many may wait so that each of them has a chance of a place."""
-    if outlook.serving <= 0 or outlook.hope is not Hope.IN_TIME:
+    if outlook.serving <= 0 or outlook.wait_class is not WaitClass.IN_TIME:
         return 2**31
     return max(1, int(wait_s * outlook.serving / outlook.service_s))
--- a/tests/routing/test_deciding.py
+++ b/tests/routing/test_deciding.py
@@ -8,11 +8,11 @@
 from auburnwall.routing.placing import choose
 from auburnwall.routing.refusing import (
     FORMING_WAIT_S,
-    Hope,
     Outlook,
     Shortage,
-    hope_of,
+    WaitClass,
     judge,
+    wait_class_of,
 )
 from auburnwall.routing.repeats import RepeatBudget
 from auburnwall.routing.routes import EngineSpec, ModelSpec
@@ -57,11 +57,11 @@
 
 class RefusingTests(unittest.TestCase):
     def outlook(self, **changes):
-        usual = Outlook(Hope.IN_TIME, 0, 20, 0, 1.5, 0.0, 6.0, 0.3)
+        usual = Outlook(WaitClass.IN_TIME, 0, 20, 0, 1.5, 0.0, 6.0, 0.3)
         return judge(usual._replace(**changes))
 
     def late(self, **changes):
-        return self.outlook(hope=Hope.LATE, objective_s=-1.0, **changes)
+        return self.outlook(wait_class=WaitClass.LATE, objective_s=-1.0, **changes)
 
     def test_burst_waits_only_as_long_as_it_can_be_in_time(self):
         """Full groups give a place every 75 ms; the objective is 0.3 s away."""
@@ -71,7 +71,7 @@
     def test_server_s_own_time_to_begin_is_no_time_to_wait(self):
         self.assertEqual(self.outlook(start_s=0.17).wait_s, 0.8 * (0.3 - 0.17))
         self.assertFalse(self.outlook(start_s=0.25).wait)
-        self.assertIs(hope_of(0.3, 0.31, False), Hope.LATE)
+        self.assertIs(wait_class_of(0.3, 0.31, False), WaitClass.LATE)
 
     def test_only_as_many_wait_as_places_come_in_time(self):
         self.assertEqual(self.outlook().room, 3)
@@ -105,7 +105,11 @@
 
     def test_broken_stream_looks_on_though_its_objective_has_passed(self):
         verdict = self.outlook(
-            hope=Hope.GOING_ON, ahead=3, objective_s=-1.0, short_s=2.0, patience_s=1.4
+            wait_class=WaitClass.RESUMING,
+            ahead=3,
+            objective_s=-1.0,
+            short_s=2.0,
+            patience_s=1.4,
         )
         self.assertEqual((verdict.wait, verdict.wait_s), (True, 1.4))
 
