--- a/benchmarks/routed.py
+++ b/benchmarks/routed.py
@@ -16,6 +16,7 @@
 from auburnwall.platform.servers import decode_registration
 from auburnwall.routing.routes import ModelSpec
 from auburnwall.wire.peer.ttypes import Pulse
+from standins.platformconfig import registration_entry
 
 from .slopes import fitted
 
@@ -27,22 +28,6 @@
 # Nodes, servers, and groups that one node has requests at.
 SIZES = ((7, 63, 21), (74, 220, 40), (1_000, 4_300, 60))
 LIMITS = "limits: 1.5% of a core, 9,000 bytes/s"
-ENTRY = {
-    "Service": "assist",
-    "Address": "10.9.0.7:8100",
-    "Zone": "norte",
-    "Version": "v3",
-    "BatchSlots": 9,
-    "State": "ready",
-    "Seqno": 4,
-    "WarmupLeftMs": 0,
-    "born": 1790000000123,
-    "Stage": "mixed",
-    "Models": [{"Name": "model-one", "Version": 1, "Adapters": []}],
-    "Domain": "norte-d1",
-    "Staged": ["model-two"],
-    "group": {"Name": "g71", "epoch": 71, "rank": 1, "State": "ready"},
-}
 MODELS = {
     "big": ModelSpec("big", 8, 1.0, 0.5, 16.0, 1.6),
     "small": ModelSpec("small", 2, 0.6, 0.5, 12.0, 1.1),
@@ -76,7 +61,7 @@
 def measure():
     """Return the measured slopes and figures by name."""
     texts = {groups: serialize(pulse_of(groups)) for groups in GROUPS}
-    data = json.dumps(ENTRY).encode()
+    data = json.dumps(registration_entry()).encode()
     return {
         "pulse bytes": fitted(
             "pulse", "bytes", "group", [(g, len(text)) for g, text in texts.items()]
--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -12,69 +12,18 @@
 
 import urllib3
 
-from .cluster import ENDS_WITHIN_S, POLL_S, STARTS_WITHIN_S, free_addresses
+from standins.platformconfig import (
+    CONFIG_KEY,
+    KEY,
+    OPERATOR_TOPIC,
+    READY_PATH,
+    SETTINGS,
+    request_headers,
+    resolve_path,
+    routes,
+)
 
-KEY = "demo-key"
-HOST = "shop.example"
-SETTINGS = """Node={node}
-Zone=norte
-Ip=127.0.0.1
-Listen.Front={front}
-Listen.Ready={ready}
-Listen.Directory={directory}
-PortRange={peer_port},{peer_port}
-Bounds.GraceS=4
-Bounds.BudgetRatio=0.2
-Bounds.BudgetSlack=50
-Bounds.BudgetWindowS=10
-Platform.Address={store}
-"""
-
-
-def routes():
-    """Return the demo's configuration in the platform's form."""
-    usual = {"Host": HOST, "TimeoutMs": 5000, "SloMs": 300, "GapSloMs": 200}
-    engine = {
-        "BatchSlots": 9,
-        "KvCapacity": 900000,
-        "Models": [{"Name": "big", "size": 2, "Share": 1.0, "LoadS": 1, "WarmS": 0.2}],
-        "step_ms": 8.0,
-        "per_seq_ms": 0.2,
-        "context_per_k": 0.02,
-        "read_per_s": 50000.0,
-        "pairs_per_m": 0.4,
-        "LoadsPerS": 5.0,
-        "loads_at_once": 7,
-    }
-    return {
-        "Version": 1,
-        "Routes": [
-            {
-                **usual,
-                "Name": "ask",
-                "PathPrefix": "/ask/",
-                "Type": "streaming",
-                "Service": "assist",
-                "Attempts": 2,
-                "Resumable": True,
-                "Affinity": True,
-            },
-            {
-                **usual,
-                "Name": "book",
-                "PathPrefix": "/book/",
-                "Type": "mutating",
-                "Service": "desk",
-                "Attempts": 1,
-            },
-        ],
-        "Services": [
-            {"Name": "assist", "HealthPath": "/healthz", "Engine": engine},
-            {"Name": "desk", "HealthPath": "/healthz"},
-        ],
-        "Limits": {},
-        "Tenants": [{"Name": "blue", "ApiKeys": [KEY]}],
-    }
+from .cluster import ENDS_WITHIN_S, POLL_S, STARTS_WITHIN_S, free_addresses
 
 
 class PlatformCluster:
@@ -92,7 +41,7 @@
         self._out.mkdir(parents=True, exist_ok=True)
         self._stack.callback(self._end_all)
         self._start_platform()
-        self.put("keyed.op", "config", routes())
+        self.put(OPERATOR_TOPIC, CONFIG_KEY, routes())
         for number in range(self._count):
             self.add_node(f"edge-norte-{number + 1}")
         return self
@@ -149,14 +98,14 @@
     def ready(self, node):
         """Return whether a node says that it is ready."""
         try:
-            url = f"http://{self.nodes[node]['ready']}/-/readyz"
+            url = f"http://{self.nodes[node]['ready']}{READY_PATH}"
             return self._http.request("GET", url).status == 200
         except urllib3.exceptions.HTTPError:
             return False
 
     def named(self, node):
         """Return the addresses that a node's directory names."""
-        url = f"http://{self.nodes[node]['directory']}/-/resolve?Name={HOST}&Zone=norte"
+        url = f"http://{self.nodes[node]['directory']}{resolve_path('norte')}"
         return self._http.request("GET", url).json().get("Addresses", [])
 
     def metrics(self, node):
@@ -167,8 +116,7 @@
     def ask(self, node, request_id, path="/ask/x", key=KEY):
         """Return status and body of a request to a node."""
         conn = http.client.HTTPConnection(self.nodes[node]["front"], timeout=8.0)
-        headers = {"Host": HOST, "X-Attempt-Id": request_id, "X-Model": "big"}
-        headers["Authorization"] = f"Bearer {key}"
+        headers = request_headers(request_id, key)
         try:
             conn.request("POST", path, body=b"{}", headers=headers)
             resp = conn.getresponse()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from demo.platform_cluster import HOST, KEY
+from standins.platformconfig import request_headers
 
 from .plan import NODES
 
@@ -73,13 +73,8 @@
 
 def _exchange(conn, kind, request_id):
     """Return the status of one exchange and what is wrong with its answer."""
-    headers = {
-        "Host": HOST,
-        "X-Attempt-Id": request_id,
-        "X-Model": "big",
-        "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
-        "Authorization": f"Bearer {KEY}",
-    }
+    headers = request_headers(request_id)
+    headers["X-Deadline-Ms"] = str(int(DEADLINE_S * 1000))
     conn.request("POST", f"/{kind}/{request_id}", body=b"{}", headers=headers)
     resp = conn.getresponse()
     body = resp.read()
