--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -91,6 +91,10 @@
         """Send a signal to a node."""
         self._processes[node].send_signal(number)
 
+    def process(self, node):
+        """Return a node's process, the present one."""
+        return self._processes[node]
+
     def exit_code(self, node):
         """Return a node's exit code, ``None`` while it runs."""
         return self._processes[node].poll()
--- a/standins/modelserver.py
+++ b/standins/modelserver.py
@@ -69,7 +69,8 @@
 
     def stop(self):
         """Vanish without a word."""
-        self._task.kill()
+        if self._task is not None:
+            self._task.kill()
         self._http.cut()
 
     def register(self):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -66,7 +66,7 @@
 
     def _watch_stop(self, trouble):
         """Check that a node that is told to stop ends by itself within its grace."""
-        process = self.world._processes[trouble.target]
+        process = self.world.process(trouble.target)
         until = time.monotonic() + GRACE_S + SLACK_S
         while process.poll() is None and time.monotonic() < until:
             gevent.sleep(WATCH_S)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,8 +4,11 @@
 import subprocess
 import sys
 import unittest
+from types import SimpleNamespace
 
+from .callers import Outcome
 from .plan import MOST_NODES_DOWN, NODE_KINDS, draw
+from .run import Soak, _torn
 
 SEED = 1
 # Seeds that found a fault, with a line on its cause.
@@ -30,6 +33,50 @@
                 self.assertLessEqual(len(beside), MOST_NODES_DOWN)
 
 
+class CheckTests(unittest.TestCase):
+    """Each check, on what it is there to find."""
+
+    def broken(self, outcome, runs, paused=()):
+        """Return what is found in one bad outcome among many good ones."""
+        soak = Soak(SEED, "unused")
+        soak.world = SimpleNamespace(runs=lambda name: runs if name == "bad" else 1)
+        soak._paused = list(paused)
+        good = Outcome("good", "ask", "edge-1", 200, "", 10.0, 0.2)
+        soak._check([outcome, *[good] * 9])
+        return soak.broken
+
+    def outcome(self, **changes):
+        bad = Outcome("bad", "book", "edge-1", 200, "", 10.0, 0.2)
+        return bad._replace(**changes)
+
+    def test_good_outcome(self):
+        self.assertEqual(self.broken(self.outcome(), 1), [])
+
+    def test_booking_that_ran_twice(self):
+        self.assertEqual(len(self.broken(self.outcome(), 2)), 1)
+
+    def test_refusal_of_what_ran(self):
+        self.assertEqual(len(self.broken(self.outcome(status=503), 1)), 1)
+        self.assertEqual(self.broken(self.outcome(status=503), 0), [])
+
+    def test_request_held_past_its_deadline(self):
+        held = self.outcome(took_s=4.5)
+        self.assertEqual(len(self.broken(held, 1)), 1)
+        self.assertEqual(self.broken(held, 1, [("edge-1", 10.5, 13.0)]), [])
+        self.assertEqual(len(self.broken(held, 1, [("edge-2", 10.5, 13.0)])), 1)
+
+    def test_answer_that_is_not_whole(self):
+        self.assertEqual(len(self.broken(self.outcome(fault="pieces []"), 1)), 1)
+
+    def test_open_group_with_a_member_in_a_later_one(self):
+        def server(name, epoch):
+            return SimpleNamespace(server=name, group={"epoch": epoch})
+
+        members = [server("a", 4), server("b", 9)]
+        self.assertEqual(len(list(_torn(server("a", 4), members))), 1)
+        self.assertEqual(list(_torn(server("a", 9), members)), [])
+
+
 class SoakTests(unittest.TestCase):
     def test_short_run(self):
         for seed in (SEED, *REGRESSIONS):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,7 +1,6 @@
 """Nodes as processes, between them and the platform's stand-ins proxies."""
 
 import signal
-from contextlib import ExitStack, suppress
 
 import gevent
 
@@ -140,13 +139,5 @@
 
     def _end_all(self):
         for server in self.servers.values():
-            with suppress(AttributeError):
-                server.stop()
+            server.stop()
         super()._end_all()
-
-
-def stack_of(world):
-    """Return an exit stack that ends ``world``."""
-    stack = ExitStack()
-    stack.enter_context(world)
-    return stack
