--- a/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
@@ -25,7 +25,7 @@
 # Time after such a silence in which the servers that live have registered again.
 SETTLED_S = 2.0
 # Servers of which the data centre is remembered once they are gone.
-MOST_HOMES = 10_000
+MOST_REMEMBERED = 10_000
 
 
 class Standing(NamedTuple):
@@ -78,7 +78,7 @@
         self._clock = clock
         self._bad = {}
         self._removed_at = {}
-        self._homes = {}
+        self._data_centers = {}
         self._in_touch = {}
         self._last_read = None
         self._grace_until = 0.0
@@ -173,7 +173,7 @@
         It would not while its data centre is cut off from the table: then no server of
         it is heard of. A server that was never heard of is taken to be in touch.
         """
-        data_center = self._homes.get(server)
+        data_center = self._data_centers.get(server)
         if data_center is None:
             return True
         since, last = self._in_touch[data_center]
@@ -187,10 +187,10 @@
             event("data centre in touch again", data_center=entry.data_center)
             since = now
         self._in_touch[entry.data_center] = (since, now)
-        self._homes.pop(entry.server, None)
-        self._homes[entry.server] = entry.data_center
-        if len(self._homes) > MOST_HOMES:
-            del self._homes[next(iter(self._homes))]
+        self._data_centers.pop(entry.server, None)
+        self._data_centers[entry.server] = entry.data_center
+        if len(self._data_centers) > MOST_REMEMBERED:
+            del self._data_centers[next(iter(self._data_centers))]
 
     def _note_opened(self, entry):
         standing = entry.standing
