Take ports of test clusters from where no connection takes them

The port was chosen by asking for a free one and letting it go, and some other process's connection had it before the node listened. Ports below the range of outgoing connections cannot be taken that way.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -2,11 +2,12 @@
 
 import json
 import os
+import random
 import socket
 import subprocess
 import sys
 import time
-from contextlib import ExitStack, closing
+from contextlib import ExitStack, closing, suppress
 from pathlib import Path
 from typing import NamedTuple
 
@@ -15,6 +16,8 @@
 STARTS_WITHIN_S = 20.0
 ENDS_WITHIN_S = 20.0
 POLL_S = 0.05
+# Ports of the processes that a cluster starts.
+PORTS = (12_000, 32_000)
 
 
 class VmSpec(NamedTuple):
@@ -26,12 +29,20 @@
 
 
 def free_addresses(count):
-    """Return loopback addresses that nobody listens on."""
+    """Return loopback addresses that nobody listens on.
+
+    They are below the ports that outgoing connections get, one of which could take an
+    address before its process listens there.
+    """
     with ExitStack() as stack:
-        sockets = [stack.enter_context(closing(socket.socket())) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return ["{}:{}".format(*sock.getsockname()) for sock in sockets]
+        addresses = []
+        while len(addresses) < count:
+            sock = stack.enter_context(closing(socket.socket()))
+            address = "127.0.0.1", random.randrange(*PORTS)
+            with suppress(OSError):
+                sock.bind(address)
+                addresses.append("{}:{}".format(*address))
+        return addresses
 
 
 class Cluster:
