--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,8 +14,8 @@
 SEED = 1
 # Seeds that ever failed, with the cause.
 REGRESSIONS = {
-    5: "servers that had vanished counted as open; once a node took 4 s to end after its "
-    "last line, while the whole machine stood still (its nodes logged pauses of 3 s)",
+    5: "servers that had vanished counted as open; once a node took 4 s to end after "
+    "its last line, while the machine stood still (its nodes logged pauses of 3 s)",
     11: "the time in which a node is paused counted against its requests",
 }
 # The same, played by hand: ``make soak SEEDS=3,6,32,43``.
