Let both test clusters start and end processes with the same code

The platform's cluster had its own copy of starting, logging, signalling, waiting for and ending processes, and the soak one of the time after which a registration lapses. The engine's specification that two test modules wrote out, and the one of the front's tests, stand once. The store's stand-in counted calls that nobody read. Checks and assertions are as before.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -16,6 +16,7 @@
 STARTS_WITHIN_S = 20.0
 ENDS_WITHIN_S = 20.0
 POLL_S = 0.05
+UNBUFFERED = {"PYTHONUNBUFFERED": "1"}
 # Ports of the processes that a cluster starts.
 PORTS = (12_000, 32_000)
 
@@ -45,8 +46,52 @@
         return addresses
 
 
-class Cluster:
-    """Stand-ins and nodes as processes; leaving the context ends them all."""
+class Processes:
+    """Processes whose output goes to files in ``out``; leaving the context ends them.
+
+    Derived classes start theirs in ``_start_all``.
+    """
+
+    def __init__(self, out):
+        self._out = Path(out)
+        self._stack = ExitStack()
+        self._processes = {}
+        self._http = urllib3.PoolManager(retries=False, timeout=5.0)
+
+    def __enter__(self):
+        self._out.mkdir(parents=True, exist_ok=True)
+        self._stack.callback(self._end_all)
+        self._start_all()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stack.close()
+
+    def signal(self, name, number):
+        """Send a signal to a process of this cluster."""
+        self._processes[name].send_signal(number)
+
+    def _start(self, name, command, environ):
+        log = self._stack.enter_context((self._out / f"{name}.log").open("ab"))
+        self._processes[name] = subprocess.Popen(
+            command,
+            stdout=log,
+            stderr=log,
+            stdin=subprocess.DEVNULL,
+            cwd=Path(__file__).parent.parent,
+            env={**os.environ, **environ},
+        )
+
+    def _end_all(self):
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self._processes.values():
+            process.wait(ENDS_WITHIN_S)
+
+
+class Cluster(Processes):
+    """Stand-ins and nodes as processes."""
 
     def __init__(
         self,
@@ -59,16 +104,13 @@
         engine_flags=(),
         **node_flags,
     ):
+        super().__init__(out)
         self.data_centers = data_centers
         self.engines = {vm.name: vm for vm in engines}
         self.desks = {vm.name: vm for vm in desks}
         self.nodes = {}
-        self._out = Path(out)
         self._engine_flags = engine_flags
         self._flags = node_flags
-        self._processes = {}
-        self._stack = ExitStack()
-        self._http = urllib3.PoolManager(retries=False, timeout=5.0)
         names = ["log", "vm-list", "weight-store", "engines"]
         addresses = iter(
             free_addresses(len(names) + len(engines) + len(desks) + 2 * node_count)
@@ -82,9 +124,7 @@
             center = data_centers[number % len(data_centers)]
             self.nodes[name] = (center, next(addresses), next(addresses))
 
-    def __enter__(self):
-        self._out.mkdir(parents=True, exist_ok=True)
-        self._stack.callback(self._end_all)
+    def _start_all(self):
         for name in ("log", "vm-list", "weight-store"):
             self._standin(name, name, self.addresses[name])
         members = ",".join(f"{vm}={self.vm_addresses[vm]}" for vm in self.engines)
@@ -103,10 +143,6 @@
         for address in (*self.addresses.values(), *self.vm_addresses.values()):
             wait_for_port(address)
         self.post("vm-list", "/_vms", {"vms": [self._row(v) for v in self._vms()]})
-        return self
-
-    def __exit__(self, *exc_info):
-        self._stack.close()
 
     def url(self, name):
         """Return the URL of a stand-in."""
@@ -135,7 +171,8 @@
             **self._flags,
         }
         program = str(Path(sys.executable).with_name("auburnwalld"))
-        self._start(name, [program, *(f"--{k}={v}" for k, v in flags.items())])
+        command = [program, *(f"--{k}={v}" for k, v in flags.items())]
+        self._start(name, command, UNBUFFERED)
         wait_for_port(address)
 
     def operate(self, *arguments):
@@ -154,10 +191,6 @@
         """Return the process id of a process of this cluster."""
         return self._processes[name].pid
 
-    def signal(self, name, number):
-        """Send a signal to a process of this cluster."""
-        self._processes[name].send_signal(number)
-
     def wait_end(self, name, timeout_s=ENDS_WITHIN_S):
         """Wait for a process to end and return its exit code."""
         return self._processes[name].wait(timeout_s)
@@ -174,25 +207,7 @@
 
     def _standin(self, name, kind, address, *more):
         command = [sys.executable, "-m", "standins", kind, "--address", address, *more]
-        self._start(name, command)
-
-    def _start(self, name, command):
-        log = self._stack.enter_context((self._out / f"{name}.log").open("ab"))
-        self._processes[name] = subprocess.Popen(
-            command,
-            stdout=log,
-            stderr=log,
-            stdin=subprocess.DEVNULL,
-            cwd=Path(__file__).parent.parent,
-            env={**os.environ, "PYTHONUNBUFFERED": "1"},
-        )
-
-    def _end_all(self):
-        for process in self._processes.values():
-            if process.poll() is None:
-                process.kill()
-        for process in self._processes.values():
-            process.wait(ENDS_WITHIN_S)
+        self._start(name, command, UNBUFFERED)
 
 
 def wait_for_port(address):
--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -2,13 +2,7 @@
 
 import http.client
 import json
-import os
-import signal
-import subprocess
 import sys
-import time
-from contextlib import ExitStack
-from pathlib import Path
 
 import urllib3
 
@@ -23,31 +17,22 @@
     routes,
 )
 
-from .cluster import ENDS_WITHIN_S, POLL_S, STARTS_WITHIN_S, free_addresses
+from .cluster import STARTS_WITHIN_S, Processes, free_addresses, wait_until
 
 
-class PlatformCluster:
-    """A stand-in platform and nodes as processes; leaving the context ends them."""
+class PlatformCluster(Processes):
+    """A stand-in platform and nodes as processes."""
 
     def __init__(self, node_count, out):
+        super().__init__(out)
         self.nodes = {}
         self._count = node_count
-        self._out = Path(out)
-        self._stack = ExitStack()
-        self._processes = {}
-        self._http = urllib3.PoolManager(retries=False, timeout=5.0)
-
-    def __enter__(self):
-        self._out.mkdir(parents=True, exist_ok=True)
-        self._stack.callback(self._end_all)
+
+    def _start_all(self):
         self._start_platform()
         self.put(OPERATOR_TOPIC, CONFIG_KEY, routes())
         for number in range(self._count):
             self.add_node(f"edge-norte-{number + 1}")
-        return self
-
-    def __exit__(self, *exc_info):
-        self._stack.close()
 
     def _start_platform(self):
         """Start the store and its servers."""
@@ -87,10 +72,6 @@
         """Let the store be in trouble, or not with an empty name."""
         self._post("/standin/trouble", {"trouble": trouble})
 
-    def signal(self, node, number):
-        """Send a signal to a node."""
-        self._processes[node].send_signal(number)
-
     def process(self, node):
         """Return a node's process, the present one."""
         return self._processes[node]
@@ -135,11 +116,7 @@
 
     def wait(self, holds, what, timeout_s=STARTS_WITHIN_S):
         """Wait until ``holds()`` is true; raise ``TimeoutError``."""
-        deadline = time.monotonic() + timeout_s
-        while not holds():
-            if time.monotonic() >= deadline:
-                raise TimeoutError(f"not in time: {what}")
-            time.sleep(POLL_S)
+        wait_until(holds, timeout_s, what)
 
     def _store_answers(self):
         try:
@@ -150,21 +127,3 @@
 
     def _post(self, path, body):
         self._http.request("POST", f"http://{self.store}{path}", json=body)
-
-    def _start(self, name, command, environ):
-        log = self._stack.enter_context((self._out / f"{name}.log").open("ab"))
-        self._processes[name] = subprocess.Popen(
-            command,
-            stdout=log,
-            stderr=log,
-            stdin=subprocess.DEVNULL,
-            cwd=Path(__file__).parent.parent,
-            env={**os.environ, **environ},
-        )
-
-    def _end_all(self):
-        for process in self._processes.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGKILL)
-        for process in self._processes.values():
-            process.wait(ENDS_WITHIN_S)
--- a/standins/store.py
+++ b/standins/store.py
@@ -24,7 +24,6 @@
     def __init__(self, address="127.0.0.1:0", late_s=0.5):
         self.trouble = ""
         self.late_s = late_s
-        self.calls = defaultdict(int)
         self._topics = defaultdict(list)
         self._first = defaultdict(int)
         self._changed = Event()
@@ -65,7 +64,6 @@
             gevent.sleep(60)
 
     def _append(self):
-        self.calls["append"] += 1
         self._refuse()
         query = bottle.request.query
         data, at = bottle.request.body.read(), query.get("At")
@@ -90,7 +88,6 @@
         return offset
 
     def _read(self):
-        self.calls["read"] += 1
         self._refuse()
         query = bottle.request.query
         topic, start = query["Topic"], int(query["From"])
@@ -105,7 +102,6 @@
         return body + b"".join(map(_frame, records[start:]))
 
     def _newest(self):
-        self.calls["newest"] += 1
         self._refuse()
         query = bottle.request.query
         entries = sorted(self.newest(query["Topic"]).items())
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -25,6 +25,7 @@
 from auburnwall.routing.starting import StartTimes
 from auburnwall.routing.warmup import WarmupGate
 from standins.modelserver import ModelServerStandin
+from standins.platformconfig import routes
 from standins.store import StoreStandin
 
 KEY = "callers-key"
@@ -48,16 +49,7 @@
 
 def config(**limits):
     """Return a configuration in the platform's form."""
-    engine = {
-        "BatchSlots": 9,
-        "KvCapacity": 900000,
-        "Models": [{"Name": "big", "size": 2, "LoadS": 1.0, "WarmS": 0.2}],
-        "step_ms": 8.0,
-        "per_seq_ms": 0.2,
-        "context_per_k": 0.02,
-        "read_per_s": 50000.0,
-        "pairs_per_m": 0.4,
-    }
+    engine = routes()["Services"][0]["Engine"]
     return {
         "Version": 3,
         "Routes": [
--- a/tests/routed/test_demand.py
+++ b/tests/routed/test_demand.py
@@ -4,26 +4,10 @@
 from types import SimpleNamespace
 
 from auburnwall.node.routed.demand import FEW_ANSWERS, DemandMeter
-from auburnwall.routing.routes import EngineSpec, ModelSpec
 from auburnwall.routing.stepmodel import Work, group_share
+from tests.routing.engine import ENGINE, MODEL
 from tests.state.test_table import FakeClock
 
-MODEL = ModelSpec("big", 4, 1.0, 0.5, 16.0, 1.6)
-ENGINE = EngineSpec(
-    9,
-    {"big": MODEL},
-    0.0078,
-    0.000179,
-    1.8e-8,
-    1 / 45_900,
-    4.3e-10,
-    5,
-    5.0,
-    7,
-    979,
-    154,
-)
-
 
 class DemandTests(unittest.TestCase):
     def setUp(self):
--- a/tests/routing/test_deciding.py
+++ b/tests/routing/test_deciding.py
@@ -4,7 +4,7 @@
 import unittest
 
 from auburnwall.fleet.board import Candidate
-from auburnwall.routing.eventstream import EventSplitter
+from auburnwall.routing.eventstream import NumberedEventSplitter
 from auburnwall.routing.placing import choose
 from auburnwall.routing.refusing import (
     FORMING_WAIT_S,
@@ -15,10 +15,10 @@
     wait_class_of,
 )
 from auburnwall.routing.repeats import RepeatBudget
-from auburnwall.routing.routes import EngineSpec, ModelSpec
 from auburnwall.routing.starting import StartTimes
 from auburnwall.routing.stepmodel import Work, group_share, service_time
 from auburnwall.routing.warmup import MOST_SENDERS, WarmupGate
+from tests.routing.engine import ENGINE, MODEL
 from tests.state.test_table import FakeClock
 
 
@@ -223,35 +223,19 @@
 
 
 class StepModelTests(unittest.TestCase):
-    ENGINE = EngineSpec(
-        9,
-        {},
-        0.0078,
-        0.000179,
-        1.8e-8,
-        1 / 45_900,
-        4.3e-10,
-        5,
-        5.0,
-        7,
-        979,
-        154,
-    )
-    MODEL = ModelSpec("big", 4, 1.0, 0.5, 16.0, 1.6)
-
     def test_more_requests_make_each_one_slower_and_the_group_faster(self):
         work = Work(979, 154)
-        alone = service_time(self.ENGINE, self.MODEL, work, 1)
-        full = service_time(self.ENGINE, self.MODEL, work, 9)
+        alone = service_time(ENGINE, MODEL, work, 1)
+        full = service_time(ENGINE, MODEL, work, 9)
         self.assertLess(alone, full)
-        self.assertLess(group_share(self.ENGINE, self.MODEL, work), alone)
+        self.assertLess(group_share(ENGINE, MODEL, work), alone)
 
     def test_pace_of_the_model_counts(self):
-        fast = self.MODEL._replace(pace=0.6)
+        fast = MODEL._replace(pace=0.6)
         work = Work(979, 154)
         self.assertAlmostEqual(
-            service_time(self.ENGINE, fast, work, 4),
-            0.6 * service_time(self.ENGINE, self.MODEL, work, 4),
+            service_time(ENGINE, fast, work, 4),
+            0.6 * service_time(ENGINE, MODEL, work, 4),
         )
 
 
@@ -260,7 +244,7 @@
 
     def test_any_cut_of_the_bytes_gives_the_same_events(self):
         for size in range(1, 12):
-            splitter, out = EventSplitter(), b""
+            splitter, out = NumberedEventSplitter(), b""
             for at in range(0, len(self.STREAM), size):
                 out += splitter.feed(self.STREAM[at : at + size])
             self.assertEqual(out, self.STREAM)
@@ -268,12 +252,12 @@
             self.assertFalse(splitter.pending)
 
     def test_part_of_an_event_is_kept_back(self):
-        splitter = EventSplitter()
+        splitter = NumberedEventSplitter()
         self.assertEqual(splitter.feed(self.STREAM[:20]), b"id: 1\ndata: a\n\n")
         self.assertEqual(splitter.last_id, "1")
         self.assertTrue(splitter.pending)
 
     def test_data_that_looks_like_an_id_is_none(self):
-        splitter = EventSplitter()
+        splitter = NumberedEventSplitter()
         splitter.feed(b"id: 4\ndata: id: 7\n\n")
         self.assertEqual(splitter.last_id, "4")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -7,12 +7,11 @@
 from demo.platform_cluster import PlatformCluster
 from standins.modelserver import TOPIC, ModelServerStandin
 from standins.store import StoreStandin
+from standins.usersplatform import LAPSE_S
 
 from .plan import DESKS, ENGINES, NODES
 from .proxy import TroubledProxy
 
-# Silence after which a registration is removed, in seconds: three beats.
-LAPSE_S = 1.2
 HISTORY_TOPICS = ("keyed.op", "keyed.servers", "keyed.auburnwall")
 
 
@@ -27,13 +26,11 @@
         self.store_ways = {}
         self._lapses = {}
 
-    def __enter__(self):
-        super().__enter__()
+    def _start_all(self):
+        super()._start_all()
         for name in NODES:
-            way = self._way(lambda: self.store)
-            self.store_ways[name] = way
+            self.store_ways[name] = self._way(lambda: self.store)
             self.start_node(name)
-        return self
 
     def _start_platform(self):
         self.store_standin = StoreStandin()
