Call what the project already had instead of writing it again

- Servers, bodies within a limit and their error: one function each for both front ends (node/webserver).
- Registry, gauges and exposition of metrics: one base class for both nodes.
- Whole events of a stream: one splitter, which the routed path extends by ids and counts.
- The key in an Authorization header: one reader.
- Sockets that notice vanished peers: one function, and the callers' figures have names.
- Headers of one name are joined by urllib3's own type instead of by hand.
Two tests of what a server gets were written for this and pass before and after.
- The planner's filter of services with engines, and the fields of its two log lines on orders, stand once.

Behaviour as before.

--- a/packages/auburnwall-base/src/auburnwall/base/http.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http.py
@@ -7,17 +7,30 @@
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 
-# Milliseconds after which the kernel gives up data that the peer does not confirm.
-UNCONFIRMED_MS = 2_000
-# A silent connection is probed after 1 s, three times, 1 s apart: a peer that has
-# vanished is noticed within 4 s, also where no time limit of a caller applies.
+# Unanswered probes after which a silent connection is given up.
+PROBES = 3
+
+
+def keepalive_options(*, probe_s, unconfirmed_ms):
+    """Return socket options by which the kernel notices that a peer has vanished.
+
+    A connection that is silent for ``probe_s`` is probed as often; data that the peer
+    does not confirm for ``unconfirmed_ms`` ends it as well.
+    """
+    return (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, probe_s),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, probe_s),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unconfirmed_ms),
+    )
+
+
+# A server that has vanished is noticed within 4 s, also where no time limit of a
+# caller applies.
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNCONFIRMED_MS),
+    *keepalive_options(probe_s=1, unconfirmed_ms=2_000),
 )
 
 
--- a/packages/auburnwall-base/src/auburnwall/base/metrics.py
+++ b/packages/auburnwall-base/src/auburnwall/base/metrics.py
@@ -53,11 +53,26 @@
         yield family
 
 
-class Metrics:
-    """All metrics of one process, in a registry of their own."""
+class MetricsRegistry:
+    """Metrics of one process, in a registry of their own."""
 
     def __init__(self):
         self.registry = CollectorRegistry()
+
+    def gauge(self, name, documentation, function):
+        """Expose the value of ``function`` at the time of scraping."""
+        Gauge(name, documentation, registry=self.registry).set_function(function)
+
+    def exposition(self):
+        """Return the text that scrapers read."""
+        return generate_latest(self.registry)
+
+
+class Metrics(MetricsRegistry):
+    """All metrics of one process."""
+
+    def __init__(self):
+        super().__init__()
         self.requests = Counter(
             "auburnwall_requests",
             "Requests by target, team and status.",
@@ -76,11 +91,3 @@
         )
         self.registry.register(self.first_token)
         self.registry.register(self.duration)
-
-    def gauge(self, name, documentation, function):
-        """Expose the value of ``function`` at the time of scraping."""
-        Gauge(name, documentation, registry=self.registry).set_function(function)
-
-    def exposition(self):
-        """Return the text that scrapers read."""
-        return generate_latest(self.registry)
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/conductor.py
@@ -94,11 +94,7 @@
         if self._plans_from is None:
             self._plans_from = self._clock.monotonic()
             self._own_epochs_from = self._state.replica.end
-        engines = {
-            service.name: service.engine
-            for service in config.services.values()
-            if service.engine
-        }
+        engines = _engines(config)
         views = self._views(engines)
         steps = {name: next_step(view) for name, view in views.items()}
         ends = self._ends(views, steps)
@@ -123,9 +119,8 @@
         config = self._world.config()
         if config is None or not self._writer.plans():
             return
-        for service in config.services.values():
-            if service.engine:
-                self._stage(service.name, service.engine, 0)
+        for service, engine in _engines(config).items():
+            self._stage(service, engine, 0)
 
     def _ends(self, views, steps):
         """Return why groups end and whether at once, by name."""
@@ -447,32 +442,29 @@
 
     def _give(self, group, member, order):
         """Give one order; return its outcome, ``None`` if there was no answer."""
-        name, epoch = type(order).__name__, getattr(order, "epoch", None)
+        about = {
+            "peer": member.server,
+            "group": group,
+            "order": type(order).__name__,
+            "epoch": getattr(order, "epoch", None),
+        }
         try:
             outcome = self._engine.give(member.server, member.address, order)
         except EngineError as exc:
-            event(
-                "order unanswered",
-                peer=member.server,
-                group=group,
-                order=name,
-                epoch=epoch,
-                why=exc.detail,
-            )
+            event("order unanswered", **about, why=exc.detail)
             self._unanswered[member.server] = self._clock.monotonic()
             self._watch.doubt_server(member)
             return None
-        event(
-            "order given",
-            peer=member.server,
-            group=group,
-            order=name,
-            epoch=epoch,
-            outcome=outcome.value,
-        )
+        event("order given", **about, outcome=outcome.value)
         return outcome
 
 
+def _engines(config):
+    """Return the specifications of engines by service."""
+    services = config.services.values()
+    return {service.name: service.engine for service in services if service.engine}
+
+
 def _free_server(entry, model, reserved):
     return FreeServer(
         entry.server,
--- a/packages/auburnwall-node/src/auburnwall/node/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/gateway.py
@@ -4,6 +4,7 @@
 from uuid import uuid4
 
 from auburnwall.base.tasks import supervise
+from auburnwall.routing.call import bearer_key
 from auburnwall.routing.completions import DEADLINE_HEADER
 from auburnwall.routing.credits import Grant
 from auburnwall.routing.dispatcher import Dispatcher
@@ -219,8 +220,8 @@
         return grant, answer.term_ms / 1000
 
     def _team(self, config, headers):
-        scheme, _, key = headers.get("Authorization", "").partition(" ")
-        team = team_of_key(config, key.strip()) if scheme.lower() == "bearer" else None
+        key = bearer_key(headers.get("Authorization", ""))
+        team = None if key is None else team_of_key(config, key)
         if team is None:
             raise BadRequestError(
                 "send the team's API key as 'Authorization: Bearer KEY'",
--- a/packages/auburnwall-node/src/auburnwall/node/http.py
+++ b/packages/auburnwall-node/src/auburnwall/node/http.py
@@ -5,7 +5,6 @@
 from typing import NamedTuple
 
 import bottle
-from gevent.pywsgi import WSGIServer
 
 from auburnwall.base.logs import event, recent_events
 from auburnwall.routing.exceptions import BadRequestError, RequestError
@@ -19,7 +18,8 @@
     METRICS_TYPE,
     PROBLEM_TYPE,
     SSE_TYPE,
-    QuietLog,
+    new_server,
+    read_body,
 )
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
@@ -39,14 +39,9 @@
     """Serve callers on the node's address."""
 
     def __init__(self, parts):
-        host, _, port = parts.cfg.address.rpartition(":")
-        self._server = WSGIServer(
-            (host, int(port)),
-            make_app(parts),
-            handler_class=make_handler(parts.cfg.write_stall_s),
-            log=None,
-            error_log=QuietLog(),
-        )
+        handler = make_handler(parts.cfg.write_stall_s)
+        app = make_app(parts)
+        self._server = new_server(parts.cfg.address, app, handler_class=handler)
 
     def start(self):
         """Begin to accept."""
@@ -164,13 +159,8 @@
         return self._parts.gateway.read_request(call, target, path)
 
     def _body(self):
-        most = self._parts.cfg.most_body_bytes
-        if bottle.request.content_length > most:
-            raise _too_large(most)
-        body = bottle.request.body.read(most + 1)
-        if len(body) > most:
-            raise _too_large(most)
-        return body
+        req, most = bottle.request, self._parts.cfg.most_body_bytes
+        return read_body(req.body, req.content_length, most)
 
     def _problem(self, exc):
         gateway = self._parts.gateway
@@ -249,12 +239,6 @@
     return model
 
 
-def _too_large(most):
-    return BadRequestError(
-        f"the body is larger than {most} bytes", status=413, title="Body too large"
-    )
-
-
 def _answer(request, answer):
     bottle.response.status = answer.status
     for name, value in answer.headers.items():
--- a/packages/auburnwall-node/src/auburnwall/node/routed/entry.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/entry.py
@@ -3,9 +3,8 @@
 import json
 
 import bottle
-from gevent.pywsgi import WSGIServer
 
-from ..webserver import METRICS_TYPE, QuietLog
+from ..webserver import METRICS_TYPE
 
 
 class EntryPoints:
@@ -82,9 +81,3 @@
     app.route(path, "GET", ready)
     app.route("/metrics", "GET", exposition)
     return app
-
-
-def new_server(address, app):
-    """Return a server for ``app`` at ``address``."""
-    host, _, port = address.rpartition(":")
-    return WSGIServer((host, int(port)), app, log=None, error_log=QuietLog())
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -3,22 +3,13 @@
 import json
 from contextlib import ExitStack
 from http.client import responses
-from socket import (
-    IPPROTO_TCP,
-    SO_KEEPALIVE,
-    SOL_SOCKET,
-    TCP_KEEPCNT,
-    TCP_KEEPIDLE,
-    TCP_KEEPINTVL,
-    TCP_USER_TIMEOUT,
-)
 
 import gevent
-from gevent.pywsgi import WSGIServer
 
+from auburnwall.base.http import keepalive_options
 from auburnwall.base.logs import event
 from auburnwall.routing.call import Call
-from auburnwall.routing.exceptions import BadRequestError, RequestError
+from auburnwall.routing.exceptions import RequestError
 from auburnwall.routing.problem import problem_of
 
 from ..callers import (
@@ -27,12 +18,15 @@
     hang_up_watch,
     make_handler,
 )
-from ..webserver import PROBLEM_TYPE, QuietLog
+from ..webserver import PROBLEM_TYPE, new_server, read_body
 
 CALL_KEY = "auburnwall.call"
 # Time that a caller may stop reading its answer, in seconds: the longest deadline of
 # any caller is shorter.
 WRITE_STALL_S = 15.0
+# A caller that has vanished is noticed when it has confirmed nothing for this long, or
+# has not answered three probes after as long again without a byte.
+CALLER_SOCKET_OPTIONS = keepalive_options(probe_s=5, unconfirmed_ms=15_000)
 # What a header takes beside its name and value: colon, space and the line's end.
 HEADER_EXTRA_BYTES = 4
 # Connections that wait to be accepted.
@@ -69,13 +63,10 @@
             return self._answer(start_response, reply, request, stack)
 
     def _read_call(self, environ):
-        handler = environ[CALL_KEY]
-        limit = self._gateway.limits().body_bytes
-        if (handler.content_length or 0) > limit:
-            raise _too_large(limit)
-        body = environ["wsgi.input"].read(limit + 1)
-        if len(body) > limit:
-            raise _too_large(limit)
+        handler, limits = environ[CALL_KEY], self._gateway.limits()
+        body = read_body(
+            environ["wsgi.input"], handler.content_length or 0, limits.body_bytes
+        )
         headers = tuple(handler.headers.items())
         return Call(
             handler.command, handler.path, headers, body, self._clock.monotonic()
@@ -169,11 +160,8 @@
     gateway = None
 
     def __init__(self, sock, *args, **kwargs):
-        sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
-        sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, 5)
-        sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, 5)
-        sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, 3)
-        sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, 15_000)
+        for option in CALLER_SOCKET_OPTIONS:
+            sock.setsockopt(*option)
         super().__init__(sock, *args, **kwargs)
 
     def read_requestline(self):
@@ -231,23 +219,10 @@
 
 def new_front_server(address, gateway, clock):
     """Return the server for callers at ``address``."""
-    host, _, port = address.rpartition(":")
     handler = type("GatewayHandler", (CallerHandler,), {"gateway": gateway})
-    return WSGIServer(
-        (host, int(port)),
-        Front(gateway, clock),
-        handler_class=handler,
-        log=None,
-        error_log=QuietLog(),
-        backlog=BACKLOG,
-    )
+    front = Front(gateway, clock)
+    return new_server(address, front, handler_class=handler, backlog=BACKLOG)
 
 
 def _status_line(status):
     return f"{status} {responses.get(status, 'Status')}"
-
-
-def _too_large(limit):
-    return BadRequestError(
-        f"the body is larger than {limit} bytes", status=413, title="Body too large"
-    )
--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -1,15 +1,15 @@
 """Metrics of a routed node."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from prometheus_client import Counter
 
-from auburnwall.base.metrics import Timings
+from auburnwall.base.metrics import MetricsRegistry, Timings
 
 
-class RoutedMetrics:
-    """Counters, gauges and timings in a registry of their own."""
+class RoutedMetrics(MetricsRegistry):
+    """Counters, gauges and timings of a routed node."""
 
     def __init__(self):
-        self.registry = CollectorRegistry()
+        super().__init__()
         self._answers = Counter(
             "auburnwall_answers",
             "Answers to callers by route and status.",
@@ -35,11 +35,3 @@
     def note_problem(self, status, step):
         """Count an answer of this node's own."""
         self._refusals.labels(str(status), step).inc()
-
-    def gauge(self, name, documentation, function):
-        """Expose the value of ``function`` at the time of scraping."""
-        Gauge(name, documentation, registry=self.registry).set_function(function)
-
-    def exposition(self):
-        """Return the text that scrapers read."""
-        return generate_latest(self.registry)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/parts.py
@@ -35,8 +35,9 @@
 from auburnwall.wire.server import PeerServer
 
 from ..identity import Identity
+from ..webserver import new_server
 from .demand import DemandMeter
-from .entry import EntryPoints, new_directory_app, new_ready_app, new_server
+from .entry import EntryPoints, new_directory_app, new_ready_app
 from .front import new_front_server
 from .gateway import Gateway
 from .metrics import RoutedMetrics
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -1,9 +1,10 @@
 """One attempt to have a request served by one server."""
 
+from urllib3 import HTTPHeaderDict
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 from urllib3.util import SKIP_HEADER
 
-from .eventstream import EventSplitter
+from .eventstream import NumberedEventSplitter
 from .exceptions import ExchangeError
 from .hopbyhop import HOP_BY_HOP
 
@@ -22,7 +23,7 @@
         self.status = 0
         self.headers = None
         self.candidate = place.candidate
-        self.splitter = EventSplitter()
+        self.splitter = NumberedEventSplitter()
         self._deps = deps
         self._request = request
         self._place = place
@@ -119,10 +120,13 @@
             hidden.add("authorization")
         if self._last_id is not None:
             hidden.add(dialect.last_event_id.lower())
-        headers = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
+        headers = HTTPHeaderDict()
         for name, value in call.headers:
             if name.lower() not in hidden:
-                headers.update(_joined(headers, name, value))
+                headers.add(name, value, combine=True)
+        # What the caller did not send is not added by the library either.
+        for name in ("User-Agent", "Accept-Encoding"):
+            headers.setdefault(name, SKIP_HEADER)
         left_s = request.deadline - self._deps.clock.monotonic()
         headers[dialect.deadline_ms] = str(max(1, int(left_s * 1000)))
         headers[dialect.expected_server] = self.candidate.server
@@ -191,13 +195,3 @@
     """Return the names of headers that concern the caller's connection only."""
     named = call.header("Connection") or ""
     return {*HOP_BY_HOP, "expect", *(n.strip().lower() for n in named.split(","))}
-
-
-def _joined(headers, name, value):
-    """Return the entry for a header, joined with an earlier one of that name."""
-    for known, earlier in headers.items():
-        if known.lower() == name.lower() and earlier is not SKIP_HEADER:
-            return {known: f"{earlier}, {value}"}
-    for known in [known for known in headers if known.lower() == name.lower()]:
-        del headers[known]
-    return {name: value}
--- a/packages/auburnwall-routing/src/auburnwall/routing/call.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/call.py
@@ -4,8 +4,6 @@
 
 from .stepmodel import Work
 
-BEARER = "bearer "
-
 
 class Call(NamedTuple):
     """What a caller sent: ``path`` as written, ``headers`` as pairs in their order."""
@@ -60,10 +58,15 @@
         return -self.rank
 
 
+def bearer_key(authorization):
+    """Return the key in an ``Authorization`` header, ``None`` if it holds none."""
+    scheme, _, key = authorization.partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else None
+
+
 def key_of(call):
     """Return the caller's key, empty if it sent none."""
-    given = call.header("Authorization") or ""
-    return given[len(BEARER) :].strip() if given.lower().startswith(BEARER) else ""
+    return bearer_key(call.header("Authorization") or "") or ""
 
 
 def work_of(call, dialect, engine):
--- a/packages/auburnwall-routing/src/auburnwall/routing/eventstream.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/eventstream.py
@@ -5,18 +5,14 @@
 
 
 class EventSplitter:
-    """Collect bytes of a stream, give out whole events and count them.
+    """Collect bytes of a stream and give out whole events.
 
     >>> splitter = EventSplitter()
-    >>> splitter.feed(b"id: 4\\ndata: x\\n\\nid: 5\\nda")
-    b'id: 4\\ndata: x\\n\\n'
-    >>> splitter.last_id
-    '4'
+    >>> splitter.feed(b"data: x\\n\\nda")
+    b'data: x\\n\\n'
     """
 
     def __init__(self):
-        self.last_id = None
-        self.count = 0
         self._rest = b""
 
     @property
@@ -32,8 +28,30 @@
             self._rest = rest
             return b""
         whole, self._rest = rest[: end + 2], rest[end + 2 :]
-        self.last_id = _last_id(whole) or self.last_id
-        self.count += whole.count(_END)
+        return whole
+
+
+class NumberedEventSplitter(EventSplitter):
+    """Also count the events and remember the id of the last one.
+
+    >>> splitter = NumberedEventSplitter()
+    >>> splitter.feed(b"id: 4\\ndata: x\\n\\nid: 5\\nda")
+    b'id: 4\\ndata: x\\n\\n'
+    >>> splitter.last_id, splitter.count
+    ('4', 1)
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.last_id = None
+        self.count = 0
+
+    def feed(self, data):
+        """Return the events that are whole now, together, possibly none."""
+        whole = super().feed(data)
+        if whole:
+            self.last_id = _last_id(whole) or self.last_id
+            self.count += whole.count(_END)
         return whole
 
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/sse.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/sse.py
@@ -2,6 +2,8 @@
 
 import json
 
+from .eventstream import EventSplitter
+
 DONE = b"data: [DONE]\n\n"
 _END = b"\n\n"
 
@@ -16,17 +18,11 @@
     Reads the chunks to their end, which leaves the connection in order; what comes
     after the end marker is dropped. Raises ``TruncatedStreamError`` without a marker.
     """
-    rest, done = b"", False
+    splitter, done = EventSplitter(), False
     for chunk in chunks:
-        if done:
-            continue
-        rest += chunk
-        end = rest.rfind(_END)
-        if end < 0:
-            continue
-        whole, rest = rest[: end + 2], rest[end + 2 :]
-        yield whole
-        done = whole.endswith(DONE)
+        if not done and (whole := splitter.feed(chunk)):
+            yield whole
+            done = whole.endswith(DONE)
     if not done:
         raise TruncatedStreamError("the stream ended without its end marker")
 
--- a/tests/routed/test_front.py
+++ b/tests/routed/test_front.py
@@ -50,6 +50,44 @@
         self.assertNotIn("Authorization", request["headers"])
         self.assertLessEqual(int(request["headers"]["X-Deadline-Ms"]), 900)
 
+    def test_server_gets_the_caller_s_headers_as_they_are(self):
+        """Headers of one name come joined; none is added but the node's own."""
+        sock = socket.create_connection(self.front.address.split(":"))
+        self.addCleanup(sock.close)
+        sock.sendall(
+            b"GET /open/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: r-1\r\n"
+            b"X-Tag: one\r\nUser-Agent: till/1\r\nx-tag: two\r\n"
+            b"Connection: X-Hop\r\nX-Hop: 1\r\n\r\n"
+        )
+        sock.settimeout(3.0)
+        self.assertIn(b"200", sock.recv(4096).split(b"\r\n")[0])
+        (request,) = self.seen(self.front.desks)
+        headers = request["headers"]
+        self.assertEqual(headers["X-Tag"], "one, two")
+        self.assertEqual(headers["User-Agent"], "till/1")
+        self.assertEqual(
+            {name.title() for name in headers},
+            {
+                "Host",
+                "X-Attempt-Id",
+                "X-Tag",
+                "User-Agent",
+                "X-Deadline-Ms",
+                "X-Expect-Instance",
+            },
+        )
+
+    def test_library_adds_no_headers_that_the_caller_did_not_send(self):
+        sock = socket.create_connection(self.front.address.split(":"))
+        self.addCleanup(sock.close)
+        head = b"GET /open/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: r-1\r\n"
+        sock.sendall(head + b"\r\n")
+        sock.settimeout(3.0)
+        self.assertIn(b"200", sock.recv(4096).split(b"\r\n")[0])
+        (request,) = self.seen(self.front.desks)
+        self.assertNotIn("User-Agent", request["headers"])
+        self.assertNotIn("Accept-Encoding", request["headers"])
+
     def test_broken_stream_goes_on_elsewhere_without_gap_or_repeat(self):
         self.front.engines[0].faults.add("cut")
         for number in range(4):
