Keep the addresses of test clusters while they live

The address was chosen and let go, and another cluster of another process chose it before the node listened; while a node was down, others could take its address as well. The process that chose them keeps them bound now, without listening, which lets its nodes listen and nobody else choose them. Tried: a second plain bind is refused, a listener is not, also after a restart.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -1,5 +1,6 @@
 """Start and end the processes of a small cluster on loopback addresses."""
 
+import atexit
 import json
 import os
 import random
@@ -7,7 +8,7 @@
 import subprocess
 import sys
 import time
-from contextlib import ExitStack, closing, suppress
+from contextlib import ExitStack, closing
 from pathlib import Path
 from typing import NamedTuple
 
@@ -20,6 +21,9 @@
 # Ports of the processes that a cluster starts.
 PORTS = (12_000, 32_000)
 
+_KEPT = ExitStack()
+atexit.register(_KEPT.close)
+
 
 class VmSpec(NamedTuple):
     """A backend server VM of the cluster."""
@@ -30,20 +34,25 @@
 
 
 def free_addresses(count):
-    """Return loopback addresses that nobody listens on.
+    """Return loopback addresses that are kept for this process's own until it ends.
 
-    They are below the ports that outgoing connections get, one of which could take an
-    address before its process listens there.
+    They are below the ports that outgoing connections get. The sockets that keep them
+    never listen, so the processes that are told these addresses can.
     """
-    with ExitStack() as stack:
-        addresses = []
-        while len(addresses) < count:
-            sock = stack.enter_context(closing(socket.socket()))
-            address = "127.0.0.1", random.randrange(*PORTS)
-            with suppress(OSError):
-                sock.bind(address)
-                addresses.append("{}:{}".format(*address))
-        return addresses
+    addresses = []
+    while len(addresses) < count:
+        address = "127.0.0.1", random.randrange(*PORTS)
+        sock = socket.socket()
+        try:
+            sock.bind(address)
+        except OSError:
+            sock.close()
+            continue
+        # Set only now, so that another process cannot keep the same address.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _KEPT.enter_context(closing(sock))
+        addresses.append("{}:{}".format(*address))
+    return addresses
 
 
 class Processes:
