--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -72,6 +72,18 @@
         """Set the store's fault, one of ``StoreStandin``'s; an empty name ends it."""
         self._post("/standin/trouble", {"trouble": fault})
 
+    def keep_store_copy(self):
+        """Let the store remember its records for ``send_store_back``."""
+        self._post("/standin/copy", {})
+
+    def newest(self, topic, key):
+        """Return the newest value of a key in the store, decoded from JSON."""
+        return self._post("/standin/newest", {"topic": topic, "key": key}).json()
+
+    def send_store_back(self):
+        """Let the store lose all records since its last copy."""
+        self._post("/standin/back", {})
+
     def process(self, node):
         """Return a node's current process."""
         return self._processes[node]
@@ -129,4 +141,4 @@
         return True
 
     def _post(self, path, body):
-        self._http.request("POST", f"http://{self.store}{path}", json=body)
+        return self._http.request("POST", f"http://{self.store}{path}", json=body)
--- a/packages/auburnwall-base/src/auburnwall/base/http.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http.py
@@ -2,15 +2,32 @@
 
 import json
 import socket
+from typing import NamedTuple
 
+import gevent
 import urllib3
+from urllib3.exceptions import HTTPError
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 
+# Largest read from a response, in bytes.
+READ_BYTES = 65_536
+# Ratio of the time for a whole response to the longest silence within it.
+TOTAL_FACTOR = 3
+# Largest JSON response, in bytes.
+MAX_JSON_BYTES = 16 * 1024 * 1024
 # Unanswered keepalive probes after which the kernel closes a connection.
 MAX_KEEPALIVE_PROBES = 3
 
 
+class ResponseTooLargeError(HTTPError):
+    """The body of a response is longer than allowed."""
+
+
+class ResponseTooSlowError(HTTPError):
+    """A response is not complete in time, although bytes may still arrive."""
+
+
 def keepalive_options(*, probe_s, user_timeout_ms):
     """Return socket options by which the kernel detects that a peer has vanished.
 
@@ -51,6 +68,66 @@
     return urllib3.Timeout(connect=connect_s, read=read_s)
 
 
+class ExchangeLimits(NamedTuple):
+    """Limits of one exchange.
+
+    The peer has ``connect_s`` to accept the connection and may be silent for up to
+    ``silence_s``. The body may have ``body_bytes``. The whole exchange must end within
+    ``TOTAL_FACTOR`` times ``silence_s``, counted from after the time to connect.
+    """
+
+    connect_s: float
+    silence_s: float
+    body_bytes: int
+
+
+class Response(NamedTuple):
+    """A complete response, with its whole body in ``data``."""
+
+    status: int
+    headers: object
+    data: bytes
+
+
+def exchange(pool, method, url, *, body=None, headers=None, limits):
+    """Return the ``Response`` to one request within ``limits``, without redirects.
+
+    A peer may send bytes without end, also slowly, in the head or in the body. The
+    connection is then closed, and ``urllib3.exceptions.HTTPError`` is raised, as for
+    any other failed exchange.
+    """
+    total_s = limits.connect_s + TOTAL_FACTOR * limits.silence_s
+    too_slow = ResponseTooSlowError(f"no complete response within {total_s:.1f} s")
+    with gevent.Timeout(total_s, too_slow):
+        resp = pool.request(
+            method,
+            url,
+            body=body,
+            headers=headers,
+            timeout=timeout(limits.connect_s, limits.silence_s),
+            redirect=False,
+            preload_content=False,
+        )
+        return _read_response(resp, limits.body_bytes)
+
+
+def _read_response(resp, max_bytes):
+    """Read the body and return the connection to its pool, or close it."""
+    complete, chunks, size = False, [], 0
+    try:
+        for chunk in resp.stream(READ_BYTES, decode_content=False):
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > max_bytes:
+                raise ResponseTooLargeError(f"the body has over {max_bytes} bytes")
+        complete = True
+    finally:
+        if not complete:
+            resp.close()
+        resp.release_conn()
+    return Response(resp.status, resp.headers, b"".join(chunks))
+
+
 def exchange_json(pool, method, url, body=None, *, connect_s=1.0, read_s=2.0):
     """Return the status and the decoded JSON of one exchange.
 
@@ -59,12 +136,12 @@
     response that is not JSON.
     """
     data = None if body is None else json.dumps(body).encode()
-    resp = pool.request(
+    resp = exchange(
+        pool,
         method,
         url,
         body=data,
         headers=JSON_HEADERS,
-        timeout=timeout(connect_s, read_s),
-        redirect=False,
+        limits=ExchangeLimits(connect_s, read_s, MAX_JSON_BYTES),
     )
     return resp.status, json.loads(resp.data) if resp.data else None
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/engines/group.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/engines/group.py
@@ -68,7 +68,13 @@
 
 
 class MemberClient(ABC):
-    """Probe and command single servers; all methods raise ``EngineError``."""
+    """Probe and command single servers; all methods raise ``EngineError``.
+
+    ``notices`` records what servers say of themselves in their responses. To a server
+    that wants a pause nothing is sent; the methods raise ``ServerPausedError``.
+    """
+
+    notices = None
 
     @abstractmethod
     def fetch_report(self, server, address):
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/exceptions.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/exceptions.py
@@ -19,5 +19,9 @@
     """A probe or an order failed or got an invalid response."""
 
 
+class ServerPausedError(EngineError):
+    """Nothing was sent, since the server wants nothing from this node for a time."""
+
+
 class OrderRefusedError(EngineError):
     """A backend server refused an order, for example one with an old fencing token."""
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
@@ -1,17 +1,18 @@
 """Plan groups of servers and send their orders while this node is the planner."""
 
 from collections import Counter
-from typing import NamedTuple
 
 from auburnwall.base.logs import event, warn
 from auburnwall.state.exceptions import StateError, TableChangedError
 
 from ..engines.group import CloseOrder, OrderOutcome, StageOrder
-from ..exceptions import EngineError
+from ..exceptions import EngineError, ServerPausedError
 from ..registrations import JOINING
-from .assembly import FreeServer, assemble, coverage
+from .adoption import adopted_record, unrecorded_groups
+from .assembly import assemble, coverage
 from .lifecycle import GroupStatus, next_actions
 from .loads import LoadAllowance
+from .plan import Plan, as_free_server, engines_of, is_compatible
 from .records import ENDING, SERVING, Member, NotPlannerError
 from .shifting import Shift, ShiftableGroup, find_shift
 from .staging import HostView, choose_staging
@@ -34,21 +35,12 @@
 # The servers of a shift stay reserved for its model for this time: the longest drain
 # and the steps after it.
 RESERVATION_S = 15.0
+# A group without a record is adopted if it is reported for this time: longer than it
+# takes until a group that an earlier planner has dissolved is no longer reported open.
+ADOPTION_DELAY_S = 2.0
 START_RATIO = 0.1  # duration of a load before the first request, relative to usual
 
 
-class Plan(NamedTuple):
-    """The groups to form and servers to reassign for a service, with the inputs."""
-
-    service: str
-    engine: object
-    formations: list
-    shift: Shift
-    group_counts: dict
-    demand: dict
-    at_start: bool  # no request has come yet
-
-
 class FormationController:
     """Form, open and end the groups of all services with engines.
 
@@ -82,6 +74,7 @@
         self._logged_at = {}  # by service
         self._demand = {}
         self._demand_at = clock.monotonic()
+        self._unrecorded_since = {}  # by group name
 
     def step(self):
         """Write a plan to the table, send orders to existing groups, and stage weights.
@@ -94,8 +87,12 @@
             return
         if self._planner_since is None:
             self._planner_since = self._clock.monotonic()
-            self._min_own_epoch = self._state.replica.end
-        engines = _engines(config)
+            self._min_own_epoch = self._state.next_epoch()
+        if not self._write_lost_entries():
+            return
+        engines = engines_of(config)
+        if not self._adopt_groups(engines):
+            return
         statuses = self._group_statuses(engines)
         actions = {name: next_actions(status) for name, status in statuses.items()}
         endings = self._find_endings(statuses, actions)
@@ -120,9 +117,59 @@
         config = self._inputs.config()
         if config is None or not self._writer.is_planner():
             return
-        for service, engine in _engines(config).items():
+        for service, engine in engines_of(config).items():
             self._stage(service, engine, 0)
 
+    def _write_lost_entries(self):
+        """Write again what the store has lost; return whether planning may go on."""
+        if not self._state.lost_entries():
+            return True
+        keys = self._write_or_overtaken(self._writer.write_lost_entries)
+        if keys is None:
+            return False
+        event("lost records written again", keys=sorted(keys))
+        return True
+
+    def _adopt_groups(self, engines):
+        """Adopt whole groups without a record; return whether planning may go on."""
+        now, unrecorded = self._clock.monotonic(), self._unrecorded_groups()
+        self._unrecorded_since = {
+            group.name: self._unrecorded_since.get(group.name, now)
+            for group in unrecorded
+            if group.may_serve
+        }
+        adopted = [
+            record
+            for group in unrecorded
+            if now - self._unrecorded_since.get(group.name, now) >= ADOPTION_DELAY_S
+            and (record := adopted_record(group, engines))
+        ]
+        if not adopted:
+            return True
+        done = self._write_or_overtaken(
+            lambda: self._writer.adopt_groups(adopted) or adopted
+        )
+        if done is None:
+            return False
+        event("groups adopted", groups=[group.name for group in adopted])
+        return True
+
+    def _unrecorded_groups(self):
+        return unrecorded_groups(
+            self._registry.servers.values(), self._state.known_groups
+        )
+
+    def _write_or_overtaken(self, write):
+        """Return a write's result, ``None`` if it was not made or not confirmed."""
+        try:
+            return write()
+        except (TableChangedError, NotPlannerError) as exc:
+            event("plan overtaken", step=exc.step, why=exc.detail)
+            self._state.replica.refresh(0.0)
+        except StateError as exc:
+            warn("write of the plan not confirmed", step=exc.step, why=exc.detail)
+        return None
+
     def _find_endings(self, statuses, actions):
         """Return the groups to end: names mapped to pairs of ``at_once`` and cause."""
         self._refusals = {
@@ -188,7 +235,7 @@
         if measured and all(formation.loads for formation in found):
             counts = self._group_counts(service, endings, exclude_loading=True)
             shift = self._find_shift(service, engine, free, counts, demand, endings)
-            found = [f for f in found if _is_compatible(f, shift)]
+            found = [f for f in found if is_compatible(f, shift)]
         return Plan(service, engine, found, shift, group_counts, demand, at_start)
 
     def _drop_obsolete_shifts(self):
@@ -302,7 +349,7 @@
     def _as_free_servers(self, group):
         """Return a group's servers as they would be if they were free."""
         entries = (self._registry.servers.get(m.server) for m in group.members)
-        return tuple(_as_free(e, group.model, "") for e in entries if e is not None)
+        return tuple(as_free_server(e, group.model) for e in entries if e is not None)
 
     def _stage(self, service, engine, reserved_loads):
         """Order hosts to load the weights that they may need next.
@@ -345,9 +392,15 @@
             for server, name in self._state.group_of_server().items()
             if name not in finished_names
         }
+        taken |= {
+            entry.server
+            for group in self._unrecorded_groups()
+            if group.may_serve
+            for entry in group.entries.values()
+        }
         reserved = {s: shift.model for shift in self._shifts for s in shift.servers}
         return [
-            _as_free(entry, entry.model, reserved.get(entry.server, ""))
+            as_free_server(entry, entry.model, reserved.get(entry.server, ""))
             for entry in self._registry.usable_of_service(service)
             if entry.server not in taken
             and entry.data_center not in evacuated
@@ -388,22 +441,13 @@
 
     def _write(self, endings, finished, plans):
         """Write the plans to the fleet table; return whether orders may be sent."""
-        formations = [
-            _group_fields(plan.service, formation)
-            for plan in plans
-            for formation in plan.formations
-        ]
+        formations = [fields for plan in plans for fields in plan.group_fields()]
         if not (endings or finished or formations):
             return True
         to_end = [(self._state.groups[name], endings[name][0]) for name in endings]
-        try:
-            self._writer.write_groups(to_end, finished, formations)
-        except (TableChangedError, NotPlannerError) as exc:
-            event("plan overtaken", step=exc.step, why=exc.detail)
-            self._state.replica.refresh(0.0)
-            return False
-        except StateError as exc:
-            warn("write of the plan not confirmed", step=exc.step, why=exc.detail)
+        if not self._write_or_overtaken(
+            lambda: self._writer.write_groups(to_end, finished, formations) or True
+        ):
             return False
         for name, (at_once, why) in endings.items():
             event("group ended", group=name, why=why, at_once=at_once)
@@ -457,6 +501,9 @@
         }
         try:
             outcome = self._engine.send_order(member.server, member.address, order)
+        except ServerPausedError as exc:
+            event("order held", **fields, why=exc.detail)
+            return None
         except EngineError as exc:
             event("order unanswered", **fields, why=exc.detail)
             self._unanswered_at[member.server] = self._clock.monotonic()
@@ -464,37 +511,3 @@
             return None
         event("order given", **fields, outcome=outcome.value)
         return outcome
-
-
-def _engines(config):
-    """Return the ``EngineSpec`` of each service that has one, by name."""
-    services = config.services.values()
-    return {service.name: service.engine for service in services if service.engine}
-
-
-def _as_free(entry, model, reserved):
-    return FreeServer(
-        entry.server,
-        entry.born,
-        entry.address,
-        entry.domain,
-        entry.data_center,
-        model,
-        entry.staged,
-        reserved,
-    )
-
-
-def _is_compatible(formation, shift):
-    """Return whether to form a group that loads weights along with a shift.
-
-    It must not use the shifted servers, nor be of the same model as the shift: it would
-    be ready much later than a group of these servers.
-    """
-    taken = {member.server for member in formation.members} & set(shift.servers)
-    return formation.model != shift.model and not taken
-
-
-def _group_fields(service, formation):
-    members = tuple(Member(m.server, m.born, m.address) for m in formation.members)
-    return service, formation.model, members
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
@@ -4,7 +4,7 @@
 
 from auburnwall.base.logs import event
 
-from ..exceptions import EngineError
+from ..exceptions import EngineError, ServerPausedError
 from ..registrations import GroupMembership
 from .lifecycle import Liveness, MemberView
 from .records import Member
@@ -148,6 +148,8 @@
         try:
             report = self._engine.fetch_report(member.server, member.address)
             failures = 0
+        except ServerPausedError:
+            return
         except EngineError as exc:
             report = None
             failures = (previous.failures if previous else 0) + 1
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
@@ -2,14 +2,19 @@
 
 Races between planners are decided by the order of writes to the table. Each write of a
 planner names the end of the table that it is based on, and fails if anything was
-written since. Two planners can thus not assign the same server. A group's epoch is the
-offset of the record that created it. Epochs therefore only increase, and a server
-refuses an order with an older epoch than it has seen.
+written since. Two planners can thus not assign the same server. A group's epoch is made
+of the table's era and the offset of the record that created it. Epochs therefore only
+increase, also when the store has lost records and gives their offsets out again, and a
+server refuses an order with an older epoch than it has seen. The lowest bits of an
+epoch are a hash of the members: a write without a response may take effect in a later
+era at an offset that another record had in its own.
 """
 
 import json
 from typing import NamedTuple
 
+import xxhash
+
 from auburnwall.base.logs import event
 from auburnwall.state.exceptions import StateError
 
@@ -18,6 +23,10 @@
 GROUP_PREFIX = "group/"
 
 SERVING, ENDING = "serving", "ending"
+# Offsets of one era, and hashes of one offset, that an epoch can hold. The table
+# gets some dozen records a second, and the store loses records in a few drills, so
+# epochs stay exact as JSON numbers.
+OFFSETS_PER_ERA, HASHES_PER_OFFSET = 2**27, 2**16
 
 
 class NotPlannerError(StateError):
@@ -33,13 +42,17 @@
 
 
 class NodeRecord(NamedTuple):
-    """A node, with its addresses for callers (``front``) and other nodes (``peer``)."""
+    """A node, with its addresses for callers (``front``) and other nodes (``peer``).
+
+    ``cores`` is how much of a processor its VM has, in cores.
+    """
 
     node: str
     incarnation: str
     front: str
     peer: str
     data_center: str
+    cores: float = 1.0
 
 
 class Member(NamedTuple):
@@ -54,8 +67,10 @@
     """A group; the head is the first of its members.
 
     ``phase`` changes from serving to ending and never back, so a group is opened at
-    most once at an epoch. ``ending_epoch`` is the offset of the record that ended the
+    most once at an epoch. ``ending_epoch`` is the epoch of the record that ended the
     group. ``at_once`` is whether running requests are stopped instead of completed.
+    ``written_era`` is the era of the table in which the planner decided to write the
+    record.
     """
 
     name: str
@@ -66,6 +81,7 @@
     phase: str = SERVING
     at_once: bool = False
     ending_epoch: int = -1
+    written_era: int = 0
 
     @property
     def head(self):
@@ -74,16 +90,45 @@
 
 
 class FleetState:
-    """The state of the fleet, from the records of the table's replica."""
+    """The state of the fleet, from the records of the table's replica.
+
+    ``known_groups`` holds the names of all groups that the table has had since this
+    node started. ``late_groups`` holds the keys of group records that were decided in
+    an earlier era and written in this one. Nothing follows from these: their servers
+    may have got another group in the time that the store has lost.
+    """
 
     def __init__(self, replica):
         self.replica = replica
         self.planner = None
         self.nodes = {}
         self.groups = {}
+        self.known_groups = set()
+        self.late_groups = set()
         self.change_count = 0
         replica.listeners.append(self._apply)
 
+    def next_epoch(self, entries_before=0, members=()):
+        """Return the epoch of a record that is written at the end of the table.
+
+        ``entries_before`` records of the same write precede it. Without ``members`` the
+        epoch is not greater than any with members.
+        """
+        offset = self.replica.end + entries_before
+        epoch = (self.replica.era * OFFSETS_PER_ERA + offset) * HASHES_PER_OFFSET
+        return epoch + (_hash(members) if members else 0)
+
+    def lost_entries(self):
+        """Return the planner's entries that the store has lost or has older, as pairs.
+
+        The nodes' own records are not among them: each node writes its own again.
+        """
+        return [
+            (key, self._current_value(key))
+            for key in self.replica.unsettled
+            if not key.startswith(NODE_PREFIX)
+        ]
+
     def group_of_server(self):
         """Return the group's name for each server that is in one."""
         return {
@@ -106,7 +151,31 @@
         elif key.startswith(NODE_PREFIX):
             _set_or_remove(self.nodes, key, value and NodeRecord(*value))
         elif key.startswith(GROUP_PREFIX):
-            _set_or_remove(self.groups, key, value and _group_from(value))
+            self._store_group(key, value and _group_from(value))
+
+    def _store_group(self, key, group):
+        self.late_groups.discard(key)
+        if group is not None:
+            replica = self.replica
+            if group.written_era != replica.era and not replica.reloading:
+                self.late_groups.add(key)
+                event(
+                    "late group record ignored",
+                    group=group.name,
+                    written_era=group.written_era,
+                    era=replica.era,
+                )
+                return
+            self.known_groups.add(group.name)
+        _set_or_remove(self.groups, key, group)
+
+    def _current_value(self, key):
+        """Return the value to write again for a key, ``None`` to remove the key."""
+        group = self.groups.get(key.partition("/")[2])
+        if key.startswith(GROUP_PREFIX) and group is not None:
+            return encode(group._replace(written_era=self.replica.era))
+        record = self.replica.entries.get(key)
+        return record.value if record else None
 
 
 def encode(record):
@@ -122,6 +191,11 @@
     return group._replace(members=members)
 
 
+def _hash(members):
+    servers = ",".join(f"{member.server}@{member.born}" for member in members)
+    return xxhash.xxh3_64_intdigest(servers.encode()) % HASHES_PER_OFFSET
+
+
 def _set_or_remove(table, key, record):
     name = key.partition("/")[2]
     if record is None:
@@ -187,26 +261,62 @@
         members. Raises ``NotPlannerError`` or ``TableChangedError``, in both cases
         without a write.
         """
-        if not self.is_planner():
-            raise NotPlannerError("another node is the planner", step="write groups")
-        at = self._state.replica.end
+        self._check_planner()
+        state = self._state
+        at, era = state.replica.end, state.replica.era
         entries = [(GROUP_PREFIX + group.name, None) for group in finished]
+        entries += [(key, None) for key in sorted(state.late_groups)]
         for group, at_once in ended:
             ending = group._replace(
-                phase=ENDING, at_once=at_once, ending_epoch=at + len(entries)
+                phase=ENDING,
+                at_once=at_once,
+                ending_epoch=state.next_epoch(len(entries), group.members),
+                written_era=era,
             )
             entries.append((GROUP_PREFIX + group.name, encode(ending)))
         for service, model, members in formations:
-            epoch = at + len(entries)
-            record = GroupRecord(f"g{epoch}", epoch, service, model, members)
+            epoch = state.next_epoch(len(entries), members)
+            record = GroupRecord(
+                f"g{epoch}", epoch, service, model, members, written_era=era
+            )
             entries.append((GROUP_PREFIX + record.name, encode(record)))
         if entries:
             self._append(entries, at=at)
 
+    def adopt_groups(self, groups):
+        """Write records of groups that stand although the table has none for them.
+
+        Raises ``NotPlannerError`` or ``TableChangedError`` without a write.
+        """
+        self._check_planner()
+        era = self._state.replica.era
+        self._append(
+            [
+                (GROUP_PREFIX + g.name, encode(g._replace(written_era=era)))
+                for g in groups
+            ],
+            at=self._state.replica.end,
+        )
+
+    def write_lost_entries(self):
+        """Write again what the store has lost, and return the keys.
+
+        Raises ``NotPlannerError`` or ``TableChangedError`` without a write.
+        """
+        self._check_planner()
+        entries = self._state.lost_entries()
+        if entries:
+            self._append(entries, at=self._state.replica.end)
+        return [key for key, _ in entries]
+
+    def _check_planner(self):
+        if not self.is_planner():
+            raise NotPlannerError("another node is the planner", step="write groups")
+
     def _append(self, entries, at):
         """Append entries, if ``at`` is ``None`` or still the end of the table."""
         asked_at = self._clock.monotonic()
         replica = self._state.replica
-        offset = self._client.append(replica.table, entries, at=at)
+        result = self._client.append(replica.table, entries, at=at)
         if at is not None:
-            replica.apply_written(offset, entries, asked_at)
+            replica.apply_written(result, entries, asked_at)
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
@@ -88,6 +88,7 @@
         self._last_read_at = None
         self._grace_until = 0.0
         replica.listeners.append(self._apply)
+        replica.repeat_listeners.append(self._note_repeat)
 
     def record_read(self):
         """Record that the table was just read, and apply the removals that are due."""
@@ -176,6 +177,23 @@
             self.change_count += 1
         self.servers[entry.server] = entry
 
+    def _note_repeat(self, server):
+        """Record that a server has registered again with nothing new to say."""
+        entry = self.servers.get(server)
+        if entry is None:
+            return
+        self._removal_due_at.pop(server, None)
+        self.registered_at[server] = self._clock.monotonic()
+        self._note_registration(entry)
+
+    def note_leaving(self, server, born, source):
+        """Record that an incarnation of a server leaves; it gets no new work."""
+        if self.drained_incarnations.get(server) == born:
+            return
+        self.drained_incarnations[server] = born
+        self.change_count += 1
+        event("server leaving", peer=server, born=born, source=source)
+
     def open_since(self, server, epoch):
         """Return the monotonic time at which a head was first seen open at ``epoch``.
 
--- /dev/null
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/fleet_load.py
@@ -0,0 +1,49 @@
+"""Sums of the load of several nodes."""
+
+from collections import Counter
+
+from auburnwall.wire.peer.ttypes import Load
+
+
+def load_of_pulse(pulse):
+    """Return the ``Load`` of the node that sent a heartbeat."""
+    return Load(
+        running=pulse.running,
+        demand=pulse.demand,
+        nodes_with_traffic=int(pulse.has_traffic),
+        nodes_measured=int(pulse.has_traffic and bool(pulse.demand)),
+        suspects=dict.fromkeys(pulse.suspects, 1),
+        leaving=pulse.leaving,
+    )
+
+
+def sum_loads(loads):
+    """Return the sum of ``Load`` objects.
+
+    Demand of nodes without traffic is not counted; they have not measured any.
+    """
+    running, demand, suspects, leaving = Counter(), Counter(), Counter(), {}
+    nodes_with_traffic = nodes_measured = 0
+    for load in loads:
+        running.update(load.running)
+        nodes_with_traffic += load.nodes_with_traffic
+        nodes_measured += load.nodes_measured
+        if load.nodes_measured:
+            demand.update(load.demand)
+        suspects.update(load.suspects)
+        leaving.update(load.leaving or {})
+    return Load(
+        dict(running),
+        dict(demand),
+        nodes_with_traffic,
+        nodes_measured,
+        dict(suspects),
+        leaving,
+    )
+
+
+def subtract_running(running, part):
+    """Return the requests in ``running`` without those of ``part``."""
+    rest = Counter(running)
+    rest.subtract(part)
+    return {name: count for name, count in rest.items() if count > 0}
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -5,11 +5,12 @@
 from http.client import responses
 
 import gevent
+from absl import logging
 
 from auburnwall.base.http import keepalive_options
 from auburnwall.base.logs import event
 from auburnwall.routing.call import Call
-from auburnwall.routing.exceptions import RequestError
+from auburnwall.routing.exceptions import UNKNOWN, RequestError
 from auburnwall.routing.problem import problem_of
 
 from ..callers import (
@@ -58,6 +59,17 @@
                     "caller disconnected", request=request_id, step="before the answer"
                 )
                 raise
+            except Exception as exc:
+                event(
+                    "unexpected error",
+                    level=logging.ERROR,
+                    exc_info=exc,
+                    request=request_id,
+                )
+                error = RequestError(
+                    500, "Internal error", repr(exc), ran=UNKNOWN, step="serve"
+                )
+                return self._respond_with_problem(start_response, error, request_id)
             return self._respond(start_response, reply, request, stack)
 
     def _read_call(self, environ):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+from collections import Counter
 from contextlib import ExitStack, closing
 from functools import partial
 from typing import NamedTuple
@@ -10,14 +11,14 @@
 
 from auburnwall.base import logs
 from auburnwall.base.clock import PauseDetector, SystemClock
-from auburnwall.base.exceptions import AuburnwallError
 from auburnwall.base.tasks import TaskGroup, run_periodically, run_restarting
 from auburnwall.fleet.candidate_index import CandidateIndex
 from auburnwall.fleet.formation.controller import FormationController
 from auburnwall.fleet.formation.election import Election
 from auburnwall.fleet.formation.member_monitor import MemberMonitor
-from auburnwall.fleet.formation.records import FleetState, FleetWriter, NodeRecord
+from auburnwall.fleet.formation.records import FleetState, FleetWriter
 from auburnwall.fleet.registrations import Registry
+from auburnwall.fleet.server_notices import ServerNotices
 from auburnwall.routing.answer_start import TimeToStart
 from auburnwall.routing.channels import ChannelPool
 from auburnwall.routing.forwarder import Forwarder, ForwarderDeps
@@ -25,7 +26,6 @@
 from auburnwall.routing.placer import Placer
 from auburnwall.routing.shared_retry_budget import SharedRetryBudget
 from auburnwall.routing.warmup import WarmupGate
-from auburnwall.state.exceptions import StateError
 from auburnwall.state.proposer import new_incarnation
 from auburnwall.state.table.replica import TableReplica
 from auburnwall.wire.client import PeerPool
@@ -36,15 +36,25 @@
 
 from ..identity import Identity
 from ..webserver import new_server
+from .announcement import Announcement
 from .demand import DemandMeter
 from .entry import EntryPoints, new_directory_app, new_ready_app
 from .front import new_front_server
 from .gateway import Gateway
+from .handler import RoutedHandler
 from .metrics import RoutedMetrics
-from .peers import Peers, RoutedHandler
+from .peers import LOST_NODE_INTERVAL_S, REPORT_PERIOD_S, Peers
+from .settings_reload import SettingsReload
 from .shutdown import GracefulShutdown
 from .source import ConfigSource
-from .tables import LONG_POLL_S, StoreReaderChoice, TableReader
+from .tables import (
+    LONG_POLL_S,
+    MAX_AWAITED_AGE_S,
+    MAX_FOLLOWED_AGE_S,
+    MAX_RELAYED_AGE_FRACTION,
+    StoreReaderChoice,
+    TableReader,
+)
 from .views import PlanningView, RoutingView, SuspectCandidates
 
 OPERATOR_TABLE, SERVER_TABLE, FLEET_TABLE = "operator", "servers", "fleet"
@@ -71,32 +81,21 @@
 # little: a group is used only once its head, the member that takes its requests, has
 # registered, and the registrations are read at longer intervals (``registry_s``).
 FLEET_READ_PAUSE_S = 0.3
+# Time for which this node keeps what it knows of the fleet after the store has lost
+# records, in seconds. A new planner, if one is needed, has written them again by then.
+FLEET_SETTLE_S = 6.0
+# Live peers of each data centre that are asked whether they reach a server.
+PEERS_ASKED_PER_DATA_CENTER = 2
 # Time allowed for writing out the remaining log lines at exit, in seconds.
 LOG_DRAIN_TIMEOUT_S = 0.2
 
-# Settings that take effect only at start; new addresses would need new sockets.
-FIXED_SETTINGS = frozenset(
-    {
-        "node",
-        "data_center",
-        "front_address",
-        "ready_address",
-        "directory_address",
-        "peer_address",
-        "store_address",
-        "log_format",
-        "log_level",
-        "pulse_s",
-        "first_start",
-    }
-)
-
 
 class Platform(NamedTuple):
     """The adapters through which a routed node uses its platform.
 
     ``engine`` is the client that asks the model servers for their state. ``codec``
-    decodes the operators' table and ``decode_registration`` a server's entry.
+    decodes the operators' table and ``decode_registration`` a server's entry;
+    ``is_same_registration`` compares two entries of a server.
     ``directory`` is a ``DirectoryCodec``; ``ready_path`` is the path for readiness.
     """
 
@@ -105,6 +104,7 @@
     header_names: object
     codec: object
     decode_registration: object
+    is_same_registration: object
     directory: object
     ready_path: str
 
@@ -115,10 +115,7 @@
     def __init__(
         self, cfg, platform, tasks, stack, load_settings, clock=None, rng=None
     ):
-        self.cfg = cfg
-        self._load_settings = load_settings
-        self._loaded_cfg = cfg  # As last read; its fixed settings may not be in force.
-        self._settings_error = ""
+        self.settings = SettingsReload(cfg, load_settings)
         self.tasks = tasks
         self.clock = clock or SystemClock()
         self.rng = rng or random.Random()
@@ -136,8 +133,13 @@
         self._build_routing()
         self._pause_detector = PauseDetector(self.clock, MAX_PAUSE_S)
 
+    @property
+    def cfg(self):
+        """Return the settings in force, as ``RoutedSettings``."""
+        return self.settings.cfg
+
     def pulse(self):
-        """Return this node's heartbeat message, a ``Pulse``."""
+        """Return this node's heartbeat, a ``Pulse`` without the nodes behind it."""
         return Pulse(
             node=self.identity.node,
             incarnation=self.identity.incarnation,
@@ -149,6 +151,7 @@
             demand=self.demand.groups_needed(),
             suspects=self.suspects.own_suspects(),
             has_traffic=self.demand.has_traffic,
+            leaving=self.notices.leaving(),
         )
 
     def is_ready(self):
@@ -174,13 +177,15 @@
         for delay_s, function, name in (
             (MAX_PAUSE_S / 4, self._check_for_pause, "pause watch"),
             (PEERS_INTERVAL_S, partial(self.peers.call_new_peers, self.tasks), "peers"),
+            (REPORT_PERIOD_S, self.peers.report, "report"),
+            (LOST_NODE_INTERVAL_S, self.peers.call_lost_node, "lost nodes"),
             (ANNOUNCE_INTERVAL_S, self._announce_node, "announcement"),
             (ELECTION_INTERVAL_S, self._step_election, "election"),
             (PLANNING_INTERVAL_S, self._plan, "plan"),
             (DEMAND_INTERVAL_S, self.demand.step, "demand"),
             (SWEEP_INTERVAL_S, self.channels.close_expired, "idle connections"),
             (NODE_REMOVAL_INTERVAL_S, self._remove_unreachable_nodes, "nodes gone"),
-            (SETTINGS_INTERVAL_S, self._check_settings, "settings"),
+            (SETTINGS_INTERVAL_S, self.settings.check, "settings"),
         ):
             spawn(run_periodically, self.clock, delay_s, function, name)
         logs.event(
@@ -191,10 +196,15 @@
         )
 
     def _build_tables(self):
-        names = (OPERATOR_TABLE, SERVER_TABLE, FLEET_TABLE)
+        store, clock = self._platform.store, self.clock
         self.replicas = {
-            name: TableReplica(name, self._platform.store, self.clock) for name in names
+            name: TableReplica(name, store, clock)
+            for name in (OPERATOR_TABLE, SERVER_TABLE)
         }
+        self.replicas[SERVER_TABLE].is_repeat = self._platform.is_same_registration
+        self.replicas[FLEET_TABLE] = TableReplica(
+            FLEET_TABLE, store, clock, settle_s=FLEET_SETTLE_S
+        )
 
     def _build_fleet(self):
         cfg, platform, clock = self.cfg, self._platform, self.clock
@@ -202,12 +212,22 @@
         self.registry = Registry(
             self.replicas[SERVER_TABLE], platform.decode_registration, clock
         )
+        self.notices = platform.engine.notices = ServerNotices(self.registry, clock)
         self.fleet = FleetState(self.replicas[FLEET_TABLE])
         self.writer = FleetWriter(self.fleet, platform.store, clock, self.identity)
         pool = PeerPool(timeout_s=PEER_TIMEOUT_S, service=Routed)
         self._stack.enter_context(closing(pool))
         self.peers = Peers(
-            self.identity, self.fleet, pool, self.pulse, clock, cfg.pulse_s
+            self.identity,
+            self.fleet,
+            pool,
+            self.pulse,
+            clock,
+            cfg.pulse_s,
+            cfg.max_mesh_nodes,
+        )
+        self.announcement = Announcement(
+            self.identity, self.fleet, self.writer, self.peers, lambda: self.cfg.cores
         )
         self.election = Election(self.fleet, self.writer, self.peers, self.identity)
         self.member_monitor = MemberMonitor(
@@ -219,7 +239,7 @@
             self.registry,
             self.member_monitor,
             platform.engine,
-            PlanningView(self.source, self.peers, self.pulse, cfg.first_start),
+            PlanningView(self.source, self.peers, cfg.first_start),
             clock,
             self.tasks,
         )
@@ -230,7 +250,7 @@
             self.identity, self.fleet, self.peers, self.writer.is_planner
         )
 
-        def reader(table, wait_s, pause_s, on_read=None, peer_to_follow=lambda: None):
+        def reader(table, wait_s, pause_s, max_age_s, peer_to_follow, on_read=None):
             return TableReader(
                 self.replicas[table],
                 self.peers,
@@ -240,22 +260,31 @@
                 pause_s=pause_s,
                 on_read=on_read,
                 peer_to_follow=peer_to_follow,
+                max_followed_age_s=max_age_s,
             )
 
         self.readers = {
-            OPERATOR_TABLE: reader(OPERATOR_TABLE, LONG_POLL_S, lambda: 0.0),
+            OPERATOR_TABLE: reader(
+                OPERATOR_TABLE,
+                LONG_POLL_S,
+                lambda: 0.0,
+                MAX_AWAITED_AGE_S,
+                reader_choice.relay_to_follow,
+            ),
             FLEET_TABLE: reader(
                 FLEET_TABLE,
                 LONG_POLL_S,
                 self._fleet_pause_s,
-                peer_to_follow=reader_choice.peer_to_follow,
+                MAX_AWAITED_AGE_S,
+                reader_choice.peer_to_follow,
             ),
             SERVER_TABLE: reader(
                 SERVER_TABLE,
                 0.0,
                 self._registry_pause_s,
-                self.registry.record_read,
+                self._max_followed_age_s(),
                 reader_choice.peer_to_follow,
+                self.registry.record_read,
             ),
         }
 
@@ -264,6 +293,7 @@
         self.suspects = SuspectCandidates(clock)
         self.suspects.listeners.append(self.member_monitor.suspect_group)
         self.peers.on_suspects = self._suspect_for_peer
+        self.peers.on_leaving = self.notices.note_peer_leaving
         self.in_flight = InFlightRequests(clock, self.suspects.suspect)
         self.suspects.last_progress_at = self.in_flight.last_progress_at
         self.channels = self._stack.enter_context(closing(ChannelPool(clock)))
@@ -281,6 +311,7 @@
             self.in_flight,
             self.suspects,
             self.time_to_start,
+            self.notices,
         )
         gate = WarmupGate(cfg.node, lambda: self.fleet.nodes, clock)
         self.placer = Placer(view, self.in_flight, gate, clock, self.rng)
@@ -292,6 +323,7 @@
             header_names,
             clock,
             self.time_to_start,
+            self.notices,
         )
         self._retry_budgets = {}
         self.metrics = RoutedMetrics()
@@ -307,6 +339,7 @@
         self.shutdown = GracefulShutdown(
             self.gateway, self.writer, clock, cfg, self.tasks
         )
+        self.settings.listeners.append(self._apply_settings)
         self._build_gauges()
 
     def _build_gauges(self):
@@ -327,7 +360,7 @@
     def _servers(self):
         cfg, platform = self.cfg, self._platform
         host, _, port = cfg.peer_address.rpartition(":")
-        handler = RoutedHandler(self.peers, self.pulse, self.replicas, platform.engine)
+        handler = RoutedHandler(self.peers, self.replicas, platform.engine, self.clock)
         entry_points = EntryPoints(self.fleet, self.peers, self.pulse, lambda: self.cfg)
         return (
             PeerServer(host, int(port), handler, Routed),
@@ -350,6 +383,11 @@
         """Return the pause between two reads of the fleet table, in seconds."""
         return 0.0 if self.writer.is_planner() else FLEET_READ_PAUSE_S
 
+    def _max_followed_age_s(self):
+        """Return the maximum age of a peer's copy that this node takes, in seconds."""
+        relayed_age_s = MAX_RELAYED_AGE_FRACTION * self.cfg.drain_notice_s
+        return max(MAX_FOLLOWED_AGE_S, relayed_age_s)
+
     def _reads_tables(self):
         """Return whether all tables are read from the store itself and are recent."""
         ages = [replica.age_s() for replica in self.replicas.values()]
@@ -381,9 +419,15 @@
 
     def _reached_by_peer(self, member):
         """Return whether a live peer reaches a server that this node cannot reach."""
-        calls = [
-            gevent.spawn(self._peer_reaches, name, member) for name in self.peers.live()
-        ]
+        live = [name for name in self.peers.live() if name in self.fleet.nodes]
+        self.rng.shuffle(live)
+        asked, counts = [], Counter()
+        for name in live:
+            data_center = self.fleet.nodes[name].data_center
+            counts[data_center] += 1
+            if counts[data_center] <= PEERS_ASKED_PER_DATA_CENTER:
+                asked.append(name)
+        calls = [gevent.spawn(self._peer_reaches, name, member) for name in asked]
         gevent.joinall(calls)
         return any(call.value for call in calls)
 
@@ -402,64 +446,21 @@
                 replica.complete_at = None
 
     def _announce_node(self):
-        own = self.fleet.nodes.get(self.cfg.node)
-        if self.gateway.stop_begun or self.replicas[FLEET_TABLE].end < 0:
-            return
-        if own is not None and own.incarnation == self.identity.incarnation:
-            return
-        record = NodeRecord(
-            self.identity.node,
-            self.identity.incarnation,
-            self.identity.address,
-            self.identity.peer_address,
-            self.identity.data_center,
-        )
-        try:
-            self.writer.announce(record)
-        except StateError as exc:
-            logs.event("node record not written", step=exc.step, why=exc.detail)
+        if not self.gateway.stop_begun:
+            self.announcement.announce()
 
     def _remove_unreachable_nodes(self):
-        if not self.writer.is_planner() or not self._reads_tables():
-            return
-        if names := self.peers.nodes_to_remove():
-            try:
-                self.writer.drop_nodes(names)
-            except StateError as exc:
-                logs.event("node removal failed", step=exc.step, why=exc.detail)
-                return
-            logs.event("unreachable nodes removed", peers=names)
-
-    def _check_settings(self):
-        """Apply changed settings; keep the old ones if the new ones are invalid."""
-        try:
-            cfg = self._load_settings()
-        except AuburnwallError as exc:
-            if str(exc) != self._settings_error:
-                logs.warn("settings kept", step="reload", why=str(exc))
-            self._settings_error = str(exc)
-            return
-        self._settings_error = ""
-        if cfg != self._loaded_cfg:
-            self._apply_settings(cfg)
+        if self.writer.is_planner() and self._reads_tables():
+            self.announcement.remove_unreachable_nodes()
 
     def _apply_settings(self, cfg):
-        changed = {
-            name: new
-            for name, old, new in zip(cfg._fields, self._loaded_cfg, cfg, strict=True)
-            if old != new
-        }
-        self._loaded_cfg = cfg
-        fixed = sorted(FIXED_SETTINGS & changed.keys())
-        self.cfg = cfg._replace(**{name: getattr(self.cfg, name) for name in fixed})
-        self.shutdown.cfg = self.cfg
+        self.shutdown.cfg = cfg
         self._retry_budgets.clear()  # New ones get the changed settings.
-        logs.event("settings changed", step="reload", changed=changed, kept=fixed)
 
     def reload(self):
         """Read the settings again now; this is the SIGHUP handler."""
         logs.event("reload", step="reload")
-        self._check_settings()
+        self.settings.check()
 
     def _step_election(self):
         if self._reads_tables() and not self.gateway.stop_begun:
@@ -475,9 +476,9 @@
 
     def _no_node_reads_store(self):
         """Return whether no node reads the store; false if there are no live peers."""
-        pulses = self.peers.live().values()
+        statuses = self.peers.live().values()
         own = any(reader.reads_store for reader in self.readers.values())
-        return bool(pulses) and not own and not any(p.reads_tables for p in pulses)
+        return bool(statuses) and not own and not any(s.reads_tables for s in statuses)
 
 
 def run_routed_node(cfg, new_platform, load_settings):
--- /dev/null
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peer_status.py
@@ -0,0 +1,97 @@
+"""What nodes tell each other about the nodes that they have heard of."""
+
+from typing import NamedTuple
+
+from auburnwall.wire.peer.ttypes import Load, NodeStatus, Pulse
+
+
+class PeerStatus(NamedTuple):
+    """What is known of a peer; ``heard_at`` is when its heartbeat was received."""
+
+    incarnation: str
+    ready: bool
+    stopping: bool
+    reads_tables: bool
+    has_traffic: bool
+    heard_at: float
+
+
+class Heartbeat(NamedTuple):
+    """The last heartbeat that a peer sent to this node itself.
+
+    ``reports`` is whether the peer reports to this node, as to its relay.
+    """
+
+    pulse: Pulse
+    received_at: float
+    reports: bool
+
+
+class ReceivedDigest(NamedTuple):
+    """The last digest of a relay, without this node's own requests in ``running``."""
+
+    relay: str
+    incarnation: str
+    version: int
+    load: Load
+    running: dict
+    received_at: float
+
+
+class PublishedStatuses:
+    """The statuses in this node's digests, and the version at which each changed.
+
+    ``version`` rises with each change. Lost nodes are remembered for the callers that
+    have them still.
+    """
+
+    def __init__(self):
+        self.version = 0
+        self.changed_at = {}
+        self._content = {}
+        self._lost_at = {}
+
+    def update(self, statuses):
+        """Take over the statuses of the live nodes, by name."""
+        content = {
+            name: status._replace(heard_at=0.0) for name, status in statuses.items()
+        }
+        changed = [n for n, status in content.items() if self._content.get(n) != status]
+        lost = [name for name in self._content if name not in content]
+        if not changed and not lost:
+            return
+        self.version += 1
+        self.changed_at.update(dict.fromkeys(changed, self.version))
+        for name in changed:
+            self._lost_at.pop(name, None)
+        self._lost_at.update(dict.fromkeys(lost, self.version))
+        self._content = content
+
+    def lost_since(self, version):
+        """Return the names of the nodes lost after ``version``."""
+        return [name for name, at in self._lost_at.items() if at > version]
+
+
+def status_of(source, heard_at):
+    """Return the ``PeerStatus`` in a heartbeat or in a relay's list of nodes."""
+    return PeerStatus(
+        source.incarnation,
+        source.ready,
+        source.stopping,
+        source.reads_tables,
+        source.has_traffic,
+        heard_at,
+    )
+
+
+def to_wire(name, status, age_s):
+    """Return a node's status as ``NodeStatus``, heard of ``age_s`` seconds ago."""
+    return NodeStatus(
+        name,
+        status.incarnation,
+        status.ready,
+        status.stopping,
+        status.reads_tables,
+        status.has_traffic,
+        int(1000 * age_s),
+    )
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -1,89 +1,166 @@
-"""Heartbeats between nodes, and table records for nodes that do not read the store.
+"""Heartbeats between nodes: their liveness, their load and the groups they suspect.
 
-A heartbeat reports a node's liveness, load, demand and suspect groups. Every node calls
-every other one, except those that called it recently: one call per period informs both
-sides. The period grows with the number of nodes, which limits the cost for each node.
+In a small fleet every node exchanges heartbeats with every other one. In a larger one
+the relays do so, and each other node reports to a relay; ``topology`` chooses them. A
+relay's heartbeat also covers the nodes that report to it.
 """
 
-from typing import NamedTuple
-
 from auburnwall.base.logs import event
-from auburnwall.state.table.base import TableRecord
 from auburnwall.wire.exceptions import PeerUnavailableError
-from auburnwall.wire.peer.ttypes import Pulse, TableRow, TableRows
+from auburnwall.wire.peer.ttypes import FleetDigest
+
+from .fleet_load import load_of_pulse, subtract_running, sum_loads
+from .peer_status import (
+    Heartbeat,
+    PublishedStatuses,
+    ReceivedDigest,
+    status_of,
+    to_wire,
+)
+from .topology import is_mesh, parent_of, relay_rank, relays_of
 
 # Maximum rate of heartbeat calls that a node starts, per second.
 MAX_HEARTBEATS_PER_S = 50.0
+# Time between two reports of a node to its relay, in seconds: a fourth of the time for
+# which a request holds its slot.
+REPORT_PERIOD_S = 0.4
+# Time between two calls of a relay to nodes that are not live, in seconds.
+LOST_NODE_INTERVAL_S = 0.4
 # Maximum age of the last heartbeat of a live peer, in seconds. It is short enough that
 # the directory stops naming a lost node within the few seconds that are allowed.
 MAX_HEARTBEAT_AGE_S = 2.5
-# The same as a number of heartbeat periods; the longer of the two applies. Above 41
-# nodes this is the longer one, as the period grows with their number.
+# The same as a number of heartbeat periods; the longer of the two applies.
 MAX_HEARTBEAT_AGE_PERIODS = 3
 # Maximum age of a heartbeat whose request counts are part of the load, in seconds. Two
 # heartbeat periods apply if they are longer.
 MAX_LOAD_AGE_S = 2.0
 # A peer whose last heartbeat is younger than this fraction of the period is not called.
 RECENT_FRACTION = 0.7
+# Time for which sums over the peers are reused if no heartbeat has arrived, and in a
+# relay, where heartbeats arrive all the time, in any case. In seconds.
+SUMS_REUSED_S = 0.1
+# Time for which a relay that did not answer is not chosen again, in seconds.
+FAILED_RELAY_S = 2.0
+# In a fleet with relays, a group is suspect if it is for this number of nodes at least,
+# and for this fraction of its requests in flight.
+MIN_SUSPECTING_NODES, MIN_SUSPECTING_FRACTION = 2, 0.25
 # A node that has been unreachable for this long is removed from the fleet table, in
 # seconds.
 REMOVE_AFTER_S = 30.0
 
 
-class PeerView(NamedTuple):
-    """A peer's last heartbeat and when it was received."""
-
-    pulse: Pulse
-    received_at: float
-
-
 class Peers:
     """Exchange heartbeats with the other nodes of the fleet table.
 
-    ``on_suspects(names, node)`` is called with the groups that a peer suspects.
+    ``own_pulse()`` returns this node's heartbeat without the nodes that report to it.
+    Fleets of up to ``max_mesh_nodes`` nodes have no relays. ``on_suspects(names,
+    node)`` is called with the groups that a peer, or a node behind it, suspects, and
+    ``on_leaving(servers, node)`` with the servers that told it that they leave.
     """
 
-    def __init__(self, identity, state, pool, own_pulse, clock, period_s):
-        self.views = {}
+    def __init__(
+        self, identity, state, pool, own_pulse, clock, period_s, max_mesh_nodes
+    ):
         self.on_suspects = lambda names, node: None
+        self.on_leaving = lambda servers, node: None
         self._identity = identity
         self._state = state
         self._pool = pool
         self._own_pulse = own_pulse
         self._clock = clock
         self._period_s = period_s
+        self._max_mesh_nodes = max_mesh_nodes
+        self._heartbeats = {}
+        self._statuses = {}
+        self._digest = None
+        self._digest_nodes = {}
+        self._published = PublishedStatuses()
+        self._first_seen_at = {}
+        self._failed_until = {}
         self._called_nodes = set()
+        self._lost_nodes_called = 0
         self._unreachable_since = {}
+        self._topology_key = None
+        self._partners = frozenset()
+        self._parent = None
+        self._is_mesh = True
+        self._sums = {}
 
     def call_new_peers(self, tasks):
-        """Start a call loop for each new peer; drop the views of removed ones.
+        """Start a call loop for each new partner; drop what is known of removed nodes.
 
-        The loop of a removed peer ends by itself.
+        The loop of a node that is no longer a partner ends by itself.
         """
-        for name in self._state.nodes:
-            if name != self._identity.node and name not in self._called_nodes:
-                self._called_nodes.add(name)
-                tasks.spawn(self._call_loop, name)
-        for name in [name for name in self.views if name not in self._state.nodes]:
-            del self.views[name]
+        self._update_topology()
+        if not self._is_mesh and self._parent is None:
+            self._pass_on(self.fleet_load(), self._identity.node)
+        for name in self._partners - self._called_nodes:
+            self._called_nodes.add(name)
+            tasks.spawn(self._call_loop, name)
+        for known in (self._heartbeats, self._statuses, self._first_seen_at):
+            for name in [name for name in known if name not in self._state.nodes]:
+                del known[name]
+
+    def report(self):
+        """Report to this node's relay, if it has one, and apply its digest."""
+        self._update_topology()
+        name = self._parent
+        if name is None or name not in self._state.nodes:
+            return
+        pulse = self.full_pulse()
+        digest = self._digest if self._digest and self._digest.relay == name else None
+        try:
+            reply = self.call(
+                self.address(name),
+                "report",
+                pulse,
+                digest.incarnation if digest else "",
+                digest.version if digest else 0,
+            )
+        except PeerUnavailableError as exc:
+            self._failed_until[name] = self._clock.monotonic() + FAILED_RELAY_S
+            event("relay lost", peer=name, step="report", why=exc.detail)
+            return
+        if digest is None:
+            event("relay chosen", peer=name, nodes=len(reply.nodes))
+        self._apply_digest(name, pulse, reply)
+
+    def call_lost_node(self):
+        """Exchange heartbeats with the next node that is not live, if this is a relay.
+
+        Where several relays are lost at once, each of their nodes may have found
+        another, and these do not know each other. The nodes that would be relays first
+        are called first.
+        """
+        if self._is_mesh or self._parent is not None:
+            return
+        live, own = self.live(), self._identity.node
+        nodes = self._state.nodes.items()
+        lost = [node for name, node in nodes if name not in live and name != own]
+        if lost:
+            lost.sort(key=relay_rank)
+            self._exchange(lost[self._lost_nodes_called % len(lost)], True)
+            self._lost_nodes_called += 1
+
+    def parent(self):
+        """Return the relay that this node reports to, ``None`` if it has none."""
+        return self._parent
+
+    def is_relay(self, name):
+        """Return whether a live peer exchanges heartbeats with this node directly."""
+        return name in self._partners
 
     def period_s(self):
         """Return the time between two heartbeats to the same peer, in seconds."""
-        return max(self._period_s, len(self._state.nodes) / MAX_HEARTBEATS_PER_S)
+        return max(self._period_s, len(self._partners) / MAX_HEARTBEATS_PER_S)
 
     def live(self):
-        """Return the last heartbeats of the live peers, by node.
+        """Return the ``PeerStatus`` of each live peer, by node.
 
         A peer is live if its last heartbeat is recent and comes from the incarnation
         that is in the fleet table.
         """
-        limit_s = max(MAX_HEARTBEAT_AGE_S, MAX_HEARTBEAT_AGE_PERIODS * self.period_s())
-        oldest_at = self._clock.monotonic() - limit_s
-        return {
-            name: view.pulse
-            for name, view in self.views.items()
-            if view.received_at >= oldest_at and self._is_current(name, view.pulse)
-        }
+        return self._cached("live", self._find_live)
 
     def nodes_to_remove(self):
         """Return the sorted names of the nodes to be removed from the fleet table.
@@ -94,10 +171,11 @@
         """
         now = self._clock.monotonic()
         others = [name for name in self._state.nodes if name != self._identity.node]
+        live = self.live()
         self._unreachable_since = {
             name: self._unreachable_since.get(name, now)
             for name in others
-            if name not in self.live()
+            if name not in live
         }
         return sorted(
             name
@@ -110,31 +188,66 @@
 
         These read the store and are not stopping. This node can be one of them.
         """
-        own = self._own_pulse()
-        pulses = {**self.live(), self._identity.node: own}
+        statuses = {**self.live(), self._identity.node: self._own_pulse()}
         return {
-            name: pulse.incarnation
-            for name, pulse in pulses.items()
-            if pulse.reads_tables and not pulse.stopping
+            name: status.incarnation
+            for name, status in statuses.items()
+            if status.reads_tables and not status.stopping
         }
 
     def load(self, name):
         """Return how many requests the peers report in flight at a group or server."""
-        oldest_at = self._clock.monotonic() - max(MAX_LOAD_AGE_S, 2 * self.period_s())
-        return sum(
-            view.pulse.running.get(name, 0)
-            for view in self.views.values()
-            if view.received_at >= oldest_at
-        )
+        return self._cached("running", self._sum_running).get(name, 0)
+
+    def fleet_load(self):
+        """Return the ``Load`` of all live nodes, this one included."""
+        return self._cached("load", self._sum_load)
 
-    def receive(self, pulse):
-        """Store a peer's heartbeat and pass on the groups that it suspects."""
-        known = self.views.get(pulse.node)
-        self.views[pulse.node] = PeerView(pulse, self._clock.monotonic())
+    def receive(self, pulse, reports=False):
+        """Store a peer's heartbeat and pass on the groups that are suspected.
+
+        ``reports`` is whether the peer reports to this node, as to its relay.
+        """
+        known = self._heartbeats.get(pulse.node)
+        now = self._clock.monotonic()
+        self._heartbeats[pulse.node] = Heartbeat(pulse, now, reports)
         if known is None:
             event("peer heard", peer=pulse.node, incarnation=pulse.incarnation)
-        if pulse.suspects:
-            self.on_suspects(pulse.suspects, pulse.node)
+        self._note_status(pulse.node, status_of(pulse, now))
+        for member in pulse.members or ():
+            heard_at = now - member.age_ms / 1000
+            self._note_status(member.node, status_of(member, heard_at))
+        if self._is_mesh:
+            self._sums.clear()
+        if self._is_mesh:
+            self._pass_on(load_of_pulse(pulse), pulse.node)
+
+    def digest_for(self, digest_of, version):
+        """Return the ``FleetDigest`` for a node that reports to this one.
+
+        The caller has the digest of incarnation ``digest_of`` up to ``version``.
+        """
+        statuses = self._cached("published", self._publish)
+        own = self._identity.incarnation
+        whole = digest_of != own
+        return FleetDigest(
+            own,
+            self._published.version,
+            whole,
+            [
+                to_wire(name, status, 0)
+                for name, status in statuses.items()
+                if whole or self._published.changed_at[name] > version
+            ],
+            [] if whole else self._published.lost_since(version),
+            self.fleet_load(),
+        )
+
+    def full_pulse(self):
+        """Return this node's heartbeat with the nodes that report to it."""
+        pulse = self._own_pulse()
+        pulse.members, pulse.member_load = self._cached("members", self._sum_members)
+        return pulse
 
     def address(self, name):
         """Return the address for calls to a live peer."""
@@ -144,17 +257,213 @@
         """Call a peer and return its response; raises ``PeerUnavailableError``."""
         return self._pool.call(address, method, *args)
 
-    def _is_current(self, name, pulse):
+    def _cached(self, name, function):
+        """Return the result of a sum over the peers, computed a short time ago."""
+        now = self._clock.monotonic()
+        at, result = self._sums.get(name, (None, None))
+        if at is None or now - at >= SUMS_REUSED_S or now < at:
+            result = function()
+            self._sums[name] = now, result
+        return result
+
+    def _max_age_s(self):
+        return max(MAX_HEARTBEAT_AGE_S, MAX_HEARTBEAT_AGE_PERIODS * self.period_s())
+
+    def _find_live(self):
+        oldest_at = self._clock.monotonic() - self._max_age_s()
+        return {
+            name: status
+            for name, status in self._known_statuses().items()
+            if status.heard_at >= oldest_at and self._is_current(name, status)
+        }
+
+    def _known_statuses(self):
+        """Return the newest status of each peer, from its relay or from itself."""
+        if self._digest is None:
+            return self._statuses
+        heard_at = self._digest.received_at
+        statuses = {
+            name: status._replace(heard_at=heard_at)
+            for name, status in self._digest_nodes.items()
+        }
+        for name, status in self._statuses.items():
+            if name not in statuses or status.heard_at > heard_at:
+                statuses[name] = status
+        return statuses
+
+    def _is_current(self, name, status):
         node = self._state.nodes.get(name)
-        return node is not None and node.incarnation == pulse.incarnation
+        return (
+            node is not None
+            and name != self._identity.node
+            and node.incarnation == status.incarnation
+        )
+
+    def _note_status(self, name, status):
+        known = self._statuses.get(name)
+        if name == self._identity.node:
+            return
+        if known is None or status.heard_at >= known.heard_at:
+            self._statuses[name] = status
+
+    def _recent_heartbeats(self):
+        oldest_at = self._clock.monotonic() - max(MAX_LOAD_AGE_S, 2 * self.period_s())
+        return [
+            heartbeat
+            for heartbeat in self._heartbeats.values()
+            if heartbeat.received_at >= oldest_at
+        ]
+
+    def _recent_digest(self):
+        digest = self._digest
+        if digest is None or self._parent is None:
+            return None
+        age_s = self._clock.monotonic() - digest.received_at
+        return digest if age_s <= MAX_LOAD_AGE_S else None
+
+    def _sum_running(self):
+        if digest := self._recent_digest():
+            return digest.running
+        return self._sum_heartbeats().running
+
+    def _sum_load(self):
+        if digest := self._recent_digest():
+            return digest.load
+        return sum_loads([load_of_pulse(self._own_pulse()), self._sum_heartbeats()])
+
+    def _sum_heartbeats(self):
+        """Return the ``Load`` of the peers that send heartbeats to this node."""
+        return self._cached("heartbeats", self._add_up_heartbeats)
+
+    def _add_up_heartbeats(self):
+        return sum_loads(_loads_in(self._recent_heartbeats()))
+
+    def _sum_members(self):
+        """Return the statuses and the ``Load`` of the nodes that report to this one."""
+        now = self._clock.monotonic()
+        reports = [h for h in self._recent_heartbeats() if h.reports]
+        statuses = [
+            to_wire(h.pulse.node, h.pulse, now - h.received_at) for h in reports
+        ]
+        for heartbeat in reports:
+            passed_ms = int(1000 * (now - heartbeat.received_at))
+            for member in heartbeat.pulse.members or ():
+                statuses.append(
+                    to_wire(member.node, member, (member.age_ms + passed_ms) / 1000)
+                )
+        loads = _loads_in(reports)
+        return statuses, sum_loads(loads) if loads else None
+
+    def _publish(self):
+        own = status_of(self._own_pulse(), self._clock.monotonic())
+        statuses = {**self.live(), self._identity.node: own}
+        self._published.update(statuses)
+        return statuses
+
+    def _apply_digest(self, relay, sent, reply):
+        now = self._clock.monotonic()
+        if reply.whole:
+            self._digest_nodes.clear()
+        for node in reply.nodes:
+            if node.node != self._identity.node:
+                self._digest_nodes[node.node] = status_of(node, now)
+        for name in reply.lost:
+            self._digest_nodes.pop(name, None)
+        self._digest = ReceivedDigest(
+            relay,
+            reply.incarnation,
+            reply.version,
+            reply.load,
+            subtract_running(reply.load.running, sent.running),
+            now,
+        )
+        self._sums.clear()
+        self._pass_on(reply.load, relay)
+
+    def _pass_on(self, load, node):
+        """Pass on the suspect groups and the leaving servers in a ``Load``.
+
+        Where all nodes exchange heartbeats, one of them has many requests at a group
+        and its suspicion is enough. In a larger fleet it has one or two, which may
+        stand still for other reasons.
+        """
+        suspects = [
+            name
+            for name, count in load.suspects.items()
+            if self._is_mesh or _is_suspected(count, load.running.get(name, 0))
+        ]
+        if suspects:
+            self.on_suspects(sorted(suspects), node)
+        if load.leaving:
+            self.on_leaving(load.leaving, node)
+
+    def _update_topology(self):
+        """Choose anew whom this node exchanges heartbeats with, if nodes have changed.
+
+        Relays are chosen among the nodes that may be live. Relays also call the nodes
+        that would be relays if all nodes were live: after a partition heals, neither
+        side would otherwise call the other.
+        """
+        nodes, own = self._state.nodes, self._identity.node
+        now = self._clock.monotonic()
+        for name in nodes:
+            self._first_seen_at.setdefault(name, now)
+        names = frozenset(nodes)
+        self._is_mesh = is_mesh(len(nodes), self._max_mesh_nodes)
+        if self._is_mesh or own not in nodes:
+            key = names, None
+            if key != self._topology_key:
+                self._topology_key = key
+                partners = names - {own} if self._is_mesh else frozenset()
+                self._set_topology(partners, None)
+            return
+        eligible = self._eligible_relays(now)
+        key = names, eligible
+        if key == self._topology_key:
+            return
+        self._topology_key = key
+        records = [nodes[name] for name in eligible | {own}]
+        parent = parent_of(nodes[own], records)
+        partners = relays_of(records) | relays_of(nodes.values())
+        self._set_topology(
+            frozenset() if parent else frozenset(partners) - {own}, parent
+        )
+
+    def _set_topology(self, partners, parent):
+        if parent != self._parent or bool(partners) != bool(self._partners):
+            event("heartbeats", relay=parent, partners=len(partners))
+        if parent is None:
+            self._digest = None
+            self._digest_nodes.clear()
+        self._partners, self._parent = partners, parent
+        self._sums.clear()
+
+    def _eligible_relays(self, now):
+        """Return the names of the other nodes that may be live.
+
+        A node is not eligible for a time after it did not answer a report. Without any
+        live peer, all other nodes are eligible.
+        """
+        live = self.live()
+        oldest_at = now - self._max_age_s()
+        eligible = frozenset(
+            name
+            for name in self._state.nodes
+            if name != self._identity.node
+            and (name in live or not live or self._first_seen_at[name] >= oldest_at)
+            and self._failed_until.get(name, 0.0) <= now
+        )
+        return eligible or frozenset(self._state.nodes) - {self._identity.node}
 
     def _call_loop(self, name):
         failed = False
         try:
-            while node := self._state.nodes.get(name):
-                view, now = self.views.get(name), self._clock.monotonic()
+            while (node := self._state.nodes.get(name)) and name in self._partners:
+                heard, now = self._heartbeats.get(name), self._clock.monotonic()
                 period_s = self.period_s()
-                if view is None or now - view.received_at >= RECENT_FRACTION * period_s:
+                if heard is None or (
+                    now - heard.received_at >= RECENT_FRACTION * period_s
+                ):
                     failed = self._exchange(node, failed)
                 self._clock.sleep(period_s)
         finally:
@@ -166,7 +475,7 @@
         ``failed_before`` is whether the last call failed.
         """
         try:
-            self.receive(self._pool.call(node.peer, "pulse", self._own_pulse()))
+            self.receive(self._pool.call(node.peer, "pulse", self.full_pulse()))
         except PeerUnavailableError as exc:
             if not failed_before:
                 event("peer lost", peer=node.node, why=exc.detail)
@@ -176,60 +485,12 @@
         return False
 
 
-class RoutedHandler:
-    """Serve the calls of peers."""
-
-    def __init__(self, peers, own_pulse, replicas, engine):
-        self._peers = peers
-        self._own_pulse = own_pulse
-        self._replicas = replicas
-        self._engine = engine
-
-    def pulse(self, peer_pulse):
-        """Store a peer's heartbeat and return this node's."""
-        self._peers.receive(peer_pulse)
-        return self._own_pulse()
+def _is_suspected(node_count, running):
+    """Return whether a group is suspect at all nodes because it is at some of them."""
+    return node_count >= max(MIN_SUSPECTING_NODES, MIN_SUSPECTING_FRACTION * running)
 
-    def rows(self, table, from_offset):
-        """Return the records of a table from an offset on, as ``TableRows``.
 
-        The records are from this node's copy of the table. If it no longer has all of
-        them, its newest record of each key is returned, marked as ``whole``. The age of
-        the copy is -1 ms if it is not known.
-        """
-        replica = self._replicas[table]
-        records, whole = replica.records_for_peer(from_offset)
-        age_s = replica.age_s()
-        return TableRows(
-            whole,
-            replica.end,
-            round(age_s * 1000) if age_s is not None else -1,
-            [
-                TableRow(r.offset, r.key, r.value or b"", r.value is None)
-                for r in records
-            ],
-        )
-
-    def reaches(self, server, address):
-        """Return whether a server answers this node."""
-        return self._engine.is_reachable(server, address)
-
-
-def learn_from_peer(replica, rows, asked_at):
-    """Apply the ``TableRows`` of a peer to this node's copy and return ``True``.
-
-    Returns ``False`` without any change if the peer's copy is older than this one or
-    its age is not known. ``asked_at`` is the monotonic time just before the call.
-    """
-    if rows.age_ms < 0 or rows.end < replica.end:
-        return False
-    records = [
-        TableRecord(row.offset, row.key, None if row.removed else row.value)
-        for row in rows.rows
-    ]
-    complete_at = asked_at - rows.age_ms / 1000
-    if rows.whole:
-        replica.replace(records, rows.end, complete_at)
-    else:
-        replica.apply_records(records, rows.end, complete_at)
-    return True
+def _loads_in(heartbeats):
+    """Return the loads of the senders and of the nodes that report to these."""
+    loads = [load_of_pulse(heartbeat.pulse) for heartbeat in heartbeats]
+    return loads + [h.pulse.member_load for h in heartbeats if h.pulse.member_load]
--- a/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
@@ -25,6 +25,9 @@
     registry_s: float = 0.6
     planner_registry_s: float = 0.3
     pulse_s: float = 0.12
+    max_mesh_nodes: int = 24
+    cores: float = 1.0
+    drain_notice_s: float = 2.0
     repeat_share: float = 0.1
     repeat_reserve: float = 10.0
     repeat_window_s: float = 10.0
@@ -69,6 +72,16 @@
         "Interval between reads of the registrations at the planner", "s", 0.05, 1.5
     ),
     "pulse_s": SettingSpec("Interval between heartbeats to a peer", "s", 0.05, 2.0),
+    "max_mesh_nodes": SettingSpec(
+        "Maximum number of nodes that all exchange heartbeats with each other",
+        "",
+        1,
+        64,
+    ),
+    "cores": SettingSpec("Processor of this VM, in cores", "", 0.01, 1_024.0),
+    "drain_notice_s": SettingSpec(
+        "Time in which a leaving server must get no more requests", "s", 0.5, 60.0
+    ),
     "repeat_share": SettingSpec(
         "Retries allowed to a service, as a fraction of its requests", "", 0.0, 1.0
     ),
--- a/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
@@ -3,10 +3,9 @@
 from auburnwall.base.logs import event
 from auburnwall.base.rendezvous import ranked
 from auburnwall.state.exceptions import LogUnavailableError
+from auburnwall.state.table.base import TableRecord
 from auburnwall.wire.exceptions import PeerUnavailableError
 
-from .peers import learn_from_peer
-
 # Maximum time that one read waits for new records, in seconds. A read on an
 # unresponsive connection times out shortly after this time. It is short, so that a new
 # configuration arrives within its time limit even after such a timeout.
@@ -14,11 +13,20 @@
 # If its own read of the store fails, a node copies from any peer once its table copy is
 # this old, in seconds.
 MIN_FALLBACK_AGE_S = 1.0
-# Interval at which a node copies from the peer that reads the store for it, and maximum
+# Pause between two copies from the peer that reads the store for this node, and maximum
 # age of that peer's copy, in seconds. The age is more than the default ``registry_s``,
 # the pause between two reads of the registrations. Interval plus age is below the 2 s
 # in which a leaving server must be noticed.
 FOLLOW_INTERVAL_S, MAX_FOLLOWED_AGE_S = 0.3, 1.0
+# Maximum age of a relay's copy as a fraction of the time in which a leaving server must
+# be noticed. A relay may itself copy from the relay that reads the store.
+MAX_RELAYED_AGE_FRACTION = 0.5
+# The same for a table whose reader waits for new records: the copy may be as old as the
+# wait, since a new record would end it.
+MAX_AWAITED_AGE_S = LONG_POLL_S + 1.0
+# Maximum time that a relay waits for new records before it responds, in seconds. It is
+# shorter than the timeout of calls to peers.
+RELAY_WAIT_S = 0.5
 # Time for which a node reads the store itself after it could not copy from its peer, in
 # seconds. In a cluster of up to 41 nodes, a peer that is gone no longer counts as live
 # by then; see ``peers.MAX_HEARTBEAT_AGE_S``.
@@ -28,11 +36,12 @@
 
 
 class StoreReaderChoice:
-    """Choose the node that reads the store for the others of its data centre.
+    """Choose the node that reads the store for this one.
 
-    Rendezvous hashing chooses among this node and the live peers of its data centre
-    that read the store. ``is_planner()`` returns whether this node is the planner,
-    which always reads the store itself.
+    A node that reports to a relay copies from its relay. Otherwise rendezvous hashing
+    chooses among this node and the live peers of its data centre that exchange
+    heartbeats with it and read the store. ``is_planner()`` returns whether this node is
+    the planner, which always reads the store itself.
     """
 
     def __init__(self, identity, state, peers, is_planner):
@@ -41,15 +50,27 @@
         self._peers = peers
         self._is_planner = is_planner
 
+    def relay_to_follow(self):
+        """Return the relay to copy from, or ``None`` if there is none."""
+        parent = self._peers.parent()
+        if self._is_planner() or parent not in self._state.nodes:
+            return None
+        return parent
+
     def peer_to_follow(self):
         """Return the peer to copy from, or ``None`` if this node reads the store."""
         if self._is_planner():
             return None
+        if (relay := self.relay_to_follow()) is not None:
+            return relay
         own = self._identity.node
         near = [
             name
-            for name, pulse in self._peers.live().items()
-            if pulse.reads_tables and not pulse.stopping and self._is_near(name)
+            for name, status in self._peers.live().items()
+            if status.reads_tables
+            and not status.stopping
+            and self._is_near(name)
+            and self._peers.is_relay(name)
         ]
         best = ranked("store reader", [own, *near])[0]
         return None if best == own else best
@@ -63,7 +84,8 @@
 
     A read of the store waits up to ``wait_s`` seconds for new records. ``pause_s()``
     returns the pause between two reads, in seconds. ``peer_to_follow()`` returns the
-    name of the peer that reads the table for this node, or ``None``. ``on_read()`` is
+    name of the peer that reads the table for this node, or ``None``, and
+    ``max_followed_age_s`` is the maximum age of that peer's copy. ``on_read()`` is
     called after each successful read. ``reads_store`` is true while this node reads the
     store itself.
     """
@@ -79,6 +101,7 @@
         pause_s,
         on_read=None,
         peer_to_follow=lambda: None,
+        max_followed_age_s=MAX_FOLLOWED_AGE_S,
     ):
         self.replica = replica
         self.reads_store = False
@@ -89,6 +112,7 @@
         self._pause_s = pause_s
         self._on_read = on_read or (lambda: None)
         self._peer_to_follow = peer_to_follow
+        self._max_followed_age_s = max_followed_age_s
         self._followed_peer = None
         self._read_store_until = 0.0
         self._backoff_s = FIRST_BACKOFF_S
@@ -103,6 +127,7 @@
 
         If the store is unavailable, copy from any peer that can read it.
         """
+        self.replica.settle_due()
         if self._copy_from_followed_peer():
             self._clock.sleep(FOLLOW_INTERVAL_S)
             return
@@ -125,7 +150,9 @@
         now = self._clock.monotonic()
         may_follow = self.replica.end >= 0 and now >= self._read_store_until
         name = self._peer_to_follow() if may_follow else None
-        followed = name is not None and self._copy_from_peer(name, MAX_FOLLOWED_AGE_S)
+        followed = name is not None and self._copy_from_peer(
+            name, self._max_followed_age_s, RELAY_WAIT_S
+        )
         if name is not None and not followed:
             self._read_store_until = self._clock.monotonic() + READ_STORE_S
         if followed and self._followed_peer != name:
@@ -154,31 +181,63 @@
 
     def _copy_from_any_peer(self):
         """Copy from a random peer that reads the store, unless this copy is recent."""
-        age_s, replica = self.replica.age_s(), self.replica
+        age_s = self.replica.age_s()
         if age_s is not None and age_s < MIN_FALLBACK_AGE_S:
             return
-        up_to_date = [
-            name
-            for name, pulse in self._peers.live().items()
-            if pulse.reads_tables
-            and pulse.table_ends.get(replica.table, -1) >= replica.end
+        readers = [
+            name for name, status in self._peers.live().items() if status.reads_tables
         ]
-        if not up_to_date:
-            return
-        self._copy_from_peer(self._rng.choice(sorted(up_to_date)))
+        if readers:
+            self._copy_from_peer(self._rng.choice(sorted(readers)))
+
+    def _copy_from_peer(self, name, max_age_s=None, wait_s=0.0):
+        """Copy from a peer unless its copy is too old; return whether it succeeded.
 
-    def _copy_from_peer(self, name, max_age_s=None):
-        """Copy from a peer unless its copy is too old; return whether it succeeded."""
+        The peer waits up to ``wait_s`` for a new record.
+        """
         replica = self.replica
         address, asked_at = self._peers.address(name), self._clock.monotonic()
         try:
-            rows = self._peers.call(address, "rows", replica.table, replica.end)
+            rows = self._peers.call(
+                address,
+                "rows",
+                replica.table,
+                replica.end,
+                int(1000 * wait_s),
+                replica.era,
+            )
         except PeerUnavailableError as exc:
             event("table copy failed", table=replica.table, peer=name, why=exc.detail)
             return False
+        answered_at = self._clock.monotonic()
         if max_age_s is not None and not 0 <= rows.age_ms <= 1000 * max_age_s:
             return False
-        if not learn_from_peer(replica, rows, asked_at):
+        if not learn_from_peer(replica, rows, asked_at, answered_at):
             return False
         self._on_read()
         return True
+
+
+def learn_from_peer(replica, rows, asked_at, answered_at):
+    """Apply the ``TableRows`` of a peer to this node's copy and return ``True``.
+
+    Nothing changes if the peer's copy ends before this one, which was read from the
+    store in between. Returns ``False`` if the peer's copy is of an earlier era or its
+    age is not known. ``asked_at`` and ``answered_at`` are the monotonic times just
+    before and after the call.
+    """
+    era = rows.era or 0
+    if rows.age_ms < 0 or era < replica.era:
+        return False
+    records = [
+        TableRecord(row.offset, row.key, None if row.removed else row.value)
+        for row in rows.rows
+    ]
+    # The peer may have waited for records; its copy has the stated age at the end.
+    waited_s = (rows.waited_ms or 0) / 1000
+    complete_at = min(asked_at + waited_s, answered_at) - rows.age_ms / 1000
+    if rows.whole:
+        replica.replace(records, rows.end, complete_at, era)
+    elif era == replica.era:
+        replica.apply_records(records, rows.end, complete_at)
+    return True
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -1,6 +1,5 @@
 """The views of the node's state that the placer and the planner decide from."""
 
-from collections import Counter
 from typing import NamedTuple
 
 from auburnwall.base.logs import event
@@ -101,10 +100,11 @@
 
     def _suspect(self, until_by_name, name, source):
         now = self._clock.monotonic()
-        if name not in self:
+        if name not in self or name not in self._suspicions:
             repeated = self.on_probation(name)
             for_s = 2 * self._suspicions[name].for_s if repeated else SUSPECT_S
-            self._suspicions[name] = _Suspicion(now, min(for_s, MAX_SUSPECT_S))
+            for_s = min(for_s, MAX_SUSPECT_S)
+            self._suspicions[name] = _Suspicion(now, for_s)
             event("group doubted", group=name, source=source, for_s=for_s)
         until_by_name[name] = now + self._suspicions[name].for_s
         for listener in self.listeners:
@@ -131,6 +131,7 @@
         in_flight,
         suspects,
         time_to_start,
+        notices,
     ):
         self.data_center = data_center
         self._source = source
@@ -140,6 +141,7 @@
         self._in_flight = in_flight
         self._suspects = suspects
         self._time_to_start = time_to_start
+        self._notices = notices
 
     def candidates(self, request):
         """Return the candidates for a request."""
@@ -162,6 +164,10 @@
             return True
         return self._suspects.on_probation(name) and self._in_flight.count(name) > 0
 
+    def pause_left_s(self, server):
+        """Return for how many seconds a server wants no request, 0 if it takes any."""
+        return self._notices.pause_left_s(server)
+
     def cold_rate(self, candidate):
         """Return the maximum requests per second of a cold server.
 
@@ -220,10 +226,9 @@
 class PlanningView:
     """The planner's view of the node's state."""
 
-    def __init__(self, source, peers, own_pulse, first_start):
+    def __init__(self, source, peers, first_start):
         self._source = source
         self._peers = peers
-        self._own_pulse = own_pulse
         self._first_start = first_start
 
     def config(self):
@@ -242,15 +247,16 @@
         rest add nothing: their callers used other nodes until now, so the demand of
         these callers is still part of what the others measured.
         """
-        pulses = [*self._peers.live().values(), self._own_pulse()]
-        with_traffic = [pulse for pulse in pulses if pulse.has_traffic]
-        measured = [pulse.demand for pulse in with_traffic if pulse.demand]
-        total = Counter()
-        for demand in measured:
-            total.update(demand)
-        few_measured = len(measured) < MIN_MEASURED_FRACTION * len(with_traffic)
-        scale = len(with_traffic) / max(1, len(measured)) if few_measured else 1.0
-        return {model: groups * scale for model, groups in total.items()}
+        load = self._peers.fleet_load()
+        few_measured = (
+            load.nodes_measured < MIN_MEASURED_FRACTION * load.nodes_with_traffic
+        )
+        scale = (
+            load.nodes_with_traffic / max(1, load.nodes_measured)
+            if few_measured
+            else 1.0
+        )
+        return {model: groups * scale for model, groups in load.demand.items()}
 
     def is_before_first_request(self):
         """Return whether this is the first start and no live node has had a request.
@@ -258,5 +264,4 @@
         The setting ``first_start`` is needed as well: after a restart of all nodes none
         of them knows of earlier requests.
         """
-        pulses = [*self._peers.live().values(), self._own_pulse()]
-        return self._first_start and not any(pulse.has_traffic for pulse in pulses)
+        return self._first_start and not self._peers.fleet_load().nodes_with_traffic
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -1,15 +1,24 @@
 """One attempt to have a request served by one server."""
 
+from http.client import HTTPException
+
 from urllib3 import HTTPHeaderDict
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 from urllib3.util import SKIP_HEADER
 
+from auburnwall.fleet.server_notices import LEAVING, pause_from_header
+
 from .event_stream import NumberedEventSplitter
 from .exceptions import ExchangeError
 from .hop_by_hop import HOP_BY_HOP
 
 # Largest read from a response, in bytes.
 READ_BYTES = 65_536
+# How an exchange fails in ``urllib3``, or in the standard library below it, which
+# rejects bytes that are no response.
+EXCHANGE_FAILURES = (HTTPError, HTTPException, OSError, ValueError)
+# Largest event of a stream, in bytes; longer ones are no events of a server.
+MAX_EVENT_BYTES = 1024 * 1024
 # Largest response that is collected as a whole, in bytes.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Socket read timeout; stalled exchanges are interrupted long before.
@@ -56,9 +65,10 @@
                     decode_content=False,
                 )
                 self._resp = self._channel.connection.getresponse()
-        except (HTTPError, OSError, ValueError) as exc:
+        except EXCHANGE_FAILURES as exc:
             raise self._failure(exc, "send") from exc
         self.status, self.headers = self._resp.status, self._resp.headers
+        self._note_notices()
         self._check_head(request.request_id)
 
     @property
@@ -68,6 +78,12 @@
             return False
         return self.status == 421 or self._deps.header_names.not_run in self.headers
 
+    @property
+    def pause_s(self):
+        """Return for how many seconds the server wants no request, or ``None``."""
+        value = self.headers.get(self._deps.header_names.pause)
+        return pause_from_header(self.status, value)
+
     def read_body(self):
         """Return the complete body.
 
@@ -88,9 +104,11 @@
         Raises ``ExchangeError`` if the stream is cut short.
         """
         for data in self._chunks():
-            self._deps.in_flight.note_progress(self.exchange)
             if events := self.splitter.feed(data):
+                self._deps.in_flight.note_progress(self.exchange)
                 yield events
+            elif self.splitter.pending_bytes > MAX_EVENT_BYTES:
+                raise self._error("an event is too large", "read stream")
         if self.splitter.pending:
             raise self._error("the stream ended within an event", "read stream")
 
@@ -158,6 +176,16 @@
             headers[header_names.last_event_id] = self._last_id
         return headers
 
+    def _note_notices(self):
+        """Record what the head of the response says of the server."""
+        header_names = self._deps.header_names
+        self._deps.notices.note_response(
+            self.candidate.server,
+            f"request {self._request.request_id}",
+            is_leaving=self.headers.get(header_names.leaving) == LEAVING,
+            pause_s=self.pause_s,
+        )
+
     def _check_head(self, request_id):
         header_names = self._deps.header_names
         echoed = self.headers.get(header_names.request_id)
@@ -180,7 +208,7 @@
             try:
                 with self._awaiting_server():
                     data = next(chunks, None)
-            except (HTTPError, OSError, ValueError) as exc:
+            except EXCHANGE_FAILURES as exc:
                 raise self._failure(exc, "read answer") from exc
             if data is None:
                 break
--- a/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
@@ -20,6 +20,11 @@
         """Return whether an incomplete event has arrived."""
         return bool(self._incomplete)
 
+    @property
+    def pending_bytes(self):
+        """Return the size of the incomplete event."""
+        return len(self._incomplete)
+
     def feed(self, data):
         """Return the bytes of all events that are complete now, possibly none."""
         buffered = self._incomplete + data
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -40,7 +40,8 @@
 
     ``placer`` gives slots, ``channels`` holds the connections to servers, and
     ``in_flight`` tracks exchanges. ``header_names`` are the platform's own headers.
-    ``time_to_start`` holds the mean time until a response starts.
+    ``time_to_start`` holds the mean time until a response starts, ``notices`` what
+    servers say of themselves.
     """
 
     placer: object
@@ -49,6 +50,7 @@
     header_names: object
     clock: object
     time_to_start: object
+    notices: object
 
 
 class Forwarder:
@@ -344,12 +346,12 @@
 
         Nodes send a group fewer requests than it can take, so a refusal is not due to
         load: the group is broken or closing, even if the fleet's tables do not show it
-        yet. It becomes suspect, since its free slots would attract further requests.
-        The retry is taken from the budget. Raises ``RequestError`` if no further
-        attempt is allowed.
+        yet. It becomes suspect, since its free slots would attract further requests. A
+        server that asks for a pause is not suspect. The retry is taken from the budget.
+        Raises ``RequestError`` if no further attempt is allowed.
         """
         attempt.close()
-        if self.request.model:
+        if self.request.model and attempt.pause_s is None:
             self._deps.in_flight.make_suspect(attempt.candidate.name)
         at_fault = attempt.headers.get(self._deps.header_names.server_at_fault, "")
         self._avoid |= {attempt.candidate.server}
--- a/packages/auburnwall-routing/src/auburnwall/routing/header_names.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/header_names.py
@@ -11,7 +11,9 @@
     request is for, so that another server at the same address refuses it.
     ``server_at_fault`` names the member because of which the head of a group refuses.
     ``tokens`` holds the number of prompt tokens and the largest number of response
-    tokens; ``answer_hint`` is the caller's estimate of the response tokens.
+    tokens; ``answer_hint`` is the caller's estimate of the response tokens. ``leaving``
+    states that the server leaves, ``pause`` for how long a refusing server wants no
+    request.
     """
 
     request_id: str
@@ -25,3 +27,5 @@
     model: str
     tokens: str
     answer_hint: str
+    leaving: str
+    pause: str
--- a/packages/auburnwall-routing/src/auburnwall/routing/load_shedding.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/load_shedding.py
@@ -62,7 +62,8 @@
     the caller's deadline and ``objective_left_s`` until the objective. Slots have been
     scarce for ``short_s``, which is 0 if they are not. ``resume_window_s`` is how long
     a stream that broke off may wait for another server, ``None`` for other requests.
-    All times are in seconds.
+    All servers want no request for ``pause_s``, 0 if any takes one. All times are in
+    seconds.
     """
 
     wait_class: WaitClass
@@ -75,6 +76,7 @@
     objective_left_s: float
     short_s: float = 0.0
     resume_window_s: float | None = None
+    pause_s: float = 0.0
 
 
 class ShortageDetector:
@@ -161,13 +163,13 @@
 
     This is the longest of the shortest sensible delay, the expected wait for a slot,
     the time for which slots have been scarce and a fraction of the caller's time, up
-    to ``MAX_RETRY_AFTER_S``.
+    to ``MAX_RETRY_AFTER_S``, but no shorter than the pause that all servers want.
     """
     deadline_based_s = (
         RETRY_AFTER_FRACTION * context.time_left_s if context.slots_in_use > 0 else 0.0
     )
     delay_s = max(MIN_RETRY_AFTER_S, expected_s, context.short_s, deadline_based_s)
-    return min(MAX_RETRY_AFTER_S, delay_s)
+    return max(context.pause_s, min(MAX_RETRY_AFTER_S, delay_s))
 
 
 def _is_late_in_shortage(context):
@@ -181,6 +183,8 @@
 
 def _expected_wait(context):
     """Return in how many seconds a slot is expected, and the reason as a text."""
+    if context.pause_s > 0:
+        return context.pause_s, f"every server wants a pause of {context.pause_s:.2f} s"
     if context.slots_in_use > 0:
         expected_s = (
             (context.queued_ahead + 1) * context.slot_time_s / context.slots_in_use
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -86,6 +86,7 @@
     candidate. ``must_avoid(name)``: whether a candidate must get no request now, for
     example because it is suspect. ``cold_rate(candidate)``: how many requests per
     second a server that has just started may get, ``None`` without such a limit.
+    ``pause_left_s(server)``: for how long a server wants no request.
     ``expected_time_to_start_s(request)``: the mean time from sending a request to the
     start of its response. ``slot_usage(request)``: an object with the fields
     ``slots_in_use``, ``forming_groups`` and ``slot_time_s`` of a ``WaitContext``.
@@ -266,6 +267,7 @@
             candidate
             for candidate in self._view.candidates(request)
             if candidate.server not in excluded_servers
+            and self._view.pause_left_s(candidate.server) <= 0
             and self._warmup_allows(candidate)
         ]
         healthy = [c for c in candidates if not self._view.must_avoid(c.name)]
@@ -305,8 +307,20 @@
             objective_left_s=request.objective_at - now,
             short_s=backlog.shortage.duration_s(now),
             resume_window_s=resume_window_s,
+            pause_s=self._shortest_pause_s(request),
         )
 
+    def _shortest_pause_s(self, request):
+        """Return in how many seconds the first candidate takes requests again.
+
+        This is 0 if any takes them now, or if there are no candidates.
+        """
+        pauses = [
+            self._view.pause_left_s(candidate.server)
+            for candidate in self._view.candidates(request)
+        ]
+        return min(pauses, default=0.0)
+
     def _overloaded_error(self, request, backlog, wait_class, resume_window_s=None):
         """Log that this node refuses a request; return the error for the caller.
 
--- a/packages/auburnwall-state/src/auburnwall/state/table/base.py
+++ b/packages/auburnwall-state/src/auburnwall/state/table/base.py
@@ -16,11 +16,20 @@
     """Records in order of offset; ``end`` is the offset from which to read on.
 
     This is the end of the table, or the offset after the last of ``records`` if the
-    response reached its size limit.
+    response reached its size limit. ``era`` rises each time the store comes back from
+    an older copy: it has then lost records, and gives their offsets out again.
     """
 
     records: list
     end: int
+    era: int = 0
+
+
+class AppendResult(NamedTuple):
+    """The offset of the first appended record, in an era of the table."""
+
+    offset: int
+    era: int = 0
 
 
 class TableClient(ABC):
@@ -43,7 +52,7 @@
 
     @abstractmethod
     def append(self, table, entries, *, at=None):
-        """Write ``(key, value)`` pairs atomically and return the first one's offset.
+        """Write ``(key, value)`` pairs atomically and return an ``AppendResult``.
 
         A value of ``None`` removes the key. With ``at``, the write happens only if the
         table ends at that offset; otherwise raises ``TableChangedError``.
--- a/packages/auburnwall-state/src/auburnwall/state/table/replica.py
+++ b/packages/auburnwall-state/src/auburnwall/state/table/replica.py
@@ -1,8 +1,16 @@
-"""A local replica of one table, which never reverts to older records."""
+"""A local replica of one table, which never reverts to older records.
+
+The store can come back from a copy that is some seconds old. It then has a new era: it
+has lost the records of those seconds and gives their offsets out again. The replica
+keeps what it knows of the changed keys for a time, in which their writers write them
+again, and only then takes over what the store has.
+"""
 
 from collections import deque
 from itertools import dropwhile
 
+from gevent.event import Event
+
 from auburnwall.base.logs import event
 
 from ..exceptions import LogTruncatedError
@@ -11,6 +19,11 @@
 # Recent records that a node retains for peers that cannot read the table themselves:
 # the last minute at about 50 changes a second.
 MAX_RELAY_RECORDS = 3_000
+# Time in which operators and servers have written again what the store has lost, in
+# seconds.
+SETTLE_S = 2.0
+# Offset of an entry from an earlier era; any record of the new era replaces it.
+EARLIER_ERA_OFFSET = -1
 
 
 class TableReplica:
@@ -19,17 +32,42 @@
     The replica reflects all records before the offset ``end``, which is -1 before the
     first read; it holds the newest one of each key. ``complete_at`` is the last time at
     which it was known to be complete, on the node's monotonic clock, or ``None``.
+
+    ``era`` is the store's era of these offsets. ``unsettled`` maps each key that an
+    older copy of the store has changed to its record there, ``None`` if it has none;
+    ``entries`` still holds what was known before. ``reloading`` is true while listeners
+    are notified of records that may be older than their key's last record.
+
+    ``is_repeat(old, new)`` tells whether a value says nothing new. Of such records only
+    ``repeat_listeners`` are notified, with the key, and peers do not get them.
     """
 
-    def __init__(self, table, client, clock):
+    def __init__(
+        self,
+        table,
+        client,
+        clock,
+        *,
+        settle_s=SETTLE_S,
+        is_repeat=lambda old, new: False,
+    ):
         self.table = table
         self.entries = {}
         self.end = -1
+        self.era = 0
         self.complete_at = None
+        self.reloading = False
+        self.unsettled = {}
         self.listeners = []
+        self.repeat_listeners = []
         self._client = client
         self._clock = clock
-        self._recent = deque(maxlen=MAX_RELAY_RECORDS)
+        self._settle_s = settle_s
+        self._is_repeat = is_repeat
+        self._settle_at = 0.0
+        self._recent = deque()
+        self._recent_from = 0  # ``_recent`` lacks no record from this offset on.
+        self._changed = Event()
 
     def age_s(self):
         """Return seconds since the replica was known to be complete, or ``None``."""
@@ -40,10 +78,11 @@
     def refresh(self, wait_s):
         """Read new records, waiting up to ``wait_s`` seconds for the first one.
 
-        Reloads the whole table at the first call, or if the next records have expired.
-        Raises ``LogUnavailableError``.
+        Reloads the whole table at the first call, if the next records have expired, or
+        if the store has a new era. Raises ``LogUnavailableError``.
         """
         asked_at = self._clock.monotonic()
+        self.settle_due()
         if self.end < 0:
             self._reload(asked_at)
             return
@@ -53,7 +92,11 @@
             event("table history dropped", table=self.table, oldest=exc.oldest)
             self._reload(asked_at)
             return
-        self.apply_records(batch.records, batch.end, asked_at)
+        if batch.era != self.era:
+            self._reload(asked_at)
+        else:
+            self.apply_records(batch.records, batch.end, asked_at)
+        self.settle_due()
 
     def apply_records(self, records, end, complete_at):
         """Apply records in order of offset, from the table or from a peer's replica.
@@ -68,61 +111,149 @@
             self.end = end
             self.complete_at = max(self.complete_at or complete_at, complete_at)
 
-    def apply_written(self, offset, entries, complete_at):
-        """Apply the records that a conditional write of this node has appended."""
+    def apply_written(self, result, entries, complete_at):
+        """Apply the records that a conditional write of this node has appended.
+
+        ``result`` is the ``AppendResult``. Nothing is applied if the store has a new
+        era, since the records before those written are not known then.
+        """
+        if result.era != self.era:
+            event("written in a new era", table=self.table, era=result.era)
+            return
         records = [
-            TableRecord(offset + index, key, value)
+            TableRecord(result.offset + index, key, value)
             for index, (key, value) in enumerate(entries)
         ]
-        self.apply_records(records, offset + len(records), complete_at)
+        self.apply_records(records, result.offset + len(records), complete_at)
+
+    def wait_for_records(self, offset, wait_s):
+        """Wait up to ``wait_s`` for a record for peers at ``offset`` or later."""
+        if self.end < 0 or self._has_records_from(offset):
+            return
+        self._clock.wait(self._changed, wait_s)
 
-    def records_for_peer(self, offset):
+    def records_for_peer(self, offset, era):
         """Return records for a peer, and whether they are the whole table.
 
         These are the records from ``offset`` on. If some of them are no longer in
-        memory, the newest record of each key is returned instead. Before the first read
-        that is an empty list; ``age_s`` returns ``None`` then, and ``end`` is -1.
+        memory, or if the peer has another era, the newest record of each key is
+        returned instead. Before the first read that is an empty list; ``age_s`` returns
+        ``None`` then, and ``end`` is -1.
         """
-        if offset >= self.end >= 0:
-            return [], False
-        if self._recent and self._recent[0].offset <= offset:
-            return list(dropwhile(lambda r: r.offset < offset, self._recent)), False
+        if era == self.era:
+            if offset >= self.end >= 0:
+                return [], False
+            if self._recent_from <= offset:
+                return list(dropwhile(lambda r: r.offset < offset, self._recent)), False
         return sorted(self.entries.values()), True
 
-    def replace(self, records, end, complete_at):
+    def replace(self, records, end, complete_at, era=0):
         """Replace all entries by ``records``, the newest record of each key.
 
         Keys that are not among them are removed. Has no effect if ``end`` is older than
-        the end of the replica.
+        the end of the replica in the same era, or if the era is older.
         """
-        if end < self.end:
+        if era < self.era or (era == self.era and end < self.end):
+            return
+        if era > self.era and self.end >= 0:
+            self._enter_era(records, end, complete_at, era)
             return
+        self.era = era
         present_keys = {record.key for record in records}
         # A removal gets the replica's end as its offset, so that ``_apply`` doesn't
         # ignore it as older than the entry.
         removals = [
             TableRecord(max(self.end, 0), key, None)
             for key in self.entries
-            if key not in present_keys
+            if key not in present_keys and key not in self.unsettled
         ]
-        # Peers must not get these records as recent ones: the removals' offsets are not
-        # real, and overwritten records are missing.
-        self._recent.clear()
-        for record in removals + sorted(records):
-            self._apply(record, keep_for_peers=False)
+        changed = [r for r in records if self.unsettled.get(r.key) != r]
+        self._forget_recent(end)
+        self._apply_reloaded(removals + sorted(changed))
         self.end = end
         self.complete_at = max(self.complete_at or complete_at, complete_at)
 
+    def settle_due(self):
+        """Take over the store's records of unsettled keys when their time is over."""
+        if self.unsettled and self._clock.monotonic() >= self._settle_at:
+            self.settle()
+
+    def settle(self):
+        """Take over what the store has for the unsettled keys."""
+        unsettled, self.unsettled = self.unsettled, {}
+        event("table settled", table=self.table, era=self.era, keys=len(unsettled))
+        self._apply_reloaded(
+            record or TableRecord(max(self.end, 0), key, None)
+            for key, record in unsettled.items()
+        )
+
     def _reload(self, asked_at):
         batch = self._client.newest(self.table)
-        self.replace(batch.records, batch.end, asked_at)
+        self.replace(batch.records, batch.end, asked_at, batch.era)
+
+    def _enter_era(self, records, end, complete_at, era):
+        """Continue with the table of a new era; keep changed keys for a time."""
+        stored = {record.key: record for record in records}
+        unsettled = {}
+        for key in {*self.entries, *stored}:
+            known, record = self.entries.get(key), stored.get(key)
+            if known is not None and record is not None and known.value == record.value:
+                self.entries[key] = record
+                continue
+            unsettled[key] = record
+            if known is not None:
+                self.entries[key] = known._replace(offset=EARLIER_ERA_OFFSET)
+        event(
+            "store lost records",
+            table=self.table,
+            era=era,
+            instead_of=self.era,
+            end=end,
+            end_before=self.end,
+            unsettled=len(unsettled),
+        )
+        self.unsettled = unsettled
+        self._settle_at = self._clock.monotonic() + self._settle_s
+        self.era, self.end, self.complete_at = era, end, complete_at
+        self._forget_recent(end)
+
+    def _forget_recent(self, end):
+        """Give peers no recent records from before ``end``.
+
+        After a reload there are gaps between these: overwritten records are missing.
+        """
+        self._recent.clear()
+        self._recent_from = end
+
+    def _has_records_from(self, offset):
+        if offset < self._recent_from:
+            return True
+        return bool(self._recent) and self._recent[-1].offset >= offset
+
+    def _apply_reloaded(self, records):
+        self.reloading = True
+        try:
+            for record in records:
+                self._apply(record, keep_for_peers=False)
+        finally:
+            self.reloading = False
 
     def _apply(self, record, keep_for_peers=True):
         current = self.entries.get(record.key)
         if current is not None and current.offset > record.offset:
             return
+        self.unsettled.pop(record.key, None)
+        if (
+            current is not None
+            and record.value is not None
+            and self._is_repeat(current.value, record.value)
+        ):
+            self.entries[record.key] = record
+            for listener in self.repeat_listeners:
+                listener(record.key)
+            return
         if keep_for_peers:
-            self._recent.append(record)
+            self._keep_for_peers(record)
         if current is not None and current.offset == record.offset:
             return
         if record.value is None:
@@ -131,3 +262,10 @@
             self.entries[record.key] = record
         for listener in self.listeners:
             listener(record)
+
+    def _keep_for_peers(self, record):
+        self._recent.append(record)
+        if len(self._recent) > MAX_RELAY_RECORDS:
+            self._recent_from = self._recent.popleft().offset + 1
+        self._changed.set()
+        self._changed = Event()
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
@@ -1,6 +1,11 @@
 namespace py auburnwall.wire.peer
 
-/** What one watcher last saw of one backend server; ages are in milliseconds. */
+/**
+ * The last probe of one backend server by one watcher; ages are in milliseconds.
+ *
+ * `failing_ms` is how long probes have failed, negative while the server responds;
+ * `bears` is how many concurrent requests it can take.
+ */
 struct Observation {
   1: string vm
   2: string watcher
@@ -17,13 +22,13 @@
   13: string version
 }
 
-/** Word that the control stream ended at `end`, `age_ms` ago; -1 for no word. */
+/** The last known end of the control stream, known `age_ms` ago; -1 if not known. */
 struct LogWord {
   1: i64 end
   2: i64 age_ms
 }
 
-/** Which of the peer's observations the asker already has. */
+/** The calling node, and up to which of the peer's observations it has them. */
 struct Cursor {
   1: string node
   2: string incarnation
@@ -32,10 +37,10 @@
 }
 
 /**
- * What a node tells a peer of itself and of the backend servers it watches.
+ * A node's state, and its observations of the backend servers that it watches.
  *
- * `observations` holds those that changed after the asker's cursor, or all of them if
- * `whole`. Each one it watches and does not name is as it was, and was probed at most
+ * `observations` holds those that changed after the caller's cursor, or all of them if
+ * `whole`. A watched server without one is unchanged, and was probed at most
  * `unchanged_age_ms` ago.
  */
 struct Digest {
@@ -143,12 +148,43 @@
 }
 
 /**
- * What a routed node tells a peer of itself, several times a second.
+ * The requests and the demand of several nodes together.
  *
- * `running` counts its requests at each group or server, `demand` the groups' worth of
- * work that callers asked it for by model, -1 in all before the first request;
- * `suspects` names groups that stand still. The ends tell how far it has read the
- * platform's tables, `reads_tables` whether it reached them lately.
+ * `running` counts their requests at each group or server. `demand` is the work that
+ * callers asked them for, by model, as a number of groups. `nodes_with_traffic` is how
+ * many of them have had a request, `nodes_measured` how many have measured the demand.
+ * `suspects` counts the nodes that suspect each group. `leaving` maps the servers
+ * that told any of them that they leave to the start time of their incarnation.
+ */
+struct Load {
+  1: map<string, i32> running
+  2: map<string, double> demand
+  3: i32 nodes_with_traffic
+  4: i32 nodes_measured
+  5: map<string, i32> suspects
+  6: map<string, i64> leaving
+}
+
+/** A node, and how many milliseconds ago it was last heard of. */
+struct NodeStatus {
+  1: string node
+  2: string incarnation
+  3: bool ready
+  4: bool stopping
+  5: bool reads_tables
+  6: bool has_traffic
+  7: i32 age_ms
+}
+
+/**
+ * A routed node's heartbeat.
+ *
+ * `running` counts its requests at each group or server. `demand` is the work that
+ * callers asked it for, by model, as a number of groups; empty until it has been
+ * measured. `suspects` names groups whose requests make no progress. `table_ends` is up
+ * to which offset it has read each of the platform's tables, `reads_tables` whether it
+ * reads all of them from the store. `leaving` is as in `Load`. `members` are the nodes that report to it, and
+ * `member_load` is the load of these.
  */
 struct Pulse {
   1: string node
@@ -161,6 +197,25 @@
   8: map<string, double> demand
   9: list<string> suspects
   10: bool has_traffic
+  11: list<NodeStatus> members
+  12: Load member_load
+  13: map<string, i64> leaving
+}
+
+/**
+ * The state of all nodes, for a node that reports to the sender.
+ *
+ * `nodes` holds the live nodes whose status changed after the version that the caller
+ * named, `lost` the names of those that are no longer live since. If `whole`, `nodes`
+ * holds all live nodes. `load` is that of all live nodes, the caller included.
+ */
+struct FleetDigest {
+  1: string incarnation
+  2: i64 version
+  3: bool whole
+  4: list<NodeStatus> nodes
+  5: list<string> lost
+  6: Load load
 }
 
 struct TableRow {
@@ -170,16 +225,27 @@
   4: bool removed
 }
 
-/** Rows of a table from the offset asked for, or, if `whole`, the newest of all keys. */
+/**
+ * Records of a table from the offset asked for, or, if `whole`, the newest of all keys.
+ *
+ * Records that repeat the state of their key may be missing. The copy had the age
+ * `age_ms` when the peer had waited `waited_ms` for a new record. `era` rises each time
+ * the store has lost records.
+ */
 struct TableRows {
   1: bool whole
   2: i64 end
   3: i64 age_ms
   4: list<TableRow> rows
+  5: i64 era
+  6: i32 waited_ms
 }
 
 service Routed {
   Pulse pulse(1: Pulse mine) throws (1: PeerError error)
-  TableRows rows(1: string table, 2: i64 from_offset) throws (1: PeerError error)
+  FleetDigest report(1: Pulse mine, 2: string digest_of, 3: i64 version)
+    throws (1: PeerError error)
+  TableRows rows(1: string table, 2: i64 from_offset, 3: i32 wait_ms, 4: i64 era)
+    throws (1: PeerError error)
   bool reaches(1: string server, 2: string address) throws (1: PeerError error)
 }
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/Routed.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/Routed.py
@@ -27,11 +27,23 @@
         """
         pass
 
-    def rows(self, table, from_offset):
+    def report(self, mine, digest_of, version):
+        """
+        Parameters:
+         - mine
+         - digest_of
+         - version
+
+        """
+        pass
+
+    def rows(self, table, from_offset, wait_ms, era):
         """
         Parameters:
          - table
          - from_offset
+         - wait_ms
+         - era
 
         """
         pass
@@ -87,21 +99,63 @@
             raise result.error
         raise TApplicationException(TApplicationException.MISSING_RESULT, "pulse failed: unknown result")
 
-    def rows(self, table, from_offset):
+    def report(self, mine, digest_of, version):
+        """
+        Parameters:
+         - mine
+         - digest_of
+         - version
+
+        """
+        self.send_report(mine, digest_of, version)
+        return self.recv_report()
+
+    def send_report(self, mine, digest_of, version):
+        self._oprot.writeMessageBegin('report', TMessageType.CALL, self._seqid)
+        args = report_args()
+        args.mine = mine
+        args.digest_of = digest_of
+        args.version = version
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_report(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = report_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.error is not None:
+            raise result.error
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "report failed: unknown result")
+
+    def rows(self, table, from_offset, wait_ms, era):
         """
         Parameters:
          - table
          - from_offset
+         - wait_ms
+         - era
 
         """
-        self.send_rows(table, from_offset)
+        self.send_rows(table, from_offset, wait_ms, era)
         return self.recv_rows()
 
-    def send_rows(self, table, from_offset):
+    def send_rows(self, table, from_offset, wait_ms, era):
         self._oprot.writeMessageBegin('rows', TMessageType.CALL, self._seqid)
         args = rows_args()
         args.table = table
         args.from_offset = from_offset
+        args.wait_ms = wait_ms
+        args.era = era
         args.write(self._oprot)
         self._oprot.writeMessageEnd()
         self._oprot.trans.flush()
@@ -165,6 +219,7 @@
         self._handler = handler
         self._processMap = {}
         self._processMap["pulse"] = Processor.process_pulse
+        self._processMap["report"] = Processor.process_report
         self._processMap["rows"] = Processor.process_rows
         self._processMap["reaches"] = Processor.process_reaches
         self._on_message_begin = None
@@ -215,13 +270,39 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_report(self, seqid, iprot, oprot):
+        args = report_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = report_result()
+        try:
+            result.success = self._handler.report(args.mine, args.digest_of, args.version)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerError as error:
+            msg_type = TMessageType.REPLY
+            result.error = error
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("report", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_rows(self, seqid, iprot, oprot):
         args = rows_args()
         args.read(iprot)
         iprot.readMessageEnd()
         result = rows_result()
         try:
-            result.success = self._handler.rows(args.table, args.from_offset)
+            result.success = self._handler.rows(args.table, args.from_offset, args.wait_ms, args.era)
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
@@ -407,18 +488,183 @@
 )
 
 
+class report_args(object):
+    """
+    Attributes:
+     - mine
+     - digest_of
+     - version
+
+    """
+
+
+    def __init__(self, mine=None, digest_of=None, version=None,):
+        self.mine = mine
+        self.digest_of = digest_of
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.mine = Pulse()
+                    self.mine.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.digest_of = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('report_args')
+        if self.mine is not None:
+            oprot.writeFieldBegin('mine', TType.STRUCT, 1)
+            self.mine.write(oprot)
+            oprot.writeFieldEnd()
+        if self.digest_of is not None:
+            oprot.writeFieldBegin('digest_of', TType.STRING, 2)
+            oprot.writeString(self.digest_of.encode('utf-8') if sys.version_info[0] == 2 else self.digest_of)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(report_args)
+report_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'mine', [Pulse, None], None, ),  # 1
+    (2, TType.STRING, 'digest_of', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+)
+
+
+class report_result(object):
+    """
+    Attributes:
+     - success
+     - error
+
+    """
+
+
+    def __init__(self, success=None, error=None,):
+        self.success = success
+        self.error = error
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = FleetDigest()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.error = PeerError.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('report_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.error is not None:
+            oprot.writeFieldBegin('error', TType.STRUCT, 1)
+            self.error.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(report_result)
+report_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [FleetDigest, None], None, ),  # 0
+    (1, TType.STRUCT, 'error', [PeerError, None], None, ),  # 1
+)
+
+
 class rows_args(object):
     """
     Attributes:
      - table
      - from_offset
+     - wait_ms
+     - era
 
     """
 
 
-    def __init__(self, table=None, from_offset=None,):
+    def __init__(self, table=None, from_offset=None, wait_ms=None, era=None,):
         self.table = table
         self.from_offset = from_offset
+        self.wait_ms = wait_ms
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -439,6 +685,16 @@
                     self.from_offset = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -457,6 +713,14 @@
             oprot.writeFieldBegin('from_offset', TType.I64, 2)
             oprot.writeI64(self.from_offset)
             oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 3)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 4)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -478,6 +742,8 @@
     None,  # 0
     (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
     (2, TType.I64, 'from_offset', None, None, ),  # 2
+    (3, TType.I32, 'wait_ms', None, None, ),  # 3
+    (4, TType.I64, 'era', None, None, ),  # 4
 )
 
 
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
@@ -39,7 +39,10 @@
 
 class Observation(object):
     """
-    What one watcher last saw of one backend server; ages are in milliseconds.
+    The last probe of one backend server by one watcher; ages are in milliseconds.
+
+    `failing_ms` is how long probes have failed, negative while the server responds;
+    `bears` is how many concurrent requests it can take.
 
     Attributes:
      - vm
@@ -230,7 +233,7 @@
 
 class LogWord(object):
     """
-    Word that the control stream ended at `end`, `age_ms` ago; -1 for no word.
+    The last known end of the control stream, known `age_ms` ago; -1 if not known.
 
     Attributes:
      - end
@@ -300,7 +303,7 @@
 
 class Cursor(object):
     """
-    Which of the peer's observations the asker already has.
+    The calling node, and up to which of the peer's observations it has them.
 
     Attributes:
      - node
@@ -392,10 +395,10 @@
 
 class Digest(object):
     """
-    What a node tells a peer of itself and of the backend servers it watches.
+    A node's state, and its observations of the backend servers that it watches.
 
-    `observations` holds those that changed after the asker's cursor, or all of them if
-    `whole`. Each one it watches and does not name is as it was, and was probed at most
+    `observations` holds those that changed after the caller's cursor, or all of them if
+    `whole`. A watched server without one is unchanged, and was probed at most
     `unchanged_age_ms` ago.
 
     Attributes:
@@ -1466,14 +1469,301 @@
         return not (self == other)
 
 
+class Load(object):
+    """
+    The requests and the demand of several nodes together.
+
+    `running` counts their requests at each group or server. `demand` is the work that
+    callers asked them for, by model, as a number of groups. `nodes_with_traffic` is how
+    many of them have had a request, `nodes_measured` how many have measured the demand.
+    `suspects` counts the nodes that suspect each group. `leaving` maps the servers
+    that told any of them that they leave to the start time of their incarnation.
+
+    Attributes:
+     - running
+     - demand
+     - nodes_with_traffic
+     - nodes_measured
+     - suspects
+     - leaving
+
+    """
+
+
+    def __init__(self, running=None, demand=None, nodes_with_traffic=None, nodes_measured=None, suspects=None, leaving=None,):
+        self.running = running
+        self.demand = demand
+        self.nodes_with_traffic = nodes_with_traffic
+        self.nodes_measured = nodes_measured
+        self.suspects = suspects
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.MAP:
+                    self.running = {}
+                    (_ktype38, _vtype39, _size37) = iprot.readMapBegin()
+                    for _i41 in range(_size37):
+                        _key42 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val43 = iprot.readI32()
+                        self.running[_key42] = _val43
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.demand = {}
+                    (_ktype45, _vtype46, _size44) = iprot.readMapBegin()
+                    for _i48 in range(_size44):
+                        _key49 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val50 = iprot.readDouble()
+                        self.demand[_key49] = _val50
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.nodes_with_traffic = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.nodes_measured = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.MAP:
+                    self.suspects = {}
+                    (_ktype52, _vtype53, _size51) = iprot.readMapBegin()
+                    for _i55 in range(_size51):
+                        _key56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val57 = iprot.readI32()
+                        self.suspects[_key56] = _val57
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.MAP:
+                    self.leaving = {}
+                    (_ktype59, _vtype60, _size58) = iprot.readMapBegin()
+                    for _i62 in range(_size58):
+                        _key63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val64 = iprot.readI64()
+                        self.leaving[_key63] = _val64
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Load')
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.MAP, 1)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
+            for kiter65, viter66 in self.running.items():
+                oprot.writeString(kiter65.encode('utf-8') if sys.version_info[0] == 2 else kiter65)
+                oprot.writeI32(viter66)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.MAP, 2)
+            oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.demand))
+            for kiter67, viter68 in self.demand.items():
+                oprot.writeString(kiter67.encode('utf-8') if sys.version_info[0] == 2 else kiter67)
+                oprot.writeDouble(viter68)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.nodes_with_traffic is not None:
+            oprot.writeFieldBegin('nodes_with_traffic', TType.I32, 3)
+            oprot.writeI32(self.nodes_with_traffic)
+            oprot.writeFieldEnd()
+        if self.nodes_measured is not None:
+            oprot.writeFieldBegin('nodes_measured', TType.I32, 4)
+            oprot.writeI32(self.nodes_measured)
+            oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.MAP, 5)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.suspects))
+            for kiter69, viter70 in self.suspects.items():
+                oprot.writeString(kiter69.encode('utf-8') if sys.version_info[0] == 2 else kiter69)
+                oprot.writeI32(viter70)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.MAP, 6)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.leaving))
+            for kiter71, viter72 in self.leaving.items():
+                oprot.writeString(kiter71.encode('utf-8') if sys.version_info[0] == 2 else kiter71)
+                oprot.writeI64(viter72)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class NodeStatus(object):
+    """
+    A node, and how many milliseconds ago it was last heard of.
+
+    Attributes:
+     - node
+     - incarnation
+     - ready
+     - stopping
+     - reads_tables
+     - has_traffic
+     - age_ms
+
+    """
+
+
+    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, has_traffic=None, age_ms=None,):
+        self.node = node
+        self.incarnation = incarnation
+        self.ready = ready
+        self.stopping = stopping
+        self.reads_tables = reads_tables
+        self.has_traffic = has_traffic
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.ready = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.stopping = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.reads_tables = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.has_traffic = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NodeStatus')
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 1)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.ready is not None:
+            oprot.writeFieldBegin('ready', TType.BOOL, 3)
+            oprot.writeBool(self.ready)
+            oprot.writeFieldEnd()
+        if self.stopping is not None:
+            oprot.writeFieldBegin('stopping', TType.BOOL, 4)
+            oprot.writeBool(self.stopping)
+            oprot.writeFieldEnd()
+        if self.reads_tables is not None:
+            oprot.writeFieldBegin('reads_tables', TType.BOOL, 5)
+            oprot.writeBool(self.reads_tables)
+            oprot.writeFieldEnd()
+        if self.has_traffic is not None:
+            oprot.writeFieldBegin('has_traffic', TType.BOOL, 6)
+            oprot.writeBool(self.has_traffic)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 7)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Pulse(object):
     """
-    What a routed node tells a peer of itself, several times a second.
+    A routed node's heartbeat.
 
-    `running` counts its requests at each group or server, `demand` the groups' worth of
-    work that callers asked it for by model, -1 in all before the first request;
-    `suspects` names groups that stand still. The ends tell how far it has read the
-    platform's tables, `reads_tables` whether it reached them lately.
+    `running` counts its requests at each group or server. `demand` is the work that
+    callers asked it for, by model, as a number of groups; empty until it has been
+    measured. `suspects` names groups whose requests make no progress. `table_ends` is up
+    to which offset it has read each of the platform's tables, `reads_tables` whether it
+    reads all of them from the store. `leaving` is as in `Load`. `members` are the nodes that report to it, and
+    `member_load` is the load of these.
 
     Attributes:
      - node
@@ -1486,11 +1776,14 @@
      - demand
      - suspects
      - has_traffic
+     - members
+     - member_load
+     - leaving
 
     """
 
 
-    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None,):
+    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None,):
         self.node = node
         self.incarnation = incarnation
         self.ready = ready
@@ -1501,6 +1794,9 @@
         self.demand = demand
         self.suspects = suspects
         self.has_traffic = has_traffic
+        self.members = members
+        self.member_load = member_load
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1539,43 +1835,43 @@
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.table_ends = {}
-                    (_ktype38, _vtype39, _size37) = iprot.readMapBegin()
-                    for _i41 in range(_size37):
-                        _key42 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val43 = iprot.readI64()
-                        self.table_ends[_key42] = _val43
+                    (_ktype74, _vtype75, _size73) = iprot.readMapBegin()
+                    for _i77 in range(_size73):
+                        _key78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val79 = iprot.readI64()
+                        self.table_ends[_key78] = _val79
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.running = {}
-                    (_ktype45, _vtype46, _size44) = iprot.readMapBegin()
-                    for _i48 in range(_size44):
-                        _key49 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val50 = iprot.readI32()
-                        self.running[_key49] = _val50
+                    (_ktype81, _vtype82, _size80) = iprot.readMapBegin()
+                    for _i84 in range(_size80):
+                        _key85 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val86 = iprot.readI32()
+                        self.running[_key85] = _val86
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.MAP:
                     self.demand = {}
-                    (_ktype52, _vtype53, _size51) = iprot.readMapBegin()
-                    for _i55 in range(_size51):
-                        _key56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val57 = iprot.readDouble()
-                        self.demand[_key56] = _val57
+                    (_ktype88, _vtype89, _size87) = iprot.readMapBegin()
+                    for _i91 in range(_size87):
+                        _key92 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val93 = iprot.readDouble()
+                        self.demand[_key92] = _val93
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.suspects.append(_elem63)
+                    (_etype97, _size94) = iprot.readListBegin()
+                    for _i98 in range(_size94):
+                        _elem99 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.suspects.append(_elem99)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1584,6 +1880,34 @@
                     self.has_traffic = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = NodeStatus()
+                        _elem105.read(iprot)
+                        self.members.append(_elem105)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.member_load = Load()
+                    self.member_load.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.MAP:
+                    self.leaving = {}
+                    (_ktype107, _vtype108, _size106) = iprot.readMapBegin()
+                    for _i110 in range(_size106):
+                        _key111 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val112 = iprot.readI64()
+                        self.leaving[_key111] = _val112
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1617,38 +1941,193 @@
         if self.table_ends is not None:
             oprot.writeFieldBegin('table_ends', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_ends))
-            for kiter64, viter65 in self.table_ends.items():
-                oprot.writeString(kiter64.encode('utf-8') if sys.version_info[0] == 2 else kiter64)
-                oprot.writeI64(viter65)
+            for kiter113, viter114 in self.table_ends.items():
+                oprot.writeString(kiter113.encode('utf-8') if sys.version_info[0] == 2 else kiter113)
+                oprot.writeI64(viter114)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter66, viter67 in self.running.items():
-                oprot.writeString(kiter66.encode('utf-8') if sys.version_info[0] == 2 else kiter66)
-                oprot.writeI32(viter67)
+            for kiter115, viter116 in self.running.items():
+                oprot.writeString(kiter115.encode('utf-8') if sys.version_info[0] == 2 else kiter115)
+                oprot.writeI32(viter116)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.MAP, 8)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.demand))
-            for kiter68, viter69 in self.demand.items():
-                oprot.writeString(kiter68.encode('utf-8') if sys.version_info[0] == 2 else kiter68)
-                oprot.writeDouble(viter69)
+            for kiter117, viter118 in self.demand.items():
+                oprot.writeString(kiter117.encode('utf-8') if sys.version_info[0] == 2 else kiter117)
+                oprot.writeDouble(viter118)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.suspects))
-            for iter70 in self.suspects:
-                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
+            for iter119 in self.suspects:
+                oprot.writeString(iter119.encode('utf-8') if sys.version_info[0] == 2 else iter119)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.has_traffic is not None:
             oprot.writeFieldBegin('has_traffic', TType.BOOL, 10)
             oprot.writeBool(self.has_traffic)
             oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter120 in self.members:
+                iter120.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.member_load is not None:
+            oprot.writeFieldBegin('member_load', TType.STRUCT, 12)
+            self.member_load.write(oprot)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.MAP, 13)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.leaving))
+            for kiter121, viter122 in self.leaving.items():
+                oprot.writeString(kiter121.encode('utf-8') if sys.version_info[0] == 2 else kiter121)
+                oprot.writeI64(viter122)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FleetDigest(object):
+    """
+    The state of all nodes, for a node that reports to the sender.
+
+    `nodes` holds the live nodes whose status changed after the version that the caller
+    named, `lost` the names of those that are no longer live since. If `whole`, `nodes`
+    holds all live nodes. `load` is that of all live nodes, the caller included.
+
+    Attributes:
+     - incarnation
+     - version
+     - whole
+     - nodes
+     - lost
+     - load
+
+    """
+
+
+    def __init__(self, incarnation=None, version=None, whole=None, nodes=None, lost=None, load=None,):
+        self.incarnation = incarnation
+        self.version = version
+        self.whole = whole
+        self.nodes = nodes
+        self.lost = lost
+        self.load = load
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.nodes = []
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = NodeStatus()
+                        _elem128.read(iprot)
+                        self.nodes.append(_elem128)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.lost = []
+                    (_etype132, _size129) = iprot.readListBegin()
+                    for _i133 in range(_size129):
+                        _elem134 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost.append(_elem134)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.load = Load()
+                    self.load.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FleetDigest')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 1)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 3)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
+        if self.nodes is not None:
+            oprot.writeFieldBegin('nodes', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.nodes))
+            for iter135 in self.nodes:
+                iter135.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.lost is not None:
+            oprot.writeFieldBegin('lost', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.lost))
+            for iter136 in self.lost:
+                oprot.writeString(iter136.encode('utf-8') if sys.version_info[0] == 2 else iter136)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.STRUCT, 6)
+            self.load.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1759,22 +2238,30 @@
 
 class TableRows(object):
     """
-    Rows of a table from the offset asked for, or, if `whole`, the newest of all keys.
+    Records of a table from the offset asked for, or, if `whole`, the newest of all keys.
+
+    Records that repeat the state of their key may be missing. The copy had the age
+    `age_ms` when the peer had waited `waited_ms` for a new record. `era` rises each time
+    the store has lost records.
 
     Attributes:
      - whole
      - end
      - age_ms
      - rows
+     - era
+     - waited_ms
 
     """
 
 
-    def __init__(self, whole=None, end=None, age_ms=None, rows=None,):
+    def __init__(self, whole=None, end=None, age_ms=None, rows=None, era=None, waited_ms=None,):
         self.whole = whole
         self.end = end
         self.age_ms = age_ms
         self.rows = rows
+        self.era = era
+        self.waited_ms = waited_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1803,14 +2290,24 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype74, _size71) = iprot.readListBegin()
-                    for _i75 in range(_size71):
-                        _elem76 = TableRow()
-                        _elem76.read(iprot)
-                        self.rows.append(_elem76)
+                    (_etype140, _size137) = iprot.readListBegin()
+                    for _i141 in range(_size137):
+                        _elem142 = TableRow()
+                        _elem142.read(iprot)
+                        self.rows.append(_elem142)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.waited_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1836,10 +2333,18 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter77 in self.rows:
-                iter77.write(oprot)
+            for iter143 in self.rows:
+                iter143.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.waited_ms is not None:
+            oprot.writeFieldBegin('waited_ms', TType.I32, 6)
+            oprot.writeI32(self.waited_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1976,6 +2481,27 @@
     (1, TType.STRING, 'detail', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'step', 'UTF8', None, ),  # 2
 )
+all_structs.append(Load)
+Load.thrift_spec = (
+    None,  # 0
+    (1, TType.MAP, 'running', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 1
+    (2, TType.MAP, 'demand', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 2
+    (3, TType.I32, 'nodes_with_traffic', None, None, ),  # 3
+    (4, TType.I32, 'nodes_measured', None, None, ),  # 4
+    (5, TType.MAP, 'suspects', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
+    (6, TType.MAP, 'leaving', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 6
+)
+all_structs.append(NodeStatus)
+NodeStatus.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'ready', None, None, ),  # 3
+    (4, TType.BOOL, 'stopping', None, None, ),  # 4
+    (5, TType.BOOL, 'reads_tables', None, None, ),  # 5
+    (6, TType.BOOL, 'has_traffic', None, None, ),  # 6
+    (7, TType.I32, 'age_ms', None, None, ),  # 7
+)
 all_structs.append(Pulse)
 Pulse.thrift_spec = (
     None,  # 0
@@ -1989,6 +2515,19 @@
     (8, TType.MAP, 'demand', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 8
     (9, TType.LIST, 'suspects', (TType.STRING, 'UTF8', False), None, ),  # 9
     (10, TType.BOOL, 'has_traffic', None, None, ),  # 10
+    (11, TType.LIST, 'members', (TType.STRUCT, [NodeStatus, None], False), None, ),  # 11
+    (12, TType.STRUCT, 'member_load', [Load, None], None, ),  # 12
+    (13, TType.MAP, 'leaving', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 13
+)
+all_structs.append(FleetDigest)
+FleetDigest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'incarnation', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.BOOL, 'whole', None, None, ),  # 3
+    (4, TType.LIST, 'nodes', (TType.STRUCT, [NodeStatus, None], False), None, ),  # 4
+    (5, TType.LIST, 'lost', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.STRUCT, 'load', [Load, None], None, ),  # 6
 )
 all_structs.append(TableRow)
 TableRow.thrift_spec = (
@@ -2005,6 +2544,8 @@
     (2, TType.I64, 'end', None, None, ),  # 2
     (3, TType.I64, 'age_ms', None, None, ),  # 3
     (4, TType.LIST, 'rows', (TType.STRUCT, [TableRow, None], False), None, ),  # 4
+    (5, TType.I64, 'era', None, None, ),  # 5
+    (6, TType.I32, 'waited_ms', None, None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -2,6 +2,7 @@
 
 import signal
 import tempfile
+import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
@@ -70,6 +71,27 @@
         self.cluster.wait(lambda: self.is_served("again"), "requests are served again")
         self.assertEqual(len(self.events("group planned")), planned_count)
 
+    def test_store_that_lost_records_cuts_off_nothing(self):
+        """All groups are newer than the copy from which the store comes back."""
+        config = self.cluster.newest("keyed.op", "config")
+        self.cluster.send_store_back()
+        self.cluster.put("keyed.op", "config", config)
+        results = [
+            self.is_served(f"d-{number}", self.names[number % 3])
+            for number in range(60)
+        ]
+        self.assertTrue(all(results))
+        self.cluster.wait(
+            lambda: self.events("lost records written again"), "the records are back"
+        )
+        self.assertEqual(self.events("group ended"), [])
+        self.cluster.send_store_back()
+        self.cluster.put("keyed.op", "config", config)
+        self.cluster.signal(self.planner(), signal.SIGKILL)
+        alive = [name for name in self.names if self.cluster.exit_code(name) is None]
+        time.sleep(8.0)
+        self.assertTrue(all(self.is_served(f"e-{n}", alive[0]) for n in range(20)))
+
     def test_stopped_node_completes_requests_in_flight(self):
         node = self.names[1]
         with ThreadPoolExecutor(8) as pool:
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -1,5 +1,6 @@
 """Test setup: a front for callers and a forwarder, in front of stand-in servers."""
 
+import itertools
 import json
 import random
 from contextlib import ExitStack, closing
@@ -9,6 +10,8 @@
 from auburnwall.base.clock import SystemClock
 from auburnwall.base.tasks import TaskGroup
 from auburnwall.fleet.candidate_index import Candidate
+from auburnwall.fleet.registrations import Registry
+from auburnwall.fleet.server_notices import ServerNotices
 from auburnwall.node.routed.demand import DemandMeter
 from auburnwall.node.routed.front import new_front_server
 from auburnwall.node.routed.gateway import Gateway
@@ -24,9 +27,11 @@
 from auburnwall.routing.routes import RouteTable
 from auburnwall.routing.shared_retry_budget import SharedRetryBudget
 from auburnwall.routing.warmup import WarmupGate
+from auburnwall.state.table.replica import TableReplica
 from standins.modelserver import ModelServerStandin
 from standins.platformconfig import routes
 from standins.store import StoreStandin
+from tests.fleet.test_registrations import registration
 
 KEY = "callers-key"
 
@@ -90,11 +95,18 @@
         self.servers = servers
         self.suspects = SuspectCandidates(clock)
         self.in_flight = None
+        self.registry = Registry(TableReplica("servers", None, clock), None, clock)
+        self.notices = ServerNotices(self.registry, clock)
+        for server in itertools.chain.from_iterable(servers.values()):
+            self.registry.servers[server.server] = registration(
+                server.server, address=server.address
+            )
 
     def candidates(self, request):
         return [
             Candidate(s.server, s.server, 1, s.address, "norte", 9)
             for s in self.servers[request.service]
+            if self.registry.usable_registration(s.server)
         ]
 
     def load(self, candidate):
@@ -106,6 +118,9 @@
     def cold_rate(self, candidate):
         return None
 
+    def pause_left_s(self, server):
+        return self.notices.pause_left_s(server)
+
     def expected_time_to_start_s(self, request):
         return 0.0
 
@@ -128,6 +143,7 @@
         view = StandinView({"desk": self.desks, "assist": self.engines}, clock)
         self.in_flight = InFlightRequests(clock, view.suspects.suspect)
         view.in_flight = self.in_flight
+        self.registry = view.registry
         gate = WarmupGate("n1", lambda: ["n1"], clock)
         self.channels = self._stack.enter_context(closing(ChannelPool(clock)))
         self.placer = Placer(view, self.in_flight, gate, clock, random.Random(4))
@@ -138,6 +154,7 @@
             HEADER_NAMES,
             clock,
             TimeToStart(),
+            view.notices,
         )
         self.budget = SharedRetryBudget(0.2, 20.0, 10.0, lambda: 1, clock)
         forwarder = Forwarder(deps, lambda service: self.budget, lambda r, n: None)
--- /dev/null
+++ b/tests/routed/test_peers.py
@@ -0,0 +1,285 @@
+"""Heartbeats in a fleet with relays: who hears of whom, how soon and at what cost."""
+
+import unittest
+from collections import Counter
+from types import SimpleNamespace
+
+from auburnwall.fleet.formation.records import NodeRecord
+from auburnwall.node.routed.handler import RoutedHandler
+from auburnwall.node.routed.peers import REPORT_PERIOD_S, Peers
+from auburnwall.node.routed.topology import NODES_PER_RELAY, parent_of, relays_of
+from auburnwall.wire.exceptions import PeerUnavailableError
+from auburnwall.wire.peer.ttypes import Pulse
+from tests.state.test_table import FakeClock
+
+DATA_CENTERS = ("norte", "sur", "este")
+NODES = 60
+# Time after which the directory must not name a lost node: the shortest one on the
+# users' pages for a fleet of this size, in seconds.
+DIRECTORY_LIMIT_S = 6.0
+
+
+def record(number, cores=0.5):
+    name = f"n{number:02}"
+    data_center = DATA_CENTERS[number % len(DATA_CENTERS)]
+    return NodeRecord(name, f"{name}-1", "", name, data_center, cores)
+
+
+class Network:
+    """Nodes that call each other directly; ``cut`` holds pairs that cannot."""
+
+    def __init__(self, count=NODES, max_mesh_nodes=24):
+        self.clock = FakeClock()
+        self.state = SimpleNamespace(nodes={})
+        self.nodes, self.down, self.cut = {}, set(), set()
+        self.calls = Counter()
+        for number in range(count):
+            # The first nodes of each data centre have more cores than the others.
+            node = record(number, 2.0 if number < 9 else 0.5)
+            self.state.nodes[node.node] = node
+        for name in self.state.nodes:
+            self.nodes[name] = NetworkNode(self, name, max_mesh_nodes)
+
+    def call(self, caller, address, method, *args):
+        self.calls[caller] += 1
+        unreachable = {caller, address} & self.down or (caller, address) in self.cut
+        if unreachable:
+            raise PeerUnavailableError("no answer", step=method, peer=address)
+        return getattr(self.nodes[address].handler, method)(*args)
+
+    def cut_between(self, one, other):
+        """Cut the nodes of two sets from each other."""
+        self.cut |= {(a, b) for a in one for b in other}
+        self.cut |= {(b, a) for a in one for b in other}
+
+    def run(self, seconds):
+        """Let all nodes exchange heartbeats in rounds of a reporting period."""
+        for _ in range(round(seconds / REPORT_PERIOD_S)):
+            for name, node in self.nodes.items():
+                if name not in self.down:
+                    node.step()
+            self.clock.now += REPORT_PERIOD_S
+
+
+class NetworkNode:
+    """One node's heartbeats."""
+
+    def __init__(self, network, name, max_mesh_nodes):
+        self.network = network
+        self.name = name
+        self.running, self.suspected, self.heard_suspects = {}, [], []
+        pool = SimpleNamespace(
+            call=lambda address, method, *args: network.call(
+                name, address, method, *args
+            )
+        )
+        identity = SimpleNamespace(node=name, incarnation=f"{name}-1")
+        self.peers = Peers(
+            identity,
+            network.state,
+            pool,
+            self.pulse,
+            network.clock,
+            0.12,
+            max_mesh_nodes,
+        )
+        self.peers.on_suspects = lambda names, node: self.heard_suspects.extend(names)
+        self.handler = RoutedHandler(self.peers, {}, None, network.clock)
+
+    def pulse(self):
+        return Pulse(
+            node=self.name,
+            incarnation=f"{self.name}-1",
+            ready=True,
+            stopping=False,
+            reads_tables=False,
+            table_ends={},
+            running=dict(self.running),
+            demand={"big": 0.5},
+            suspects=list(self.suspected),
+            has_traffic=True,
+            leaving={},
+        )
+
+    def step(self):
+        self.peers.call_new_peers(SimpleNamespace(spawn=lambda *args: None))
+        for partner in sorted(self.peers._partners):
+            self.peers._exchange(self.network.state.nodes[partner], True)
+        self.peers.report()
+        self.peers.call_lost_node()
+
+
+class RelayTests(unittest.TestCase):
+    def setUp(self):
+        self.network = Network()
+        self.network.run(4.0)
+        self.nodes = self.network.nodes
+
+    def relays(self):
+        return {name for name, node in self.nodes.items() if not node.peers.parent()}
+
+    def followers_of(self, relay):
+        return {n for n, node in self.nodes.items() if node.peers.parent() == relay}
+
+    def test_every_node_hears_of_all_others(self):
+        for name, node in self.nodes.items():
+            self.assertEqual(set(node.peers.live()), set(self.nodes) - {name})
+
+    def test_only_relays_exchange_heartbeats_with_many_nodes(self):
+        self.network.calls.clear()
+        self.network.run(4.0)
+        relays = self.relays()
+        self.assertLessEqual(len(relays), 3 * (1 + NODES / 3 / NODES_PER_RELAY))
+        for name in set(self.nodes) - relays:
+            self.assertEqual(self.network.calls[name], round(4.0 / REPORT_PERIOD_S))
+
+    def test_relays_are_the_nodes_with_the_most_cores(self):
+        for relay in self.relays():
+            self.assertEqual(self.network.state.nodes[relay].cores, 2.0)
+
+    def test_load_at_a_group_is_known_to_all_within_a_second(self):
+        for name in ("n20", "n31", "n42"):
+            self.nodes[name].running["g1"] = 2
+        self.network.run(1.2)
+        for name, node in self.nodes.items():
+            own = node.running.get("g1", 0)
+            self.assertEqual(own + node.peers.load("g1"), 6, name)
+        self.nodes["n20"].running.clear()
+        self.network.run(1.2)
+        self.assertEqual(self.nodes["n42"].peers.load("g1"), 2)
+
+    def test_demand_is_the_sum_over_all_nodes(self):
+        for node in self.nodes.values():
+            load = node.peers.fleet_load()
+            self.assertAlmostEqual(load.demand["big"], NODES * 0.5)
+            self.assertEqual((load.nodes_with_traffic, load.nodes_measured), (60, 60))
+
+    def test_lost_node_is_named_no_more(self):
+        self.network.down.add("n30")
+        self.network.run(DIRECTORY_LIMIT_S)
+        for name, node in self.nodes.items():
+            if name != "n30":
+                self.assertNotIn("n30", node.peers.live())
+
+    def test_nodes_of_a_lost_relay_report_to_another(self):
+        relay = self.nodes["n30"].peers.parent()
+        self.network.down.add(relay)
+        self.network.run(DIRECTORY_LIMIT_S)
+        alive = set(self.nodes) - {relay}
+        for name in alive:
+            live = set(self.nodes[name].peers.live())
+            self.assertEqual(live, alive - {name})
+
+    def test_all_relays_are_lost_at_once(self):
+        self.network.down |= self.relays()
+        self.network.run(2 * DIRECTORY_LIMIT_S)
+        alive = set(self.nodes) - self.network.down
+        for name in alive:
+            self.assertEqual(set(self.nodes[name].peers.live()), alive - {name})
+
+    def test_data_centre_that_was_cut_off_is_heard_of_again(self):
+        inside = {
+            n for n, r in self.network.state.nodes.items() if r.data_center == "sur"
+        }
+        outside = set(self.nodes) - inside
+        self.network.cut_between(inside, outside)
+        self.network.run(8.0)
+        self.assertEqual(set(self.nodes["n01"].peers.live()), inside - {"n01"})
+        self.assertEqual(set(self.nodes["n02"].peers.live()), outside - {"n02"})
+        self.network.cut.clear()
+        self.network.run(6.0)
+        for name, node in self.nodes.items():
+            self.assertEqual(set(node.peers.live()), set(self.nodes) - {name})
+
+    def test_node_that_was_cut_off_is_heard_of_again(self):
+        for name in ("n40", next(iter(self.relays()))):
+            with self.subTest(name):
+                self.network.cut_between({name}, set(self.nodes) - {name})
+                self.network.run(8.0)
+                self.assertEqual(self.nodes[name].peers.live(), {})
+                self.network.cut.clear()
+                self.network.run(6.0)
+                self.assertEqual(len(self.nodes[name].peers.live()), NODES - 1)
+
+    def test_one_node_s_suspicion_is_not_passed_on(self):
+        """It has one request at the group, whose server may read a long prompt."""
+        self.nodes["n33"].suspected.append("g1")
+        self.nodes["n33"].running["g1"] = 1
+        self.network.run(2.0)
+        heard = [name for node in self.nodes.values() for name in node.heard_suspects]
+        self.assertEqual(heard, [])
+
+    def test_group_that_several_nodes_suspect_is_suspect_at_all(self):
+        for name in ("n33", "n44", "n55"):
+            self.nodes[name].suspected.append("g1")
+            self.nodes[name].running["g1"] = 2
+        self.network.run(2.0)
+        for node in self.nodes.values():
+            self.assertIn("g1", node.heard_suspects)
+
+    def test_group_at_which_most_requests_make_progress_is_not_suspect(self):
+        for name in ("n33", "n44"):
+            self.nodes[name].suspected.append("g1")
+        for number in range(20, 32):
+            self.nodes[f"n{number}"].running["g1"] = 1
+        self.network.run(2.0)
+        heard = [name for node in self.nodes.values() for name in node.heard_suspects]
+        self.assertEqual(heard, [])
+
+    def test_removed_node_is_forgotten(self):
+        del self.network.state.nodes["n30"]
+        self.network.down.add("n30")
+        self.network.run(2.0)
+        for node in self.nodes.values():
+            self.assertNotIn("n30", node.peers.live())
+
+    def test_restarted_relay_gets_the_whole_state_again(self):
+        relay = self.nodes["n30"].peers.parent()
+        self.network.nodes[relay] = NetworkNode(self.network, relay, 24)
+        self.network.run(4.0)
+        for name, node in self.nodes.items():
+            self.assertEqual(set(node.peers.live()), set(self.nodes) - {name})
+
+
+class MeshTests(unittest.TestCase):
+    def test_small_fleet_has_no_relays(self):
+        network = Network(count=7)
+        network.run(1.2)
+        for name, node in network.nodes.items():
+            self.assertIsNone(node.peers.parent())
+            self.assertEqual(set(node.peers.live()), set(network.nodes) - {name})
+
+    def test_one_node_s_suspicion_counts_for_all(self):
+        network = Network(count=7)
+        network.nodes["n03"].suspected.append("g1")
+        network.run(1.2)
+        self.assertIn("g1", network.nodes["n05"].heard_suspects)
+
+
+class TopologyTests(unittest.TestCase):
+    def test_parents_are_relays_of_the_same_data_centre(self):
+        nodes = [record(number) for number in range(200)]
+        relays = relays_of(nodes)
+        counts = Counter(parent_of(node, nodes) for node in nodes)
+        self.assertEqual(set(counts) - {None}, relays)
+        self.assertEqual(counts[None], len(relays))
+        by_name = {node.node: node for node in nodes}
+        for node in nodes:
+            if parent := parent_of(node, nodes):
+                self.assertEqual(by_name[parent].data_center, node.data_center)
+        self.assertLess(max(counts.values()), 2 * NODES_PER_RELAY)
+
+    def test_only_the_nodes_of_a_lost_relay_change_theirs(self):
+        nodes = [record(number, 2.0 if number < 9 else 0.5) for number in range(60)]
+        parents = {node.node: parent_of(node, nodes) for node in nodes}
+        lost = next(parent for parent in parents.values() if parent)
+        rest = [node for node in nodes if node.node != lost]
+        promoted = relays_of(rest) - relays_of(nodes)
+        for node in rest:
+            if parents[node.node] not in (lost, None) and node.node not in promoted:
+                parent = parent_of(node, rest)
+                self.assertIn(parent, {parents[node.node], *promoted})
+
+
+if __name__ == "__main__":
+    unittest.main()
