--- /dev/null
+++ b/tests/routed/test_server_notices.py
@@ -0,0 +1,152 @@
+"""Servers that say that they leave, or that they want no request for a time."""
+
+import gevent.monkey
+
+gevent.monkey.patch_all()
+
+import http.client  # noqa: E402
+import unittest  # noqa: E402
+
+import gevent  # noqa: E402
+
+from auburnwall.base.clock import SystemClock  # noqa: E402
+from auburnwall.fleet.exceptions import ServerPausedError  # noqa: E402
+from auburnwall.fleet.registrations import Registry  # noqa: E402
+from auburnwall.fleet.server_notices import (  # noqa: E402
+    ServerNotices,
+    pause_from_header,
+)
+from auburnwall.platform.servers import ServerClient  # noqa: E402
+from auburnwall.state.table.replica import TableReplica  # noqa: E402
+from standins.modelserver import ModelServerStandin  # noqa: E402
+from standins.store import StoreStandin  # noqa: E402
+from tests.fleet.test_registrations import registration  # noqa: E402
+
+from .support import KEY, FrontWithServers  # noqa: E402
+
+
+class NoticeTests(unittest.TestCase):
+    def setUp(self):
+        self.front = self.enterContext(FrontWithServers())
+
+    def call(self, path, method="GET", number=0):
+        conn = http.client.HTTPConnection(self.front.address, timeout=6.0)
+        self.addCleanup(conn.close)
+        headers = {
+            "Host": "shop.example",
+            "X-Attempt-Id": f"r-{number}",
+            "Authorization": f"Bearer {KEY}",
+        }
+        conn.request(method, path, headers=headers)
+        resp = conn.getresponse()
+        return resp.status, resp.headers, resp.read()
+
+    def test_server_that_says_that_it_leaves_gets_nothing_more(self):
+        leaving, staying = self.front.desks
+        leaving.faults.add("leaving")
+        for number in range(30):
+            self.assertEqual(self.call("/look/x", number=number)[0], 200)
+        self.assertLessEqual(len(leaving.seen), 1)
+        self.assertGreaterEqual(len(staying.seen), 29)
+
+    def test_head_of_a_stream_says_that_its_server_leaves(self):
+        leaving = self.front.engines[0]
+        leaving.faults.add("leaving")
+        for number in range(10):
+            status, _, body = self.call("/ask/x", "POST", number)
+            self.assertEqual((status, body.count(b"data:")), (200, 10))
+        self.assertLessEqual(len(leaving.seen), 1)
+
+    def test_new_incarnation_of_a_server_that_left_gets_requests(self):
+        leaving, other = self.front.desks
+        leaving.faults.add("leaving")
+        other.stop()
+        self.assertEqual(self.call("/look/x")[0], 200)
+        self.assertEqual(self.call("/look/x", number=1)[0], 503)
+        leaving.faults.clear()
+        servers = self.front.registry.servers
+        servers[leaving.server] = servers[leaving.server]._replace(born=2)
+        self.assertEqual(self.call("/look/x", number=2)[0], 200)
+
+    def test_server_that_wants_a_pause_gets_one_request_until_its_end(self):
+        paused, other = self.front.desks
+        paused.faults.add("pause")
+        for number in range(40):
+            self.assertEqual(self.call("/look/x", number=number)[0], 200)
+        self.assertEqual(paused.refused, 1)
+        self.assertEqual(len(other.seen), 40)
+        paused.faults.clear()
+        gevent.sleep(paused.pause_s)
+        for number in range(40, 60):
+            self.call("/look/x", number=number)
+        self.assertTrue(paused.seen)
+
+    def test_server_that_wants_a_pause_is_not_suspect(self):
+        suspects = []
+        self.front.in_flight.make_suspect = suspects.append
+        self.front.engines[0].faults.add("pause")
+        for number in range(10):
+            self.assertEqual(self.call("/ask/x", "POST", number)[0], 200)
+        self.assertEqual(suspects, [])
+
+    def test_caller_is_told_the_pause_if_all_servers_want_one(self):
+        for server in self.front.desks:
+            server.faults.add("pause")
+            server.pause_s = 4.5
+        self.call("/look/x")
+        status, headers, _ = self.call("/look/x", number=1)
+        self.assertEqual(status, 503)
+        self.assertAlmostEqual(float(headers["Retry-After"]), 4.5, delta=0.5)
+        self.assertEqual([server.refused for server in self.front.desks], [1, 1])
+
+
+class MemberClientTests(unittest.TestCase):
+    def setUp(self):
+        self.server = ModelServerStandin(StoreStandin(), "m-1", "assist", "norte", "d0")
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.registry = Registry(
+            TableReplica("servers", None, SystemClock()), None, SystemClock()
+        )
+        self.registry.servers["m-1"] = registration("m-1", address=self.server.address)
+        self.client = ServerClient()
+        self.client.notices = ServerNotices(self.registry, SystemClock())
+
+    def test_report_says_that_the_server_leaves(self):
+        self.server.faults.add("leaving")
+        self.client.fetch_report("m-1", self.server.address)
+        self.assertIsNone(self.registry.usable_registration("m-1"))
+        self.assertEqual(self.client.notices.leaving(), {"m-1": 1})
+
+    def test_server_that_wants_a_pause_is_not_probed(self):
+        self.client.notices.note_response("m-1", "test", is_leaving=False, pause_s=9.0)
+        with self.assertRaises(ServerPausedError):
+            self.client.fetch_report("m-1", self.server.address)
+
+    def test_pause_ends_with_the_incarnation_that_wanted_it(self):
+        notices = self.client.notices
+        notices.note_response("m-1", "test", is_leaving=False, pause_s=9.0)
+        self.assertGreater(notices.pause_left_s("m-1"), 8.0)
+        self.registry.servers["m-1"] = registration("m-1", born=2)
+        self.assertEqual(notices.pause_left_s("m-1"), 0.0)
+
+
+class HeaderTests(unittest.TestCase):
+    def test_only_seconds_of_a_refusal_are_a_pause(self):
+        self.assertEqual(pause_from_header(503, "0.25"), 0.25)
+        for status, value in (
+            (200, "1"),
+            (429, "1"),
+            (503, None),
+            (503, ""),
+            (503, "-1"),
+            (503, "nan"),
+            (503, "inf"),
+            (503, "Wed, 21 Oct 2026 07:28:00 GMT"),
+        ):
+            with self.subTest(value):
+                self.assertIsNone(pause_from_header(status, value))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/routed/test_tables.py
+++ b/tests/routed/test_tables.py
@@ -5,7 +5,7 @@
 from types import SimpleNamespace
 
 from auburnwall.base.rendezvous import ranked
-from auburnwall.node.routed.peers import RoutedHandler
+from auburnwall.node.routed.handler import RoutedHandler
 from auburnwall.node.routed.tables import (
     MAX_FOLLOWED_AGE_S,
     MIN_FALLBACK_AGE_S,
@@ -59,9 +59,9 @@
 
     def __init__(self, name, nodes, table, clock):
         self.name, self.nodes, self.alive, self.planning = name, nodes, True, False
-        self.stopping = False
+        self.stopping, self.relay = False, None
         self.replica = TableReplica("servers", NodeTable(name, table), clock)
-        handler = RoutedHandler(None, None, {"servers": self.replica}, None)
+        handler = RoutedHandler(None, {"servers": self.replica}, None, clock)
         self.rows = handler.rows
         identity = SimpleNamespace(node=name, data_center=NODES[name].data_center)
         state = SimpleNamespace(nodes=NODES)
@@ -86,9 +86,14 @@
         return SimpleNamespace(
             reads_tables=self.reader.reads_store,
             stopping=self.stopping,
-            table_ends={"servers": self.replica.end},
         )
 
+    def parent(self):
+        return self.relay
+
+    def is_relay(self, name):
+        return True
+
     def live(self):
         others = [n for n in self.nodes.values() if n is not self and n.alive]
         return {node.name: node.pulse() for node in others}
@@ -159,7 +164,7 @@
         best = self.nodes[self.reader_of("norte")]
         calls = []
 
-        def time_out(table, offset):
+        def time_out(*args):
             calls.append(self.clock.now)
             self.clock.now += 0.8
             raise PeerUnavailableError("timed out", step="call", peer=best.name)
--- a/tests/routed/test_views.py
+++ b/tests/routed/test_views.py
@@ -3,24 +3,27 @@
 import unittest
 from types import SimpleNamespace
 
+from auburnwall.node.routed.fleet_load import load_of_pulse, sum_loads
 from auburnwall.node.routed.views import (
     SUSPECT_S,
     PlanningView,
     RoutingView,
     SuspectCandidates,
 )
+from auburnwall.wire.peer.ttypes import Pulse
 from tests.state.test_table import FakeClock
 
 
 def pulse(has_traffic=False, **demand):
-    """Return the fields of a heartbeat that the planner reads."""
-    return SimpleNamespace(has_traffic=has_traffic, demand=demand)
+    """Return the heartbeat of a node with this demand."""
+    return Pulse(has_traffic=has_traffic, demand=demand, running={}, suspects=[])
 
 
 class PlanningViewTests(unittest.TestCase):
     def view(self, own, others=(), first_start=True):
-        peers = SimpleNamespace(live=lambda: dict(enumerate(others)))
-        return PlanningView(None, peers, lambda: own, first_start)
+        load = sum_loads(map(load_of_pulse, [own, *others]))
+        peers = SimpleNamespace(fleet_load=lambda: load)
+        return PlanningView(None, peers, first_start)
 
     def test_first_start_lasts_until_the_first_request_at_any_node(self):
         self.assertTrue(self.view(pulse(), [pulse()]).is_before_first_request())
@@ -63,7 +66,7 @@
         in_flight = SimpleNamespace(count=lambda name: 0)
         source = SimpleNamespace(config=config)
         view = RoutingView(
-            "", source, candidate_index, None, peers, in_flight, None, None
+            "", source, candidate_index, None, peers, in_flight, None, None, None
         )
         request = SimpleNamespace(service="assist", model="big")
         self.assertAlmostEqual(view.slot_usage(request).slots_in_use, 6 * 8 / 74)
@@ -99,7 +102,7 @@
         clock, count = FakeClock(), {"g1": 0}
         suspects = SuspectCandidates(clock)
         in_flight = SimpleNamespace(count=count.get)
-        view = RoutingView("", None, None, None, None, in_flight, suspects, None)
+        view = RoutingView("", None, None, None, None, in_flight, suspects, None, None)
         suspects.suspect("g1")
         clock.now += SUSPECT_S + 0.1
         self.assertFalse(view.must_avoid("g1"))
--- a/tests/routing/test_placer.py
+++ b/tests/routing/test_placer.py
@@ -41,6 +41,9 @@
     def must_avoid(self, name):
         return False
 
+    def pause_left_s(self, server):
+        return 0.0
+
     def cold_rate(self, candidate):
         return None
 
--- a/tests/state/test_table.py
+++ b/tests/state/test_table.py
@@ -19,6 +19,11 @@
     def sleep(self, seconds):
         self.now += seconds
 
+    def wait(self, waitable, timeout_s=None):
+        if not waitable.ready():
+            self.now += timeout_s
+        return waitable.ready()
+
 
 class FakeTable(TableClient):
     """An in-memory table that can expire records or report an older end."""
@@ -104,7 +109,7 @@
             with self.subTest(start):
                 peer = TableReplica("servers", self.table, self.clock)
                 peer.end = start
-                records, whole = self.replica.records_for_peer(start)
+                records, whole = self.replica.records_for_peer(start, 0)
                 apply = peer.replace if whole else peer.apply_records
                 apply(records, self.replica.end, self.clock.now)
                 self.assertEqual(peer.end, 6)
