--- a/packages/auburnwall-node/src/auburnwall/node/routed/handler.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/handler.py
@@ -7,14 +7,15 @@
     """Serve the calls of peers.
 
     ``replicas`` are this node's copies of the tables, by name; ``engine`` asks a
-    backend server whether it responds.
+    backend server whether it responds. ``brokers`` answers for this node's slots.
     """
 
-    def __init__(self, peers, replicas, engine, clock):
+    def __init__(self, peers, replicas, engine, clock, brokers=None):
         self._peers = peers
         self._replicas = replicas
         self._engine = engine
         self._clock = clock
+        self._brokers = brokers
 
     def pulse(self, peer_pulse):
         """Store a peer's heartbeat and return this node's."""
@@ -59,3 +60,11 @@
     def reaches(self, server, address):
         """Return whether a server answers this node."""
         return self._engine.is_reachable(server, address)
+
+    def take_slot(self, ask):
+        """Grant a slot of this data centre's groups, or say why not."""
+        return self._brokers.take_slot(ask)
+
+    def release_slot(self, ask_id):
+        """Free a slot that this node has granted, or end the wait for it."""
+        self._brokers.release_slot(ask_id)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -23,9 +23,7 @@
 from auburnwall.routing.channels import ChannelPool
 from auburnwall.routing.forwarder import Forwarder, ForwarderDeps
 from auburnwall.routing.in_flight import InFlightRequests
-from auburnwall.routing.placer import Placer
 from auburnwall.routing.shared_retry_budget import SharedRetryBudget
-from auburnwall.routing.warmup import WarmupGate
 from auburnwall.state.proposer import new_incarnation
 from auburnwall.state.table.replica import TableReplica
 from auburnwall.wire.client import PeerPool
@@ -44,6 +42,7 @@
 from .handler import RoutedHandler
 from .metrics import RoutedMetrics
 from .peers import LOST_NODE_INTERVAL_S, REPORT_PERIOD_S, Peers
+from .placing import Placing
 from .settings_reload import SettingsReload
 from .shutdown import GracefulShutdown
 from .source import ConfigSource
@@ -55,7 +54,7 @@
     StoreReaderChoice,
     TableReader,
 )
-from .views import PlanningView, RoutingView, SuspectCandidates
+from .views import PlanningView, SuspectCandidates
 
 OPERATOR_TABLE, SERVER_TABLE, FLEET_TABLE = "operator", "servers", "fleet"
 # Timeout of a call to a peer, in seconds.
@@ -70,6 +69,8 @@
 # Interval at which the planner removes unreachable nodes, and interval at which the
 # settings are read again, in seconds. Settings may change without a SIGHUP.
 NODE_REMOVAL_INTERVAL_S, SETTINGS_INTERVAL_S = 5.0, 2.0
+# Interval at which slots are freed whose requests have ended, in seconds.
+GRANT_CHECK_INTERVAL_S = 0.5
 # Interval between attempts to write this node's record, in seconds.
 ANNOUNCE_INTERVAL_S = 0.3
 # Pause of this process after which its table copies count as outdated, in seconds.
@@ -147,7 +148,7 @@
             stopping=self.gateway.stop_begun,
             reads_tables=self._reads_tables(),
             table_ends={name: r.end for name, r in self.replicas.items()},
-            running=dict(self.in_flight.slots_in_use),
+            running=self.placing.slots_in_use(),
             demand=self.demand.groups_needed(),
             suspects=self.suspects.own_suspects(),
             has_traffic=self.demand.has_traffic,
@@ -185,6 +186,7 @@
             (DEMAND_INTERVAL_S, self.demand.step, "demand"),
             (SWEEP_INTERVAL_S, self.channels.close_expired, "idle connections"),
             (NODE_REMOVAL_INTERVAL_S, self._remove_unreachable_nodes, "nodes gone"),
+            (GRANT_CHECK_INTERVAL_S, self.placing.broker.expire_grants, "grants"),
             (SETTINGS_INTERVAL_S, self.settings.check, "settings"),
         ):
             spawn(run_periodically, self.clock, delay_s, function, name)
@@ -302,8 +304,7 @@
         self.candidate_index = CandidateIndex(
             self.registry, self.fleet, lambda: self.source.evacuated_data_centers
         )
-        view = RoutingView(
-            cfg.data_center,
+        view_parts = (
             self.source,
             self.candidate_index,
             self.registry,
@@ -313,8 +314,8 @@
             self.time_to_start,
             self.notices,
         )
-        gate = WarmupGate(cfg.node, lambda: self.fleet.nodes, clock)
-        self.placer = Placer(view, self.in_flight, gate, clock, self.rng)
+        self.placing = Placing(self, view_parts, self.in_flight, self._stack)
+        self.placer = self.placing.placer
         header_names = self._platform.header_names
         deps = ForwarderDeps(
             self.placer,
@@ -343,24 +344,28 @@
         self._build_gauges()
 
     def _build_gauges(self):
+        channels, broker = self.channels, self.placing.broker
         for name, documentation, function in (
             ("running", "Requests under way.", lambda: self.gateway.running),
             ("waiting", "Requests that wait for a place.", self.placer.waiting_count),
+            ("granted", "Slots granted as a broker.", lambda: len(broker)),
             ("groups", "Groups in the fleet's table.", lambda: len(self.fleet.groups)),
             ("servers", "Registered servers.", lambda: len(self.registry.servers)),
             ("peers", "Peers heard of lately.", lambda: len(self.peers.live())),
-            (
-                "connections",
-                "Connections opened.",
-                lambda: self.channels.connections_opened,
-            ),
+            ("connections", "Connections opened.", lambda: channels.connections_opened),
         ):
             self.metrics.gauge(f"auburnwall_{name}", documentation, function)
 
     def _servers(self):
         cfg, platform = self.cfg, self._platform
         host, _, port = cfg.peer_address.rpartition(":")
-        handler = RoutedHandler(self.peers, self.replicas, platform.engine, self.clock)
+        handler = RoutedHandler(
+            self.peers,
+            self.replicas,
+            platform.engine,
+            self.clock,
+            self.placing.brokers,
+        )
         entry_points = EntryPoints(self.fleet, self.peers, self.pulse, lambda: self.cfg)
         return (
             PeerServer(host, int(port), handler, Routed),
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -53,7 +53,8 @@
     """Exchange heartbeats with the other nodes of the fleet table.
 
     ``own_pulse()`` returns this node's heartbeat without the nodes that report to it.
-    Fleets of up to ``max_mesh_nodes`` nodes have no relays. ``on_suspects(names,
+    Fleets of up to ``max_mesh_nodes`` nodes have no relays; ``is_mesh`` is whether this
+    is one. ``on_suspects(names,
     node)`` is called with the groups that a peer, or a node behind it, suspects, and
     ``on_leaving(servers, node)`` with the servers that told it that they leave.
     """
@@ -83,7 +84,7 @@
         self._topology_key = None
         self._partners = frozenset()
         self._parent = None
-        self._is_mesh = True
+        self.is_mesh = True
         self._sums = {}
 
     def call_new_peers(self, tasks):
@@ -92,7 +93,7 @@
         The loop of a node that is no longer a partner ends by itself.
         """
         self._update_topology()
-        if not self._is_mesh and self._parent is None:
+        if not self.is_mesh and self._parent is None:
             self._pass_on(self.fleet_load(), self._identity.node)
         for name in self._partners - self._called_nodes:
             self._called_nodes.add(name)
@@ -132,7 +133,7 @@
         another, and these do not know each other. The nodes that would be relays first
         are called first.
         """
-        if self._is_mesh or self._parent is not None:
+        if self.is_mesh or self._parent is not None:
             return
         live, own = self.live(), self._identity.node
         nodes = self._state.nodes.items()
@@ -217,9 +218,9 @@
         for member in pulse.members or ():
             heard_at = now - member.age_ms / 1000
             self._note_status(member.node, status_of(member, heard_at))
-        if self._is_mesh:
+        if self.is_mesh:
             self._sums.clear()
-        if self._is_mesh:
+        if self.is_mesh:
             self._pass_on(load_of_pulse(pulse), pulse.node)
 
     def digest_for(self, digest_of, version):
@@ -390,7 +391,7 @@
         suspects = [
             name
             for name, count in load.suspects.items()
-            if self._is_mesh or _is_suspected(count, load.running.get(name, 0))
+            if self.is_mesh or _is_suspected(count, load.running.get(name, 0))
         ]
         if suspects:
             self.on_suspects(sorted(suspects), node)
@@ -409,12 +410,12 @@
         for name in nodes:
             self._first_seen_at.setdefault(name, now)
         names = frozenset(nodes)
-        self._is_mesh = is_mesh(len(nodes), self._max_mesh_nodes)
-        if self._is_mesh or own not in nodes:
+        self.is_mesh = is_mesh(len(nodes), self._max_mesh_nodes)
+        if self.is_mesh or own not in nodes:
             key = names, None
             if key != self._topology_key:
                 self._topology_key = key
-                partners = names - {own} if self._is_mesh else frozenset()
+                partners = names - {own} if self.is_mesh else frozenset()
                 self._set_topology(partners, None)
             return
         eligible = self._eligible_relays(now)
--- /dev/null
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
@@ -0,0 +1,63 @@
+"""Builds what gives requests their slots: the placers, and this node's slot broker."""
+
+from collections import Counter
+from contextlib import closing
+
+from auburnwall.routing.brokered_placer import BrokeredPlacer
+from auburnwall.routing.placer import Placer
+from auburnwall.routing.slot_broker import SlotBroker
+from auburnwall.routing.warmup import WarmupGate
+from auburnwall.wire.client import PeerPool
+from auburnwall.wire.peer import Routed
+
+from .brokers import ASK_TIMEOUT_S, WAITING_ASK_TIMEOUT_S, Brokers
+from .views import DataCenterView, RoutingView
+
+
+class Placing:
+    """The placers of a node.
+
+    ``placer`` is for the requests of its callers. ``brokers`` grants slots to other
+    nodes and asks them for slots. ``view_parts`` are the arguments of a
+    ``RoutingView`` without the data centre.
+    """
+
+    def __init__(self, node, view_parts, in_flight, stack):
+        cfg, clock, rng = node.cfg, node.clock, node.rng
+        view = RoutingView(cfg.data_center, *view_parts)
+        gate = WarmupGate(cfg.node, lambda: node.fleet.nodes, clock)
+        local = Placer(view, in_flight, gate, clock, rng)
+        # Of the requests to a cold server, the broker sends the share of one sender.
+        broker_gate = WarmupGate(cfg.node, lambda: (cfg.node,), clock)
+        broker_view = DataCenterView(cfg.data_center, *view_parts)
+        self.broker = SlotBroker(
+            Placer(broker_view, in_flight, broker_gate, clock, rng),
+            lambda name: name == cfg.node or name in node.peers.live(),
+            clock,
+        )
+        quick_pool, waiting_pool = (
+            stack.enter_context(closing(PeerPool(timeout_s=timeout_s, service=Routed)))
+            for timeout_s in (ASK_TIMEOUT_S, WAITING_ASK_TIMEOUT_S)
+        )
+        self.brokers = Brokers(
+            node.identity,
+            node.fleet,
+            node.peers,
+            self.broker,
+            quick_pool,
+            waiting_pool,
+            clock,
+            node.tasks,
+        )
+        self.placer = BrokeredPlacer(local, view, self.brokers)
+        self._in_flight = in_flight
+
+    def slots_in_use(self):
+        """Return the number of requests by group that this node accounts for.
+
+        These are the requests that it has placed itself, those to which its broker has
+        granted slots, and its own ones whose broker is lost.
+        """
+        counts = Counter(self._in_flight.slots_in_use)
+        counts.update(self.placer.unaccounted_requests())
+        return dict(counts)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -223,6 +223,18 @@
         return service.engine if service else None
 
 
+class DataCenterView(RoutingView):
+    """A ``RoutingView`` of the groups in the node's own data centre only."""
+
+    def candidates(self, request):
+        """Return the candidates for a request in the own data centre."""
+        return [
+            candidate
+            for candidate in super().candidates(request)
+            if candidate.data_center == self.data_center
+        ]
+
+
 class PlanningView:
     """The planner's view of the node's state."""
 
--- /dev/null
+++ b/packages/auburnwall-routing/src/auburnwall/routing/brokered_placer.py
@@ -0,0 +1,133 @@
+"""Gets slots from the brokers of the data centres, or places requests itself.
+
+A request asks the broker of its own data centre first, then those that seem to have
+most free slots. If none has a free one, it waits at the first. While a broker cannot be
+reached, the node places requests by what it knows of the load itself.
+"""
+
+from collections import Counter
+from typing import NamedTuple
+
+from auburnwall.base.logs import event
+
+from .exceptions import OverloadedError
+from .placer import Placement
+
+# Brokers that a request asks for a slot that is free at once.
+MAX_BROKERS_ASKED = 3
+
+
+class Grant(NamedTuple):
+    """A slot that ``broker``, in one of its incarnations, has granted as ``id``."""
+
+    id: str
+    broker: str
+    incarnation: str
+    group: str
+
+
+class BrokeredPlacer:
+    """A ``Placer`` for requests to models whose slots are granted by brokers.
+
+    ``local`` is the ``Placer`` for all other requests. ``brokers`` has the methods
+    ``are_used()``, ``broker_of(service, model, data_center)``, ``is_current(grant)``,
+    ``ask(broker, request, excluded_servers, resume_window_s, wait)``, which returns a
+    ``Placement`` or ``None`` and raises ``OverloadedError``, and ``release(grant)``.
+    ``ask`` returns ``UNREACHABLE`` if the broker does not respond.
+    """
+
+    UNREACHABLE = object()
+
+    def __init__(self, local, view, brokers):
+        self._local = local
+        self._view = view
+        self._brokers = brokers
+        self._grants = {}
+
+    def waiting_count(self):
+        """Return the number of requests that wait at this node."""
+        return self._local.waiting_count()
+
+    def place(self, request, excluded_servers=frozenset(), resume_window_s=None):
+        """Return a ``Placement``, as ``Placer.place`` does."""
+        data_centers = self._data_centers(request)
+        if not request.model or not data_centers or not self._brokers.are_used():
+            return self._local.place(request, excluded_servers, resume_window_s)
+        avoided = excluded_servers | self._avoided_servers(request)
+        for data_center in data_centers[:MAX_BROKERS_ASKED]:
+            placement = self._ask(data_center, request, avoided, resume_window_s)
+            if placement is self.UNREACHABLE:
+                break
+            if placement is not None:
+                return placement
+        else:
+            placement = self._ask(
+                data_centers[0], request, avoided, resume_window_s, wait=True
+            )
+            if placement is not self.UNREACHABLE:
+                return placement
+        return self._local.place(request, excluded_servers, resume_window_s)
+
+    def release_slot(self, placement):
+        """Release the slot of a placement."""
+        grant = placement.grant
+        if grant is None:
+            self._local.release_slot(placement)
+            return
+        self._grants.pop(grant.id, None)
+        self._brokers.release(grant)
+
+    def unaccounted_requests(self):
+        """Return the number of requests by group that no broker accounts for any more.
+
+        Their broker was lost or replaced after it had granted their slots.
+        """
+        return Counter(
+            grant.group
+            for grant in self._grants.values()
+            if not self._brokers.is_current(grant)
+        )
+
+    def _ask(self, data_center, request, avoided, resume_window_s, wait=False):
+        broker = self._brokers.broker_of(request.service, request.model, data_center)
+        if broker is None:
+            return self.UNREACHABLE
+        try:
+            placement = self._brokers.ask(
+                broker, request, avoided, resume_window_s, wait
+            )
+        except OverloadedError as exc:
+            event(
+                "request refused",
+                request=request.request_id,
+                step="place",
+                peer=broker,
+                model=request.model,
+                why=exc.detail,
+                retry_after_s=round(exc.retry_after_s, 2),
+            )
+            raise
+        if isinstance(placement, Placement) and placement.grant:
+            self._grants[placement.grant.id] = placement.grant
+        return placement
+
+    def _avoided_servers(self, request):
+        """Return the servers to which this node must send nothing now."""
+        view = self._view
+        return {
+            candidate.server
+            for candidate in view.candidates(request)
+            if view.must_avoid(candidate.name)
+            or view.pause_left_s(candidate.server) > 0
+        }
+
+    def _data_centers(self, request):
+        """Return the data centres with groups, the own one first.
+
+        The others follow by the number of slots that seem to be free there.
+        """
+        free, view = Counter(), self._view
+        for candidate in view.candidates(request):
+            free[candidate.data_center] += candidate.slots - view.load(candidate)
+        own = view.data_center
+        return sorted(free, key=lambda name: (name != own, -free[name]))
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -38,10 +38,14 @@
 
 
 class Placement(NamedTuple):
-    """A slot taken at ``candidate``, which had ``load`` other requests."""
+    """A slot taken at ``candidate``, which had ``load`` other requests.
+
+    ``grant`` identifies a slot that a broker has granted, ``None`` for others.
+    """
 
     candidate: object
     load: int
+    grant: object = None
 
 
 class _EvictedError(Exception):
@@ -130,6 +134,17 @@
             raise self._overloaded_error(request, backlog, wait_class, resume_window_s)
         return placement
 
+    def place_now(self, request, excluded_servers=frozenset(), resume_window_s=None):
+        """Return a ``Placement`` at a slot that is free now, otherwise ``None``."""
+        backlog = self._backlogs[request.service, request.model]
+        wait_class = self._wait_class(request, resume_window_s)
+        placement = self._place_without_waiting(
+            request, excluded_servers, backlog, wait_class
+        )
+        if placement is not None and wait_class is WaitClass.IN_TIME:
+            backlog.shortage.note_placed()
+        return placement
+
     def _place_late(self, request, excluded_servers, backlog):
         """Wait once more, as a late request, after no slot was found in time.
 
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
@@ -241,6 +241,51 @@
   6: i32 waited_ms
 }
 
+/**
+ * A request for a slot at one of the groups of a model in a data centre.
+ *
+ * `id` is unique to this attempt of the request `request`. The times left are in
+ * milliseconds; `objective_left_ms` may be negative, `resume_window_ms` is -1 for
+ * requests that do not resume a stream. With `wait` the broker queues the request if no
+ * slot is free.
+ */
+struct SlotAsk {
+  1: string id
+  2: string node
+  3: string request
+  4: string service_name
+  5: string model
+  6: string team
+  7: i32 rank
+  8: i32 prompt_tokens
+  9: i32 response_tokens
+  10: i32 deadline_left_ms
+  11: i32 objective_left_ms
+  12: i32 objective_ms
+  13: i32 resume_window_ms
+  14: list<string> excluded_servers
+  15: bool wait
+}
+
+/**
+ * The broker's decision. With `granted`, a slot at the group `group`, which has `load`
+ * other requests; otherwise why not, and after how many seconds to retry.
+ */
+struct SlotGrant {
+  1: bool granted
+  2: string broker
+  3: string incarnation
+  4: string group
+  5: string server
+  6: i64 born
+  7: string address
+  8: string data_center
+  9: i32 slots
+  10: i32 load
+  11: string why
+  12: double retry_after_s
+}
+
 service Routed {
   Pulse pulse(1: Pulse mine) throws (1: PeerError error)
   FleetDigest report(1: Pulse mine, 2: string digest_of, 3: i64 version)
@@ -248,4 +293,6 @@
   TableRows rows(1: string table, 2: i64 from_offset, 3: i32 wait_ms, 4: i64 era)
     throws (1: PeerError error)
   bool reaches(1: string server, 2: string address) throws (1: PeerError error)
+  SlotGrant take_slot(1: SlotAsk ask) throws (1: PeerError error)
+  void release_slot(1: string id) throws (1: PeerError error)
 }
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/Routed.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/Routed.py
@@ -57,6 +57,22 @@
         """
         pass
 
+    def take_slot(self, ask):
+        """
+        Parameters:
+         - ask
+
+        """
+        pass
+
+    def release_slot(self, id):
+        """
+        Parameters:
+         - id
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -213,6 +229,72 @@
             raise result.error
         raise TApplicationException(TApplicationException.MISSING_RESULT, "reaches failed: unknown result")
 
+    def take_slot(self, ask):
+        """
+        Parameters:
+         - ask
+
+        """
+        self.send_take_slot(ask)
+        return self.recv_take_slot()
+
+    def send_take_slot(self, ask):
+        self._oprot.writeMessageBegin('take_slot', TMessageType.CALL, self._seqid)
+        args = take_slot_args()
+        args.ask = ask
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_take_slot(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = take_slot_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.error is not None:
+            raise result.error
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "take_slot failed: unknown result")
+
+    def release_slot(self, id):
+        """
+        Parameters:
+         - id
+
+        """
+        self.send_release_slot(id)
+        self.recv_release_slot()
+
+    def send_release_slot(self, id):
+        self._oprot.writeMessageBegin('release_slot', TMessageType.CALL, self._seqid)
+        args = release_slot_args()
+        args.id = id
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_release_slot(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = release_slot_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.error is not None:
+            raise result.error
+        return
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -222,6 +304,8 @@
         self._processMap["report"] = Processor.process_report
         self._processMap["rows"] = Processor.process_rows
         self._processMap["reaches"] = Processor.process_reaches
+        self._processMap["take_slot"] = Processor.process_take_slot
+        self._processMap["release_slot"] = Processor.process_release_slot
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -348,6 +432,58 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_take_slot(self, seqid, iprot, oprot):
+        args = take_slot_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = take_slot_result()
+        try:
+            result.success = self._handler.take_slot(args.ask)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerError as error:
+            msg_type = TMessageType.REPLY
+            result.error = error
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("take_slot", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_release_slot(self, seqid, iprot, oprot):
+        args = release_slot_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = release_slot_result()
+        try:
+            self._handler.release_slot(args.id)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except PeerError as error:
+            msg_type = TMessageType.REPLY
+            result.error = error
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("release_slot", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -966,5 +1102,266 @@
     (0, TType.BOOL, 'success', None, None, ),  # 0
     (1, TType.STRUCT, 'error', [PeerError, None], None, ),  # 1
 )
+
+
+class take_slot_args(object):
+    """
+    Attributes:
+     - ask
+
+    """
+
+
+    def __init__(self, ask=None,):
+        self.ask = ask
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.ask = SlotAsk()
+                    self.ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('take_slot_args')
+        if self.ask is not None:
+            oprot.writeFieldBegin('ask', TType.STRUCT, 1)
+            self.ask.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(take_slot_args)
+take_slot_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'ask', [SlotAsk, None], None, ),  # 1
+)
+
+
+class take_slot_result(object):
+    """
+    Attributes:
+     - success
+     - error
+
+    """
+
+
+    def __init__(self, success=None, error=None,):
+        self.success = success
+        self.error = error
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = SlotGrant()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.error = PeerError.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('take_slot_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.error is not None:
+            oprot.writeFieldBegin('error', TType.STRUCT, 1)
+            self.error.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(take_slot_result)
+take_slot_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [SlotGrant, None], None, ),  # 0
+    (1, TType.STRUCT, 'error', [PeerError, None], None, ),  # 1
+)
+
+
+class release_slot_args(object):
+    """
+    Attributes:
+     - id
+
+    """
+
+
+    def __init__(self, id=None,):
+        self.id = id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('release_slot_args')
+        if self.id is not None:
+            oprot.writeFieldBegin('id', TType.STRING, 1)
+            oprot.writeString(self.id.encode('utf-8') if sys.version_info[0] == 2 else self.id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(release_slot_args)
+release_slot_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'id', 'UTF8', None, ),  # 1
+)
+
+
+class release_slot_result(object):
+    """
+    Attributes:
+     - error
+
+    """
+
+
+    def __init__(self, error=None,):
+        self.error = error
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.error = PeerError.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('release_slot_result')
+        if self.error is not None:
+            oprot.writeFieldBegin('error', TType.STRUCT, 1)
+            self.error.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(release_slot_result)
+release_slot_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'error', [PeerError, None], None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
@@ -2361,6 +2361,413 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class SlotAsk(object):
+    """
+    A request for a slot at one of the groups of a model in a data centre.
+
+    `id` is unique to this attempt of the request `request`. The times left are in
+    milliseconds; `objective_left_ms` may be negative, `resume_window_ms` is -1 for
+    requests that do not resume a stream. With `wait` the broker queues the request if no
+    slot is free.
+
+    Attributes:
+     - id
+     - node
+     - request
+     - service_name
+     - model
+     - team
+     - rank
+     - prompt_tokens
+     - response_tokens
+     - deadline_left_ms
+     - objective_left_ms
+     - objective_ms
+     - resume_window_ms
+     - excluded_servers
+     - wait
+
+    """
+
+
+    def __init__(self, id=None, node=None, request=None, service_name=None, model=None, team=None, rank=None, prompt_tokens=None, response_tokens=None, deadline_left_ms=None, objective_left_ms=None, objective_ms=None, resume_window_ms=None, excluded_servers=None, wait=None,):
+        self.id = id
+        self.node = node
+        self.request = request
+        self.service_name = service_name
+        self.model = model
+        self.team = team
+        self.rank = rank
+        self.prompt_tokens = prompt_tokens
+        self.response_tokens = response_tokens
+        self.deadline_left_ms = deadline_left_ms
+        self.objective_left_ms = objective_left_ms
+        self.objective_ms = objective_ms
+        self.resume_window_ms = resume_window_ms
+        self.excluded_servers = excluded_servers
+        self.wait = wait
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.team = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.response_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.deadline_left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.objective_left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.objective_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.resume_window_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.excluded_servers = []
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded_servers.append(_elem149)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.BOOL:
+                    self.wait = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlotAsk')
+        if self.id is not None:
+            oprot.writeFieldBegin('id', TType.STRING, 1)
+            oprot.writeString(self.id.encode('utf-8') if sys.version_info[0] == 2 else self.id)
+            oprot.writeFieldEnd()
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 2)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 3)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 4)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 5)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.team is not None:
+            oprot.writeFieldBegin('team', TType.STRING, 6)
+            oprot.writeString(self.team.encode('utf-8') if sys.version_info[0] == 2 else self.team)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 7)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 8)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        if self.response_tokens is not None:
+            oprot.writeFieldBegin('response_tokens', TType.I32, 9)
+            oprot.writeI32(self.response_tokens)
+            oprot.writeFieldEnd()
+        if self.deadline_left_ms is not None:
+            oprot.writeFieldBegin('deadline_left_ms', TType.I32, 10)
+            oprot.writeI32(self.deadline_left_ms)
+            oprot.writeFieldEnd()
+        if self.objective_left_ms is not None:
+            oprot.writeFieldBegin('objective_left_ms', TType.I32, 11)
+            oprot.writeI32(self.objective_left_ms)
+            oprot.writeFieldEnd()
+        if self.objective_ms is not None:
+            oprot.writeFieldBegin('objective_ms', TType.I32, 12)
+            oprot.writeI32(self.objective_ms)
+            oprot.writeFieldEnd()
+        if self.resume_window_ms is not None:
+            oprot.writeFieldBegin('resume_window_ms', TType.I32, 13)
+            oprot.writeI32(self.resume_window_ms)
+            oprot.writeFieldEnd()
+        if self.excluded_servers is not None:
+            oprot.writeFieldBegin('excluded_servers', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRING, len(self.excluded_servers))
+            for iter150 in self.excluded_servers:
+                oprot.writeString(iter150.encode('utf-8') if sys.version_info[0] == 2 else iter150)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.wait is not None:
+            oprot.writeFieldBegin('wait', TType.BOOL, 15)
+            oprot.writeBool(self.wait)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SlotGrant(object):
+    """
+    The broker's decision. With `granted`, a slot at the group `group`, which has `load`
+    other requests; otherwise why not, and after how many seconds to retry.
+
+    Attributes:
+     - granted
+     - broker
+     - incarnation
+     - group
+     - server
+     - born
+     - address
+     - data_center
+     - slots
+     - load
+     - why
+     - retry_after_s
+
+    """
+
+
+    def __init__(self, granted=None, broker=None, incarnation=None, group=None, server=None, born=None, address=None, data_center=None, slots=None, load=None, why=None, retry_after_s=None,):
+        self.granted = granted
+        self.broker = broker
+        self.incarnation = incarnation
+        self.group = group
+        self.server = server
+        self.born = born
+        self.address = address
+        self.data_center = data_center
+        self.slots = slots
+        self.load = load
+        self.why = why
+        self.retry_after_s = retry_after_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.broker = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.server = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.data_center = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.load = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.why = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.DOUBLE:
+                    self.retry_after_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlotGrant')
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 1)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
+        if self.broker is not None:
+            oprot.writeFieldBegin('broker', TType.STRING, 2)
+            oprot.writeString(self.broker.encode('utf-8') if sys.version_info[0] == 2 else self.broker)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 3)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 4)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRING, 5)
+            oprot.writeString(self.server.encode('utf-8') if sys.version_info[0] == 2 else self.server)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 6)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 7)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.data_center is not None:
+            oprot.writeFieldBegin('data_center', TType.STRING, 8)
+            oprot.writeString(self.data_center.encode('utf-8') if sys.version_info[0] == 2 else self.data_center)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 9)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.I32, 10)
+            oprot.writeI32(self.load)
+            oprot.writeFieldEnd()
+        if self.why is not None:
+            oprot.writeFieldBegin('why', TType.STRING, 11)
+            oprot.writeString(self.why.encode('utf-8') if sys.version_info[0] == 2 else self.why)
+            oprot.writeFieldEnd()
+        if self.retry_after_s is not None:
+            oprot.writeFieldBegin('retry_after_s', TType.DOUBLE, 12)
+            oprot.writeDouble(self.retry_after_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Observation)
 Observation.thrift_spec = (
     None,  # 0
@@ -2547,5 +2954,40 @@
     (5, TType.I64, 'era', None, None, ),  # 5
     (6, TType.I32, 'waited_ms', None, None, ),  # 6
 )
+all_structs.append(SlotAsk)
+SlotAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'node', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'request', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'service_name', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'model', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'team', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'rank', None, None, ),  # 7
+    (8, TType.I32, 'prompt_tokens', None, None, ),  # 8
+    (9, TType.I32, 'response_tokens', None, None, ),  # 9
+    (10, TType.I32, 'deadline_left_ms', None, None, ),  # 10
+    (11, TType.I32, 'objective_left_ms', None, None, ),  # 11
+    (12, TType.I32, 'objective_ms', None, None, ),  # 12
+    (13, TType.I32, 'resume_window_ms', None, None, ),  # 13
+    (14, TType.LIST, 'excluded_servers', (TType.STRING, 'UTF8', False), None, ),  # 14
+    (15, TType.BOOL, 'wait', None, None, ),  # 15
+)
+all_structs.append(SlotGrant)
+SlotGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'granted', None, None, ),  # 1
+    (2, TType.STRING, 'broker', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'incarnation', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'group', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'server', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'born', None, None, ),  # 6
+    (7, TType.STRING, 'address', 'UTF8', None, ),  # 7
+    (8, TType.STRING, 'data_center', 'UTF8', None, ),  # 8
+    (9, TType.I32, 'slots', None, None, ),  # 9
+    (10, TType.I32, 'load', None, None, ),  # 10
+    (11, TType.STRING, 'why', 'UTF8', None, ),  # 11
+    (12, TType.DOUBLE, 'retry_after_s', None, None, ),  # 12
+)
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/tests/routing/test_brokers.py
@@ -0,0 +1,342 @@
+"""Slots granted by brokers: exact at any number of nodes, and safe when one is lost."""
+
+import heapq
+import random
+import unittest
+from collections import Counter
+from types import SimpleNamespace
+
+import gevent
+
+from auburnwall.base.clock import SystemClock
+from auburnwall.fleet.candidate_index import Candidate
+from auburnwall.node.routed.brokers import Brokers
+from auburnwall.node.routed.views import SlotUsage
+from auburnwall.routing.brokered_placer import BrokeredPlacer
+from auburnwall.routing.exceptions import OverloadedError
+from auburnwall.routing.in_flight import InFlightRequests
+from auburnwall.routing.placement import choose_candidate
+from auburnwall.routing.placer import Placer
+from auburnwall.routing.slot_broker import SlotBroker
+from auburnwall.routing.step_model import Work
+from auburnwall.routing.warmup import WarmupGate
+from auburnwall.wire.exceptions import PeerUnavailableError
+
+DATA_CENTERS = ("norte", "sur")
+GROUPS_PER_DATA_CENTER, SLOTS = 2, 3
+
+
+def candidates():
+    return [
+        Candidate(f"{place}-{n}", f"s-{place}-{n}", 1, "", place, SLOTS)
+        for place in DATA_CENTERS
+        for n in range(GROUPS_PER_DATA_CENTER)
+    ]
+
+
+class GroupsView:
+    """A view of all groups, or with ``only`` of those in one data centre."""
+
+    def __init__(self, data_center, in_flight, only=False):
+        self.data_center = data_center
+        self.avoided, self.paused = set(), {}
+        self._in_flight = in_flight
+        self._only = only
+
+    def candidates(self, request):
+        own = self.data_center
+        return [c for c in candidates() if not self._only or c.data_center == own]
+
+    def load(self, candidate):
+        return self._in_flight.count(candidate.name)
+
+    def must_avoid(self, name):
+        return name in self.avoided
+
+    def pause_left_s(self, server):
+        return self.paused.get(server, 0.0)
+
+    def cold_rate(self, candidate):
+        return None
+
+    def expected_time_to_start_s(self, request):
+        return 0.05
+
+    def slot_usage(self, request):
+        return SlotUsage(sum(self._in_flight.slots_in_use.values()), 0, 0.5)
+
+
+class Node:
+    """A node with its broker; calls to others go through ``network``."""
+
+    def __init__(self, name, data_center, network):
+        self.name, self.network = name, network
+        clock, rng = network.clock, random.Random(name)
+        self.in_flight = InFlightRequests(clock, lambda name: None)
+        gate = WarmupGate(name, lambda: [name], clock)
+        self.view = GroupsView(data_center, self.in_flight)
+        broker_view = GroupsView(data_center, self.in_flight, only=True)
+        self.broker = SlotBroker(
+            Placer(broker_view, self.in_flight, gate, clock, rng),
+            lambda node: node not in network.down,
+            clock,
+        )
+        identity = SimpleNamespace(node=name, incarnation=f"{name}-1")
+        peers = SimpleNamespace(
+            is_mesh=False,
+            live=lambda: network.live(name),
+            address=lambda node: node,
+        )
+        pool = SimpleNamespace(call=self.call)
+        state = SimpleNamespace(nodes=network.records)
+        self.brokers = Brokers(
+            identity,
+            state,
+            peers,
+            self.broker,
+            pool,
+            pool,
+            clock,
+            SimpleNamespace(spawn=gevent.spawn),
+        )
+        local = Placer(self.view, self.in_flight, gate, clock, rng)
+        self.placer = BrokeredPlacer(local, self.view, self.brokers)
+
+    def call(self, address, method, *args):
+        network = self.network
+        network.calls[method] += 1
+        if address in network.down or self.name in network.down:
+            raise PeerUnavailableError("no answer", step=method, peer=address)
+        return getattr(network.nodes[address].brokers, method)(*args)
+
+    def place(self, number=0, objective_s=0.3, deadline_s=2.0, excluded=frozenset()):
+        now = self.network.clock.monotonic()
+        request = SimpleNamespace(
+            request_id=f"r-{self.name}-{number}",
+            service="assist",
+            model="big",
+            team="blue",
+            rank=1,
+            priority=-1,
+            weight=1.0,
+            work=Work(100, 10),
+            deadline=now + deadline_s,
+            objective_at=now + objective_s,
+            route=SimpleNamespace(objective_s=objective_s),
+        )
+        return self.placer.place(request, excluded)
+
+
+class Network:
+    """Two nodes in each data centre; the one with more cores is its broker."""
+
+    def __init__(self):
+        self.clock = SystemClock()
+        self.down, self.calls = set(), Counter()
+        self.records, self.nodes = {}, {}
+        for place in DATA_CENTERS:
+            for index in range(4):
+                name = f"{place}{index}"
+                self.records[name] = SimpleNamespace(
+                    node=name, data_center=place, peer=name, cores=4.0 - index
+                )
+                self.nodes[name] = Node(name, place, self)
+
+    def live(self, own):
+        return {
+            name: SimpleNamespace(stopping=False, incarnation=f"{name}-1")
+            for name in self.records
+            if name != own and name not in self.down
+        }
+
+    def broker(self, place):
+        return self.nodes["norte3"].brokers.broker_of("assist", "big", place)
+
+
+class BrokerTests(unittest.TestCase):
+    def setUp(self):
+        self.network = Network()
+        self.one, self.two = self.network.nodes["norte3"], self.network.nodes["norte2"]
+
+    def load(self):
+        """Return the number of granted slots by group."""
+        counts = Counter()
+        for node in self.network.nodes.values():
+            counts.update(node.in_flight.slots_in_use)
+        return counts
+
+    def fill(self, count):
+        nodes = [self.one, self.two, self.network.nodes["sur3"]]
+        return [nodes[n % 3].place(n) for n in range(count)]
+
+    def test_no_group_is_overfilled_and_none_is_left_idle(self):
+        all_slots = 2 * GROUPS_PER_DATA_CENTER * SLOTS
+        self.fill(all_slots)
+        self.assertEqual(self.load(), {c.name: SLOTS for c in candidates()})
+
+    def test_own_data_centre_is_used_first(self):
+        for number in range(GROUPS_PER_DATA_CENTER * SLOTS):
+            placement = self.one.place(number)
+            self.assertEqual(placement.candidate.data_center, "norte")
+        self.assertEqual(self.one.place(99).candidate.data_center, "sur")
+
+    def test_released_slot_goes_to_a_request_that_waits_at_another_node(self):
+        placements = self.fill(2 * GROUPS_PER_DATA_CENTER * SLOTS)
+        waiting = gevent.spawn(self.two.place, 50, objective_s=2.0)
+        gevent.sleep(0.05)
+        self.assertFalse(waiting.ready())
+        first = next(p for p in placements if p.candidate.data_center == "norte")
+        owner = next(
+            n for n in (self.one, self.two) if first.grant.id in n.placer._grants
+        )
+        owner.placer.release_slot(first)
+        self.assertEqual(waiting.get(timeout=1.0).candidate.name, first.candidate.name)
+
+    def test_refusal_tells_when_to_return(self):
+        self.fill(2 * GROUPS_PER_DATA_CENTER * SLOTS)
+        with self.assertRaises(OverloadedError) as caught:
+            self.one.place(50, objective_s=0.1, deadline_s=0.2)
+        self.assertGreater(caught.exception.retry_after_s, 0.0)
+
+    def test_caller_that_leaves_while_it_waits_holds_no_slot(self):
+        placements = self.fill(2 * GROUPS_PER_DATA_CENTER * SLOTS)
+        waiting = gevent.spawn(self.one.place, 50, objective_s=2.0)
+        gevent.sleep(0.05)
+        waiting.kill()
+        gevent.sleep(0.05)
+        for placement in placements:
+            for node in self.network.nodes.values():
+                if placement.grant.id in node.placer._grants:
+                    node.placer.release_slot(placement)
+        gevent.sleep(0.05)
+        self.assertEqual(self.load(), {})
+
+    def test_node_s_own_suspicions_are_kept(self):
+        self.one.view.avoided.add("norte-0")
+        for number in range(SLOTS):
+            self.assertEqual(self.one.place(number).candidate.name, "norte-1")
+        self.assertEqual(self.two.place(9).candidate.name, "norte-0")
+
+    def test_servers_that_want_a_pause_from_this_node_are_avoided(self):
+        self.one.view.paused["s-norte-0"] = 5.0
+        for number in range(SLOTS):
+            self.assertEqual(self.one.place(number).candidate.name, "norte-1")
+
+    def test_lost_broker_is_replaced_and_its_requests_are_counted(self):
+        broker = self.network.broker("norte")
+        asker = self.one if broker != self.one.name else self.two
+        placement = asker.place(1)
+        self.assertEqual(placement.grant.broker, broker)
+        self.network.down.add(broker)
+        unaccounted = asker.placer.unaccounted_requests()
+        self.assertEqual(unaccounted, {placement.candidate.name: 1})
+        self.assertIsNotNone(asker.place(2))
+        gevent.sleep(0.3)
+        self.assertNotEqual(asker.place(3).grant.broker, broker)
+
+    def test_unreachable_broker_costs_no_request(self):
+        """It is not known to be lost yet; the node places requests itself meanwhile."""
+        broker = self.network.broker("norte")
+        asker = self.one if broker != self.one.name else self.two
+        live = self.network.live(asker.name)
+        self.network.live = lambda own: live
+        self.network.down.add(broker)
+        placement = asker.place(1)
+        self.assertIsNone(placement.grant)
+        asker.placer.release_slot(placement)
+        calls = self.network.calls["take_slot"]
+        asker.place(2)
+        self.assertEqual(self.network.calls["take_slot"], calls)
+
+    def test_slots_of_a_lost_node_are_freed(self):
+        asker = next(
+            node
+            for node in (self.one, self.two)
+            if node.name != self.network.broker("norte")
+        )
+        placement = asker.place(1)
+        broker = self.network.nodes[placement.grant.broker]
+        self.network.down.add(asker.name)
+        broker.broker.expire_grants()
+        self.assertEqual(broker.in_flight.slots_in_use, {})
+
+    def test_slot_is_freed_after_the_deadline_if_its_release_is_lost(self):
+        placement = self.one.place(1, deadline_s=0.0)
+        broker = self.network.nodes[placement.grant.broker].broker
+        broker.expire_grants()
+        self.assertEqual(len(broker), 1)
+        gevent.sleep(0.6)
+        broker.expire_grants()
+        self.assertEqual(len(broker), 0)
+
+
+def load_from(known):
+    return lambda candidate: known[candidate.name]
+
+
+class StaleLoadTests(unittest.TestCase):
+    """What brokers are for: 195 nodes place 500 requests a second at 65 groups.
+
+    A request holds its slot for 1.2 s. The load that a node knows is 0.7 s old.
+    """
+
+    NODES, GROUPS, SLOTS, RATE_PER_S, HOLD_S, AGE_S, UNTIL_S = (
+        195,
+        65,
+        14,
+        500.0,
+        1.2,
+        0.7,
+        6.0,
+    )
+
+    def overfilled_fraction(self, known_loads):
+        """Return the fraction of requests that go to a group without a free slot.
+
+        ``known_loads(history, load)`` returns the load by group that a node knows.
+        """
+        rng, load = random.Random(7), [0] * self.GROUPS
+        groups = [
+            Candidate(n, n, 1, "", f"d{n % 5}", self.SLOTS) for n in range(self.GROUPS)
+        ]
+        events, history = [(0.0, 0, -1), (0.0, 1, -1)], []
+        placed = overfilled = 0
+        while events:
+            now, kind, group = heapq.heappop(events)
+            if now > self.UNTIL_S:
+                break
+            if kind == 0:
+                history.append((now, list(load)))
+                heapq.heappush(events, (now + 0.05, 0, -1))
+            elif kind == 2:
+                load[group] -= 1
+            else:
+                heapq.heappush(events, (now + rng.expovariate(self.RATE_PER_S), 1, -1))
+                known = dict(enumerate(known_loads(history, load, now)))
+                data_center = f"d{rng.randrange(5)}"
+                chosen = choose_candidate(groups, load_from(known), data_center, rng)
+                if chosen is None:
+                    continue
+                placed += 1
+                overfilled += load[chosen.name] >= self.SLOTS
+                load[chosen.name] += 1
+                hold_s = self.HOLD_S * rng.uniform(0.5, 1.5)
+                heapq.heappush(events, (now + hold_s, 2, chosen.name))
+        return overfilled / placed
+
+    def test_exact_loads_overfill_no_group(self):
+        fraction = self.overfilled_fraction(lambda history, load, now: load)
+        self.assertEqual(fraction, 0.0)
+
+    def test_loads_of_a_moment_ago_overfill_groups(self):
+        def stale(history, load, now):
+            return next(
+                (loads for at, loads in reversed(history) if at <= now - self.AGE_S),
+                history[0][1],
+            )
+
+        self.assertGreater(self.overfilled_fraction(stale), 0.2)
+
+
+if __name__ == "__main__":
+    unittest.main()
