Refuse what is late before it is sent; keep granted slots to servers that may be used

A node that was paused between placement and attempt sent the request with 1 ms left, and the server ran it: with the mechanism taken out, test_request_whose_time_is_over_is_not_sent gets the server's own response. It is refused now, as not run.

Relays of different data centres exchange heartbeats each 0.8 s, as bytes between them are dear and requests cross only where the own data centre is full. The choice of relays is a class of its own.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -35,3 +35,18 @@
     def record_problem(self, status, step):
         """Record an error response of this node."""
         self._refusals.labels(str(status), step).inc()
+
+
+def add_gauges(metrics, node):
+    """Add the gauges of a ``RoutedNode``."""
+    channels, broker = node.channels, node.placing.broker
+    for name, documentation, function in (
+        ("running", "Requests under way.", lambda: node.gateway.running),
+        ("waiting", "Requests that wait for a place.", node.placer.waiting_count),
+        ("granted", "Slots granted as a broker.", lambda: len(broker)),
+        ("groups", "Groups in the fleet's table.", lambda: len(node.fleet.groups)),
+        ("servers", "Registered servers.", lambda: len(node.registry.servers)),
+        ("peers", "Peers heard of lately.", lambda: len(node.peers.live())),
+        ("connections", "Connections opened.", lambda: channels.connections_opened),
+    ):
+        metrics.gauge(f"auburnwall_{name}", documentation, function)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -40,7 +40,7 @@
 from .front import new_front_server
 from .gateway import Gateway
 from .handler import RoutedHandler
-from .metrics import RoutedMetrics
+from .metrics import RoutedMetrics, add_gauges
 from .peers import LOST_NODE_INTERVAL_S, REPORT_PERIOD_S, Peers
 from .placing import Placing
 from .settings_reload import SettingsReload
@@ -341,20 +341,7 @@
             self.gateway, self.writer, clock, cfg, self.tasks
         )
         self.settings.listeners.append(self._apply_settings)
-        self._build_gauges()
-
-    def _build_gauges(self):
-        channels, broker = self.channels, self.placing.broker
-        for name, documentation, function in (
-            ("running", "Requests under way.", lambda: self.gateway.running),
-            ("waiting", "Requests that wait for a place.", self.placer.waiting_count),
-            ("granted", "Slots granted as a broker.", lambda: len(broker)),
-            ("groups", "Groups in the fleet's table.", lambda: len(self.fleet.groups)),
-            ("servers", "Registered servers.", lambda: len(self.registry.servers)),
-            ("peers", "Peers heard of lately.", lambda: len(self.peers.live())),
-            ("connections", "Connections opened.", lambda: channels.connections_opened),
-        ):
-            self.metrics.gauge(f"auburnwall_{name}", documentation, function)
+        add_gauges(self.metrics, self)
 
     def _servers(self):
         cfg, platform = self.cfg, self._platform
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -17,7 +17,7 @@
     status_of,
     to_wire,
 )
-from .topology import is_mesh, parent_of, relay_rank, relays_of
+from .topology import Topology, relay_rank
 
 # Maximum rate of heartbeat calls that a node starts, per second.
 MAX_HEARTBEATS_PER_S = 50.0
@@ -26,6 +26,9 @@
 REPORT_PERIOD_S = 0.4
 # Time between two calls of a relay to nodes that are not live, in seconds.
 LOST_NODE_INTERVAL_S = 0.4
+# Minimum time between two heartbeats of relays in different data centres, in seconds.
+# Requests cross data centres only where the own one has no free slot.
+DISTANT_PERIOD_S = 0.8
 # Maximum age of the last heartbeat of a live peer, in seconds. It is short enough that
 # the directory stops naming a lost node within the few seconds that are allowed.
 MAX_HEARTBEAT_AGE_S = 2.5
@@ -39,8 +42,6 @@
 # Time for which sums over the peers are reused if no heartbeat has arrived, and in a
 # relay, where heartbeats arrive all the time, in any case. In seconds.
 SUMS_REUSED_S = 0.1
-# Time for which a relay that did not answer is not chosen again, in seconds.
-FAILED_RELAY_S = 2.0
 # In a fleet with relays, a group is suspect if it is for this number of nodes at least,
 # and for this fraction of its requests in flight.
 MIN_SUSPECTING_NODES, MIN_SUSPECTING_FRACTION = 2, 0.25
@@ -70,42 +71,42 @@
         self._own_pulse = own_pulse
         self._clock = clock
         self._period_s = period_s
-        self._max_mesh_nodes = max_mesh_nodes
         self._heartbeats = {}
         self._statuses = {}
         self._digest = None
         self._digest_nodes = {}
         self._published = PublishedStatuses()
-        self._first_seen_at = {}
-        self._failed_until = {}
         self._called_nodes = set()
         self._lost_nodes_called = 0
         self._unreachable_since = {}
-        self._topology_key = None
-        self._partners = frozenset()
-        self._parent = None
-        self.is_mesh = True
+        self._topology = Topology(identity.node, max_mesh_nodes)
+        self._links = self._topology.links
         self._sums = {}
 
+    @property
+    def is_mesh(self):
+        """Return whether all nodes of this fleet exchange heartbeats."""
+        return self._links.is_mesh
+
     def call_new_peers(self, tasks):
         """Start a call loop for each new partner; drop what is known of removed nodes.
 
         The loop of a node that is no longer a partner ends by itself.
         """
         self._update_topology()
-        if not self.is_mesh and self._parent is None:
+        if not self.is_mesh and self._links.parent is None:
             self._pass_on(self.fleet_load(), self._identity.node)
-        for name in self._partners - self._called_nodes:
+        for name in self._links.partners - self._called_nodes:
             self._called_nodes.add(name)
             tasks.spawn(self._call_loop, name)
-        for known in (self._heartbeats, self._statuses, self._first_seen_at):
+        for known in (self._heartbeats, self._statuses):
             for name in [name for name in known if name not in self._state.nodes]:
                 del known[name]
 
     def report(self):
         """Report to this node's relay, if it has one, and apply its digest."""
         self._update_topology()
-        name = self._parent
+        name = self._links.parent
         if name is None or name not in self._state.nodes:
             return
         pulse = self.full_pulse()
@@ -119,7 +120,7 @@
                 digest.version if digest else 0,
             )
         except PeerUnavailableError as exc:
-            self._failed_until[name] = self._clock.monotonic() + FAILED_RELAY_S
+            self._topology.note_failed_report(name, self._clock.monotonic())
             event("relay lost", peer=name, step="report", why=exc.detail)
             return
         if digest is None:
@@ -133,7 +134,7 @@
         another, and these do not know each other. The nodes that would be relays first
         are called first.
         """
-        if self.is_mesh or self._parent is not None:
+        if self.is_mesh or self._links.parent is not None:
             return
         live, own = self.live(), self._identity.node
         nodes = self._state.nodes.items()
@@ -145,15 +146,22 @@
 
     def parent(self):
         """Return the relay that this node reports to, ``None`` if it has none."""
-        return self._parent
+        return self._links.parent
 
     def is_relay(self, name):
         """Return whether a live peer exchanges heartbeats with this node directly."""
-        return name in self._partners
+        return name in self._links.partners
 
     def period_s(self):
         """Return the time between two heartbeats to the same peer, in seconds."""
-        return max(self._period_s, len(self._partners) / MAX_HEARTBEATS_PER_S)
+        return max(self._period_s, len(self._links.partners) / MAX_HEARTBEATS_PER_S)
+
+    def _period_to(self, node):
+        """Return the time between two heartbeats to one peer, in seconds."""
+        period_s = self.period_s()
+        if self.is_mesh or node.data_center == self._identity.data_center:
+            return period_s
+        return max(period_s, DISTANT_PERIOD_S)
 
     def live(self):
         """Return the ``PeerStatus`` of each live peer, by node.
@@ -317,7 +325,7 @@
 
     def _recent_digest(self):
         digest = self._digest
-        if digest is None or self._parent is None:
+        if digest is None or self._links.parent is None:
             return None
         age_s = self._clock.monotonic() - digest.received_at
         return digest if age_s <= MAX_LOAD_AGE_S else None
@@ -399,69 +407,30 @@
             self.on_leaving(load.leaving, node)
 
     def _update_topology(self):
-        """Choose anew whom this node exchanges heartbeats with, if nodes have changed.
-
-        Relays are chosen among the nodes that may be live. Relays also call the nodes
-        that would be relays if all nodes were live: after a partition heals, neither
-        side would otherwise call the other.
-        """
-        nodes, own = self._state.nodes, self._identity.node
+        """Choose anew whom this node exchanges heartbeats with, if needed."""
+        topology = self._topology
+        before = self._links
         now = self._clock.monotonic()
-        for name in nodes:
-            self._first_seen_at.setdefault(name, now)
-        names = frozenset(nodes)
-        self.is_mesh = is_mesh(len(nodes), self._max_mesh_nodes)
-        if self.is_mesh or own not in nodes:
-            key = names, None
-            if key != self._topology_key:
-                self._topology_key = key
-                partners = names - {own} if self.is_mesh else frozenset()
-                self._set_topology(partners, None)
+        if not topology.update(self._state.nodes, self.live(), now, self._max_age_s()):
             return
-        eligible = self._eligible_relays(now)
-        key = names, eligible
-        if key == self._topology_key:
-            return
-        self._topology_key = key
-        records = [nodes[name] for name in eligible | {own}]
-        parent = parent_of(nodes[own], records)
-        partners = relays_of(records) | relays_of(nodes.values())
-        self._set_topology(
-            frozenset() if parent else frozenset(partners) - {own}, parent
-        )
-
-    def _set_topology(self, partners, parent):
-        if parent != self._parent or bool(partners) != bool(self._partners):
-            event("heartbeats", relay=parent, partners=len(partners))
-        if parent is None:
+        links = self._links = topology.links
+        if links.parent != before.parent or bool(links.partners) != bool(
+            before.partners
+        ):
+            event("heartbeats", relay=links.parent, partners=len(links.partners))
+        if links.parent is None:
             self._digest = None
             self._digest_nodes.clear()
-        self._partners, self._parent = partners, parent
         self._sums.clear()
 
-    def _eligible_relays(self, now):
-        """Return the names of the other nodes that may be live.
-
-        A node is not eligible for a time after it did not answer a report. Without any
-        live peer, all other nodes are eligible.
-        """
-        live = self.live()
-        oldest_at = now - self._max_age_s()
-        eligible = frozenset(
-            name
-            for name in self._state.nodes
-            if name != self._identity.node
-            and (name in live or not live or self._first_seen_at[name] >= oldest_at)
-            and self._failed_until.get(name, 0.0) <= now
-        )
-        return eligible or frozenset(self._state.nodes) - {self._identity.node}
-
     def _call_loop(self, name):
         failed = False
         try:
-            while (node := self._state.nodes.get(name)) and name in self._partners:
+            while (
+                node := self._state.nodes.get(name)
+            ) and name in self._links.partners:
                 heard, now = self._heartbeats.get(name), self._clock.monotonic()
-                period_s = self.period_s()
+                period_s = self._period_to(node)
                 if heard is None or (
                     now - heard.received_at >= RECENT_FRACTION * period_s
                 ):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
@@ -25,7 +25,7 @@
     registry_s: float = 0.6
     planner_registry_s: float = 0.3
     pulse_s: float = 0.12
-    max_mesh_nodes: int = 24
+    max_mesh_nodes: int = 12
     cores: float = 1.0
     drain_notice_s: float = 2.0
     repeat_share: float = 0.1
--- a/packages/auburnwall-node/src/auburnwall/node/routed/topology.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/topology.py
@@ -10,20 +10,18 @@
 from itertools import groupby
 from math import ceil
 from operator import attrgetter
+from typing import NamedTuple
 
 from auburnwall.base.rendezvous import owner, score
 
 # Nodes of a data centre for which one relay is enough.
 NODES_PER_RELAY = 16
+# Time for which a relay that did not answer is not chosen again, in seconds.
+FAILED_RELAY_S = 2.0
 # A data centre with more than one node has a second relay that takes over at once.
 MIN_RELAYS = 2
 
 
-def is_mesh(node_count, max_mesh_nodes):
-    """Return whether all nodes exchange heartbeats with each other."""
-    return node_count <= max_mesh_nodes
-
-
 def relays_of(nodes):
     """Return the set of names of the relays among ``nodes``, which are ``NodeRecord``.
 
@@ -59,3 +57,82 @@
 def relay_rank(node):
     """Return the key by which nodes are sorted, the best relay first."""
     return -node.cores, -score("relay", node.node), node.node
+
+
+class Links(NamedTuple):
+    """Whom a node exchanges heartbeats with.
+
+    ``partners`` are the names of the nodes that it calls, and ``parent`` is the relay
+    that it reports to, ``None`` if it has none. In a mesh all nodes are partners.
+    """
+
+    is_mesh: bool
+    partners: frozenset
+    parent: str | None
+
+
+class Topology:
+    """The ``links`` of the node ``own``, chosen anew when the live nodes change."""
+
+    def __init__(self, own, max_mesh_nodes):
+        self.links = Links(True, frozenset(), None)
+        self._own = own
+        self._max_mesh_nodes = max_mesh_nodes
+        self._first_seen_at = {}
+        self._failed_until = {}
+        self._key = None
+
+    def note_failed_report(self, relay, now):
+        """Record that a relay did not answer a report."""
+        self._failed_until[relay] = now + FAILED_RELAY_S
+
+    def update(self, nodes, live, now, max_age_s):
+        """Choose the links; return whether they have changed.
+
+        ``nodes`` are the records of the fleet's table by name, ``live`` the names of
+        the live peers. A node that is new in the table may be live for ``max_age_s``.
+        Relays are chosen among the nodes that may be live. Relays also call the nodes
+        that would be relays if all nodes were live: after a partition heals, neither
+        side would otherwise call the other.
+        """
+        self._first_seen_at = {
+            name: self._first_seen_at.get(name, now) for name in nodes
+        }
+        names = frozenset(nodes)
+        if len(nodes) <= self._max_mesh_nodes:
+            return self._set((names, True), Links(True, names - {self._own}, None))
+        if self._own not in nodes:
+            return self._set((names, False), Links(False, frozenset(), None))
+        eligible = self._eligible(nodes, live, now, max_age_s)
+        if (names, eligible) == self._key:
+            return False
+        records = [nodes[name] for name in eligible | {self._own}]
+        parent = parent_of(nodes[self._own], records)
+        partners = frozenset()
+        if parent is None:
+            relays = relays_of(records) | relays_of(nodes.values())
+            partners = frozenset(relays) - {self._own}
+        return self._set((names, eligible), Links(False, partners, parent))
+
+    def _set(self, key, links):
+        if key == self._key:
+            return False
+        self._key, self.links = key, links
+        return True
+
+    def _eligible(self, nodes, live, now, max_age_s):
+        """Return the names of the other nodes that may be live.
+
+        A node is not eligible for a time after it did not answer a report. Without any
+        live peer, all other nodes are eligible.
+        """
+        others = frozenset(nodes) - {self._own}
+        eligible = frozenset(
+            name
+            for name in others
+            if (
+                name in live or not live or self._first_seen_at[name] >= now - max_age_s
+            )
+            and self._failed_until.get(name, 0.0) <= now
+        )
+        return eligible or others
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -168,6 +168,15 @@
         """Return for how many seconds a server wants no request, 0 if it takes any."""
         return self._notices.pause_left_s(server)
 
+    def may_send(self, candidate):
+        """Return whether this node knows no reason against a granted candidate.
+
+        Such a reason is that its server leaves or that its data centre is out.
+        """
+        left = self._registry.drained_incarnations.get(candidate.server)
+        evacuated = self._source.evacuated_data_centers
+        return left != candidate.born and candidate.data_center not in evacuated
+
     def cold_rate(self, candidate):
         """Return the maximum requests per second of a cold server.
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/brokered_placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/brokered_placer.py
@@ -54,18 +54,15 @@
         if not request.model or not data_centers or not self._brokers.are_used():
             return self._local.place(request, excluded_servers, resume_window_s)
         avoided = excluded_servers | self._avoided_servers(request)
-        for data_center in data_centers[:MAX_BROKERS_ASKED]:
-            placement = self._ask(data_center, request, avoided, resume_window_s)
+        asks = [(name, False) for name in data_centers[:MAX_BROKERS_ASKED]]
+        for data_center, wait in [*asks, (data_centers[0], True)]:
+            placement = self._ask_until_usable(
+                data_center, request, avoided, resume_window_s, wait
+            )
             if placement is self.UNREACHABLE:
                 break
             if placement is not None:
                 return placement
-        else:
-            placement = self._ask(
-                data_centers[0], request, avoided, resume_window_s, wait=True
-            )
-            if placement is not self.UNREACHABLE:
-                return placement
         return self._local.place(request, excluded_servers, resume_window_s)
 
     def release_slot(self, placement):
@@ -88,7 +85,23 @@
             if not self._brokers.is_current(grant)
         )
 
-    def _ask(self, data_center, request, avoided, resume_window_s, wait=False):
+    def _ask_until_usable(self, data_center, request, avoided, resume_window_s, wait):
+        """Ask a broker again if it grants a slot that this node must not use.
+
+        The broker has not heard yet that the server leaves.
+        """
+        while True:
+            placement = self._ask(data_center, request, avoided, resume_window_s, wait)
+            if (
+                placement is None
+                or placement is self.UNREACHABLE
+                or self._view.may_send(placement.candidate)
+            ):
+                return placement
+            self.release_slot(placement)
+            avoided = avoided | {placement.candidate.server}
+
+    def _ask(self, data_center, request, avoided, resume_window_s, wait):
         broker = self._brokers.broker_of(request.service, request.model, data_center)
         if broker is None:
             return self.UNREACHABLE
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -305,6 +305,13 @@
             if self._possible_runs:
                 raise self._final_error(502, "No server left to go on at", exc) from exc
             raise
+        if deps.clock.monotonic() >= request.deadline:
+            # The node was paused, or the slot came too late.
+            deps.placer.release_slot(placement)
+            exc = DeadlineExceededError("out of time", step="place")
+            raise self._final_error(
+                504 if self._possible_runs else 503, "Out of time", exc
+            )
         self._attempt_count += 1
         attempt = Attempt(deps, request, placement, last_id)
         exchange = attempt.exchange
--- a/tests/routed/test_front.py
+++ b/tests/routed/test_front.py
@@ -190,6 +190,22 @@
         wait_until(lambda: server.running == 0, 1.0)
         wait_until(lambda: not self.front.in_flight.slots_in_use, 1.0)
 
+    def test_request_whose_time_is_over_is_not_sent(self):
+        """The node was paused between the placement and the attempt."""
+        placer = self.front.placer
+        place = placer.place
+
+        def place_late(request, *args):
+            placement = place(request, *args)
+            gevent.sleep(0.3)
+            return placement
+
+        with mock.patch.object(placer, "place", place_late):
+            status, _, body = self.call("/book/x", X_Deadline_Ms="200")
+        self.assertEqual((status, json.loads(body)["ran"]), (503, "not run"))
+        self.assertEqual(self.seen(self.front.desks), [])
+        self.assertEqual(self.front.in_flight.slots_in_use, {})
+
     def test_late_copy_of_a_response_reaches_no_other_caller(self):
         """The copy arrives on a connection that is idle or has another request."""
         self.front.desks[1].stop()
--- a/tests/routed/test_peers.py
+++ b/tests/routed/test_peers.py
@@ -73,7 +73,11 @@
                 name, address, method, *args
             )
         )
-        identity = SimpleNamespace(node=name, incarnation=f"{name}-1")
+        identity = SimpleNamespace(
+            node=name,
+            incarnation=f"{name}-1",
+            data_center=network.state.nodes[name].data_center,
+        )
         self.peers = Peers(
             identity,
             network.state,
@@ -103,7 +107,7 @@
 
     def step(self):
         self.peers.call_new_peers(SimpleNamespace(spawn=lambda *args: None))
-        for partner in sorted(self.peers._partners):
+        for partner in sorted(self.peers._links.partners):
             self.peers._exchange(self.network.state.nodes[partner], True)
         self.peers.report()
         self.peers.call_lost_node()
--- a/tests/routing/test_brokers.py
+++ b/tests/routing/test_brokers.py
@@ -39,7 +39,7 @@
 
     def __init__(self, data_center, in_flight, only=False):
         self.data_center = data_center
-        self.avoided, self.paused = set(), {}
+        self.avoided, self.paused, self.leaving = set(), {}, set()
         self._in_flight = in_flight
         self._only = only
 
@@ -56,6 +56,9 @@
     def pause_left_s(self, server):
         return self.paused.get(server, 0.0)
 
+    def may_send(self, candidate):
+        return candidate.server not in self.leaving
+
     def cold_rate(self, candidate):
         return None
 
@@ -217,6 +220,14 @@
             self.assertEqual(self.one.place(number).candidate.name, "norte-1")
         self.assertEqual(self.two.place(9).candidate.name, "norte-0")
 
+    def test_server_that_told_this_node_that_it_leaves_gets_nothing(self):
+        """The broker has not heard of it yet."""
+        self.one.view.leaving |= {"s-norte-0", "s-sur-0"}
+        used = Counter(self.one.place(n).candidate.name for n in range(2 * SLOTS))
+        self.assertEqual(used, {"norte-1": SLOTS, "sur-1": SLOTS})
+        gevent.sleep(0.05)
+        self.assertEqual(self.load(), used)
+
     def test_servers_that_want_a_pause_from_this_node_are_avoided(self):
         self.one.view.paused["s-norte-0"] = 5.0
         for number in range(SLOTS):
