Follow tables whose readers wait; read the operators' table once a data centre

The age that is allowed follows from the wait; above 12 nodes one relay of a data centre reads the operators' table, with a wait of 1 s, so that its loss shows soon enough.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -48,9 +48,11 @@
 from .source import ConfigSource
 from .tables import (
     LONG_POLL_S,
-    MAX_AWAITED_AGE_S,
+    MAX_FLEET_AGE_S,
     MAX_FOLLOWED_AGE_S,
+    MAX_OPERATOR_AGE_S,
     MAX_RELAYED_AGE_FRACTION,
+    RELAYED_LONG_POLL_S,
     StoreReaderChoice,
     TableReader,
 )
@@ -252,7 +254,7 @@
             self.identity, self.fleet, self.peers, self.writer.is_planner
         )
 
-        def reader(table, wait_s, pause_s, max_age_s, peer_to_follow, on_read=None):
+        def reader(table, wait_s, pause_s, max_age_s, peer_to_follow, **kwargs):
             return TableReader(
                 self.replicas[table],
                 self.peers,
@@ -260,33 +262,34 @@
                 self.rng,
                 wait_s=wait_s,
                 pause_s=pause_s,
-                on_read=on_read,
-                peer_to_follow=peer_to_follow,
                 max_followed_age_s=max_age_s,
+                peer_to_follow=peer_to_follow,
+                **kwargs,
             )
 
         self.readers = {
             OPERATOR_TABLE: reader(
                 OPERATOR_TABLE,
-                LONG_POLL_S,
+                lambda: LONG_POLL_S if self.peers.is_mesh else RELAYED_LONG_POLL_S,
                 lambda: 0.0,
-                MAX_AWAITED_AGE_S,
-                reader_choice.relay_to_follow,
+                MAX_OPERATOR_AGE_S,
+                reader_choice.peer_to_follow_in_large_fleet,
+                follow_pause_s=0.0,
             ),
             FLEET_TABLE: reader(
                 FLEET_TABLE,
-                LONG_POLL_S,
+                lambda: LONG_POLL_S,
                 self._fleet_pause_s,
-                MAX_AWAITED_AGE_S,
+                MAX_FLEET_AGE_S,
                 reader_choice.peer_to_follow,
             ),
             SERVER_TABLE: reader(
                 SERVER_TABLE,
-                0.0,
+                lambda: 0.0,
                 self._registry_pause_s,
                 self._max_followed_age_s(),
                 reader_choice.peer_to_follow,
-                self.registry.record_read,
+                on_read=self.registry.record_read,
             ),
         }
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
@@ -10,6 +10,9 @@
 # unresponsive connection times out shortly after this time. It is short, so that a new
 # configuration arrives within its time limit even after such a timeout.
 LONG_POLL_S = 2.0
+# The same for the operators' table in a fleet with relays, where few nodes read it and
+# the others depend on them.
+RELAYED_LONG_POLL_S = 1.0
 # If its own read of the store fails, a node copies from any peer once its table copy is
 # this old, in seconds.
 MIN_FALLBACK_AGE_S = 1.0
@@ -21,9 +24,11 @@
 # Maximum age of a relay's copy as a fraction of the time in which a leaving server must
 # be noticed. A relay may itself copy from the relay that reads the store.
 MAX_RELAYED_AGE_FRACTION = 0.5
-# The same for a table whose reader waits for new records: the copy may be as old as the
-# wait, since a new record would end it.
-MAX_AWAITED_AGE_S = LONG_POLL_S + 1.0
+# The same for the two tables whose readers wait for new records. A copy is as old as
+# the last read that has ended, so its age is up to twice the wait, and more at a relay
+# that copies from another.
+MAX_OPERATOR_AGE_S = 2 * RELAYED_LONG_POLL_S + 1.3
+MAX_FLEET_AGE_S = 2 * LONG_POLL_S + 2.0
 # Maximum time that a relay waits for new records before it responds, in seconds. It is
 # shorter than the timeout of calls to peers.
 RELAY_WAIT_S = 0.5
@@ -50,19 +55,20 @@
         self._peers = peers
         self._is_planner = is_planner
 
-    def relay_to_follow(self):
-        """Return the relay to copy from, or ``None`` if there is none."""
-        parent = self._peers.parent()
-        if self._is_planner() or parent not in self._state.nodes:
-            return None
-        return parent
+    def peer_to_follow_in_large_fleet(self):
+        """Return the peer to copy from, ``None`` in a fleet without relays.
+
+        There every node reads the operators' table itself.
+        """
+        return None if self._peers.is_mesh else self.peer_to_follow()
 
     def peer_to_follow(self):
         """Return the peer to copy from, or ``None`` if this node reads the store."""
         if self._is_planner():
             return None
-        if (relay := self.relay_to_follow()) is not None:
-            return relay
+        parent = self._peers.parent()
+        if parent in self._state.nodes:
+            return parent
         own = self._identity.node
         near = [
             name
@@ -82,8 +88,9 @@
 class TableReader:
     """Keep the copy of one table up to date.
 
-    A read of the store waits up to ``wait_s`` seconds for new records. ``pause_s()``
-    returns the pause between two reads, in seconds. ``peer_to_follow()`` returns the
+    A read of the store waits up to ``wait_s()`` seconds for new records. ``pause_s()``
+    returns the pause between two reads, in seconds, and ``follow_pause_s`` is that
+    between two copies from a peer. ``peer_to_follow()`` returns the
     name of the peer that reads the table for this node, or ``None``, and
     ``max_followed_age_s`` is the maximum age of that peer's copy. ``on_read()`` is
     called after each successful read. ``reads_store`` is true while this node reads the
@@ -102,6 +109,7 @@
         on_read=None,
         peer_to_follow=lambda: None,
         max_followed_age_s=MAX_FOLLOWED_AGE_S,
+        follow_pause_s=FOLLOW_INTERVAL_S,
     ):
         self.replica = replica
         self.reads_store = False
@@ -113,6 +121,7 @@
         self._on_read = on_read or (lambda: None)
         self._peer_to_follow = peer_to_follow
         self._max_followed_age_s = max_followed_age_s
+        self._follow_pause_s = follow_pause_s
         self._followed_peer = None
         self._read_store_until = 0.0
         self._backoff_s = FIRST_BACKOFF_S
@@ -129,10 +138,10 @@
         """
         self.replica.settle_due()
         if self._copy_from_followed_peer():
-            self._clock.sleep(FOLLOW_INTERVAL_S)
+            self._clock.sleep(self._follow_pause_s)
             return
         try:
-            self.replica.refresh(self._wait_s)
+            self.replica.refresh(self._wait_s())
         except LogUnavailableError as exc:
             self._record_store_failure(exc)
             self._copy_from_any_peer()
--- a/tests/routed/test_tables.py
+++ b/tests/routed/test_tables.py
@@ -8,7 +8,9 @@
 from auburnwall.node.routed.handler import RoutedHandler
 from auburnwall.node.routed.tables import (
     MAX_FOLLOWED_AGE_S,
+    MAX_OPERATOR_AGE_S,
     MIN_FALLBACK_AGE_S,
+    RELAYED_LONG_POLL_S,
     StoreReaderChoice,
     TableReader,
 )
@@ -72,7 +74,7 @@
             self,
             clock,
             random.Random(1),
-            wait_s=0.0,
+            wait_s=lambda: 0.0,
             pause_s=lambda: 0.0,
             on_read=self.count_read,
             peer_to_follow=choice.peer_to_follow,
@@ -91,6 +93,8 @@
     def parent(self):
         return self.relay
 
+    is_mesh = False
+
     def is_relay(self, name):
         return True
 
@@ -191,13 +195,48 @@
         for node in self.nodes.values():
             self.assertIn("b", node.replica.entries)
 
-    def test_outdated_copy_of_a_peer_is_not_applied(self):
-        best = self.nodes[self.reader_of("norte")]
-        follower = next(
+    def follower_of(self, best):
+        return next(
             node
             for node in self.nodes.values()
             if node is not best and node.reader._peer_to_follow() == best.name
         )
+
+    def test_copy_that_ends_before_the_own_one_is_followed(self):
+        """The follower has read the store since the reader did."""
+        best = self.nodes[self.reader_of("norte")]
+        follower = self.follower_of(best)
+        self.table.write("b", b"2")
+        follower.replica.refresh(0.0)
+        self.assertGreater(follower.replica.end, best.replica.end)
+        calls = self.table.calls
+        follower.reader.step()
+        self.assertEqual(self.table.calls, calls)
+        self.assertFalse(follower.reader.reads_store)
+
+    def test_copy_is_followed_while_its_reader_waits_for_records(self):
+        """Its age is that of the last read that has ended, up to twice the wait."""
+        best = self.nodes[self.reader_of("norte")]
+        follower = self.follower_of(best)
+        follower.reader._max_followed_age_s = MAX_OPERATOR_AGE_S
+        self.clock.now += 2 * RELAYED_LONG_POLL_S
+        calls = self.table.calls
+        follower.reader.step()
+        self.assertEqual(self.table.calls, calls)
+
+    def test_node_with_a_relay_copies_from_it(self):
+        follower = self.nodes["n5"]
+        follower.relay = "n4"
+        follower.reader.step()
+        self.assertEqual(follower.reader._followed_peer, "n4")
+        self.nodes["n4"].alive = False
+        self.table.write("c", b"3")
+        follower.reader.step()
+        self.assertIn("c", follower.replica.entries)
+
+    def test_outdated_copy_of_a_peer_is_not_applied(self):
+        best = self.nodes[self.reader_of("norte")]
+        follower = self.follower_of(best)
         self.clock.now += MAX_FOLLOWED_AGE_S + 0.1
         calls_before, reads_before = self.table.calls, follower.reads
         follower.reader.step()
--- a/tests/routing/test_brokers.py
+++ b/tests/routing/test_brokers.py
@@ -1,6 +1,5 @@
 """Slots granted by brokers: exact at any number of nodes, and safe when one is lost."""
 
-import heapq
 import random
 import unittest
 from collections import Counter
@@ -15,12 +14,12 @@
 from auburnwall.routing.brokered_placer import BrokeredPlacer
 from auburnwall.routing.exceptions import OverloadedError
 from auburnwall.routing.in_flight import InFlightRequests
-from auburnwall.routing.placement import choose_candidate
 from auburnwall.routing.placer import Placer
 from auburnwall.routing.slot_broker import SlotBroker
 from auburnwall.routing.step_model import Work
 from auburnwall.routing.warmup import WarmupGate
 from auburnwall.wire.exceptions import PeerUnavailableError
+from benchmarks.stale_loads import FLEETS, overfilled_fraction
 
 DATA_CENTERS = ("norte", "sur")
 GROUPS_PER_DATA_CENTER, SLOTS = 2, 3
@@ -281,72 +280,16 @@
         self.assertEqual(len(broker), 0)
 
 
-def load_from(known):
-    return lambda candidate: known[candidate.name]
-
-
 class StaleLoadTests(unittest.TestCase):
-    """What brokers are for: 195 nodes place 500 requests a second at 65 groups.
-
-    A request holds its slot for 1.2 s. The load that a node knows is 0.7 s old.
-    """
-
-    NODES, GROUPS, SLOTS, RATE_PER_S, HOLD_S, AGE_S, UNTIL_S = (
-        195,
-        65,
-        14,
-        500.0,
-        1.2,
-        0.7,
-        6.0,
-    )
-
-    def overfilled_fraction(self, known_loads):
-        """Return the fraction of requests that go to a group without a free slot.
-
-        ``known_loads(history, load)`` returns the load by group that a node knows.
-        """
-        rng, load = random.Random(7), [0] * self.GROUPS
-        groups = [
-            Candidate(n, n, 1, "", f"d{n % 5}", self.SLOTS) for n in range(self.GROUPS)
-        ]
-        events, history = [(0.0, 0, -1), (0.0, 1, -1)], []
-        placed = overfilled = 0
-        while events:
-            now, kind, group = heapq.heappop(events)
-            if now > self.UNTIL_S:
-                break
-            if kind == 0:
-                history.append((now, list(load)))
-                heapq.heappush(events, (now + 0.05, 0, -1))
-            elif kind == 2:
-                load[group] -= 1
-            else:
-                heapq.heappush(events, (now + rng.expovariate(self.RATE_PER_S), 1, -1))
-                known = dict(enumerate(known_loads(history, load, now)))
-                data_center = f"d{rng.randrange(5)}"
-                chosen = choose_candidate(groups, load_from(known), data_center, rng)
-                if chosen is None:
-                    continue
-                placed += 1
-                overfilled += load[chosen.name] >= self.SLOTS
-                load[chosen.name] += 1
-                hold_s = self.HOLD_S * rng.uniform(0.5, 1.5)
-                heapq.heappush(events, (now + hold_s, 2, chosen.name))
-        return overfilled / placed
+    """What brokers are for: 195 nodes place 500 requests a second at 65 groups."""
+
+    FLEET = FLEETS[2]
 
     def test_exact_loads_overfill_no_group(self):
-        fraction = self.overfilled_fraction(lambda history, load, now: load)
-        self.assertEqual(fraction, 0.0)
+        self.assertEqual(overfilled_fraction(self.FLEET, 4, exact=True), 0.0)
 
     def test_loads_of_a_moment_ago_overfill_groups(self):
-        def stale(history, load, now):
-            return next(
-                (loads for at, loads in reversed(history) if at <= now - self.AGE_S),
-                history[0][1],
-            )
-
-        self.assertGreater(self.overfilled_fraction(stale), 0.2)
+        self.assertGreater(overfilled_fraction(self.FLEET, 4), 0.2)
 
 
 if __name__ == "__main__":
