Do not fail requests when their broker leaves the fleet

Found by the new test test_stopped_broker_costs_no_request_of_other_nodes: 7 to 14 of 48 requests got a 500 (KeyError) within 0.1 s of a planned stop of the broker, as the sums over live peers outlast the record of a node. Peers that have left are unreachable like others now, and sums are computed anew when the fleet's table changes.

The process tests run a second time with relays and brokers.

--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -21,11 +21,15 @@
 
 
 class PlatformCluster(Processes):
-    """A cluster of a stand-in platform and nodes, each in its own process."""
+    """A cluster of a stand-in platform and nodes, each in its own process.
 
-    def __init__(self, node_count, out):
+    ``node_env`` holds environment variables of the nodes.
+    """
+
+    def __init__(self, node_count, out, node_env=()):
         super().__init__(out)
         self.nodes = {}
+        self._node_env = dict(node_env)
         self._node_count = node_count
 
     def _start_all(self):
@@ -54,7 +58,7 @@
         path = self.settings_path(name)
         path.write_text(text, "utf-8")
         command = [sys.executable, "-m", "auburnwall.platform"]
-        self._start(name, command, {"AUBURNWALL_SETTINGS": str(path)})
+        self._start(name, command, {"AUBURNWALL_SETTINGS": str(path), **self._node_env})
 
     def settings_path(self, node):
         """Return the path of a node's settings file."""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
@@ -46,7 +46,7 @@
         self._numbers = count(1)
         self._failed_until = {}
         self._relays = {}
-        self._relays_at = None
+        self._relays_key = None
 
     def are_used(self):
         """Return whether slots are granted by brokers in this fleet."""
@@ -204,8 +204,9 @@
     def _live_relays(self):
         """Return the names of the live relays of each data centre."""
         now = self._clock.monotonic()
-        if self._relays_at is None or now - self._relays_at >= CHOICE_REUSED_S:
-            self._relays_at = now
+        key = self._state.change_count, int(now / CHOICE_REUSED_S)
+        if key != self._relays_key:
+            self._relays_key = key
             live, nodes = self._peers.live(), self._state.nodes
             names = [n for n, s in live.items() if not s.stopping and n in nodes]
             if self._identity.node in nodes:
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -427,8 +427,8 @@
         return any(call.value for call in calls)
 
     def _peer_reaches(self, name, member):
-        address = self.peers.address(name)
         try:
+            address = self.peers.address(name)
             return self.peers.call(address, "reaches", member.server, member.address)
         except PeerUnavailableError as exc:
             logs.event("peer check failed", peer=name, step="reaches", why=exc.detail)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -259,20 +259,29 @@
         return pulse
 
     def address(self, name):
-        """Return the address for calls to a live peer."""
-        return self._state.nodes[name].peer
+        """Return the address for calls to a peer.
+
+        Raises ``PeerUnavailableError`` if the peer has left the fleet.
+        """
+        node = self._state.nodes.get(name)
+        if node is None:
+            raise PeerUnavailableError("it has left", step="find address", peer=name)
+        return node.peer
 
     def call(self, address, method, *args):
         """Call a peer and return its response; raises ``PeerUnavailableError``."""
         return self._pool.call(address, method, *args)
 
     def _cached(self, name, function):
-        """Return the result of a sum over the peers, computed a short time ago."""
-        now = self._clock.monotonic()
-        at, result = self._sums.get(name, (None, None))
-        if at is None or now - at >= SUMS_REUSED_S or now < at:
+        """Return the result of a sum over the peers, computed a short time ago.
+
+        It is computed anew if the fleet's table has changed since.
+        """
+        now, version = self._clock.monotonic(), self._state.change_count
+        at, computed_version, result = self._sums.get(name, (None, None, None))
+        if version != computed_version or now - at >= SUMS_REUSED_S:
             result = function()
-            self._sums[name] = now, result
+            self._sums[name] = now, version, result
         return result
 
     def _max_age_s(self):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
@@ -205,8 +205,9 @@
         The peer waits up to ``wait_s`` for a new record.
         """
         replica = self.replica
-        address, asked_at = self._peers.address(name), self._clock.monotonic()
+        asked_at = self._clock.monotonic()
         try:
+            address = self._peers.address(name)
             rows = self._peers.call(
                 address,
                 "rows",
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -1,5 +1,6 @@
 """Kills, restarts and outages of nodes on a stand-in of the users' platform."""
 
+import itertools
 import signal
 import tempfile
 import time
@@ -12,9 +13,13 @@
 
 
 class PlatformClusterTests(unittest.TestCase):
+    NODES = 3
+    NODE_ENV = {}
+
     def setUp(self):
         out = self.enterContext(tempfile.TemporaryDirectory())
-        self.cluster = self.enterContext(PlatformCluster(3, out))
+        cluster = PlatformCluster(self.NODES, out, self.NODE_ENV)
+        self.cluster = self.enterContext(cluster)
         self.names = sorted(self.cluster.nodes)
         self.cluster.wait(self.all_ready, "all nodes are ready")
         self.cluster.wait(lambda: self.is_served("first"), "a group is open")
@@ -87,8 +92,9 @@
         self.assertEqual(self.events("group ended"), [])
         self.cluster.send_store_back()
         self.cluster.put("keyed.op", "config", config)
-        self.cluster.signal(self.planner(), signal.SIGKILL)
-        alive = [name for name in self.names if self.cluster.exit_code(name) is None]
+        planner = self.planner()
+        self.cluster.signal(planner, signal.SIGKILL)
+        alive = [name for name in self.names if name != planner]
         time.sleep(8.0)
         self.assertTrue(all(self.is_served(f"e-{n}", alive[0]) for n in range(20)))
 
@@ -127,3 +133,62 @@
 
     def has_logged(self, node, name):
         return any(event["event"] == name for event in self.cluster.log_events(node))
+
+
+class RelayedClusterTests(PlatformClusterTests):
+    """The same with relays and brokers: two of five nodes are relays."""
+
+    NODES = 5
+    NODE_ENV = {"AUBURNWALL_MAX_MESH_NODES": "2"}
+
+    def setUp(self):
+        super().setUp()
+        self.cluster.wait(self.is_relayed, "other nodes report to relays")
+
+    def is_relayed(self):
+        choosing = {event["node"] for event in self.events("relay chosen")}
+        return len(choosing) >= self.NODES - 2
+
+    def broker(self):
+        """Return the node that has granted the last slot."""
+        grants = [
+            (event["time"], event["node"]) for event in self.events("slot granted")
+        ]
+        return max(grants)[1]
+
+    def test_slots_are_granted_by_one_broker(self):
+        for number in range(10):
+            self.assertTrue(self.is_served(f"b-{number}", self.names[number % 5]))
+        brokers = {event["node"] for event in self.events("slot granted")[-8:]}
+        self.assertEqual(len(brokers), 1)
+
+    def check_loss_of_broker(self, sig):
+        self.assertTrue(self.is_served("before", self.names[0]))
+        broker = self.broker()
+        others = [name for name in self.names if name != broker]
+        with ThreadPoolExecutor(8) as pool:
+            futures = [
+                pool.submit(self.is_served, f"l-{n}", others[n % 4]) for n in range(8)
+            ]
+            self.cluster.signal(broker, sig)
+            futures += [
+                pool.submit(self.is_served, f"m-{n}", others[n % 4]) for n in range(40)
+            ]
+            self.assertTrue(all(future.result() for future in futures))
+        numbers = itertools.count()
+
+        def has_new_broker():
+            number = next(numbers)
+            self.assertTrue(self.is_served(f"n-{number}", others[number % 4]))
+            return self.broker() != broker
+
+        self.cluster.wait(has_new_broker, "another node grants slots")
+
+    def test_killed_broker_costs_no_request_of_other_nodes(self):
+        self.check_loss_of_broker(signal.SIGKILL)
+
+    def test_frozen_broker_costs_no_request_of_other_nodes(self):
+        self.check_loss_of_broker(signal.SIGSTOP)
+
+    def test_stopped_broker_costs_no_request_of_other_nodes(self):
+        self.check_loss_of_broker(signal.SIGTERM)
--- a/tests/routed/test_peers.py
+++ b/tests/routed/test_peers.py
@@ -30,7 +30,7 @@
 
     def __init__(self, count=NODES, max_mesh_nodes=24):
         self.clock = FakeClock()
-        self.state = SimpleNamespace(nodes={})
+        self.state = SimpleNamespace(nodes={}, change_count=0)
         self.nodes, self.down, self.cut = {}, set(), set()
         self.calls = Counter()
         for number in range(count):
@@ -232,6 +232,10 @@
 
     def test_removed_node_is_forgotten(self):
         del self.network.state.nodes["n30"]
+        self.network.state.change_count += 1
+        self.assertNotIn("n30", self.nodes["n01"].peers.live())
+        with self.assertRaises(PeerUnavailableError):
+            self.nodes["n01"].peers.address("n30")
         self.network.down.add("n30")
         self.network.run(2.0)
         for node in self.nodes.values():
--- a/tests/routing/test_brokers.py
+++ b/tests/routing/test_brokers.py
@@ -90,7 +90,7 @@
             address=lambda node: node,
         )
         pool = SimpleNamespace(call=self.call)
-        state = SimpleNamespace(nodes=network.records)
+        state = SimpleNamespace(nodes=network.records, change_count=0)
         self.brokers = Brokers(
             identity,
             state,
