--- a/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
@@ -16,8 +16,9 @@
 from .topology import relays_of
 
 # Timeout of a call that does not wait for a slot, and of one that does, in seconds. The
+# first is short, so that a request whose broker is frozen can still be in time; the
 # latter is longer than any wait for a slot.
-ASK_TIMEOUT_S, WAITING_ASK_TIMEOUT_S = 0.3, 3.5
+ASK_TIMEOUT_S, WAITING_ASK_TIMEOUT_S = 0.12, 3.5
 # Time for which a broker that did not respond is not asked, in seconds.
 FAILED_BROKER_S = 1.0
 # Time for which the choice of brokers is reused, in seconds.
