--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
@@ -8,7 +8,7 @@
 from ..engines.group import CloseOrder, OrderOutcome, StageOrder
 from ..exceptions import EngineError, ServerPausedError
 from ..registrations import JOINING
-from .adoption import adopted_record, unrecorded_groups
+from .adoption import UnrecordedGroups
 from .assembly import assemble, coverage
 from .lifecycle import GroupStatus, next_actions
 from .loads import LoadAllowance
@@ -35,9 +35,6 @@
 # The servers of a shift stay reserved for its model for this time: the longest drain
 # and the steps after it.
 RESERVATION_S = 15.0
-# A group without a record is adopted if it is reported for this time: longer than it
-# takes until a group that an earlier planner has dissolved is no longer reported open.
-ADOPTION_DELAY_S = 2.0
 START_RATIO = 0.1  # duration of a load before the first request, relative to usual
 
 
@@ -74,7 +71,7 @@
         self._logged_at = {}  # by service
         self._demand = {}
         self._demand_at = clock.monotonic()
-        self._unrecorded_since = {}  # by group name
+        self._unrecorded = UnrecordedGroups(state, registry, clock)
 
     def step(self):
         """Write a plan to the table, send orders to existing groups, and stage weights.
@@ -132,33 +129,15 @@
 
     def _adopt_groups(self, engines):
         """Adopt whole groups without a record; return whether planning may go on."""
-        now, unrecorded = self._clock.monotonic(), self._unrecorded_groups()
-        self._unrecorded_since = {
-            group.name: self._unrecorded_since.get(group.name, now)
-            for group in unrecorded
-            if group.may_serve
-        }
-        adopted = [
-            record
-            for group in unrecorded
-            if now - self._unrecorded_since.get(group.name, now) >= ADOPTION_DELAY_S
-            and (record := adopted_record(group, engines))
-        ]
-        if not adopted:
+        records = self._unrecorded.records_to_adopt(engines)
+        if not records:
             return True
-        done = self._write_or_overtaken(
-            lambda: self._writer.adopt_groups(adopted) or adopted
-        )
-        if done is None:
+        names = self._write_or_overtaken(lambda: self._writer.adopt_groups(records))
+        if names is None:
             return False
-        event("groups adopted", groups=[group.name for group in adopted])
+        event("groups adopted", groups=names)
         return True
 
-    def _unrecorded_groups(self):
-        return unrecorded_groups(
-            self._registry.servers.values(), self._state.known_groups
-        )
-
     def _write_or_overtaken(self, write):
         """Return a write's result, ``None`` if it was not made or not confirmed."""
         try:
@@ -392,12 +371,7 @@
             for server, name in self._state.group_of_server().items()
             if name not in finished_names
         }
-        taken |= {
-            entry.server
-            for group in self._unrecorded_groups()
-            if group.may_serve
-            for entry in group.entries.values()
-        }
+        taken |= self._unrecorded.servers()
         reserved = {s: shift.model for shift in self._shifts for s in shift.servers}
         return [
             as_free_server(entry, entry.model, reserved.get(entry.server, ""))
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
@@ -284,7 +284,7 @@
             self._append(entries, at=at)
 
     def adopt_groups(self, groups):
-        """Write records of groups that stand although the table has none for them.
+        """Write records of groups that stand without one; return the groups' names.
 
         Raises ``NotPlannerError`` or ``TableChangedError`` without a write.
         """
@@ -297,6 +297,7 @@
             ],
             at=self._state.replica.end,
         )
+        return [group.name for group in groups]
 
     def write_lost_entries(self):
         """Write again what the store has lost, and return the keys.
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -55,9 +55,9 @@
 
     ``own_pulse()`` returns this node's heartbeat without the nodes that report to it.
     Fleets of up to ``max_mesh_nodes`` nodes have no relays; ``is_mesh`` is whether this
-    is one. ``on_suspects(names,
-    node)`` is called with the groups that a peer, or a node behind it, suspects, and
-    ``on_leaving(servers, node)`` with the servers that told it that they leave.
+    is one. ``on_suspects(names, node)`` is called with the groups that a peer, or a
+    node behind it, suspects, and ``on_leaving(servers, node)`` with the servers that
+    told it that they leave.
     """
 
     def __init__(
@@ -228,7 +228,6 @@
             self._note_status(member.node, status_of(member, heard_at))
         if self.is_mesh:
             self._sums.clear()
-        if self.is_mesh:
             self._pass_on(load_of_pulse(pulse), pulse.node)
 
     def digest_for(self, digest_of, version):
--- a/tests/fleet/test_formation_controller.py
+++ b/tests/fleet/test_formation_controller.py
@@ -11,7 +11,8 @@
     StageOrder,
 )
 from auburnwall.fleet.exceptions import EngineError
-from auburnwall.fleet.formation.controller import ADOPTION_DELAY_S, FormationController
+from auburnwall.fleet.formation.adoption import ADOPTION_DELAY_S
+from auburnwall.fleet.formation.controller import FormationController
 from auburnwall.fleet.formation.member_monitor import MemberMonitor
 from auburnwall.fleet.formation.records import (
     HASHES_PER_OFFSET,
