Ask for data centres only where brokers are used

Behaviour as before: requests without a model, and all requests of small fleets, no longer sum the load of all candidates first. 41 tests of the changed modules pass.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
@@ -33,8 +33,8 @@
 # shorter than the timeout of calls to peers.
 RELAY_WAIT_S = 0.5
 # Time for which a node reads the store itself after it could not copy from its peer, in
-# seconds. In a cluster of up to 41 nodes, a peer that is gone no longer counts as live
-# by then; see ``peers.MAX_HEARTBEAT_AGE_S``.
+# seconds. A peer that is gone no longer counts as live by then; see
+# ``peers.MAX_HEARTBEAT_AGE_S``.
 READ_STORE_S = 2.5
 # Initial and maximum pause between reads while the store fails, in seconds.
 FIRST_BACKOFF_S, MAX_BACKOFF_S = 0.1, 1.0
--- a/packages/auburnwall-routing/src/auburnwall/routing/brokered_placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/brokered_placer.py
@@ -50,8 +50,9 @@
 
     def place(self, request, excluded_servers=frozenset(), resume_window_s=None):
         """Return a ``Placement``, as ``Placer.place`` does."""
-        data_centers = self._data_centers(request)
-        if not request.model or not data_centers or not self._brokers.are_used():
+        has_brokers = bool(request.model) and self._brokers.are_used()
+        data_centers = self._data_centers(request) if has_brokers else []
+        if not data_centers:
             return self._local.place(request, excluded_servers, resume_window_s)
         avoided = excluded_servers | self._avoided_servers(request)
         asks = [(name, False) for name in data_centers[:MAX_BROKERS_ASKED]]
