--- a/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
@@ -29,8 +29,8 @@
     """Choose the brokers and call them.
 
     ``broker`` is this node's own ``SlotBroker``. ``quick_pool`` and ``waiting_pool``
-    are pools of connections to peers for the two kinds of calls. ``is_mesh()`` returns
-    whether the fleet is too small for brokers.
+    are pools of connections to peers for calls that do not wait for a slot and for
+    those that do.
     """
 
     def __init__(
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -6,14 +6,13 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 from urllib3.util import SKIP_HEADER
 
+from auburnwall.base.http import READ_BYTES
 from auburnwall.fleet.server_notices import LEAVING, pause_from_header
 
 from .event_stream import NumberedEventSplitter
 from .exceptions import ExchangeError
 from .hop_by_hop import HOP_BY_HOP
 
-# Largest read from a response, in bytes.
-READ_BYTES = 65_536
 # How an exchange fails in ``urllib3``, or in the standard library below it, which
 # rejects bytes that are no response.
 EXCHANGE_FAILURES = (HTTPError, HTTPException, OSError, ValueError)
--- a/packages/auburnwall-routing/src/auburnwall/routing/completions.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/completions.py
@@ -9,10 +9,10 @@
 import json
 from contextlib import contextmanager
 
+from auburnwall.base.http import READ_BYTES
 from auburnwall.base.logs import event
 
 from .exceptions import UNKNOWN, ExchangeError, RequestError
-from .exchange import READ_BYTES
 from .sse import DONE, TruncatedStreamError, error_event, split_events, text_of
 
 # Bounds of the timeout for each read from a response. Between them, the timeout is the
--- a/packages/auburnwall-routing/src/auburnwall/routing/exchange.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/exchange.py
@@ -17,8 +17,6 @@
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
-# Largest number of bytes read from a stream at a time.
-READ_BYTES = 65_536
 # Headers of a request or a response that are not forwarded.
 NOT_FORWARDED = HOP_BY_HOP | {"host"}
 
