Log the prompt's shared parts and the events so far with each failed attempt

The logs could not tell whether the requests under which servers ended had a part of their prompts in common, or whether load ended the servers: no line named the parts. The header is decoded now, and 'attempt failed' states the parts, the events that had arrived and this node's other requests there.

--- a/packages/auburnwall-routing/src/auburnwall/routing/call.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/call.py
@@ -4,6 +4,9 @@
 
 from .step_model import Work
 
+# Parts of a prompt that are taken from its header; any further ones are ignored.
+MAX_PROMPT_PARTS = 16
+
 
 class Call(NamedTuple):
     """A request as the caller sent it.
@@ -30,7 +33,8 @@
     ``elapsed_s`` is how much of the caller's time had passed before this call, if it is
     a retry. ``rank`` is the urgency; 0 is the most urgent. ``model`` is empty on routes
     without models. ``strip_key`` removes the caller's key from the request to the
-    server. The fair queue uses ``weight`` and ``priority``.
+    server. The fair queue uses ``weight`` and ``priority``. ``shared_parts`` are the
+    IDs of the prompt's parts that other requests may have too, in their order.
     """
 
     call: Call
@@ -45,6 +49,7 @@
     strip_key: bool = False
     weight: float = 1.0
     elapsed_s: float = 0.0
+    shared_parts: tuple = ()
 
     @property
     def objective_at(self):
@@ -92,3 +97,14 @@
             else int(hinted_answer)
         )
     return Work(prompt, max(1, answer))
+
+
+def shared_parts_of(call, header_names):
+    """Return the IDs of the prompt's parts but the last, which is the request's own.
+
+    The header holds pairs of an ID and a number of tokens, for example
+    ``5c1e07a2:800,91bd3f06:410,e4402b7d:250``.
+    """
+    header = call.header(header_names.prompt_parts) or ""
+    parts = [pair.strip().partition(":")[0] for pair in header.split(",")]
+    return tuple(filter(None, parts[:-1][:MAX_PROMPT_PARTS]))
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -244,7 +244,7 @@
         self._possible_runs += sent
         if not sent:
             self._deps.in_flight.make_suspect(attempt.candidate.name)
-        self._log(attempt, "attempt failed", why=exc.detail, step=exc.step)
+        self._log_failure(attempt, exc)
         request = self.request
         if isinstance(exc, DeadlineExceededError):
             raise self._final_error(504, "Out of time", exc)
@@ -388,6 +388,19 @@
             retry_after_s=retry_after_s,
         )
 
+    def _log_failure(self, attempt, exc):
+        """Log a failed attempt, with this node's other requests at the server."""
+        exchanges = self._deps.in_flight.exchanges_at(attempt.candidate.server)
+        self._log(
+            attempt,
+            "attempt failed",
+            why=exc.detail,
+            step=exc.step,
+            events=attempt.exchange.reads,
+            parts=self.request.shared_parts,
+            others=sum(exchange is not attempt.exchange for exchange in exchanges),
+        )
+
     def _log(self, attempt, name, **fields):
         candidate = attempt.candidate
         event(
--- a/packages/auburnwall-routing/src/auburnwall/routing/header_names.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/header_names.py
@@ -11,9 +11,9 @@
     request is for, so that another server at the same address refuses it.
     ``server_at_fault`` names the member because of which the head of a group refuses.
     ``tokens`` holds the number of prompt tokens and the largest number of response
-    tokens; ``answer_hint`` is the caller's estimate of the response tokens. ``leaving``
-    states that the server leaves, ``pause`` for how long a refusing server wants no
-    request.
+    tokens; ``answer_hint`` is the caller's estimate of the response tokens.
+    ``prompt_parts`` lists the parts of the prompt. ``leaving`` states that the server
+    leaves, ``pause`` for how long a refusing server wants no request.
     """
 
     request_id: str
@@ -27,5 +27,6 @@
     model: str
     tokens: str
     answer_hint: str
+    prompt_parts: str
     leaving: str
     pause: str
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -89,6 +89,10 @@
     def __len__(self):
         return len(self._exchanges)
 
+    def exchanges_at(self, server):
+        """Return the exchanges of this node with a server."""
+        return [e for e in self._exchanges if e.candidate.server == server]
+
     def last_progress_at(self, name):
         """Return the time of a candidate's last progress, 0 if none is remembered."""
         return self._progress_by_candidate.get(name, 0.0)
