--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -114,10 +114,22 @@
         url = f"http://{self.nodes[node]['ready']}/metrics"
         return self._http.request("GET", url).data.decode()
 
-    def send_request(self, node, request_id, path="/ask/x", key=KEY):
-        """Send a request to a node and return the status and body of the response."""
+    def set_crash_part(self, part):
+        """Set the prompt part that crashes model servers.
+
+        Returns the times at which requests with such a part have reached them.
+        """
+        return self._post("/standin/crash-part", {"part": part}).json()
+
+    def send_request(self, node, request_id, path="/ask/x", key=KEY, prompt=""):
+        """Send a request to a node and return the status and body of the response.
+
+        ``prompt`` lists the parts of its prompt.
+        """
         conn = http.client.HTTPConnection(self.nodes[node]["front"], timeout=8.0)
         headers = request_headers(request_id, key)
+        if prompt:
+            headers["X-Prompt-Prefix"] = prompt
         try:
             conn.request("POST", path, body=b"{}", headers=headers)
             resp = conn.getresponse()
--- a/standins/modelserver.py
+++ b/standins/modelserver.py
@@ -26,6 +26,10 @@
     ``"endless-head"`` or ``"endless-body"`` (bytes that are no response, without end),
     ``"drip"`` (parts of an event that is never complete) or ``"twice"`` (a second copy
     of the response, a moment later).
+
+    The server crashes at each request with ``crash_part`` among the parts of its
+    prompt, once it has begun to answer, and is back after ``restart_s``. ``crashes``
+    holds the times of these requests' arrivals.
     """
 
     def __init__(
@@ -51,6 +55,9 @@
         self.events = 10
         self.join_s = 0.1
         self.pause_s = 1.0
+        self.crash_part = None
+        self.crashes = []
+        self.restart_s = 1.5
         # Time between two pieces of endless bytes, and their size.
         self.drip_s, self.drip_bytes = 0.0, 65_536
         # Address in the registration, if others reach the server by another one.
@@ -90,6 +97,14 @@
             self._heartbeat_task.kill()
         self._http.shut_down()
 
+    def crash(self):
+        """End without notice, and start again after ``restart_s`` without any state."""
+        self.stop()
+        self.group, self.models, self._latest_epoch = None, [], -1
+        gevent.sleep(self.restart_s)
+        self._started_ms = int(time.time() * 1000)
+        self.start()
+
     def register(self):
         """Write the server's current registration to the store."""
         self._heartbeats += 1
@@ -239,8 +254,25 @@
             )
         if not self._domain:
             return self._plain_response(req)
+        parts = req.headers.get("X-Prompt-Prefix", "").split(",")
+        if self.crash_part in [part.partition(":")[0] for part in parts]:
+            return self._crash_on_prompt(req)
         return self._event_stream(req)
 
+    def _crash_on_prompt(self, req):
+        """Send the head of a stream, then crash."""
+        self.crashes.append(time.time())
+        head = (
+            f"HTTP/1.1 200 OK\r\n{SEAL_HEADER}: seal-of-{self.server}\r\n"
+            f"{REQUEST_ID_HEADER}: {req.headers.get(REQUEST_ID_HEADER)}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        )
+        req.environ["standin.socket"].sendall(head.encode())
+        gevent.sleep(self.event_s)
+        # Crashing ends the task of this request too.
+        gevent.spawn(self.crash)
+        gevent.sleep(60)
+
     def _plain_response(self, req):
         body = json.dumps({"by": self.server, "of": req.path}).encode()
         if "short" in self.faults:
--- a/standins/usersplatform.py
+++ b/standins/usersplatform.py
@@ -4,6 +4,7 @@
 import gevent
 
 from .modelserver import TOPIC, ModelServerStandin
+from .server import json_response
 from .store import StoreStandin
 
 ENGINE_SERVERS = 6
@@ -18,7 +19,9 @@
 
     ``assist`` has model servers in two fabric domains, ``desk`` has plain servers.
     ``POST /standin/stop`` with ``{"server": ...}`` stops a server without notice; its
-    registration expires as after a crash.
+    registration expires as after a crash. ``POST /standin/crash-part`` with ``{"part":
+    ...}`` sets the part of prompts that crashes model servers, and returns the times at
+    which requests with such a part have reached them.
     """
 
     def __init__(self, address):
@@ -31,6 +34,7 @@
         for number in range(DESK_SERVERS):
             self._add_server(f"i-desk-{number}", "desk", "")
         self.store.app.route("/standin/stop", "POST", self._stop_server)
+        self.store.app.route("/standin/crash-part", "POST", self._set_crash_part)
         for server in self.servers.values():
             server.start()
 
@@ -43,3 +47,9 @@
         name = bottle.request.json["server"]
         self.servers.pop(name).stop()
         gevent.spawn_later(REGISTRATION_EXPIRY_S, self.store.put, TOPIC, name, None)
+
+    def _set_crash_part(self):
+        for server in self.servers.values():
+            server.crash_part = bottle.request.json["part"]
+        crashes = [at for server in self.servers.values() for at in server.crashes]
+        return json_response(sorted(crashes))
