--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
@@ -1,4 +1,4 @@
-"""Records of the fleet's table: the planner, the nodes and the groups.
+"""Records of the fleet's table: planner, nodes, groups and blocked prompt parts.
 
 Races between planners are decided by the order of writes to the table. Each write of a
 planner names the end of the table that it is based on, and fails if anything was
@@ -21,6 +21,7 @@
 PLANNER_KEY = "planner"
 NODE_PREFIX = "node/"
 GROUP_PREFIX = "group/"
+BLOCKED_PART_PREFIX = "blocked-part/"
 
 SERVING, ENDING = "serving", "ending"
 # Offsets of one era, and hashes of one offset, that an epoch can hold. The table
@@ -95,7 +96,8 @@
     ``known_groups`` holds the names of all groups that the table has had since this
     node started. ``late_groups`` holds the keys of group records that were decided in
     an earlier era and written in this one. Nothing follows from these: their servers
-    may have got another group in the time that the store has lost.
+    may have got another group in the time that the store has lost. ``blocked_parts``
+    maps the prompt parts that crash servers to the node that has recorded each.
     """
 
     def __init__(self, replica):
@@ -105,6 +107,7 @@
         self.groups = {}
         self.known_groups = set()
         self.late_groups = set()
+        self.blocked_parts = {}
         self.change_count = 0
         replica.listeners.append(self._apply)
 
@@ -152,6 +155,8 @@
             _set_or_remove(self.nodes, key, value and NodeRecord(*value))
         elif key.startswith(GROUP_PREFIX):
             self._store_group(key, value and _group_from(value))
+        elif key.startswith(BLOCKED_PART_PREFIX):
+            _set_or_remove(self.blocked_parts, key, value)
 
     def _store_group(self, key, group):
         self.late_groups.discard(key)
@@ -283,6 +288,17 @@
         if entries:
             self._append(entries, at=at)
 
+    def write_blocked_parts(self, blocked, unblocked):
+        """Add and remove the records of blocked prompt parts, in one append.
+
+        Raises ``NotPlannerError`` or ``TableChangedError`` without a write.
+        """
+        self._check_planner()
+        node = json.dumps(self._identity.node).encode()
+        entries = [(BLOCKED_PART_PREFIX + part, node) for part in blocked]
+        entries += [(BLOCKED_PART_PREFIX + part, None) for part in unblocked]
+        self._append(entries, at=self._state.replica.end)
+
     def adopt_groups(self, groups):
         """Write records of groups that stand without one; return the groups' names.
 
--- /dev/null
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/blocked_parts.py
@@ -0,0 +1,49 @@
+"""Records of the blocked prompt parts in the fleet's table, for nodes that start."""
+
+from auburnwall.base.logs import event
+from auburnwall.state.exceptions import StateError
+
+# Time between two attempts to write the records, in seconds.
+WRITE_RETRY_S = 1.0
+
+
+class BlockedParts:
+    """Keep this node's blocked parts and the fleet's table in accord.
+
+    All nodes block a part by the evidence that they exchange. The planner records it,
+    so that nodes that have started since know of it too.
+    """
+
+    def __init__(self, evidence, state, writer, clock):
+        self._evidence = evidence
+        self._state = state
+        self._writer = writer
+        self._clock = clock
+        self._applied = set()
+        self._write_at = 0.0
+
+    def step(self):
+        """Evaluate the evidence; take over or write changes of the records."""
+        self._evidence.update()
+        recorded = self._state.blocked_parts.keys()
+        for part in recorded - self._applied:
+            self._evidence.block_known(part)
+        for part in self._applied - recorded:
+            self._evidence.unblock(part, "its record was removed")
+        self._applied = set(recorded)
+        if self._writer.is_planner() and self._clock.monotonic() >= self._write_at:
+            self._write()
+
+    def _write(self):
+        blocked = self._evidence.blocked_parts()
+        recorded = self._state.blocked_parts.keys()
+        added, removed = sorted(blocked - recorded), sorted(recorded - blocked)
+        if not added and not removed:
+            return
+        try:
+            self._writer.write_blocked_parts(added, removed)
+        except StateError as exc:
+            self._write_at = self._clock.monotonic() + WRITE_RETRY_S
+            event("blocked parts not written", step=exc.step, why=exc.detail)
+            return
+        event("blocked parts written", blocked=added, unblocked=removed)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/fleet_load.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/fleet_load.py
@@ -1,6 +1,6 @@
 """Sums of the load of several nodes."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 
 from auburnwall.wire.peer.ttypes import Load
 
@@ -14,6 +14,8 @@
         nodes_measured=int(pulse.has_traffic and bool(pulse.demand)),
         suspects=dict.fromkeys(pulse.suspects, 1),
         leaving=pulse.leaving,
+        crashes=pulse.crashes,
+        sound_parts=pulse.sound_parts,
     )
 
 
@@ -23,6 +25,7 @@
     Demand of nodes without traffic is not counted; they have not measured any.
     """
     running, demand, suspects, leaving = Counter(), Counter(), Counter(), {}
+    prompts_by_crash, sound_parts = defaultdict(set), set()
     nodes_with_traffic = nodes_measured = 0
     for load in loads:
         running.update(load.running)
@@ -32,6 +35,9 @@
             demand.update(load.demand)
         suspects.update(load.suspects)
         leaving.update(load.leaving or {})
+        for crash, prompts in (load.crashes or {}).items():
+            prompts_by_crash[crash].update(prompts)
+        sound_parts.update(load.sound_parts or ())
     return Load(
         dict(running),
         dict(demand),
@@ -39,6 +45,8 @@
         nodes_measured,
         dict(suspects),
         leaving,
+        {crash: sorted(prompts) for crash, prompts in prompts_by_crash.items()},
+        sorted(sound_parts),
     )
 
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -47,6 +47,11 @@
         ("groups", "Groups in the fleet's table.", lambda: len(node.fleet.groups)),
         ("servers", "Registered servers.", lambda: len(node.registry.servers)),
         ("peers", "Peers heard of lately.", lambda: len(node.peers.live())),
+        (
+            "blocked_parts",
+            "Prompt parts that are blocked because they crash servers.",
+            lambda: len(node.crash_evidence.blocked_parts()),
+        ),
         ("connections", "Connections opened.", lambda: channels.connections_opened),
     ):
         metrics.gauge(f"auburnwall_{name}", documentation, function)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -21,6 +21,7 @@
 from auburnwall.fleet.server_notices import ServerNotices
 from auburnwall.routing.answer_start import TimeToStart
 from auburnwall.routing.channels import ChannelPool
+from auburnwall.routing.crash_evidence import CrashEvidence
 from auburnwall.routing.forwarder import Forwarder, ForwarderDeps
 from auburnwall.routing.in_flight import InFlightRequests
 from auburnwall.routing.shared_retry_budget import SharedRetryBudget
@@ -35,6 +36,7 @@
 from ..identity import Identity
 from ..webserver import new_server
 from .announcement import Announcement
+from .blocked_parts import BlockedParts
 from .demand import DemandMeter
 from .entry import EntryPoints, new_directory_app, new_ready_app
 from .front import new_front_server
@@ -73,6 +75,8 @@
 NODE_REMOVAL_INTERVAL_S, SETTINGS_INTERVAL_S = 5.0, 2.0
 # Interval at which slots are freed whose requests have ended, in seconds.
 GRANT_CHECK_INTERVAL_S = 0.5
+# Interval at which the evidence against prompt parts is evaluated, in seconds.
+CRASH_EVIDENCE_INTERVAL_S = 0.1
 # Interval between attempts to write this node's record, in seconds.
 ANNOUNCE_INTERVAL_S = 0.3
 # Pause of this process after which its table copies count as outdated, in seconds.
@@ -155,6 +159,8 @@
             suspects=self.suspects.own_suspects(),
             has_traffic=self.demand.has_traffic,
             leaving=self.notices.leaving(),
+            crashes=self.crash_evidence.crashes_to_tell(),
+            sound_parts=self.crash_evidence.sound_parts_to_tell(),
         )
 
     def is_ready(self):
@@ -189,6 +195,7 @@
             (SWEEP_INTERVAL_S, self.channels.close_expired, "idle connections"),
             (NODE_REMOVAL_INTERVAL_S, self._remove_unreachable_nodes, "nodes gone"),
             (GRANT_CHECK_INTERVAL_S, self.placing.broker.expire_grants, "grants"),
+            (CRASH_EVIDENCE_INTERVAL_S, self.blocked_parts.step, "crash evidence"),
             (SETTINGS_INTERVAL_S, self.settings.check, "settings"),
         ):
             spawn(run_periodically, self.clock, delay_s, function, name)
@@ -299,6 +306,11 @@
         self.suspects.listeners.append(self.member_monitor.suspect_group)
         self.peers.on_suspects = self._suspect_for_peer
         self.peers.on_leaving = self.notices.note_peer_leaving
+        self.crash_evidence = CrashEvidence(clock, self.peers.settle_s)
+        self.peers.on_crashes = self.crash_evidence.note_peers
+        self.blocked_parts = BlockedParts(
+            self.crash_evidence, self.fleet, self.writer, clock
+        )
         self.in_flight = InFlightRequests(clock, self.suspects.suspect)
         self.suspects.last_progress_at = self.in_flight.last_progress_at
         self.channels = self._stack.enter_context(closing(ChannelPool(clock)))
@@ -328,6 +340,7 @@
             clock,
             self.time_to_start,
             self.notices,
+            self.crash_evidence,
         )
         self._retry_budgets = {}
         self.metrics = RoutedMetrics()
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -26,6 +26,8 @@
 REPORT_PERIOD_S = 0.4
 # Time between two calls of a relay to nodes that are not live, in seconds.
 LOST_NODE_INTERVAL_S = 0.4
+# Heartbeat periods in which a report reaches all nodes of a mesh, and their answers.
+MESH_SETTLE_PERIODS = 3
 # Minimum time between two heartbeats of relays in different data centres, in seconds.
 # Requests cross data centres only where the own one has no free slot.
 DISTANT_PERIOD_S = 0.8
@@ -56,8 +58,9 @@
     ``own_pulse()`` returns this node's heartbeat without the nodes that report to it.
     Fleets of up to ``max_mesh_nodes`` nodes have no relays; ``is_mesh`` is whether this
     is one. ``on_suspects(names, node)`` is called with the groups that a peer, or a
-    node behind it, suspects, and ``on_leaving(servers, node)`` with the servers that
-    told it that they leave.
+    node behind it, suspects, ``on_leaving(servers, node)`` with the servers that told
+    it that they leave, and ``on_crashes(crashes, sound_parts, node)`` with the crashes
+    that it has seen and the parts of prompts that it knows to be sound.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
     ):
         self.on_suspects = lambda names, node: None
         self.on_leaving = lambda servers, node: None
+        self.on_crashes = lambda crashes, sound_parts, node: None
         self._identity = identity
         self._state = state
         self._pool = pool
@@ -156,6 +160,16 @@
         """Return the time between two heartbeats to the same peer, in seconds."""
         return max(self._period_s, len(self._links.partners) / MAX_HEARTBEATS_PER_S)
 
+    def settle_s(self):
+        """Return how long a node's report takes to reach all others, in seconds.
+
+        In a fleet with relays it goes to a relay, from there to the other relays, and
+        to each other node with the digest of its relay.
+        """
+        if self.is_mesh:
+            return MESH_SETTLE_PERIODS * self.period_s()
+        return REPORT_PERIOD_S + DISTANT_PERIOD_S + REPORT_PERIOD_S
+
     def _period_to(self, node):
         """Return the time between two heartbeats to one peer, in seconds."""
         period_s = self.period_s()
@@ -398,7 +412,7 @@
         self._pass_on(reply.load, relay)
 
     def _pass_on(self, load, node):
-        """Pass on the suspect groups and the leaving servers in a ``Load``.
+        """Pass on the suspect groups, leaving servers and crashes in a ``Load``.
 
         Where all nodes exchange heartbeats, one of them has many requests at a group
         and its suspicion is enough. In a larger fleet it has one or two, which may
@@ -413,6 +427,8 @@
             self.on_suspects(sorted(suspects), node)
         if load.leaving:
             self.on_leaving(load.leaving, node)
+        if load.crashes or load.sound_parts:
+            self.on_crashes(load.crashes or {}, load.sound_parts or (), node)
 
     def _update_topology(self):
         """Choose anew whom this node exchanges heartbeats with, if needed."""
--- a/packages/auburnwall-routing/src/auburnwall/routing/channels.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/channels.py
@@ -1,6 +1,7 @@
 """Persistent connections to backend servers, each for one request at a time."""
 
 from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError, NewConnectionError
 from urllib3.util.wait import wait_for_read
 
 from auburnwall.base.http import SOCKET_OPTIONS
@@ -14,6 +15,9 @@
 MAX_IDLE_PER_SERVER = 6
 # Shorter than the 1 s after which TCP retransmits a lost connection packet.
 CONNECT_TIMEOUT_S = 0.5
+# Timeout of the connection that shows whether a server has crashed, in seconds. The VM
+# of a crashed server refuses it at once; a request may be waiting for the result.
+CRASH_CHECK_TIMEOUT_S = 0.1
 
 
 class Channel:
@@ -76,6 +80,23 @@
         channel.usable_until = self._clock.monotonic() + idle_timeout_s
         idle.append(channel)
 
+    def has_crashed(self, server, address):
+        """Return whether a server refuses connections: its process has ended.
+
+        This is false if its VM does not respond, since that does not end a process.
+        """
+        channel = Channel(server, address, CRASH_CHECK_TIMEOUT_S)
+        try:
+            channel.connect()
+        except NewConnectionError as exc:
+            return isinstance(exc.__cause__, ConnectionRefusedError)
+        except (HTTPError, OSError):
+            # Any other failure is no evidence of a crash.
+            return False
+        finally:
+            channel.close()
+        return False
+
     def close_expired(self):
         """Close idle connections that are past their idle timeout."""
         now = self._clock.monotonic()
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -10,6 +10,7 @@
 from auburnwall.base.logs import event
 
 from .attempt import Attempt
+from .crash_evidence import Crash
 from .exceptions import NOT_RUN, UNKNOWN, ExchangeError, OverloadedError, RequestError
 from .hop_by_hop import HOP_BY_HOP
 from .in_flight import FIRST_EVENT_STALL_TIMEOUT_S, DeadlineExceededError, StalledError
@@ -41,7 +42,7 @@
     ``placer`` gives slots, ``channels`` holds the connections to servers, and
     ``in_flight`` tracks exchanges. ``header_names`` are the platform's own headers.
     ``time_to_start`` holds the mean time until a response starts, ``notices`` what
-    servers say of themselves.
+    servers say of themselves, ``crash_evidence`` which prompt parts crash them.
     """
 
     placer: object
@@ -51,6 +52,7 @@
     clock: object
     time_to_start: object
     notices: object
+    crash_evidence: object
 
 
 class Forwarder:
@@ -245,6 +247,8 @@
         if not sent:
             self._deps.in_flight.make_suspect(attempt.candidate.name)
         self._log_failure(attempt, exc)
+        if sent and isinstance(exc, ExchangeError):
+            self._check_for_crash(attempt.candidate)
         request = self.request
         if isinstance(exc, DeadlineExceededError):
             raise self._final_error(504, "Out of time", exc)
@@ -264,6 +268,38 @@
         if sent and not self._budget.take():
             raise self._final_error(502, "No repeats left", exc)
 
+    def _check_for_crash(self, candidate):
+        """Record the prompt as evidence if the server of an exchange has crashed."""
+        deps, prompt = self._deps, self.request.shared_parts
+        if prompt and deps.channels.has_crashed(candidate.server, candidate.address):
+            deps.crash_evidence.note_crash(
+                Crash(candidate.server, candidate.born), prompt, self.request.request_id
+            )
+
+    def _check_prompt(self):
+        """Raise ``RequestError`` if a part of the prompt crashes servers."""
+        found = self._deps.crash_evidence.blocked_part(self.request.shared_parts)
+        if found is None:
+            return
+        part, left_s = found
+        detail = f"servers crash at prompts with part {part}"
+        event(
+            "request refused",
+            request=self.request.request_id,
+            step="check prompt",
+            part=part,
+            why=detail,
+            retry_after_s=round(left_s, 2),
+        )
+        raise RequestError(
+            502 if self._possible_runs else 503,
+            "Prompt crashes servers",
+            detail,
+            ran=UNKNOWN if self._possible_runs else NOT_RUN,
+            step="check prompt",
+            retry_after_s=left_s,
+        )
+
     def unresumable_error(self):
         """Return the error for a stream that broke off and whose events have no ids."""
         return RequestError(
@@ -277,6 +313,8 @@
     def log_response(self, attempt, event_name):
         """Log the end of a request that got a complete response."""
         exchange = attempt.exchange
+        if 200 <= attempt.status < 300 and exchange.reads:
+            self._deps.crash_evidence.note_answered(self.request.shared_parts)
         now = self._deps.clock.monotonic()
         if not exchange.reads:
             self._record_start(attempt, now)
@@ -299,12 +337,19 @@
 
     def _start_attempt(self, last_id, resume_window_s):
         request, deps = self.request, self._deps
+        self._check_prompt()
         try:
             placement = deps.placer.place(request, self._avoid, resume_window_s)
         except OverloadedError as exc:
             if self._possible_runs:
                 raise self._final_error(502, "No server left to go on at", exc) from exc
             raise
+        try:
+            # The part may have been blocked while the request waited.
+            self._check_prompt()
+        except RequestError:
+            deps.placer.release_slot(placement)
+            raise
         if deps.clock.monotonic() >= request.deadline:
             # The node was paused, or the slot came too late.
             deps.placer.release_slot(placement)
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
@@ -155,6 +155,9 @@
  * many of them have had a request, `nodes_measured` how many have measured the demand.
  * `suspects` counts the nodes that suspect each group. `leaving` maps the servers
  * that told any of them that they leave to the start time of their incarnation.
+ * `crashes` maps crashed servers, as SERVER@BORN, to the prompts in flight there, as
+ * the IDs of their shared parts joined by commas. `sound_parts` are parts of such
+ * prompts with which requests have been answered.
  */
 struct Load {
   1: map<string, i32> running
@@ -163,6 +166,8 @@
   4: i32 nodes_measured
   5: map<string, i32> suspects
   6: map<string, i64> leaving
+  7: map<string, list<string>> crashes
+  8: list<string> sound_parts
 }
 
 /** A node, and how many milliseconds ago it was last heard of. */
@@ -183,8 +188,9 @@
  * callers asked it for, by model, as a number of groups; empty until it has been
  * measured. `suspects` names groups whose requests make no progress. `table_ends` is up
  * to which offset it has read each of the platform's tables, `reads_tables` whether it
- * reads all of them from the store. `leaving` is as in `Load`. `members` are the nodes that report to it, and
- * `member_load` is the load of these.
+ * reads all of them from the store. `leaving`, `crashes` and `sound_parts` are as in
+ * `Load`. `members` are the nodes that report to it, and `member_load` is the load of
+ * these.
  */
 struct Pulse {
   1: string node
@@ -200,6 +206,8 @@
   11: list<NodeStatus> members
   12: Load member_load
   13: map<string, i64> leaving
+  14: map<string, list<string>> crashes
+  15: list<string> sound_parts
 }
 
 /**
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/Peer.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/Peer.py
@@ -933,11 +933,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype154, _size151) = iprot.readListBegin()
-                    for _i155 in range(_size151):
-                        _elem156 = ClaimAsk()
-                        _elem156.read(iprot)
-                        self.asks.append(_elem156)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = ClaimAsk()
+                        _elem202.read(iprot)
+                        self.asks.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -958,8 +958,8 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter157 in self.asks:
-                iter157.write(oprot)
+            for iter203 in self.asks:
+                iter203.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1011,11 +1011,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype161, _size158) = iprot.readListBegin()
-                    for _i162 in range(_size158):
-                        _elem163 = ClaimVerdict()
-                        _elem163.read(iprot)
-                        self.success.append(_elem163)
+                    (_etype207, _size204) = iprot.readListBegin()
+                    for _i208 in range(_size204):
+                        _elem209 = ClaimVerdict()
+                        _elem209.read(iprot)
+                        self.success.append(_elem209)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1037,8 +1037,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter164 in self.success:
-                iter164.write(oprot)
+            for iter210 in self.success:
+                iter210.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.error is not None:
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
@@ -1478,6 +1478,9 @@
     many of them have had a request, `nodes_measured` how many have measured the demand.
     `suspects` counts the nodes that suspect each group. `leaving` maps the servers
     that told any of them that they leave to the start time of their incarnation.
+    `crashes` maps crashed servers, as SERVER@BORN, to the prompts in flight there, as
+    the IDs of their shared parts joined by commas. `sound_parts` are parts of such
+    prompts with which requests have been answered.
 
     Attributes:
      - running
@@ -1486,17 +1489,21 @@
      - nodes_measured
      - suspects
      - leaving
+     - crashes
+     - sound_parts
 
     """
 
 
-    def __init__(self, running=None, demand=None, nodes_with_traffic=None, nodes_measured=None, suspects=None, leaving=None,):
+    def __init__(self, running=None, demand=None, nodes_with_traffic=None, nodes_measured=None, suspects=None, leaving=None, crashes=None, sound_parts=None,):
         self.running = running
         self.demand = demand
         self.nodes_with_traffic = nodes_with_traffic
         self.nodes_measured = nodes_measured
         self.suspects = suspects
         self.leaving = leaving
+        self.crashes = crashes
+        self.sound_parts = sound_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1561,6 +1568,32 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.MAP:
+                    self.crashes = {}
+                    (_ktype66, _vtype67, _size65) = iprot.readMapBegin()
+                    for _i69 in range(_size65):
+                        _key70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val71 = []
+                        (_etype75, _size72) = iprot.readListBegin()
+                        for _i76 in range(_size72):
+                            _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _val71.append(_elem77)
+                        iprot.readListEnd()
+                        self.crashes[_key70] = _val71
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.sound_parts = []
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.sound_parts.append(_elem83)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1574,17 +1607,17 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter65, viter66 in self.running.items():
-                oprot.writeString(kiter65.encode('utf-8') if sys.version_info[0] == 2 else kiter65)
-                oprot.writeI32(viter66)
+            for kiter84, viter85 in self.running.items():
+                oprot.writeString(kiter84.encode('utf-8') if sys.version_info[0] == 2 else kiter84)
+                oprot.writeI32(viter85)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.demand))
-            for kiter67, viter68 in self.demand.items():
-                oprot.writeString(kiter67.encode('utf-8') if sys.version_info[0] == 2 else kiter67)
-                oprot.writeDouble(viter68)
+            for kiter86, viter87 in self.demand.items():
+                oprot.writeString(kiter86.encode('utf-8') if sys.version_info[0] == 2 else kiter86)
+                oprot.writeDouble(viter87)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.nodes_with_traffic is not None:
@@ -1598,19 +1631,37 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.suspects))
-            for kiter69, viter70 in self.suspects.items():
-                oprot.writeString(kiter69.encode('utf-8') if sys.version_info[0] == 2 else kiter69)
-                oprot.writeI32(viter70)
+            for kiter88, viter89 in self.suspects.items():
+                oprot.writeString(kiter88.encode('utf-8') if sys.version_info[0] == 2 else kiter88)
+                oprot.writeI32(viter89)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.leaving))
-            for kiter71, viter72 in self.leaving.items():
-                oprot.writeString(kiter71.encode('utf-8') if sys.version_info[0] == 2 else kiter71)
-                oprot.writeI64(viter72)
+            for kiter90, viter91 in self.leaving.items():
+                oprot.writeString(kiter90.encode('utf-8') if sys.version_info[0] == 2 else kiter90)
+                oprot.writeI64(viter91)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.MAP, 7)
+            oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.crashes))
+            for kiter92, viter93 in self.crashes.items():
+                oprot.writeString(kiter92.encode('utf-8') if sys.version_info[0] == 2 else kiter92)
+                oprot.writeListBegin(TType.STRING, len(viter93))
+                for iter94 in viter93:
+                    oprot.writeString(iter94.encode('utf-8') if sys.version_info[0] == 2 else iter94)
+                oprot.writeListEnd()
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.sound_parts is not None:
+            oprot.writeFieldBegin('sound_parts', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.sound_parts))
+            for iter95 in self.sound_parts:
+                oprot.writeString(iter95.encode('utf-8') if sys.version_info[0] == 2 else iter95)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1762,8 +1813,9 @@
     callers asked it for, by model, as a number of groups; empty until it has been
     measured. `suspects` names groups whose requests make no progress. `table_ends` is up
     to which offset it has read each of the platform's tables, `reads_tables` whether it
-    reads all of them from the store. `leaving` is as in `Load`. `members` are the nodes that report to it, and
-    `member_load` is the load of these.
+    reads all of them from the store. `leaving`, `crashes` and `sound_parts` are as in
+    `Load`. `members` are the nodes that report to it, and `member_load` is the load of
+    these.
 
     Attributes:
      - node
@@ -1779,11 +1831,13 @@
      - members
      - member_load
      - leaving
+     - crashes
+     - sound_parts
 
     """
 
 
-    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None,):
+    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None,):
         self.node = node
         self.incarnation = incarnation
         self.ready = ready
@@ -1797,6 +1851,8 @@
         self.members = members
         self.member_load = member_load
         self.leaving = leaving
+        self.crashes = crashes
+        self.sound_parts = sound_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1835,43 +1891,43 @@
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.table_ends = {}
-                    (_ktype74, _vtype75, _size73) = iprot.readMapBegin()
-                    for _i77 in range(_size73):
-                        _key78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val79 = iprot.readI64()
-                        self.table_ends[_key78] = _val79
+                    (_ktype97, _vtype98, _size96) = iprot.readMapBegin()
+                    for _i100 in range(_size96):
+                        _key101 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val102 = iprot.readI64()
+                        self.table_ends[_key101] = _val102
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.running = {}
-                    (_ktype81, _vtype82, _size80) = iprot.readMapBegin()
-                    for _i84 in range(_size80):
-                        _key85 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val86 = iprot.readI32()
-                        self.running[_key85] = _val86
+                    (_ktype104, _vtype105, _size103) = iprot.readMapBegin()
+                    for _i107 in range(_size103):
+                        _key108 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val109 = iprot.readI32()
+                        self.running[_key108] = _val109
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.MAP:
                     self.demand = {}
-                    (_ktype88, _vtype89, _size87) = iprot.readMapBegin()
-                    for _i91 in range(_size87):
-                        _key92 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val93 = iprot.readDouble()
-                        self.demand[_key92] = _val93
+                    (_ktype111, _vtype112, _size110) = iprot.readMapBegin()
+                    for _i114 in range(_size110):
+                        _key115 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val116 = iprot.readDouble()
+                        self.demand[_key115] = _val116
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype97, _size94) = iprot.readListBegin()
-                    for _i98 in range(_size94):
-                        _elem99 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.suspects.append(_elem99)
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.suspects.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1883,11 +1939,11 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = NodeStatus()
-                        _elem105.read(iprot)
-                        self.members.append(_elem105)
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = NodeStatus()
+                        _elem128.read(iprot)
+                        self.members.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1900,14 +1956,40 @@
             elif fid == 13:
                 if ftype == TType.MAP:
                     self.leaving = {}
-                    (_ktype107, _vtype108, _size106) = iprot.readMapBegin()
-                    for _i110 in range(_size106):
-                        _key111 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val112 = iprot.readI64()
-                        self.leaving[_key111] = _val112
+                    (_ktype130, _vtype131, _size129) = iprot.readMapBegin()
+                    for _i133 in range(_size129):
+                        _key134 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val135 = iprot.readI64()
+                        self.leaving[_key134] = _val135
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.MAP:
+                    self.crashes = {}
+                    (_ktype137, _vtype138, _size136) = iprot.readMapBegin()
+                    for _i140 in range(_size136):
+                        _key141 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val142 = []
+                        (_etype146, _size143) = iprot.readListBegin()
+                        for _i147 in range(_size143):
+                            _elem148 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _val142.append(_elem148)
+                        iprot.readListEnd()
+                        self.crashes[_key141] = _val142
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.sound_parts = []
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.sound_parts.append(_elem154)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1941,32 +2023,32 @@
         if self.table_ends is not None:
             oprot.writeFieldBegin('table_ends', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_ends))
-            for kiter113, viter114 in self.table_ends.items():
-                oprot.writeString(kiter113.encode('utf-8') if sys.version_info[0] == 2 else kiter113)
-                oprot.writeI64(viter114)
+            for kiter155, viter156 in self.table_ends.items():
+                oprot.writeString(kiter155.encode('utf-8') if sys.version_info[0] == 2 else kiter155)
+                oprot.writeI64(viter156)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter115, viter116 in self.running.items():
-                oprot.writeString(kiter115.encode('utf-8') if sys.version_info[0] == 2 else kiter115)
-                oprot.writeI32(viter116)
+            for kiter157, viter158 in self.running.items():
+                oprot.writeString(kiter157.encode('utf-8') if sys.version_info[0] == 2 else kiter157)
+                oprot.writeI32(viter158)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.MAP, 8)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.demand))
-            for kiter117, viter118 in self.demand.items():
-                oprot.writeString(kiter117.encode('utf-8') if sys.version_info[0] == 2 else kiter117)
-                oprot.writeDouble(viter118)
+            for kiter159, viter160 in self.demand.items():
+                oprot.writeString(kiter159.encode('utf-8') if sys.version_info[0] == 2 else kiter159)
+                oprot.writeDouble(viter160)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.suspects))
-            for iter119 in self.suspects:
-                oprot.writeString(iter119.encode('utf-8') if sys.version_info[0] == 2 else iter119)
+            for iter161 in self.suspects:
+                oprot.writeString(iter161.encode('utf-8') if sys.version_info[0] == 2 else iter161)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.has_traffic is not None:
@@ -1976,8 +2058,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter120 in self.members:
-                iter120.write(oprot)
+            for iter162 in self.members:
+                iter162.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.member_load is not None:
@@ -1987,11 +2069,29 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.MAP, 13)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.leaving))
-            for kiter121, viter122 in self.leaving.items():
-                oprot.writeString(kiter121.encode('utf-8') if sys.version_info[0] == 2 else kiter121)
-                oprot.writeI64(viter122)
+            for kiter163, viter164 in self.leaving.items():
+                oprot.writeString(kiter163.encode('utf-8') if sys.version_info[0] == 2 else kiter163)
+                oprot.writeI64(viter164)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.MAP, 14)
+            oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.crashes))
+            for kiter165, viter166 in self.crashes.items():
+                oprot.writeString(kiter165.encode('utf-8') if sys.version_info[0] == 2 else kiter165)
+                oprot.writeListBegin(TType.STRING, len(viter166))
+                for iter167 in viter166:
+                    oprot.writeString(iter167.encode('utf-8') if sys.version_info[0] == 2 else iter167)
+                oprot.writeListEnd()
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.sound_parts is not None:
+            oprot.writeFieldBegin('sound_parts', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRING, len(self.sound_parts))
+            for iter168 in self.sound_parts:
+                oprot.writeString(iter168.encode('utf-8') if sys.version_info[0] == 2 else iter168)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2064,21 +2164,21 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.nodes = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = NodeStatus()
-                        _elem128.read(iprot)
-                        self.nodes.append(_elem128)
+                    (_etype172, _size169) = iprot.readListBegin()
+                    for _i173 in range(_size169):
+                        _elem174 = NodeStatus()
+                        _elem174.read(iprot)
+                        self.nodes.append(_elem174)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.lost = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.lost.append(_elem134)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2113,15 +2213,15 @@
         if self.nodes is not None:
             oprot.writeFieldBegin('nodes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.nodes))
-            for iter135 in self.nodes:
-                iter135.write(oprot)
+            for iter181 in self.nodes:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lost is not None:
             oprot.writeFieldBegin('lost', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.lost))
-            for iter136 in self.lost:
-                oprot.writeString(iter136.encode('utf-8') if sys.version_info[0] == 2 else iter136)
+            for iter182 in self.lost:
+                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.load is not None:
@@ -2290,11 +2390,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype140, _size137) = iprot.readListBegin()
-                    for _i141 in range(_size137):
-                        _elem142 = TableRow()
-                        _elem142.read(iprot)
-                        self.rows.append(_elem142)
+                    (_etype186, _size183) = iprot.readListBegin()
+                    for _i187 in range(_size183):
+                        _elem188 = TableRow()
+                        _elem188.read(iprot)
+                        self.rows.append(_elem188)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2333,8 +2433,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter143 in self.rows:
-                iter143.write(oprot)
+            for iter189 in self.rows:
+                iter189.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2486,10 +2586,10 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.excluded_servers = []
-                    (_etype147, _size144) = iprot.readListBegin()
-                    for _i148 in range(_size144):
-                        _elem149 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded_servers.append(_elem149)
+                    (_etype193, _size190) = iprot.readListBegin()
+                    for _i194 in range(_size190):
+                        _elem195 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded_servers.append(_elem195)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2563,8 +2663,8 @@
         if self.excluded_servers is not None:
             oprot.writeFieldBegin('excluded_servers', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.excluded_servers))
-            for iter150 in self.excluded_servers:
-                oprot.writeString(iter150.encode('utf-8') if sys.version_info[0] == 2 else iter150)
+            for iter196 in self.excluded_servers:
+                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wait is not None:
@@ -2897,6 +2997,8 @@
     (4, TType.I32, 'nodes_measured', None, None, ),  # 4
     (5, TType.MAP, 'suspects', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
     (6, TType.MAP, 'leaving', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 6
+    (7, TType.MAP, 'crashes', (TType.STRING, 'UTF8', TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 7
+    (8, TType.LIST, 'sound_parts', (TType.STRING, 'UTF8', False), None, ),  # 8
 )
 all_structs.append(NodeStatus)
 NodeStatus.thrift_spec = (
@@ -2925,6 +3027,8 @@
     (11, TType.LIST, 'members', (TType.STRUCT, [NodeStatus, None], False), None, ),  # 11
     (12, TType.STRUCT, 'member_load', [Load, None], None, ),  # 12
     (13, TType.MAP, 'leaving', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 13
+    (14, TType.MAP, 'crashes', (TType.STRING, 'UTF8', TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 14
+    (15, TType.LIST, 'sound_parts', (TType.STRING, 'UTF8', False), None, ),  # 15
 )
 all_structs.append(FleetDigest)
 FleetDigest.thrift_spec = (
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -21,6 +21,7 @@
 from auburnwall.platform.operator import OperatorDecoder
 from auburnwall.routing.answer_start import TimeToStart
 from auburnwall.routing.channels import ChannelPool
+from auburnwall.routing.crash_evidence import CrashEvidence
 from auburnwall.routing.forwarder import Forwarder, ForwarderDeps
 from auburnwall.routing.in_flight import InFlightRequests
 from auburnwall.routing.placer import Placer
@@ -145,6 +146,7 @@
         view.in_flight = self.in_flight
         self.registry = view.registry
         gate = WarmupGate("n1", lambda: ["n1"], clock)
+        self.crash_evidence = CrashEvidence(clock, lambda: 0.0)
         self.channels = self._stack.enter_context(closing(ChannelPool(clock)))
         self.placer = Placer(view, self.in_flight, gate, clock, random.Random(4))
         deps = ForwarderDeps(
@@ -155,6 +157,7 @@
             clock,
             TimeToStart(),
             view.notices,
+            self.crash_evidence,
         )
         self.budget = SharedRetryBudget(0.2, 20.0, 10.0, lambda: 1, clock)
         forwarder = Forwarder(deps, lambda service: self.budget, lambda r, n: None)
--- /dev/null
+++ b/tests/routed/test_crashing_prompts.py
@@ -0,0 +1,100 @@
+"""Requests with prompt parts that crash servers, at one node's front."""
+
+import gevent.monkey
+
+gevent.monkey.patch_all()
+
+import http.client  # noqa: E402
+import unittest  # noqa: E402
+from contextlib import suppress  # noqa: E402
+
+import gevent  # noqa: E402
+
+from auburnwall.routing.crash_evidence import BLOCK_S, MIN_CRASHES, Crash  # noqa: E402
+
+from .support import KEY, FrontWithServers, wait_until  # noqa: E402
+
+
+class CrashingPromptTests(unittest.TestCase):
+    def setUp(self):
+        self.front = self.enterContext(FrontWithServers())
+        self.evidence = self.front.crash_evidence
+
+    def call(self, number, prompt):
+        conn = http.client.HTTPConnection(self.front.address, timeout=6.0)
+        self.addCleanup(conn.close)
+        headers = {
+            "Host": "shop.example",
+            "X-Attempt-Id": f"r-{number}",
+            "X-Prompt-Prefix": f"{prompt},{number:08x}:9",
+            "Authorization": f"Bearer {KEY}",
+        }
+        conn.request("POST", "/ask/x", headers=headers)
+        resp = conn.getresponse()
+        return resp.status, resp.headers, resp.read()
+
+    def block(self, part):
+        for number in range(MIN_CRASHES):
+            self.evidence.note_crash(Crash(f"s{number}", 1), (part,), "r")
+        self.evidence.update()
+
+    def test_request_with_a_blocked_part_is_refused_at_once_and_not_sent(self):
+        self.block("bad")
+        status, headers, body = self.call(1, "aa:4,bad:40")
+        self.assertEqual(status, 503)
+        self.assertIn(b"not run", body)
+        self.assertAlmostEqual(float(headers["Retry-After"]), BLOCK_S, delta=5.0)
+        self.assertFalse([s for engine in self.front.engines for s in engine.seen])
+        self.assertEqual(self.call(2, "aa:4")[0], 200)
+
+    def test_last_part_is_the_requests_own_and_not_blocked(self):
+        self.block("00000007")
+        self.assertEqual(self.call(7, "aa:4")[0], 200)
+
+    def test_request_under_which_servers_crash_is_told_that_it_may_have_run(self):
+        for engine in self.front.engines:
+            engine.crash_part = "bad"
+        status, headers, body = self.call(1, "aa:4,bad:40")
+        self.assertEqual(status, 502)
+        self.assertIn(b"unknown", body)
+        self.assertNotIn("Retry-After", headers)
+
+    def test_request_is_not_sent_again_once_its_part_is_blocked(self):
+        for number in range(MIN_CRASHES - 1):
+            self.evidence.note_crash(Crash(f"s{number}", 1), ("bad",), "r")
+        for engine in self.front.engines:
+            engine.crash_part = "bad"
+        note_crash = self.evidence.note_crash
+
+        def note_and_update(*args):
+            note_crash(*args)
+            self.evidence.update()
+
+        self.evidence.note_crash = note_and_update
+        status, _, body = self.call(1, "aa:4,bad:40")
+        self.assertEqual(status, 502)
+        self.assertIn(b"unknown", body)
+        crashes = [at for engine in self.front.engines for at in engine.crashes]
+        self.assertEqual(len(crashes), 1)
+
+    def test_lost_answer_of_a_server_that_lives_is_no_crash(self):
+        for engine in self.front.engines:
+            engine.faults.add("cut")
+        for number in range(6):
+            # The second server loses the answer too.
+            with suppress(http.client.IncompleteRead):
+                self.call(number, "aa:4,fine:40")
+        self.assertEqual(self.evidence.crashes_to_tell(), {})
+
+    def test_sound_request_that_was_at_a_crashed_server_goes_on_elsewhere(self):
+        first, second = self.front.engines
+        for engine in (first, second):
+            engine.event_s = 0.05
+        caller = gevent.spawn(self.call, 1, "aa:4")
+        wait_until(lambda: first.running or second.running)
+        crashed = first if first.running else second
+        gevent.spawn(crashed.crash)
+        status, _, body = caller.get(timeout=5.0)
+        self.assertEqual((status, body.count(b"data: piece-")), (200, 10))
+        self.evidence.update()
+        self.assertEqual(self.evidence.blocked_parts(), set())
--- /dev/null
+++ b/tests/routing/test_crash_evidence.py
@@ -0,0 +1,186 @@
+"""Which prompt parts are blocked: replays of servers that crash, by cause."""
+
+import random
+import unittest
+
+from auburnwall.routing.crash_evidence import (
+    BLOCK_S,
+    EVIDENCE_S,
+    MAX_CRASHES,
+    MAX_CRASHES_TOLD,
+    MIN_CRASHES,
+    Crash,
+    CrashEvidence,
+    find_crashing_parts,
+)
+from tests.state.test_table import FakeClock
+
+# Time in which the nodes' reports reach each other, in seconds.
+SETTLE_S = 0.4
+# The users' rule: the fifth crash is the last that may pass without a consequence.
+MAX_CRASHES_BEFORE_BLOCK = 5
+# Crashes of the users' record, in seconds, with the prompts in flight at each server.
+# Two requests crash two servers each, then the next two; "hot" is a part that most
+# requests have in common.
+RECORD = (
+    (9.41, [("hot", "bad"), ("hot",), ("p3",)]),
+    (9.66, [("hot", "bad"), ("hot",)]),
+    (9.95, [("hot", "bad"), ("p4",)]),
+    (10.16, [("hot", "bad"), ("hot",)]),
+    (12.91, [("p5", "bad"), ("hot",)]),
+)
+
+
+class Fleet:
+    """The evidence at several nodes, which tell each other in rounds."""
+
+    def __init__(self, count):
+        self.clock = FakeClock()
+        self.nodes = [CrashEvidence(self.clock, lambda: SETTLE_S) for _ in range(count)]
+
+    def exchange(self):
+        for teller in self.nodes:
+            crashes, sound = teller.crashes_to_tell(), teller.sound_parts_to_tell()
+            for node in self.nodes:
+                if node is not teller:
+                    node.note_peers(crashes, sound, "peer")
+
+    def run(self, seconds):
+        for _ in range(round(seconds / 0.1)):
+            self.clock.now += 0.1
+            self.exchange()
+            for node in self.nodes:
+                node.update()
+
+    def crash(self, server, prompts, first_node=0):
+        for index, prompt in enumerate(prompts):
+            node = self.nodes[(first_node + index) % len(self.nodes)]
+            node.note_crash(Crash(server, 1), prompt, "r")
+
+    def blocked(self):
+        return [node.blocked_parts() for node in self.nodes]
+
+
+class CrashingPartTests(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet(7)
+
+    def test_recorded_crashes_block_the_part_at_all_nodes_before_the_sixth(self):
+        before = 0.0
+        for number, (at, prompts) in enumerate(RECORD):
+            self.fleet.run(at - before)
+            self.fleet.nodes[number].note_answered(("hot",))
+            self.fleet.crash(f"s{number}", prompts, first_node=number)
+            before = at
+        self.fleet.run(SETTLE_S + 0.2)
+        self.assertEqual(self.fleet.blocked(), [{"bad"}] * 7)
+
+    def test_part_is_blocked_also_if_no_sound_request_has_ended_yet(self):
+        """The shared first part must not be taken for the cause."""
+        for number in range(MIN_CRASHES):
+            self.fleet.crash(f"s{number}", [("hot", "bad")], first_node=number)
+        self.fleet.run(SETTLE_S + 0.2)
+        self.assertEqual(self.fleet.blocked(), [{"bad"}] * 7)
+
+    def test_crashing_part_may_come_first_in_the_prompt(self):
+        for number in range(MAX_CRASHES_BEFORE_BLOCK):
+            self.fleet.crash(f"s{number}", [("bad", f"p{number}")], first_node=number)
+        self.fleet.run(SETTLE_S + 0.2)
+        self.assertEqual(self.fleet.blocked(), [{"bad"}] * 7)
+
+    def test_many_servers_that_crash_at_once_block_no_sound_part(self):
+        """Each server has requests with the same parts; other nodes know them."""
+        for number in range(5):
+            self.fleet.nodes[6].note_answered((f"p{number}",))
+        for number in range(15):
+            prompts = [(f"p{(number + n) % 5}",) for n in range(4)]
+            self.fleet.crash(f"s{number}", prompts, first_node=0)
+        for _ in range(20):
+            self.assertEqual(self.fleet.blocked(), [set()] * 7)
+            self.fleet.run(0.1)
+
+    def test_random_crashes_block_only_the_part_that_causes_them(self):
+        for seed in range(20):
+            rng = random.Random(seed)
+            fleet = Fleet(7)
+            parts = [f"p{n}" for n in range(20)]
+            for number in range(60):
+                fleet.run(0.3)
+                for _ in range(6):
+                    rng.choice(fleet.nodes).note_answered((rng.choice(parts),))
+                prompts = [(rng.choice(parts),) for _ in range(4)]
+                if number % 4 == 0:
+                    prompts.append((rng.choice(parts), "bad"))
+                if number % 2 == 0:
+                    fleet.crash(f"s{number}", prompts, rng.randrange(7))
+            fleet.run(SETTLE_S + 0.2)
+            self.assertEqual(fleet.blocked(), [{"bad"}] * 7, seed)
+
+    def test_one_server_that_crashes_often_with_one_request_is_one_crash(self):
+        for _ in range(MIN_CRASHES):
+            self.fleet.crash("s1", [("part",)])
+        self.fleet.run(2.0)
+        self.assertEqual(self.fleet.blocked(), [set()] * 7)
+
+    def test_answer_unblocks_a_part_at_all_nodes(self):
+        for number in range(MIN_CRASHES):
+            self.fleet.crash(f"s{number}", [("part",)])
+        self.fleet.run(1.0)
+        self.assertEqual(self.fleet.blocked(), [{"part"}] * 7)
+        self.fleet.nodes[3].note_answered(("part",))
+        self.fleet.run(0.2)
+        self.assertEqual(self.fleet.blocked(), [set()] * 7)
+        self.fleet.run(2.0)
+        self.assertEqual(self.fleet.blocked(), [set()] * 7)
+
+    def test_two_crashing_parts_are_both_blocked(self):
+        for number in range(2 * MIN_CRASHES):
+            self.fleet.nodes[0].note_answered(("hot",))
+            part = "bad-1" if number % 2 else "bad-2"
+            self.fleet.crash(f"s{number}", [("hot", part)], first_node=number)
+        self.fleet.run(1.0)
+        self.assertEqual(self.fleet.blocked(), [{"bad-1", "bad-2"}] * 7)
+
+    def test_after_its_time_one_crash_is_enough_to_block_a_part_again(self):
+        for number in range(MIN_CRASHES):
+            self.fleet.crash(f"s{number}", [("bad",)])
+        self.fleet.run(1.0)
+        part, left_s = self.fleet.nodes[2].blocked_part(("hot", "bad"))
+        self.assertEqual(part, "bad")
+        self.assertAlmostEqual(left_s, BLOCK_S, delta=1.0)
+        self.fleet.clock.now += BLOCK_S
+        self.fleet.run(0.2)
+        self.assertEqual(self.fleet.blocked(), [set()] * 7)
+        self.fleet.crash("s9", [("bad",)])
+        self.fleet.run(1.0)
+        self.assertEqual(self.fleet.blocked(), [{"bad"}] * 7)
+
+    def test_crashes_long_ago_do_not_count(self):
+        for number in range(MIN_CRASHES):
+            self.fleet.crash(f"s{number}", [("part",)])
+            self.fleet.clock.now += EVIDENCE_S / 2 + 1.0
+        self.fleet.run(1.0)
+        self.assertEqual(self.fleet.blocked(), [set()] * 7)
+
+    def test_evidence_and_reports_are_bounded(self):
+        node = self.fleet.nodes[0]
+        for number in range(10 * MAX_CRASHES):
+            node.note_crash(Crash(f"s{number}", 1), (f"p{number}",), "r")
+        self.assertEqual(len(node.crashes_to_tell()), MAX_CRASHES_TOLD)
+        self.assertEqual(len(node._crashes), MAX_CRASHES)
+
+    def test_blocked_part_of_the_table_is_blocked_unless_it_is_sound(self):
+        node = self.fleet.nodes[0]
+        node.note_answered(("fine",))
+        node.block_known("fine")
+        node.block_known("bad")
+        self.assertEqual(node.blocked_parts(), {"bad"})
+        node.unblock("bad", "its record was removed")
+        self.assertEqual(node.blocked_parts(), set())
+
+    def test_a_part_is_no_cause_of_crashes_that_another_part_explains(self):
+        prompts_by_crash = {
+            Crash(f"s{n}", 1): {("hot", "bad"), ("cold",)} for n in range(5)
+        }
+        found = find_crashing_parts(prompts_by_crash, set(), lambda part: MIN_CRASHES)
+        self.assertEqual([part for part, _ in found], ["bad"])
