Block a prompt part only on crashes under different requests; show how it spreads

A request's own part may be what crashes servers, and its retries have it too: two different requests are needed now, so the nodes tell each other whole prompts. Crashes are told as long as they count, so that a node that was frozen or has started later knows of them without the store. A malformed list of parts counts for nothing. Tests at 60 nodes: known to all within 4 s, with a fifth of the calls lost, with a relay lost at that moment, at a node that was frozen; blocked nowhere if one node has had the part answered. 'explain' shows the crashes and the decision behind a refusal.

--- a/packages/auburnwall-cli/src/auburnwall/cli/nodelogs.py
+++ b/packages/auburnwall-cli/src/auburnwall/cli/nodelogs.py
@@ -32,7 +32,8 @@
 
     Events of a group count only from the first to the last event of the request.
     Either ``request`` or ``group`` may be empty. Without events of the request, all
-    events of the group are returned that belong to no request.
+    events of the group are returned that belong to no request. For a request that was
+    refused for a part of its prompt, the events about that part are added.
     """
     request_events = [
         event for event in events if request and event.get("request") == request
@@ -41,12 +42,14 @@
     if group:
         groups.add(group)
     first_time = request_events[0]["time"] if request_events else ""
+    refused_parts = {event["part"] for event in request_events if event.get("part")}
     # "9" sorts after all timestamps.
     last_time = request_events[-1]["time"] if request_events else "9"
     selected = [
         event
         for event in events
         if event in request_events
+        or _is_about_part(event, refused_parts, request_events)
         or (
             event.get("group") in groups
             and "request" not in event
@@ -56,6 +59,24 @@
     return [_event_row(event) for event in selected]
 
 
+def _is_about_part(event, parts, request_events):
+    """Return whether an event tells why a request with one of the parts was refused.
+
+    These are the crashes with the part at any node, and what the nodes that refused the
+    request did about it, up to the last event of the request.
+    """
+    if not parts or event.get("time", "") > request_events[-1]["time"]:
+        return False
+    if event["event"] == "server crashed":
+        return not parts.isdisjoint(event.get("parts", ()))
+    refusing_nodes = {e.get("node") for e in request_events if e.get("part")}
+    return (
+        event["event"] in ("prompt part blocked", "prompt part unblocked")
+        and event.get("part") in parts
+        and event.get("node") in refusing_nodes
+    )
+
+
 def _parse_event(line):
     json_start = line.find("{")
     if json_start < 0:
--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -5,7 +5,7 @@
 from auburnwall.routing.call import (
     RoutedRequest,
     key_of,
-    shared_parts_of,
+    prompt_parts_of,
     work_of,
 )
 from auburnwall.routing.exceptions import BadRequestError, OverloadedError, RequestError
@@ -133,7 +133,7 @@
             rank,
             strip_key=config.teams_by_key is not None,
             elapsed_s=elapsed_s,
-            shared_parts=shared_parts_of(call, self._header_names) if engine else (),
+            prompt_parts=prompt_parts_of(call, self._header_names) if engine else (),
         )
         self._demand.record_request(request, engine)
         return request
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -168,7 +168,8 @@
         """
         if self.is_mesh:
             return MESH_SETTLE_PERIODS * self.period_s()
-        return REPORT_PERIOD_S + DISTANT_PERIOD_S + REPORT_PERIOD_S
+        between_relays_s = max(DISTANT_PERIOD_S, self.period_s())
+        return REPORT_PERIOD_S + between_relays_s + REPORT_PERIOD_S
 
     def _period_to(self, node):
         """Return the time between two heartbeats to one peer, in seconds."""
--- a/packages/auburnwall-routing/src/auburnwall/routing/call.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/call.py
@@ -1,11 +1,14 @@
 """A caller's request, before and after its route is known."""
 
+import re
 from typing import NamedTuple
 
 from .step_model import Work
 
-# Parts of a prompt that are taken from its header; any further ones are ignored.
-MAX_PROMPT_PARTS = 16
+# Largest number of parts in a prompt, and the form of a part's ID. A header with other
+# values counts for nothing.
+MAX_PROMPT_PARTS = 32
+PART_ID = re.compile(r"[0-9A-Za-z_.-]{1,64}")
 
 
 class Call(NamedTuple):
@@ -33,8 +36,8 @@
     ``elapsed_s`` is how much of the caller's time had passed before this call, if it is
     a retry. ``rank`` is the urgency; 0 is the most urgent. ``model`` is empty on routes
     without models. ``strip_key`` removes the caller's key from the request to the
-    server. The fair queue uses ``weight`` and ``priority``. ``shared_parts`` are the
-    IDs of the prompt's parts that other requests may have too, in their order.
+    server. The fair queue uses ``weight`` and ``priority``. ``prompt_parts`` are the
+    IDs of the prompt's parts in their order; the last part is the request's own.
     """
 
     call: Call
@@ -49,7 +52,12 @@
     strip_key: bool = False
     weight: float = 1.0
     elapsed_s: float = 0.0
-    shared_parts: tuple = ()
+    prompt_parts: tuple = ()
+
+    @property
+    def shared_parts(self):
+        """Return the parts of the prompt that other requests may have too."""
+        return self.prompt_parts[:-1]
 
     @property
     def objective_at(self):
@@ -99,12 +107,15 @@
     return Work(prompt, max(1, answer))
 
 
-def shared_parts_of(call, header_names):
-    """Return the IDs of the prompt's parts but the last, which is the request's own.
+def prompt_parts_of(call, header_names):
+    """Return the IDs of the prompt's parts, empty if the header is not valid.
 
     The header holds pairs of an ID and a number of tokens, for example
     ``5c1e07a2:800,91bd3f06:410,e4402b7d:250``.
     """
     header = call.header(header_names.prompt_parts) or ""
-    parts = [pair.strip().partition(":")[0] for pair in header.split(",")]
-    return tuple(filter(None, parts[:-1][:MAX_PROMPT_PARTS]))
+    pairs = [pair.strip().partition(":") for pair in header.split(",")]
+    is_valid = len(pairs) <= MAX_PROMPT_PARTS and all(
+        PART_ID.fullmatch(part) and tokens.isdigit() for part, _, tokens in pairs
+    )
+    return tuple(part for part, _, _ in pairs) if is_valid else ()
--- a/packages/auburnwall-routing/src/auburnwall/routing/crash_evidence.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/crash_evidence.py
@@ -10,22 +10,21 @@
 part is sound if a request with it was answered lately, at any node.
 """
 
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from itertools import chain
 from typing import NamedTuple
 
 from auburnwall.base.logs import event
 
-# Crashes with a part after which it is blocked. Two may be a coincidence: a request
-# that is sent again after a crash may meet an unrelated second one.
-MIN_CRASHES = 3
-# Time for which a crash counts, and for which an answer shows that its parts are sound,
-# in seconds.
+# Crashes with a part after which it is blocked, and the number of different requests
+# among them. Two crashes may be a coincidence: a request that is sent again after one
+# may meet an unrelated second one. With one request alone its own part may be to blame.
+MIN_CRASHES, MIN_REQUESTS = 3, 2
+# Time for which a crash counts and peers are told of it, and for which an answer shows
+# that its parts are sound, in seconds.
 EVIDENCE_S = 60.0
 # Time for which a part is blocked, in seconds. After that, one more crash is enough.
 BLOCK_S = 300.0
-# Time for which peers are told of a crash, in seconds.
-TELL_PEERS_S = 10.0
 # Time after which the evidence is evaluated again once it has settled, in seconds; it
 # changes no decision after that until it grows.
 EVALUATION_MARGIN_S = 1.0
@@ -42,7 +41,7 @@
 
 
 class _KnownCrash(NamedTuple):
-    """Since when a crash is known, and the shared parts of each prompt in flight.
+    """Since when a crash is known, and the parts of each prompt in flight.
 
     ``is_own`` is whether this node has seen it itself.
     """
@@ -52,37 +51,63 @@
     is_own: bool
 
 
-def find_crashing_parts(prompts_by_crash, sound_parts, min_crashes):
+class _Suspicion(NamedTuple):
+    """What speaks against a part.
+
+    These are the crashes at which it was in flight, the own parts of the requests with
+    it, and its last position in a prompt.
+    """
+
+    crashes: set
+    own_parts: set
+    position: int
+
+
+def find_crashing_parts(prompts_by_crash, sound_parts, is_enough):
     """Return the parts that explain crashes, as pairs of a part and its crashes.
 
     ``prompts_by_crash`` holds the prompts in flight at each crash, as tuples of their
-    shared parts. ``min_crashes(part)`` is how many crashes a part must explain. The
-    part with the most crashes comes first. Of parts with equally many, it is the one
-    that comes last in its prompt, since prompts have fewer of their later parts in
-    common. Its crashes are then evidence against no other part.
+    parts. ``is_enough(part, crashes, requests)`` returns whether so many crashes of
+    servers, under so many different requests, are enough. The part with the most
+    crashes comes first. Of parts with equally many, it is the one that comes last in
+    its prompt, since prompts have fewer of their later parts in common. Its crashes are
+    then evidence against no other part.
     """
     unexplained, found = dict(prompts_by_crash), []
     while True:
-        counts, positions = Counter(), Counter()
-        for prompts in unexplained.values():
-            counts.update(set(chain.from_iterable(prompts)) - sound_parts)
-            for prompt in prompts:
-                for position, part in enumerate(prompt):
-                    positions[part] = max(positions[part], position)
-        enough = [part for part, n in counts.items() if n >= min_crashes(part)]
+        suspicions = _suspicions(unexplained, sound_parts)
+        enough = {
+            part: suspicion
+            for part, suspicion in suspicions.items()
+            if is_enough(part, len(suspicion.crashes), len(suspicion.own_parts))
+        }
         if not enough:
             return found
-        worst = max(enough, key=lambda part: (counts[part], positions[part], part))
-        explained = {
-            crash
-            for crash, prompts in unexplained.items()
-            if worst in chain.from_iterable(prompts)
-        }
-        found.append((worst, sorted(explained)))
-        for crash in explained:
+        worst, suspicion = max(
+            enough.items(),
+            key=lambda item: (len(item[1].crashes), item[1].position, item[0]),
+        )
+        found.append((worst, sorted(suspicion.crashes)))
+        for crash in suspicion.crashes:
             del unexplained[crash]
 
 
+def _suspicions(prompts_by_crash, sound_parts):
+    """Return the ``_Suspicion`` against each shared part that is not sound."""
+    suspicions = {}
+    for crash, prompts in prompts_by_crash.items():
+        for *shared, own in prompts:
+            for position, part in enumerate(shared):
+                if part in sound_parts:
+                    continue
+                known = suspicions.get(part, _Suspicion(set(), set(), 0))
+                known.crashes.add(crash)
+                known.own_parts.add(own)
+                position = max(position, known.position)
+                suspicions[part] = known._replace(position=position)
+    return suspicions
+
+
 class CrashEvidence:
     """The crashes and the sound parts that this node knows of, and the blocked parts.
 
@@ -105,7 +130,7 @@
 
     def note_crash(self, crash, prompt, request_id):
         """Record the prompt of a request of this node that was at a crashed server."""
-        if self._is_sound(prompt):
+        if self._is_sound(prompt[:-1]):
             return
         event(
             "server crashed",
@@ -116,10 +141,10 @@
         )
         self._add(crash, [prompt], is_own=True)
 
-    def note_answered(self, prompt):
-        """Record that a request was answered completely."""
+    def note_answered(self, shared_parts):
+        """Record that a request with these shared parts was answered completely."""
         now = self._clock.monotonic()
-        for part in prompt:
+        for part in shared_parts:
             self._sound_at[part] = now
             self._sound_at.move_to_end(part)
             self.unblock(part, "answered by a server")
@@ -138,20 +163,19 @@
             self._add(Crash(server, int(born)), parts, is_own=False)
 
     def crashes_to_tell(self):
-        """Return the crashes that this node has seen lately, as ``SERVER@BORN``.
+        """Return the crashes that this node has seen, as ``SERVER@BORN``.
 
-        Each has the list of the prompts in flight, as parts joined by commas.
+        Each has the list of the prompts in flight, as parts joined by commas. Prompts
+        of which all shared parts are sound are left out.
         """
-        oldest_at = self._clock.monotonic() - TELL_PEERS_S
-        own = [
-            (crash, known)
-            for crash, known in self._crashes.items()
-            if known.is_own and known.known_at >= oldest_at
-        ]
-        return {
-            f"{crash.server}@{crash.born}": sorted(map(",".join, known.prompts))
-            for crash, known in own[-MAX_CRASHES_TOLD:]
-        }
+        told, oldest_at = {}, self._clock.monotonic() - EVIDENCE_S
+        for crash, known in self._crashes.items():
+            if not known.is_own or known.known_at < oldest_at:
+                continue
+            prompts = [p for p in known.prompts if not self._is_sound(p[:-1])]
+            if prompts:
+                told[f"{crash.server}@{crash.born}"] = sorted(map(",".join, prompts))
+        return dict(list(told.items())[-MAX_CRASHES_TOLD:])
 
     def sound_parts_to_tell(self):
         """Return the parts in the evidence that this node's requests show as sound."""
@@ -162,10 +186,10 @@
             if self._sound_at.get(part, oldest_at) > oldest_at
         )
 
-    def blocked_part(self, prompt):
-        """Return a blocked part of a prompt and for how long it is, or ``None``."""
+    def blocked_part(self, shared_parts):
+        """Return a blocked one of the parts and for how long it is, or ``None``."""
         now = self._clock.monotonic()
-        for part in prompt if self._blocked_until else ():
+        for part in shared_parts if self._blocked_until else ():
             left_s = self._blocked_until.get(part, now) - now
             if left_s > 0:
                 return part, left_s
@@ -200,7 +224,7 @@
             if not blocked.intersection(chain.from_iterable(known.prompts))
         }
         sound = {part for part in self._part_known_at if self._is_sound((part,))}
-        for part, crashes in find_crashing_parts(unexplained, sound, self._min_crashes):
+        for part, crashes in find_crashing_parts(unexplained, sound, self._is_enough):
             if now - self._part_known_at[part] >= self._settle_s():
                 self._block(part, crashes, "crashes")
 
@@ -213,7 +237,7 @@
                 continue
             known.prompts.add(prompt)
             self._grown_at = now
-            for part in prompt:
+            for part in prompt[:-1]:
                 self._part_known_at.setdefault(part, now)
         while len(self._crashes) > MAX_CRASHES:
             self._remove([next(iter(self._crashes))])
@@ -236,16 +260,19 @@
         left = {
             part
             for known in self._crashes.values()
-            for part in chain.from_iterable(known.prompts)
+            for *shared, _ in known.prompts
+            for part in shared
         }
         self._part_known_at = {
             part: at for part, at in self._part_known_at.items() if part in left
         }
 
-    def _min_crashes(self, part):
-        return 1 if part in self._blocked_before else MIN_CRASHES
+    def _is_enough(self, part, crashes, requests):
+        if part in self._blocked_before:
+            return True
+        return crashes >= MIN_CRASHES and requests >= MIN_REQUESTS
 
-    def _is_sound(self, prompt):
+    def _is_sound(self, shared_parts):
         """Return whether all parts were in prompts that were answered lately."""
         oldest_at = self._clock.monotonic() - EVIDENCE_S
         return all(
@@ -254,7 +281,7 @@
                 self._sound_at_peers.get(part, oldest_at),
             )
             > oldest_at
-            for part in prompt
+            for part in shared_parts
         )
 
     def _block(self, part, crashes, source):
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -270,7 +270,7 @@
 
     def _check_for_crash(self, candidate):
         """Record the prompt as evidence if the server of an exchange has crashed."""
-        deps, prompt = self._deps, self.request.shared_parts
+        deps, prompt = self._deps, self.request.prompt_parts
         if prompt and deps.channels.has_crashed(candidate.server, candidate.address):
             deps.crash_evidence.note_crash(
                 Crash(candidate.server, candidate.born), prompt, self.request.request_id
--- a/tests/cli/test_explain_logs.py
+++ b/tests/cli/test_explain_logs.py
@@ -19,6 +19,12 @@
     ("10:00:01.300", "n3", "group ended", {"group": "g7", "why": "lost s4"}),
     ("10:00:02.000", "n1", "request streamed", {"request": "r1", "group": "g9"}),
     ("10:00:09.000", "n3", "group dissolved", {"group": "g7"}),
+    ("10:01:00.000", "n1", "server crashed", {"request": "r3", "parts": ["a", "bad"]}),
+    ("10:01:00.100", "n2", "server crashed", {"request": "r4", "parts": ["a"]}),
+    ("10:01:00.500", "n2", "prompt part blocked", {"part": "bad"}),
+    ("10:01:00.500", "n3", "prompt part blocked", {"part": "bad"}),
+    ("10:01:01.000", "n2", "request refused", {"request": "r5", "part": "bad"}),
+    ("10:01:02.000", "n2", "prompt part unblocked", {"part": "bad"}),
 ]
 
 
@@ -47,6 +53,18 @@
         )
         return code, tester.io.fetch_output(), tester.io.fetch_error()
 
+    def test_request_refused_for_its_prompt_with_the_crashes_and_the_decision(self):
+        _, output, _ = self.run_command("--request r5")
+        shown = [(row["node"], row["event"]) for row in json.loads(output)]
+        self.assertEqual(
+            shown,
+            [
+                ("n1", "server crashed"),
+                ("n2", "prompt part blocked"),
+                ("n2", "request refused"),
+            ],
+        )
+
     def test_request_with_events_of_its_groups_meanwhile(self):
         code, output, _ = self.run_command("--request r1")
         shown = [(row["node"], row["event"]) for row in json.loads(output)]
--- a/tests/routed/test_crashing_prompts.py
+++ b/tests/routed/test_crashing_prompts.py
@@ -35,7 +35,8 @@
 
     def block(self, part):
         for number in range(MIN_CRASHES):
-            self.evidence.note_crash(Crash(f"s{number}", 1), (part,), "r")
+            prompt = (part, f"own-{number}")
+            self.evidence.note_crash(Crash(f"s{number}", 1), prompt, "r")
         self.evidence.update()
 
     def test_request_with_a_blocked_part_is_refused_at_once_and_not_sent(self):
@@ -51,6 +52,13 @@
         self.block("00000007")
         self.assertEqual(self.call(7, "aa:4")[0], 200)
 
+    def test_malformed_list_of_parts_counts_for_nothing(self):
+        self.block("bad")
+        for number, prompt in enumerate(
+            ("bad", "bad:x", "b@d:4,bad:9", f"{'a' * 99}:1")
+        ):
+            self.assertEqual(self.call(number, prompt)[0], 200, prompt)
+
     def test_request_under_which_servers_crash_is_told_that_it_may_have_run(self):
         for engine in self.front.engines:
             engine.crash_part = "bad"
@@ -61,7 +69,8 @@
 
     def test_request_is_not_sent_again_once_its_part_is_blocked(self):
         for number in range(MIN_CRASHES - 1):
-            self.evidence.note_crash(Crash(f"s{number}", 1), ("bad",), "r")
+            prompt = ("bad", f"own-{number}")
+            self.evidence.note_crash(Crash(f"s{number}", 1), prompt, "r")
         for engine in self.front.engines:
             engine.crash_part = "bad"
         note_crash = self.evidence.note_crash
--- a/tests/routed/test_peers.py
+++ b/tests/routed/test_peers.py
@@ -1,5 +1,6 @@
 """Heartbeats in a fleet with relays: who hears of whom, how soon and at what cost."""
 
+import random
 import unittest
 from collections import Counter
 from types import SimpleNamespace
@@ -8,6 +9,7 @@
 from auburnwall.node.routed.handler import RoutedHandler
 from auburnwall.node.routed.peers import REPORT_PERIOD_S, Peers
 from auburnwall.node.routed.topology import NODES_PER_RELAY, parent_of, relays_of
+from auburnwall.routing.crash_evidence import Crash, CrashEvidence
 from auburnwall.wire.exceptions import PeerUnavailableError
 from auburnwall.wire.peer.ttypes import Pulse
 from tests.state.test_table import FakeClock
@@ -17,6 +19,9 @@
 # Time after which the directory must not name a lost node: the shortest one on the
 # users' pages for a fleet of this size, in seconds.
 DIRECTORY_LIMIT_S = 6.0
+# Time after the fifth crash from which a part that crashes servers must reach no more
+# of them: the shortest one on the users' pages for a fleet of this size, in seconds.
+CONTACT_S = 4.0
 
 
 def record(number, cores=0.5):
@@ -32,6 +37,8 @@
         self.clock = FakeClock()
         self.state = SimpleNamespace(nodes={}, change_count=0)
         self.nodes, self.down, self.cut = {}, set(), set()
+        # Fraction of the calls that are lost.
+        self.rng, self.loss = random.Random(7), 0.0
         self.calls = Counter()
         for number in range(count):
             # The first nodes of each data centre have more cores than the others.
@@ -42,6 +49,8 @@
 
     def call(self, caller, address, method, *args):
         self.calls[caller] += 1
+        if self.rng.random() < self.loss:
+            raise PeerUnavailableError("lost", step=method, peer=address)
         unreachable = {caller, address} & self.down or (caller, address) in self.cut
         if unreachable:
             raise PeerUnavailableError("no answer", step=method, peer=address)
@@ -88,6 +97,8 @@
             max_mesh_nodes,
         )
         self.peers.on_suspects = lambda names, node: self.heard_suspects.extend(names)
+        self.evidence = CrashEvidence(network.clock, self.peers.settle_s)
+        self.peers.on_crashes = self.evidence.note_peers
         self.handler = RoutedHandler(self.peers, {}, None, network.clock)
 
     def pulse(self):
@@ -103,9 +114,12 @@
             suspects=list(self.suspected),
             has_traffic=True,
             leaving={},
+            crashes=self.evidence.crashes_to_tell(),
+            sound_parts=self.evidence.sound_parts_to_tell(),
         )
 
     def step(self):
+        self.evidence.update()
         self.peers.call_new_peers(SimpleNamespace(spawn=lambda *args: None))
         for partner in sorted(self.peers._links.partners):
             self.peers._exchange(self.network.state.nodes[partner], True)
@@ -113,6 +127,68 @@
         self.peers.call_lost_node()
 
 
+class CrashingPartTests(unittest.TestCase):
+    """Crashes that different nodes see become known to all in time."""
+
+    def setUp(self):
+        self.network = Network()
+        self.network.run(4.0)
+        self.nodes = self.network.nodes
+
+    def crash_servers(self, nodes, part="bad"):
+        """Let a server crash at each of the nodes, at the same moment."""
+        for number, name in enumerate(nodes):
+            prompt = ("hot", part, f"own-{number}")
+            crash = Crash(f"s{number}", 1)
+            self.nodes[name].evidence.note_crash(crash, prompt, "r")
+
+    def check_blocked(self, *, except_nodes=()):
+        for name in set(self.nodes) - self.network.down - set(except_nodes):
+            self.assertEqual(self.nodes[name].evidence.blocked_parts(), {"bad"}, name)
+
+    def answer(self, name, part):
+        self.nodes[name].evidence.note_answered((part,))
+
+    def test_part_is_blocked_at_all_nodes_within_the_time_allowed(self):
+        self.answer("n45", "hot")
+        self.crash_servers(("n20", "n31", "n42"))
+        self.network.run(CONTACT_S)
+        self.check_blocked()
+
+    def test_with_a_fifth_of_the_calls_lost(self):
+        self.network.loss = 0.2
+        self.answer("n45", "hot")
+        self.crash_servers(("n20", "n31", "n42", "n50", "n55"))
+        self.network.run(CONTACT_S)
+        self.check_blocked()
+
+    def test_with_a_relay_lost_at_that_moment(self):
+        relay = self.nodes["n20"].peers.parent()
+        self.answer("n45", "hot")
+        self.crash_servers(("n20", "n31", "n42"))
+        self.network.down.add(relay)
+        self.network.run(DIRECTORY_LIMIT_S)
+        self.check_blocked()
+
+    def test_node_that_was_frozen_meanwhile_blocks_it_when_it_is_back(self):
+        self.network.down.add("n33")
+        self.answer("n45", "hot")
+        self.crash_servers(("n20", "n31", "n42"))
+        self.network.run(20.0)
+        self.network.down.clear()
+        self.network.run(CONTACT_S)
+        self.check_blocked()
+
+    def test_part_that_one_node_has_had_answered_is_blocked_nowhere(self):
+        self.answer("n45", "hot")
+        self.answer("n58", "bad")
+        self.crash_servers(("n20", "n31", "n42"))
+        for _ in range(20):
+            self.network.run(REPORT_PERIOD_S)
+            for name, node in self.nodes.items():
+                self.assertEqual(node.evidence.blocked_parts(), set(), name)
+
+
 class RelayTests(unittest.TestCase):
     def setUp(self):
         self.network = Network()
--- a/tests/routing/test_crash_evidence.py
+++ b/tests/routing/test_crash_evidence.py
@@ -1,5 +1,6 @@
 """Which prompt parts are blocked: replays of servers that crash, by cause."""
 
+import itertools
 import random
 import unittest
 
@@ -36,6 +37,7 @@
 
     def __init__(self, count):
         self.clock = FakeClock()
+        self.numbers = itertools.count()
         self.nodes = [CrashEvidence(self.clock, lambda: SETTLE_S) for _ in range(count)]
 
     def exchange(self):
@@ -55,7 +57,8 @@
     def crash(self, server, prompts, first_node=0):
         for index, prompt in enumerate(prompts):
             node = self.nodes[(first_node + index) % len(self.nodes)]
-            node.note_crash(Crash(server, 1), prompt, "r")
+            own = f"own-{next(self.numbers)}"
+            node.note_crash(Crash(server, 1), (*prompt, own), "r")
 
     def blocked(self):
         return [node.blocked_parts() for node in self.nodes]
@@ -165,7 +168,9 @@
     def test_evidence_and_reports_are_bounded(self):
         node = self.fleet.nodes[0]
         for number in range(10 * MAX_CRASHES):
-            node.note_crash(Crash(f"s{number}", 1), (f"p{number}",), "r")
+            node.note_crash(
+                Crash(f"s{number}", 1), (f"p{number}", f"own-{number}"), "r"
+            )
         self.assertEqual(len(node.crashes_to_tell()), MAX_CRASHES_TOLD)
         self.assertEqual(len(node._crashes), MAX_CRASHES)
 
@@ -180,7 +185,27 @@
 
     def test_a_part_is_no_cause_of_crashes_that_another_part_explains(self):
         prompts_by_crash = {
-            Crash(f"s{n}", 1): {("hot", "bad"), ("cold",)} for n in range(5)
+            Crash(f"s{n}", 1): {("hot", "bad", f"own-{n}"), ("cold", "own")}
+            for n in range(5)
         }
-        found = find_crashing_parts(prompts_by_crash, set(), lambda part: MIN_CRASHES)
+        found = find_crashing_parts(
+            prompts_by_crash, set(), lambda part, crashes, requests: crashes >= 3
+        )
         self.assertEqual([part for part, _ in found], ["bad"])
+
+    def test_crashes_under_one_request_block_no_shared_part(self):
+        """The request's own part may be the cause; its retries have the same one."""
+        node = self.fleet.nodes[0]
+        for number in range(2 * MIN_CRASHES):
+            node.note_crash(Crash(f"s{number}", 1), ("part", "own"), "r")
+        self.fleet.run(1.0)
+        self.assertEqual(self.fleet.blocked(), [set()] * 7)
+
+    def test_node_that_starts_or_wakes_later_blocks_the_part_too(self):
+        for number in range(MIN_CRASHES):
+            self.fleet.crash(f"s{number}", [("bad",)], first_node=number)
+        self.fleet.run(EVIDENCE_S / 2)
+        late = CrashEvidence(self.fleet.clock, lambda: SETTLE_S)
+        self.fleet.nodes.append(late)
+        self.fleet.run(1.0)
+        self.assertEqual(late.blocked_parts(), {"bad"})
