Apply the record of a blocked prompt part as soon as it is read

What was seen: test_restarted_nodes_know_which_part_crashes_servers failed in 2 of 6 runs beside each other, with 4 and 5 requests after the limit; a run before had one failure in its file whose name was not kept. Cause, from the nodes' logs: a node that starts takes requests once it has read the fleet's table, but took over the blocked parts in its next step, up to 0.1 s later; and a request under which the third server had crashed was sent to a fourth before the evidence was evaluated. Records are applied by the table's listener now, and a node's own crash is evaluated at once.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/blocked_parts.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/blocked_parts.py
@@ -1,6 +1,7 @@
 """Records of the blocked prompt parts in the fleet's table, for nodes that start."""
 
 from auburnwall.base.logs import event
+from auburnwall.fleet.formation.records import BLOCKED_PART_PREFIX
 from auburnwall.state.exceptions import StateError
 
 # Time between two attempts to write the records, in seconds.
@@ -21,18 +22,24 @@
         self._clock = clock
         self._applied = set()
         self._write_at = 0.0
+        state.replica.listeners.append(self._note_record)
 
     def step(self):
-        """Evaluate the evidence; take over or write changes of the records."""
+        """Evaluate the evidence, and write what has changed if this is the planner."""
         self._evidence.update()
+        if self._writer.is_planner() and self._clock.monotonic() >= self._write_at:
+            self._write()
+
+    def _note_record(self, record):
+        """Apply a record at once: a node that has read the table takes requests."""
+        if not record.key.startswith(BLOCKED_PART_PREFIX):
+            return
         recorded = self._state.blocked_parts.keys()
         for part in recorded - self._applied:
             self._evidence.block_known(part)
         for part in self._applied - recorded:
             self._evidence.unblock(part, "its record was removed")
         self._applied = set(recorded)
-        if self._writer.is_planner() and self._clock.monotonic() >= self._write_at:
-            self._write()
 
     def _write(self):
         blocked = self._evidence.blocked_parts()
--- a/packages/auburnwall-routing/src/auburnwall/routing/crash_evidence.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/crash_evidence.py
@@ -140,6 +140,8 @@
             parts=prompt,
         )
         self._add(crash, [prompt], is_own=True)
+        # The request may be about to be sent to another server.
+        self.update()
 
     def note_answered(self, shared_parts):
         """Record that a request with these shared parts was answered completely."""
