Do not pass on an empty stream whose end only its connection shows

A response may have neither a length nor chunks and end with its connection. If the server ended before its first event, the caller got 200 with an empty body, as if the stream were complete: the connection of a server that has crashed is closed like one whose response is over. Such a stream counts as broken off now and goes on at another server; a caller that already has the last event gets 502 from a server that answers like that, which is safe to repeat.

--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -110,6 +110,10 @@
                 raise self._error("an event is too large", "read stream")
         if self.splitter.pending:
             raise self._error("the stream ended within an event", "read stream")
+        if not self._complete and not self.splitter.count:
+            # Nothing but the connection's end says that the stream is over, and that
+            # of a server that has crashed looks the same.
+            raise self._error("the stream ended before an event", "read stream")
 
     def close(self):
         """Release the slot, and the channel for reuse if the exchange is complete.
--- a/standins/modelserver.py
+++ b/standins/modelserver.py
@@ -1,13 +1,15 @@
 """Stand-in for a server that registers itself, follows orders and serves requests."""
 
 import json
+import struct
 import time
 from contextlib import suppress
+from socket import SO_LINGER, SOL_SOCKET
 
 import bottle
 import gevent
 
-from .server import StandinServer
+from .server import StandinServer, abort_connection
 
 TOPIC = "keyed.servers"
 SEAL_HEADER = "X-Server-Seal"
@@ -27,6 +29,11 @@
     ``"drip"`` (parts of an event that is never complete) or ``"twice"`` (a second copy
     of the response, a moment later).
 
+    Responses have neither a length nor chunks if ``unframed_end`` says how they end:
+    ``"whole"``, ``"torn"`` (a stream within its third event), ``"empty"`` (a stream
+    before its first event) or ``"reset"`` (a stream after its second event, any other
+    response within its body; the connection is reset instead of closed).
+
     The server crashes at each request with ``crash_part`` among the parts of its
     prompt, once it has begun to answer, and is back after ``restart_s``. ``crashes``
     holds the times of these requests' arrivals.
@@ -55,6 +62,7 @@
         self.events = 10
         self.join_s = 0.1
         self.pause_s = 1.0
+        self.unframed_end = None
         self.crash_part = None
         self.crashes = []
         self.restart_s = 1.5
@@ -252,6 +260,8 @@
                 req.headers.get(REQUEST_ID_HEADER, ""),
                 req.path,
             )
+        if self.unframed_end:
+            return self._unframed_response(req)
         if not self._domain:
             return self._plain_response(req)
         parts = req.headers.get("X-Prompt-Prefix", "").split(",")
@@ -279,6 +289,30 @@
             bottle.response.headers["Content-Length"] = str(len(body) + 9)
         return body
 
+    def _unframed_response(self, req):
+        """Send a response whose end is that of its connection."""
+        sock = req.environ["standin.socket"]
+        head = (
+            f"HTTP/1.1 200 OK\r\n{SEAL_HEADER}: seal-of-{self.server}\r\n"
+            f"{REQUEST_ID_HEADER}: {req.headers.get(REQUEST_ID_HEADER)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        sock.sendall(head.encode())
+        if self._domain:
+            pieces = list(self._event_stream(req))
+            ends = {"torn": [*pieces[:2], pieces[2][:9]] if pieces[2:] else pieces}
+            ends |= {"whole": pieces, "empty": [], "reset": pieces[:2]}
+        else:
+            body = self._plain_response(req)
+            ends = {"whole": [body], "reset": [body[:9]]}
+        sock.sendall(b"".join(ends[self.unframed_end]))
+        if self.unframed_end == "reset":
+            gevent.sleep(self.event_s)
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+            sock.close()
+            raise gevent.GreenletExit
+        return abort_connection()
+
     def _send_copy(self, sock, request_id, path):
         """Send a second copy of a response, whatever the connection is used for."""
         body = json.dumps({"by": self.server, "of": path, "copy": True}).encode()
