Remember as many prompts of a crashed server as it has slots

Found when reading the diff: the evidence kept eight prompts of each crash. Of a server with twenty requests, put together from several nodes, the one whose part crashed it could be left out, and the part was not found. The new test failed before.

--- a/packages/auburnwall-routing/src/auburnwall/routing/crash_evidence.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/crash_evidence.py
@@ -28,8 +28,9 @@
 # Time after which the evidence is evaluated again once it has settled, in seconds; it
 # changes no decision after that until it grows.
 EVALUATION_MARGIN_S = 1.0
-# Limits on what is remembered, and on what a heartbeat carries.
-MAX_SOUND_PARTS, MAX_CRASHES, MAX_PROMPTS_PER_CRASH = 8_192, 64, 8
+# Limits on what is remembered, and on what a heartbeat carries. Servers have fewer
+# slots than the prompts that are remembered of each.
+MAX_SOUND_PARTS, MAX_CRASHES, MAX_PROMPTS_PER_CRASH = 8_192, 64, 32
 MAX_CRASHES_TOLD = 16
 
 
--- a/tests/routing/test_crash_evidence.py
+++ b/tests/routing/test_crash_evidence.py
@@ -209,3 +209,11 @@
         self.fleet.nodes.append(late)
         self.fleet.run(1.0)
         self.assertEqual(late.blocked_parts(), {"bad"})
+
+    def test_part_is_found_among_many_prompts_at_each_server(self):
+        """A server has up to twenty slots; its requests come from several nodes."""
+        for number in range(MIN_CRASHES):
+            prompts = [(f"p{number}-{n}",) for n in range(19)] + [("bad",)]
+            self.fleet.crash(f"s{number}", prompts)
+        self.fleet.run(1.0)
+        self.assertEqual(self.fleet.blocked(), [{"bad"}] * 7)
