--- a/packages/auburnwall-routing/src/auburnwall/routing/crash_evidence.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/crash_evidence.py
@@ -150,16 +150,20 @@
         for part in shared_parts:
             self._sound_at[part] = now
             self._sound_at.move_to_end(part)
-            self.unblock(part, "answered by a server")
+            self._unblock_sound(part, "answered by a server")
         while len(self._sound_at) > MAX_SOUND_PARTS:
             self._sound_at.popitem(last=False)
 
     def note_peers(self, crashes, sound_parts, source):
-        """Record what a peer tells, in the form of ``crashes_to_tell`` and so on."""
+        """Record what the peer ``source`` tells.
+
+        The arguments are what its ``crashes_to_tell`` and ``sound_parts_to_tell``
+        return, or those of several peers put together.
+        """
         now = self._clock.monotonic()
         for part in sound_parts:
             self._sound_at_peers[part] = now
-            self.unblock(part, f"answered, says {source}")
+            self._unblock_sound(part, f"answered, says {source}")
         for name, prompts in crashes.items():
             server, _, born = name.rpartition("@")
             parts = [tuple(prompt.split(",")) for prompt in prompts]
@@ -209,10 +213,9 @@
             self._block(part, (), "fleet table")
 
     def unblock(self, part, why):
-        """Unblock a part; it may be blocked again only for enough new crashes."""
+        """Unblock a part whose time is over; one more crash blocks it again."""
         if self._blocked_until.pop(part, None) is not None:
             event("prompt part unblocked", part=part, why=why)
-        self._blocked_before.discard(part)
 
     def update(self):
         """Forget old evidence, and block the parts that explain enough crashes."""
@@ -231,6 +234,11 @@
             if now - self._part_known_at[part] >= self._settle_s():
                 self._block(part, crashes, "crashes")
 
+    def _unblock_sound(self, part, why):
+        """Unblock a part that crashes no servers."""
+        self.unblock(part, why)
+        self._blocked_before.discard(part)
+
     def _add(self, crash, prompts, is_own):
         now = self._clock.monotonic()
         known = self._crashes.get(crash) or _KnownCrash(now, set(), False)
@@ -251,8 +259,7 @@
         for part in [p for p, at in self._sound_at_peers.items() if at < oldest_at]:
             del self._sound_at_peers[part]
         for part in [p for p, until in self._blocked_until.items() if until <= now]:
-            del self._blocked_until[part]
-            event("prompt part unblocked", part=part, why="time is over")
+            self.unblock(part, "time is over")
 
     def _remove(self, crashes):
         """Remove crashes, and the parts that are in the evidence only with them."""
--- a/tests/routing/test_crash_evidence.py
+++ b/tests/routing/test_crash_evidence.py
@@ -210,6 +210,14 @@
         self.fleet.run(1.0)
         self.assertEqual(late.blocked_parts(), {"bad"})
 
+    def test_removed_record_leaves_a_part_that_one_crash_blocks_again(self):
+        node = self.fleet.nodes[0]
+        node.block_known("bad")
+        node.unblock("bad", "its record was removed")
+        self.fleet.crash("s1", [("bad",)])
+        self.fleet.run(1.0)
+        self.assertEqual(node.blocked_parts(), {"bad"})
+
     def test_part_is_found_among_many_prompts_at_each_server(self):
         """A server has up to twenty slots; its requests come from several nodes."""
         for number in range(MIN_CRASHES):
