--- a/packages/auburnwall-routing/src/auburnwall/routing/channels.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/channels.py
@@ -83,7 +83,7 @@
     def has_crashed(self, server, address):
         """Return whether a server refuses connections: its process has ended.
 
-        This is false if its VM does not respond, since that does not end a process.
+        This is false if its VM does not respond, since nothing is known then.
         """
         channel = Channel(server, address, CRASH_CHECK_TIMEOUT_S)
         try:
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
@@ -156,7 +156,7 @@
  * `suspects` counts the nodes that suspect each group. `leaving` maps the servers
  * that told any of them that they leave to the start time of their incarnation.
  * `crashes` maps crashed servers, as SERVER@BORN, to the prompts in flight there, as
- * the IDs of their shared parts joined by commas. `sound_parts` are parts of such
+ * the IDs of their parts joined by commas. `sound_parts` are shared parts of such
  * prompts with which requests have been answered.
  */
 struct Load {
--- a/standins/modelserver.py
+++ b/standins/modelserver.py
@@ -299,13 +299,16 @@
         )
         sock.sendall(head.encode())
         if self._domain:
-            pieces = list(self._event_stream(req))
-            ends = {"torn": [*pieces[:2], pieces[2][:9]] if pieces[2:] else pieces}
-            ends |= {"whole": pieces, "empty": [], "reset": pieces[:2]}
+            events = list(self._event_stream(req))
+            count = {"whole": len(events), "empty": 0}.get(self.unframed_end, 2)
+            body = b"".join(events[:count])
+            if self.unframed_end == "torn":
+                body += b"".join(events[count:])[:9]
         else:
             body = self._plain_response(req)
-            ends = {"whole": [body], "reset": [body[:9]]}
-        sock.sendall(b"".join(ends[self.unframed_end]))
+            if self.unframed_end == "reset":
+                body = body[:9]
+        sock.sendall(body)
         if self.unframed_end == "reset":
             gevent.sleep(self.event_s)
             sock.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
--- a/tests/routing/test_crash_evidence.py
+++ b/tests/routing/test_crash_evidence.py
@@ -3,6 +3,7 @@
 import itertools
 import random
 import unittest
+from unittest.mock import patch
 
 from auburnwall.routing.crash_evidence import (
     BLOCK_S,
@@ -225,3 +226,31 @@
             self.fleet.crash(f"s{number}", prompts)
         self.fleet.run(1.0)
         self.assertEqual(self.fleet.blocked(), [{"bad"}] * 7)
+
+
+class MechanismTests(unittest.TestCase):
+    """The failures that come back if a part of the mechanism is switched off."""
+
+    def setUp(self):
+        self.fleet = Fleet(7)
+
+    def crash_servers_under_different_parts(self):
+        for number in range(MIN_CRASHES):
+            self.fleet.nodes[6].note_answered(("hot",))
+            self.fleet.crash(f"s{number}", [("hot", f"p{number}")], number)
+        self.fleet.run(1.0)
+
+    def test_without_answers_the_part_that_most_prompts_share_is_blocked(self):
+        self.crash_servers_under_different_parts()
+        self.assertEqual(self.fleet.blocked(), [set()] * 7)
+        self.fleet = Fleet(7)
+        with patch.object(CrashEvidence, "note_answered"):
+            self.crash_servers_under_different_parts()
+        self.assertEqual(self.fleet.blocked(), [{"hot"}] * 7)
+
+    def test_without_reports_no_node_sees_enough_crashes(self):
+        with patch.object(CrashEvidence, "note_peers"):
+            for number in range(MAX_CRASHES_BEFORE_BLOCK):
+                self.fleet.crash(f"s{number}", [("bad",)], first_node=number)
+            self.fleet.run(5.0)
+        self.assertEqual(self.fleet.blocked(), [set()] * 7)
