Share the test setup of process tests and of calls to a front

Read again: the setup of the cluster on the stand-in platform stood twice, one call to a front four times, and the head of a raw response twice in the stand-in; the crashing prompts' test measured times that nothing used. One piece each now.

--- a/standins/modelserver.py
+++ b/standins/modelserver.py
@@ -269,15 +269,21 @@
             return self._crash_on_prompt(req)
         return self._event_stream(req)
 
+    def _response_head(self, req, field):
+        """Return the head of a response to write to the socket, with one more field."""
+        lines = (
+            "HTTP/1.1 200 OK",
+            f"{SEAL_HEADER}: seal-of-{self.server}",
+            f"{REQUEST_ID_HEADER}: {req.headers.get(REQUEST_ID_HEADER)}",
+            field,
+        )
+        return "".join(f"{line}\r\n" for line in (*lines, "")).encode()
+
     def _crash_on_prompt(self, req):
         """Send the head of a stream, then crash."""
         self.crashes.append(time.time())
-        head = (
-            f"HTTP/1.1 200 OK\r\n{SEAL_HEADER}: seal-of-{self.server}\r\n"
-            f"{REQUEST_ID_HEADER}: {req.headers.get(REQUEST_ID_HEADER)}\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n"
-        )
-        req.environ["standin.socket"].sendall(head.encode())
+        head = self._response_head(req, "Transfer-Encoding: chunked")
+        req.environ["standin.socket"].sendall(head)
         gevent.sleep(self.event_s)
         # Crashing ends the task of this request too.
         gevent.spawn(self.crash)
@@ -292,12 +298,7 @@
     def _unframed_response(self, req):
         """Send a response whose end is that of its connection."""
         sock = req.environ["standin.socket"]
-        head = (
-            f"HTTP/1.1 200 OK\r\n{SEAL_HEADER}: seal-of-{self.server}\r\n"
-            f"{REQUEST_ID_HEADER}: {req.headers.get(REQUEST_ID_HEADER)}\r\n"
-            "Connection: close\r\n\r\n"
-        )
-        sock.sendall(head.encode())
+        sock.sendall(self._response_head(req, "Connection: close"))
         if self._domain:
             events = list(self._event_stream(req))
             count = {"whole": len(events), "empty": 0}.get(self.unframed_end, 2)
--- a/tests/processes/test_crashing_prompts.py
+++ b/tests/processes/test_crashing_prompts.py
@@ -2,13 +2,11 @@
 
 import itertools
 import signal
-import tempfile
 import time
-import unittest
 from concurrent.futures import ThreadPoolExecutor
 from http.client import HTTPException
 
-from demo.platform_cluster import PlatformCluster
+from .support import PlatformClusterTestCase
 
 SHARED_PART, CRASH_PART = "aa11", "bad1"
 # The users' rule: from this time after the fifth crash on, only so many more requests
@@ -18,63 +16,42 @@
 INTERVAL_S = 0.25
 
 
-class CrashingPromptTests(unittest.TestCase):
-    NODES = 3
-    NODE_ENV = {}
-
+class CrashingPromptTests(PlatformClusterTestCase):
     def setUp(self):
-        out = self.enterContext(tempfile.TemporaryDirectory())
-        cluster = PlatformCluster(self.NODES, out, self.NODE_ENV)
-        self.cluster = self.enterContext(cluster)
-        self.names = sorted(self.cluster.nodes)
+        super().setUp()
         self.numbers = itertools.count()
-        self.cluster.wait(self.all_ready, "all nodes are ready")
         self.cluster.wait(self.is_sound_served, "a group is open")
 
-    def all_ready(self):
-        return all(map(self.cluster.is_ready, self.names))
-
     def send(self, node, *shared_parts):
-        """Send a request; return status, body, and the time it took in seconds.
-
-        The status is 0 if there is no complete response.
-        """
+        """Send a request; return status and body, 0 if there is no whole response."""
         number = next(self.numbers)
         prompt = ",".join(f"{part}:40" for part in (*shared_parts, f"{number:08x}"))
-        started_at = time.monotonic()
         try:
-            status, body = self.cluster.send_request(node, f"c-{number}", prompt=prompt)
+            return self.cluster.send_request(node, f"c-{number}", prompt=prompt)
         except (OSError, HTTPException):
-            status, body = 0, b""
-        return status, body, time.monotonic() - started_at
+            return 0, b""
 
-    def is_sound_served(self, node=None):
-        status, body, _ = self.send(node or self.names[0], SHARED_PART)
+    def is_sound_served(self):
+        status, body = self.send(self.names[0], SHARED_PART)
         return status == 200 and body.count(b"data: piece-") == 10
 
     def send_for(self, seconds):
-        """Send sound requests and such with the crashing part to all nodes.
-
-        Returns the results of the latter.
-        """
+        """Send sound requests and such with the crashing part to all nodes."""
         ends_at = time.monotonic() + seconds
 
         def repeat(node, *parts):
-            results = []
             while time.monotonic() < ends_at:
-                results.append(self.send(node, *parts))
+                self.send(node, *parts)
                 time.sleep(INTERVAL_S)
-            return results
 
         with ThreadPoolExecutor(2 * self.NODES) as pool:
-            sound = [pool.submit(repeat, name, SHARED_PART) for name in self.names]
-            crashing = [
-                pool.submit(repeat, name, SHARED_PART, CRASH_PART)
+            futures = [
+                pool.submit(repeat, name, *parts)
                 for name in self.names
+                for parts in ((SHARED_PART,), (SHARED_PART, CRASH_PART))
             ]
-            for future in sound:
-                future.result()
-            return [result for future in crashing for result in future.result()]
+        for future in futures:
+            future.result()
 
     def requests_after_limit(self):
         """Return how many requests with the part reached servers too late."""
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -2,31 +2,19 @@
 
 import itertools
 import signal
-import tempfile
 import time
-import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from demo.platform_cluster import PlatformCluster
+from .support import PlatformClusterTestCase
 
 EVENTS_PER_STREAM = 10
 
 
-class PlatformClusterTests(unittest.TestCase):
-    NODES = 3
-    NODE_ENV = {}
-
+class PlatformClusterTests(PlatformClusterTestCase):
     def setUp(self):
-        out = self.enterContext(tempfile.TemporaryDirectory())
-        cluster = PlatformCluster(self.NODES, out, self.NODE_ENV)
-        self.cluster = self.enterContext(cluster)
-        self.names = sorted(self.cluster.nodes)
-        self.cluster.wait(self.all_ready, "all nodes are ready")
+        super().setUp()
         self.cluster.wait(lambda: self.is_served("first"), "a group is open")
 
-    def all_ready(self):
-        return all(map(self.cluster.is_ready, self.names))
-
     def is_served(self, request_id, node=None):
         try:
             status, body = self.cluster.send_request(node or self.names[0], request_id)
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -1,5 +1,6 @@
 """Test setup: a front for callers and a forwarder, in front of stand-in servers."""
 
+import http.client
 import itertools
 import json
 import random
@@ -192,6 +193,19 @@
         return servers
 
 
+def send_call(address, method, path, request_id, **headers):
+    """Return status, headers and body of one exchange on a new connection."""
+    headers |= {
+        "Host": "shop.example",
+        "X-Attempt-Id": request_id,
+        "Authorization": f"Bearer {KEY}",
+    }
+    with closing(http.client.HTTPConnection(address, timeout=6.0)) as conn:
+        conn.request(method, path, headers=headers)
+        resp = conn.getresponse()
+        return resp.status, resp.headers, resp.read()
+
+
 def wait_until(ready, timeout_s=5.0):
     """Wait until ``ready()`` is true; raises ``AssertionError`` after ``timeout_s``."""
     with gevent.Timeout(timeout_s, AssertionError("not in time")):
--- a/tests/routed/test_crashing_prompts.py
+++ b/tests/routed/test_crashing_prompts.py
@@ -12,7 +12,7 @@
 
 from auburnwall.routing.crash_evidence import BLOCK_S, MIN_CRASHES, Crash  # noqa: E402
 
-from .support import KEY, FrontWithServers, wait_until  # noqa: E402
+from .support import FrontWithServers, send_call, wait_until  # noqa: E402
 
 
 class CrashingPromptTests(unittest.TestCase):
@@ -21,17 +21,8 @@
         self.evidence = self.front.crash_evidence
 
     def call(self, number, prompt):
-        conn = http.client.HTTPConnection(self.front.address, timeout=6.0)
-        self.addCleanup(conn.close)
-        headers = {
-            "Host": "shop.example",
-            "X-Attempt-Id": f"r-{number}",
-            "X-Prompt-Prefix": f"{prompt},{number:08x}:9",
-            "Authorization": f"Bearer {KEY}",
-        }
-        conn.request("POST", "/ask/x", headers=headers)
-        resp = conn.getresponse()
-        return resp.status, resp.headers, resp.read()
+        headers = {"X-Prompt-Prefix": f"{prompt},{number:08x}:9"}
+        return send_call(self.front.address, "POST", "/ask/x", f"r-{number}", **headers)
 
     def block(self, part):
         for number in range(MIN_CRASHES):
--- a/tests/routed/test_mechanisms.py
+++ b/tests/routed/test_mechanisms.py
@@ -31,11 +31,11 @@
 from tests.state.test_table import FakeClock  # noqa: E402
 
 from .support import (  # noqa: E402
-    KEY,
     FrontWithServers,
     StandinView,
     config,
     route,
+    send_call,
     wait_until,
 )
 
@@ -50,17 +50,8 @@
 
     def call(self, path, method="POST", deadline_ms="3000"):
         """Return status, headers and body of one exchange."""
-        conn = http.client.HTTPConnection(self.front.address, timeout=6.0)
-        self.addCleanup(conn.close)
-        headers = {
-            "Host": "shop.example",
-            "X-Attempt-Id": "r-1",
-            "Authorization": f"Bearer {KEY}",
-            "X-Deadline-Ms": deadline_ms,
-        }
-        conn.request(method, path, headers=headers)
-        resp = conn.getresponse()
-        return resp.status, resp.headers, resp.read()
+        headers = {"X-Deadline-Ms": deadline_ms}
+        return send_call(self.front.address, method, path, "r-1", **headers)
 
     def seen(self, servers):
         return [request for server in servers for request in server.seen]
--- a/tests/routed/test_server_notices.py
+++ b/tests/routed/test_server_notices.py
@@ -4,7 +4,6 @@
 
 gevent.monkey.patch_all()
 
-import http.client  # noqa: E402
 import unittest  # noqa: E402
 
 import gevent  # noqa: E402
@@ -22,7 +21,7 @@
 from standins.store import StoreStandin  # noqa: E402
 from tests.fleet.test_registrations import registration  # noqa: E402
 
-from .support import KEY, FrontWithServers  # noqa: E402
+from .support import FrontWithServers, send_call  # noqa: E402
 
 
 class NoticeTests(unittest.TestCase):
@@ -30,16 +29,7 @@
         self.front = self.enterContext(FrontWithServers())
 
     def call(self, path, method="GET", number=0):
-        conn = http.client.HTTPConnection(self.front.address, timeout=6.0)
-        self.addCleanup(conn.close)
-        headers = {
-            "Host": "shop.example",
-            "X-Attempt-Id": f"r-{number}",
-            "Authorization": f"Bearer {KEY}",
-        }
-        conn.request(method, path, headers=headers)
-        resp = conn.getresponse()
-        return resp.status, resp.headers, resp.read()
+        return send_call(self.front.address, method, path, f"r-{number}")
 
     def test_server_that_says_that_it_leaves_gets_nothing_more(self):
         leaving, staying = self.front.desks
--- a/tests/routed/test_unframed_responses.py
+++ b/tests/routed/test_unframed_responses.py
@@ -4,10 +4,9 @@
 
 gevent.monkey.patch_all()
 
-import http.client  # noqa: E402
 import unittest  # noqa: E402
 
-from .support import KEY, FrontWithServers  # noqa: E402
+from .support import FrontWithServers, send_call  # noqa: E402
 
 EVENTS = 10
 
@@ -22,16 +21,8 @@
             server.event_s = 0.001
 
     def call(self, path, method="GET", **headers):
-        conn = http.client.HTTPConnection(self.front.address, timeout=6.0)
-        self.addCleanup(conn.close)
-        headers |= {
-            "Host": "shop.example",
-            "X-Attempt-Id": "r-1",
-            "Authorization": f"Bearer {KEY}",
-        }
-        conn.request(method, path, headers=headers)
-        resp = conn.getresponse()
-        return resp.status, resp.read()
+        status, _, body = send_call(self.front.address, method, path, "r-1", **headers)
+        return status, body
 
     def check_stream_is_whole(self, **headers):
         status, body = self.call("/ask/x", "POST", **headers)
