Log the limits that servers name in their responses

A server that names a limit, the requests a second that it takes from all nodes together, and one that names none looked the same in the logs, so an unread limit could not be told from one that each node keeps by itself. The node now logs 'server limit changed' and counts limited servers in a gauge; no decision depends on it yet.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/server_notices.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/server_notices.py
@@ -1,6 +1,6 @@
-"""What servers say of themselves in any response: that they leave, or want a pause.
+"""What servers say of themselves in responses: that they leave, want a pause, a limit.
 
-Both count at once, whatever the platform's tables say. They are no failures: a server
+All count at once, whatever the platform's tables say. They are no failures: a server
 that asks for a pause is not suspect.
 """
 
@@ -13,6 +13,10 @@
 # Time for which peers are told of a leaving server, in seconds: by then its
 # registration says so as well, or is gone.
 TELL_PEERS_S = 10.0
+# Time after which a limit counts no more if no response has repeated it, in seconds.
+LIMIT_MEMORY_S = 30.0
+# Characters of an unreadable header that are logged.
+MAX_LOGGED_VALUE = 40
 
 
 class _Pause(NamedTuple):
@@ -22,8 +26,19 @@
     until: float
 
 
+class _Limit(NamedTuple):
+    """The requests per second that a server takes, as heard at ``heard_at``.
+
+    ``per_s`` is ``None`` once the responses of this incarnation name no limit any more.
+    """
+
+    born: int
+    per_s: float | None
+    heard_at: float
+
+
 class ServerNotices:
-    """The leaving servers and the pauses that this node has heard of.
+    """The leaving servers, the pauses and the limits that this node has heard of.
 
     Each counts for the incarnation of the server that is registered at that moment.
     """
@@ -33,6 +48,7 @@
         self._clock = clock
         self._pauses = {}
         self._leaving_heard_at = {}
+        self._limits = {}
 
     def note_response(self, server, source, *, is_leaving, pause_s):
         """Record what a response says of its server.
@@ -45,6 +61,30 @@
         if pause_s is not None:
             self._note_pause(server, pause_s, source)
 
+    def note_limit(self, server, source, per_s, asked_at):
+        """Record how many requests per second a response says that its server takes.
+
+        ``per_s`` is ``None`` if it names no limit. That counts only if the request was
+        sent, at ``asked_at``, after the last response that did.
+        """
+        known = self._limits.get(server)
+        if per_s is None and (known is None or asked_at < known.heard_at):
+            return
+        limit = _Limit(self._born(server), per_s, self._clock.monotonic())
+        self._set_limit(server, limit, source)
+
+    def limit_per_s(self, server):
+        """Return the requests per second that a server takes, ``None`` if any."""
+        known = self._limits.get(server)
+        if known is None or self._born(server) not in (known.born, None):
+            return None
+        is_recent = self._clock.monotonic() - known.heard_at < LIMIT_MEMORY_S
+        return known.per_s if is_recent else None
+
+    def limited_servers(self):
+        """Return the names of the servers that have a limit."""
+        return [name for name in self._limits if self.limit_per_s(name) is not None]
+
     def note_peer_leaving(self, servers, node):
         """Record the leaving servers that a peer has heard of, with their ``born``."""
         for server, born in servers.items():
@@ -69,6 +109,18 @@
         del self._pauses[server]
         return 0.0
 
+    def _set_limit(self, server, limit, source):
+        before = self.limit_per_s(server)
+        self._limits[server] = limit
+        if limit.per_s != before:
+            event(
+                "server limit changed",
+                peer=server,
+                source=source,
+                per_s=limit.per_s,
+                before_per_s=before,
+            )
+
     def _note_leaving(self, server, source):
         born = self._born(server)
         if born is None:
@@ -108,3 +160,21 @@
     except ValueError:
         return None
     return seconds if 0 < seconds < float("inf") else None
+
+
+def limit_from_header(text):
+    """Return the requests per second that a response names, or ``None``.
+
+    >>> limit_from_header("1.5")
+    1.5
+    """
+    if not text:
+        return None
+    try:
+        per_s = float(text)
+    except ValueError:
+        per_s = float("nan")
+    if 0 <= per_s < float("inf"):
+        return per_s
+    event("server limit not readable", value=text[:MAX_LOGGED_VALUE])
+    return None
--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -52,6 +52,11 @@
             "Prompt parts that are blocked because they crash servers.",
             lambda: len(node.crash_evidence.blocked_parts()),
         ),
+        (
+            "limited_servers",
+            "Servers that have named a limit on their requests.",
+            lambda: len(node.notices.limited_servers()),
+        ),
         ("connections", "Connections opened.", lambda: channels.connections_opened),
     ):
         metrics.gauge(f"auburnwall_{name}", documentation, function)
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -7,7 +7,11 @@
 from urllib3.util import SKIP_HEADER
 
 from auburnwall.base.http import READ_BYTES
-from auburnwall.fleet.server_notices import LEAVING, pause_from_header
+from auburnwall.fleet.server_notices import (
+    LEAVING,
+    limit_from_header,
+    pause_from_header,
+)
 
 from .event_stream import NumberedEventSplitter
 from .exceptions import ExchangeError
@@ -69,6 +73,7 @@
         self.status, self.headers = self._resp.status, self._resp.headers
         self._note_notices()
         self._check_head(request.request_id)
+        self._note_limit()
 
     @property
     def not_run(self):
@@ -189,6 +194,19 @@
             pause_s=self.pause_s,
         )
 
+    def _note_limit(self):
+        """Record the rate limit that the response names, or that it names none."""
+        if self.status == 421:
+            # Another server may have answered.
+            return
+        text = self.headers.get(self._deps.header_names.limit)
+        self._deps.notices.note_limit(
+            self.candidate.server,
+            f"request {self._request.request_id}",
+            limit_from_header(text),
+            asked_at=self.exchange.started_at,
+        )
+
     def _check_head(self, request_id):
         header_names = self._deps.header_names
         echoed = self.headers.get(header_names.request_id)
--- a/packages/auburnwall-routing/src/auburnwall/routing/header_names.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/header_names.py
@@ -13,7 +13,8 @@
     ``tokens`` holds the number of prompt tokens and the largest number of response
     tokens; ``answer_hint`` is the caller's estimate of the response tokens.
     ``prompt_parts`` lists the parts of the prompt. ``leaving`` states that the server
-    leaves, ``pause`` for how long a refusing server wants no request.
+    leaves, ``pause`` for how long a refusing server wants no request, and ``limit`` how
+    many requests per second the server takes.
     """
 
     request_id: str
@@ -30,3 +31,4 @@
     prompt_parts: str
     leaving: str
     pause: str
+    limit: str
