--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -121,6 +121,14 @@
         """
         return self._post("/standin/crash-part", {"part": part}).json()
 
+    def set_server_limit(self, per_s):
+        """Set how many requests per second the servers say that they take.
+
+        ``None`` ends the limit. Returns the times at which requests have reached each
+        server.
+        """
+        return self._post("/standin/limit", {"per_s": per_s}).json()
+
     def send_request(self, node, request_id, path="/ask/x", key=KEY, prompt=""):
         """Send a request to a node and return the status and body of the response.
 
--- a/standins/modelserver.py
+++ b/standins/modelserver.py
@@ -65,6 +65,10 @@
         self.unframed_end = None
         self.crash_part = None
         self.crashes = []
+        # Requests per second that the responses name as the server's limit.
+        self.limit_per_s = None
+        # Times at which requests have arrived.
+        self.arrivals = []
         self.restart_s = 1.5
         # Time between two pieces of endless bytes, and their size.
         self.drip_s, self.drip_bytes = 0.0, 65_536
@@ -207,6 +211,8 @@
     def _apply_faults_of_any_response(self):
         if "leaving" in self.faults:
             bottle.response.headers["Server-Leaving"] = "1"
+        if self.limit_per_s is not None:
+            bottle.response.headers["Server-Limit"] = str(self.limit_per_s)
         if "endless-head" in self.faults:
             self._send_without_end(b"HTTP/1.1 200 OK\r\nX-Fill: ")
         if "endless-body" in self.faults:
@@ -230,6 +236,7 @@
         if expected != self.server:
             resp.status = 421
             return b""
+        self.arrivals.append(time.time())
         if "shed" in self.faults:
             resp.status = 503
             resp.headers["X-Not-Executed"] = "1"
--- a/standins/usersplatform.py
+++ b/standins/usersplatform.py
@@ -21,7 +21,9 @@
     ``POST /standin/stop`` with ``{"server": ...}`` stops a server without notice; its
     registration expires as after a crash. ``POST /standin/crash-part`` with ``{"part":
     ...}`` sets the part of prompts that crashes model servers, and returns the times at
-    which requests with such a part have reached them.
+    which requests with such a part have reached them. ``POST /standin/limit`` with
+    ``{"per_s": ...}`` sets the limit that servers name, ``null`` for none, and returns
+    the times at which requests have reached each server.
     """
 
     def __init__(self, address):
@@ -35,6 +37,7 @@
             self._add_server(f"i-desk-{number}", "desk", "")
         self.store.app.route("/standin/stop", "POST", self._stop_server)
         self.store.app.route("/standin/crash-part", "POST", self._set_crash_part)
+        self.store.app.route("/standin/limit", "POST", self._set_limit)
         for server in self.servers.values():
             server.start()
 
@@ -53,3 +56,8 @@
             server.crash_part = bottle.request.json["part"]
         crashes = [at for server in self.servers.values() for at in server.crashes]
         return json_response(sorted(crashes))
+
+    def _set_limit(self):
+        for server in self.servers.values():
+            server.limit_per_s = bottle.request.json["per_s"]
+        return json_response({name: s.arrivals for name, s in self.servers.items()})
--- /dev/null
+++ b/tests/processes/test_server_limit.py
@@ -0,0 +1,94 @@
+"""Servers that name a limit get no more from all nodes together."""
+
+import itertools
+import time
+from bisect import bisect_right
+from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPException
+
+from .support import PlatformClusterTestCase
+
+LIMIT_PER_S = 2.0
+# The users' rule: from this time after the limit is first named, any window of this
+# length has at most so many requests more than the limit allows.
+CONTACT_S, WINDOW_S, OVER, SLACK = 3.0, 4.0, 1.5, 5
+# Fraction of its limit that a server gets at least while more requests come.
+MIN_USE = 0.5
+# Time between two requests of one sender, and senders for each node and path.
+INTERVAL_S, SENDERS = 0.1, 2
+PATHS = ("/book/x", "/ask/x")
+
+
+def most_in_window(times, since):
+    """Return the largest number of times, from ``since`` on, in one window."""
+    times = sorted(at for at in times if at >= since)
+    return max(
+        (bisect_right(times, at + WINDOW_S) - n for n, at in enumerate(times)),
+        default=0,
+    )
+
+
+class ServerLimitTests(PlatformClusterTestCase):
+    def setUp(self):
+        super().setUp()
+        self.numbers = itertools.count()
+        for path in PATHS:
+            self.cluster.wait(lambda p=path: self.is_served(p), f"{path} is served")
+
+    def send(self, node, path):
+        """Send a request; return its status, 0 if there is no whole response."""
+        try:
+            request_id = f"l-{next(self.numbers)}"
+            return self.cluster.send_request(node, request_id, path)[0]
+        except (OSError, HTTPException):
+            return 0
+
+    def is_served(self, path):
+        return all(self.send(name, path) == 200 for name in self.names)
+
+    def send_for(self, seconds):
+        """Send more requests than the limits allow; return their statuses."""
+        ends_at, statuses = time.monotonic() + seconds, []
+
+        def repeat(node, path):
+            while time.monotonic() < ends_at:
+                statuses.append(self.send(node, path))
+                time.sleep(INTERVAL_S)
+
+        with ThreadPoolExecutor(SENDERS * self.NODES * len(PATHS)) as pool:
+            for node, path in itertools.product(self.names, PATHS):
+                for _ in range(SENDERS):
+                    pool.submit(repeat, node, path)
+        return statuses
+
+    def test_servers_get_no_more_than_the_limit_that_they_name(self):
+        self.cluster.set_server_limit(LIMIT_PER_S)
+        named_at = time.time()
+        statuses = self.send_for(12.0)
+        ended_at = time.time()
+        arrivals = self.cluster.set_server_limit(None)
+        most = {
+            name: most_in_window(times, named_at + CONTACT_S)
+            for name, times in arrivals.items()
+        }
+        allowed = OVER * LIMIT_PER_S * WINDOW_S + SLACK
+        self.assertLessEqual(max(most.values()), allowed, most)
+        rates = {
+            name: sum(at > named_at + CONTACT_S for at in times)
+            / (ended_at - named_at - CONTACT_S)
+            for name, times in arrivals.items()
+            if any(at < named_at for at in times)
+        }
+        self.assertGreaterEqual(min(rates.values()), MIN_USE * LIMIT_PER_S, rates)
+        self.assertLessEqual(set(statuses), {200, 503})
+        # A server that names no limit any more gets all that comes.
+        for path in PATHS:
+            self.cluster.wait(lambda p=path: self.is_served(p), f"{path} is served")
+        self.assertGreater(self.send_for(4.0)[-60:].count(200), 50)
+
+
+class RelayedServerLimitTests(ServerLimitTests):
+    """The same with relays and brokers: two of five nodes are relays."""
+
+    NODES = 5
+    NODE_ENV = {"AUBURNWALL_MAX_MESH_NODES": "2"}
