--- a/packages/auburnwall-fleet/src/auburnwall/fleet/server_notices.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/server_notices.py
@@ -15,6 +15,8 @@
 TELL_PEERS_S = 10.0
 # Time after which a limit counts no more if no response has repeated it, in seconds.
 LIMIT_MEMORY_S = 30.0
+# Limits that a heartbeat carries.
+MAX_LIMITS_TOLD = 64
 # Characters of an unreadable header that are logged.
 MAX_LOGGED_VALUE = 40
 
@@ -30,11 +32,13 @@
     """The requests per second that a server takes, as heard at ``heard_at``.
 
     ``per_s`` is ``None`` once the responses of this incarnation name no limit any more.
+    ``is_own`` is whether this node has heard it itself.
     """
 
     born: int
     per_s: float | None
     heard_at: float
+    is_own: bool
 
 
 class ServerNotices:
@@ -70,9 +74,41 @@
         known = self._limits.get(server)
         if per_s is None and (known is None or asked_at < known.heard_at):
             return
-        limit = _Limit(self._born(server), per_s, self._clock.monotonic())
+        limit = _Limit(self._born(server), per_s, self._clock.monotonic(), True)
         self._set_limit(server, limit, source)
 
+    def note_peer_limits(self, limits, node):
+        """Record the limits that a peer has heard of, if its word is the newest.
+
+        ``limits`` maps servers to objects with ``born``, ``per_s`` and ``age_ms``.
+        """
+        now = self._clock.monotonic()
+        for server, told in limits.items():
+            known, heard_at = self._limits.get(server), now - told.age_ms / 1000
+            is_current = self._born(server) == told.born
+            if is_current and (known is None or heard_at > known.heard_at):
+                self._set_limit(
+                    server, _Limit(told.born, told.per_s, heard_at, False), node
+                )
+
+    def own_limits(self):
+        """Return the limits that this node has heard itself, the newest of them.
+
+        Each is a tuple of server, ``born``, requests per second and age in seconds.
+        """
+        now = self._clock.monotonic()
+        self._limits = {
+            server: limit
+            for server, limit in self._limits.items()
+            if now - limit.heard_at < LIMIT_MEMORY_S
+        }
+        own = [
+            (server, limit.born, limit.per_s, now - limit.heard_at)
+            for server, limit in self._limits.items()
+            if limit.is_own and limit.per_s is not None and limit.born is not None
+        ]
+        return sorted(own, key=lambda limit: limit[-1])[:MAX_LIMITS_TOLD]
+
     def limit_per_s(self, server):
         """Return the requests per second that a server takes, ``None`` if any."""
         known = self._limits.get(server)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/fleet_load.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/fleet_load.py
@@ -2,7 +2,7 @@
 
 from collections import Counter, defaultdict
 
-from auburnwall.wire.peer.ttypes import Load
+from auburnwall.wire.peer.ttypes import Load, ServerLimit
 
 
 def load_of_pulse(pulse):
@@ -16,6 +16,7 @@
         leaving=pulse.leaving,
         crashes=pulse.crashes,
         sound_parts=pulse.sound_parts,
+        limits=pulse.limits,
     )
 
 
@@ -25,7 +26,7 @@
     Demand of nodes without traffic is not counted; they have not measured any.
     """
     running, demand, suspects, leaving = Counter(), Counter(), Counter(), {}
-    prompts_by_crash, sound_parts = defaultdict(set), set()
+    prompts_by_crash, sound_parts, limits = defaultdict(set), set(), {}
     nodes_with_traffic = nodes_measured = 0
     for load in loads:
         running.update(load.running)
@@ -38,6 +39,10 @@
         for crash, prompts in (load.crashes or {}).items():
             prompts_by_crash[crash].update(prompts)
         sound_parts.update(load.sound_parts or ())
+        for server, limit in (load.limits or {}).items():
+            known = limits.get(server)
+            if known is None or limit.age_ms < known.age_ms:
+                limits[server] = limit
     return Load(
         dict(running),
         dict(demand),
@@ -47,9 +52,18 @@
         leaving,
         {crash: sorted(prompts) for crash, prompts in prompts_by_crash.items()},
         sorted(sound_parts),
+        limits,
     )
 
 
+def limits_to_wire(limits):
+    """Return the ``own_limits`` of ``ServerNotices`` as ``ServerLimit`` by server."""
+    return {
+        server: ServerLimit(born, per_s, int(1000 * age_s))
+        for server, born, per_s, age_s in limits
+    }
+
+
 def subtract_running(running, part):
     """Return the requests in ``running`` without those of ``part``."""
     rest = Counter(running)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -39,6 +39,7 @@
 from .blocked_parts import BlockedParts
 from .demand import DemandMeter
 from .entry import EntryPoints, new_directory_app, new_ready_app
+from .fleet_load import limits_to_wire
 from .front import new_front_server
 from .gateway import Gateway
 from .handler import RoutedHandler
@@ -159,6 +160,7 @@
             suspects=self.suspects.own_suspects(),
             has_traffic=self.demand.has_traffic,
             leaving=self.notices.leaving(),
+            limits=limits_to_wire(self.notices.own_limits()),
             crashes=self.crash_evidence.crashes_to_tell(),
             sound_parts=self.crash_evidence.sound_parts_to_tell(),
         )
@@ -306,6 +308,7 @@
         self.suspects.listeners.append(self.member_monitor.suspect_group)
         self.peers.on_suspects = self._suspect_for_peer
         self.peers.on_leaving = self.notices.note_peer_leaving
+        self.peers.on_limits = self.notices.note_peer_limits
         self.crash_evidence = CrashEvidence(clock, self.peers.settle_s)
         self.peers.on_crashes = self.crash_evidence.note_peers
         self.blocked_parts = BlockedParts(
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -59,8 +59,9 @@
     Fleets of up to ``max_mesh_nodes`` nodes have no relays; ``is_mesh`` is whether this
     is one. ``on_suspects(names, node)`` is called with the groups that a peer, or a
     node behind it, suspects, ``on_leaving(servers, node)`` with the servers that told
-    it that they leave, and ``on_crashes(crashes, sound_parts, node)`` with the crashes
-    that it has seen and the parts of prompts that it knows to be sound.
+    it that they leave, ``on_limits(limits, node)`` with the limits that servers told
+    it, and ``on_crashes(crashes, sound_parts, node)`` with the crashes that it has seen
+    and the parts of prompts that it knows to be sound.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
     ):
         self.on_suspects = lambda names, node: None
         self.on_leaving = lambda servers, node: None
+        self.on_limits = lambda limits, node: None
         self.on_crashes = lambda crashes, sound_parts, node: None
         self._identity = identity
         self._state = state
@@ -413,7 +415,7 @@
         self._pass_on(reply.load, relay)
 
     def _pass_on(self, load, node):
-        """Pass on the suspect groups, leaving servers and crashes in a ``Load``.
+        """Pass on the suspect groups, servers' notices and crashes in a ``Load``.
 
         Where all nodes exchange heartbeats, one of them has many requests at a group
         and its suspicion is enough. In a larger fleet it has one or two, which may
@@ -428,6 +430,8 @@
             self.on_suspects(sorted(suspects), node)
         if load.leaving:
             self.on_leaving(load.leaving, node)
+        if load.limits:
+            self.on_limits(load.limits, node)
         if load.crashes or load.sound_parts:
             self.on_crashes(load.crashes or {}, load.sound_parts or (), node)
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
@@ -5,6 +5,7 @@
 
 from auburnwall.routing.brokered_placer import BrokeredPlacer
 from auburnwall.routing.placer import Placer
+from auburnwall.routing.rate_limits import RateLimitGate
 from auburnwall.routing.slot_broker import SlotBroker
 from auburnwall.routing.warmup import WarmupGate
 from auburnwall.wire.client import PeerPool
@@ -25,13 +26,23 @@
     def __init__(self, node, view_parts, in_flight, stack):
         cfg, clock, rng = node.cfg, node.clock, node.rng
         view = RoutingView(cfg.data_center, *view_parts)
-        gate = WarmupGate(cfg.node, lambda: node.fleet.nodes, clock)
-        local = Placer(view, in_flight, gate, clock, rng)
-        # Of the requests to a cold server, the broker sends the share of one sender.
-        broker_gate = WarmupGate(cfg.node, lambda: (cfg.node,), clock)
+        local = Placer(
+            view,
+            in_flight,
+            WarmupGate(cfg.node, lambda: node.fleet.nodes, clock),
+            RateLimitGate(cfg.node, lambda: node.fleet.nodes, clock),
+            clock,
+            rng,
+        )
+        # Of the requests to a cold server, the broker sends the share of one sender; of
+        # those to a server with a limit, it sends all.
+        broker_gates = (
+            WarmupGate(cfg.node, lambda: (cfg.node,), clock),
+            RateLimitGate(cfg.node, lambda: (cfg.node,), clock),
+        )
         broker_view = DataCenterView(cfg.data_center, *view_parts)
         self.broker = SlotBroker(
-            Placer(broker_view, in_flight, broker_gate, clock, rng),
+            Placer(broker_view, in_flight, *broker_gates, clock, rng),
             lambda name: name == cfg.node or name in node.peers.live(),
             clock,
         )
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -168,6 +168,13 @@
         """Return for how many seconds a server wants no request, 0 if it takes any."""
         return self._notices.pause_left_s(server)
 
+    def limit_per_s(self, server):
+        """Return how many requests per second a server takes from all nodes.
+
+        ``None`` if it names no limit.
+        """
+        return self._notices.limit_per_s(server)
+
     def may_send(self, candidate):
         """Return whether this node knows no reason against a granted candidate.
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/brokered_placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/brokered_placer.py
@@ -27,9 +27,11 @@
 
 
 class BrokeredPlacer:
-    """A ``Placer`` for requests to models whose slots are granted by brokers.
+    """A ``Placer`` for requests whose slots are granted by brokers.
 
-    ``local`` is the ``Placer`` for all other requests. ``brokers`` has the methods
+    These are requests to models, and to services of which a server names a limit: where
+    only a few nodes may send to a server, the others could not use it. ``local`` is the
+    ``Placer`` for all other requests. ``brokers`` has the methods
     ``are_used()``, ``broker_of(service, model, data_center)``, ``is_current(grant)``,
     ``ask(broker, request, excluded_servers, resume_window_s, wait)``, which returns a
     ``Placement`` or ``None`` and raises ``OverloadedError``, and ``release(grant)``.
@@ -50,7 +52,9 @@
 
     def place(self, request, excluded_servers=frozenset(), resume_window_s=None):
         """Return a ``Placement``, as ``Placer.place`` does."""
-        has_brokers = bool(request.model) and self._brokers.are_used()
+        has_brokers = self._brokers.are_used() and (
+            bool(request.model) or self._is_limited(request)
+        )
         data_centers = self._data_centers(request) if has_brokers else []
         if not data_centers:
             return self._local.place(request, excluded_servers, resume_window_s)
@@ -125,6 +129,13 @@
             self._grants[placement.grant.id] = placement.grant
         return placement
 
+    def _is_limited(self, request):
+        """Return whether a server that may take the request names a limit."""
+        return any(
+            self._view.limit_per_s(candidate.server) is not None
+            for candidate in self._view.candidates(request)
+        )
+
     def _avoided_servers(self, request):
         """Return the servers to which this node must send nothing now."""
         view = self._view
--- a/packages/auburnwall-routing/src/auburnwall/routing/load_shedding.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/load_shedding.py
@@ -9,6 +9,7 @@
 immediately while slots are scarce.
 """
 
+import math
 from collections import deque
 from enum import IntEnum
 from typing import NamedTuple
@@ -62,8 +63,9 @@
     the caller's deadline and ``objective_left_s`` until the objective. Slots have been
     scarce for ``short_s``, which is 0 if they are not. ``resume_window_s`` is how long
     a stream that broke off may wait for another server, ``None`` for other requests.
-    All servers want no request for ``pause_s``, 0 if any takes one. All times are in
-    seconds.
+    All servers want no request for ``pause_s``, 0 if any takes one. This node may send
+    them ``rate_per_s`` requests per second, ``None`` if any names no limit. All times
+    are in seconds.
     """
 
     wait_class: WaitClass
@@ -77,6 +79,7 @@
     short_s: float = 0.0
     resume_window_s: float | None = None
     pause_s: float = 0.0
+    rate_per_s: float | None = None
 
 
 class ShortageDetector:
@@ -185,10 +188,11 @@
     """Return in how many seconds a slot is expected, and the reason as a text."""
     if context.pause_s > 0:
         return context.pause_s, f"every server wants a pause of {context.pause_s:.2f} s"
-    if context.slots_in_use > 0:
-        expected_s = (
-            (context.queued_ahead + 1) * context.slot_time_s / context.slots_in_use
-        )
+    slots_per_s = _slots_per_s(context)
+    if slots_per_s == 0:
+        return math.inf, "the limits of all servers leave nothing for this node"
+    if slots_per_s is not None:
+        expected_s = (context.queued_ahead + 1) / slots_per_s
         return (
             expected_s,
             f"{context.queued_ahead} go first, a place in {expected_s:.2f} s",
@@ -200,6 +204,17 @@
     return 2 * FORMING_WAIT_S, "nothing serves it and nothing is forming"
 
 
+def _slots_per_s(context):
+    """Return how many slots per second become free for this node's requests.
+
+    ``None`` if it is not known.
+    """
+    rates = [context.rate_per_s] if context.rate_per_s is not None else []
+    if context.slots_in_use > 0:
+        rates.append(context.slots_in_use / context.slot_time_s)
+    return min(rates, default=None)
+
+
 def _wait_limit_s(context):
     """Return the longest useful wait in seconds.
 
@@ -218,7 +233,8 @@
 
 def _queue_limit(context, max_wait_s):
     """Return how many requests may wait so that each of them has a chance of a slot."""
-    if context.slots_in_use <= 0 or context.wait_class is not WaitClass.IN_TIME:
+    slots_per_s = _slots_per_s(context)
+    if slots_per_s is None or context.wait_class is not WaitClass.IN_TIME:
         # No limit for the class; the queue's own size is the limit.
         return 2**31
-    return max(1, int(max_wait_s * context.slots_in_use / context.slot_time_s))
+    return max(1, int(max_wait_s * slots_per_s))
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -6,6 +6,7 @@
 granted.
 """
 
+import itertools
 from collections import defaultdict
 from typing import NamedTuple
 
@@ -91,15 +92,18 @@
     example because it is suspect. ``cold_rate(candidate)``: how many requests per
     second a server that has just started may get, ``None`` without such a limit.
     ``pause_left_s(server)``: for how long a server wants no request.
+    ``limit_per_s(server)``: how many requests per second a server takes from all nodes,
+    ``None`` without such a limit.
     ``expected_time_to_start_s(request)``: the mean time from sending a request to the
     start of its response. ``slot_usage(request)``: an object with the fields
     ``slots_in_use``, ``forming_groups`` and ``slot_time_s`` of a ``WaitContext``.
     """
 
-    def __init__(self, view, in_flight, warmup_gate, clock, rng):
+    def __init__(self, view, in_flight, warmup_gate, limit_gate, clock, rng):
         self._view = view
         self._in_flight = in_flight
         self._warmup_gate = warmup_gate
+        self._limit_gate = limit_gate
         self._clock = clock
         self._rng = rng
         self._backlogs = defaultdict(_Backlog)
@@ -268,6 +272,9 @@
         rate = view.cold_rate(chosen)
         if rate is not None:
             self._warmup_gate.note_sent(chosen.server, rate)
+        limit_per_s = view.limit_per_s(chosen.server)
+        if limit_per_s is not None:
+            self._limit_gate.note_sent(chosen.server, limit_per_s)
         load = view.load(chosen)
         self._in_flight.take_slot(chosen.name)
         return Placement(chosen, load)
@@ -284,6 +291,7 @@
             if candidate.server not in excluded_servers
             and self._view.pause_left_s(candidate.server) <= 0
             and self._warmup_allows(candidate)
+            and self._limit_allows(candidate)
         ]
         healthy = [c for c in candidates if not self._view.must_avoid(c.name)]
         return healthy if healthy or request.model else candidates
@@ -292,6 +300,12 @@
         rate = self._view.cold_rate(candidate)
         return rate is None or self._warmup_gate.may_send(candidate.server, rate)
 
+    def _limit_allows(self, candidate):
+        limit_per_s = self._view.limit_per_s(candidate.server)
+        return limit_per_s is None or self._limit_gate.may_send(
+            candidate.server, limit_per_s
+        )
+
     def _wait_class(self, request, resume_window_s):
         objective_left_s = request.objective_at - self._clock.monotonic()
         return wait_class_of(
@@ -323,8 +337,23 @@
             short_s=backlog.shortage.duration_s(now),
             resume_window_s=resume_window_s,
             pause_s=self._shortest_pause_s(request),
+            rate_per_s=self._rate_per_s(request),
         )
 
+    def _rate_per_s(self, request):
+        """Return how many requests per second this node may send to the candidates.
+
+        ``None`` if one of them names no limit, or if there are none.
+        """
+        view = self._view
+        limits = {
+            candidate.server: view.limit_per_s(candidate.server)
+            for candidate in view.candidates(request)
+        }
+        if not limits or None in limits.values():
+            return None
+        return sum(itertools.starmap(self._limit_gate.share_per_s, limits.items()))
+
     def _shortest_pause_s(self, request):
         """Return in how many seconds the first candidate takes requests again.
 
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
@@ -147,6 +147,16 @@
   Outcome outcome(1: string key, 2: string attempt) throws (1: PeerError error)
 }
 
+/**
+ * How many requests per second a server takes from all nodes, as its incarnation `born`
+ * said `age_ms` ago.
+ */
+struct ServerLimit {
+  1: i64 born
+  2: double per_s
+  3: i32 age_ms
+}
+
 /**
  * The requests and the demand of several nodes together.
  *
@@ -157,7 +167,8 @@
  * that told any of them that they leave to the start time of their incarnation.
  * `crashes` maps crashed servers, as SERVER@BORN, to the prompts in flight there, as
  * the IDs of their parts joined by commas. `sound_parts` are shared parts of such
- * prompts with which requests have been answered.
+ * prompts with which requests have been answered. `limits` maps servers to the limits
+ * that they have named, the newest of each.
  */
 struct Load {
   1: map<string, i32> running
@@ -168,6 +179,7 @@
   6: map<string, i64> leaving
   7: map<string, list<string>> crashes
   8: list<string> sound_parts
+  9: map<string, ServerLimit> limits
 }
 
 /** A node, and how many milliseconds ago it was last heard of. */
@@ -188,8 +200,8 @@
  * callers asked it for, by model, as a number of groups; empty until it has been
  * measured. `suspects` names groups whose requests make no progress. `table_ends` is up
  * to which offset it has read each of the platform's tables, `reads_tables` whether it
- * reads all of them from the store. `leaving`, `crashes` and `sound_parts` are as in
- * `Load`. `members` are the nodes that report to it, and `member_load` is the load of
+ * reads all of them from the store. `leaving`, `crashes`, `sound_parts` and `limits` are
+ * as in `Load`. `members` are the nodes that report to it, and `member_load` is the load of
  * these.
  */
 struct Pulse {
@@ -208,6 +220,7 @@
   13: map<string, i64> leaving
   14: map<string, list<string>> crashes
   15: list<string> sound_parts
+  16: map<string, ServerLimit> limits
 }
 
 /**
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/Peer.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/Peer.py
@@ -933,11 +933,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype200, _size197) = iprot.readListBegin()
-                    for _i201 in range(_size197):
-                        _elem202 = ClaimAsk()
-                        _elem202.read(iprot)
-                        self.asks.append(_elem202)
+                    (_etype218, _size215) = iprot.readListBegin()
+                    for _i219 in range(_size215):
+                        _elem220 = ClaimAsk()
+                        _elem220.read(iprot)
+                        self.asks.append(_elem220)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -958,8 +958,8 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter203 in self.asks:
-                iter203.write(oprot)
+            for iter221 in self.asks:
+                iter221.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1011,11 +1011,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype207, _size204) = iprot.readListBegin()
-                    for _i208 in range(_size204):
-                        _elem209 = ClaimVerdict()
-                        _elem209.read(iprot)
-                        self.success.append(_elem209)
+                    (_etype225, _size222) = iprot.readListBegin()
+                    for _i226 in range(_size222):
+                        _elem227 = ClaimVerdict()
+                        _elem227.read(iprot)
+                        self.success.append(_elem227)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1037,8 +1037,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter210 in self.success:
-                iter210.write(oprot)
+            for iter228 in self.success:
+                iter228.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.error is not None:
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
@@ -1469,6 +1469,88 @@
         return not (self == other)
 
 
+class ServerLimit(object):
+    """
+    How many requests per second a server takes from all nodes, as its incarnation `born`
+    said `age_ms` ago.
+
+    Attributes:
+     - born
+     - per_s
+     - age_ms
+
+    """
+
+
+    def __init__(self, born=None, per_s=None, age_ms=None,):
+        self.born = born
+        self.per_s = per_s
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerLimit')
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 1)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.per_s is not None:
+            oprot.writeFieldBegin('per_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.per_s)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Load(object):
     """
     The requests and the demand of several nodes together.
@@ -1480,7 +1562,8 @@
     that told any of them that they leave to the start time of their incarnation.
     `crashes` maps crashed servers, as SERVER@BORN, to the prompts in flight there, as
     the IDs of their parts joined by commas. `sound_parts` are shared parts of such
-    prompts with which requests have been answered.
+    prompts with which requests have been answered. `limits` maps servers to the limits
+    that they have named, the newest of each.
 
     Attributes:
      - running
@@ -1491,11 +1574,12 @@
      - leaving
      - crashes
      - sound_parts
+     - limits
 
     """
 
 
-    def __init__(self, running=None, demand=None, nodes_with_traffic=None, nodes_measured=None, suspects=None, leaving=None, crashes=None, sound_parts=None,):
+    def __init__(self, running=None, demand=None, nodes_with_traffic=None, nodes_measured=None, suspects=None, leaving=None, crashes=None, sound_parts=None, limits=None,):
         self.running = running
         self.demand = demand
         self.nodes_with_traffic = nodes_with_traffic
@@ -1504,6 +1588,7 @@
         self.leaving = leaving
         self.crashes = crashes
         self.sound_parts = sound_parts
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1594,6 +1679,18 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.MAP:
+                    self.limits = {}
+                    (_ktype85, _vtype86, _size84) = iprot.readMapBegin()
+                    for _i88 in range(_size84):
+                        _key89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val90 = ServerLimit()
+                        _val90.read(iprot)
+                        self.limits[_key89] = _val90
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1607,17 +1704,17 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter84, viter85 in self.running.items():
-                oprot.writeString(kiter84.encode('utf-8') if sys.version_info[0] == 2 else kiter84)
-                oprot.writeI32(viter85)
+            for kiter91, viter92 in self.running.items():
+                oprot.writeString(kiter91.encode('utf-8') if sys.version_info[0] == 2 else kiter91)
+                oprot.writeI32(viter92)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.demand))
-            for kiter86, viter87 in self.demand.items():
-                oprot.writeString(kiter86.encode('utf-8') if sys.version_info[0] == 2 else kiter86)
-                oprot.writeDouble(viter87)
+            for kiter93, viter94 in self.demand.items():
+                oprot.writeString(kiter93.encode('utf-8') if sys.version_info[0] == 2 else kiter93)
+                oprot.writeDouble(viter94)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.nodes_with_traffic is not None:
@@ -1631,37 +1728,45 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.suspects))
-            for kiter88, viter89 in self.suspects.items():
-                oprot.writeString(kiter88.encode('utf-8') if sys.version_info[0] == 2 else kiter88)
-                oprot.writeI32(viter89)
+            for kiter95, viter96 in self.suspects.items():
+                oprot.writeString(kiter95.encode('utf-8') if sys.version_info[0] == 2 else kiter95)
+                oprot.writeI32(viter96)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.leaving))
-            for kiter90, viter91 in self.leaving.items():
-                oprot.writeString(kiter90.encode('utf-8') if sys.version_info[0] == 2 else kiter90)
-                oprot.writeI64(viter91)
+            for kiter97, viter98 in self.leaving.items():
+                oprot.writeString(kiter97.encode('utf-8') if sys.version_info[0] == 2 else kiter97)
+                oprot.writeI64(viter98)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.crashes))
-            for kiter92, viter93 in self.crashes.items():
-                oprot.writeString(kiter92.encode('utf-8') if sys.version_info[0] == 2 else kiter92)
-                oprot.writeListBegin(TType.STRING, len(viter93))
-                for iter94 in viter93:
-                    oprot.writeString(iter94.encode('utf-8') if sys.version_info[0] == 2 else iter94)
+            for kiter99, viter100 in self.crashes.items():
+                oprot.writeString(kiter99.encode('utf-8') if sys.version_info[0] == 2 else kiter99)
+                oprot.writeListBegin(TType.STRING, len(viter100))
+                for iter101 in viter100:
+                    oprot.writeString(iter101.encode('utf-8') if sys.version_info[0] == 2 else iter101)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.sound_parts is not None:
             oprot.writeFieldBegin('sound_parts', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.sound_parts))
-            for iter95 in self.sound_parts:
-                oprot.writeString(iter95.encode('utf-8') if sys.version_info[0] == 2 else iter95)
+            for iter102 in self.sound_parts:
+                oprot.writeString(iter102.encode('utf-8') if sys.version_info[0] == 2 else iter102)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.MAP, 9)
+            oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.limits))
+            for kiter103, viter104 in self.limits.items():
+                oprot.writeString(kiter103.encode('utf-8') if sys.version_info[0] == 2 else kiter103)
+                viter104.write(oprot)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1813,8 +1918,8 @@
     callers asked it for, by model, as a number of groups; empty until it has been
     measured. `suspects` names groups whose requests make no progress. `table_ends` is up
     to which offset it has read each of the platform's tables, `reads_tables` whether it
-    reads all of them from the store. `leaving`, `crashes` and `sound_parts` are as in
-    `Load`. `members` are the nodes that report to it, and `member_load` is the load of
+    reads all of them from the store. `leaving`, `crashes`, `sound_parts` and `limits` are
+    as in `Load`. `members` are the nodes that report to it, and `member_load` is the load of
     these.
 
     Attributes:
@@ -1833,11 +1938,12 @@
      - leaving
      - crashes
      - sound_parts
+     - limits
 
     """
 
 
-    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None,):
+    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None, limits=None,):
         self.node = node
         self.incarnation = incarnation
         self.ready = ready
@@ -1853,6 +1959,7 @@
         self.leaving = leaving
         self.crashes = crashes
         self.sound_parts = sound_parts
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1891,43 +1998,43 @@
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.table_ends = {}
-                    (_ktype97, _vtype98, _size96) = iprot.readMapBegin()
-                    for _i100 in range(_size96):
-                        _key101 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val102 = iprot.readI64()
-                        self.table_ends[_key101] = _val102
+                    (_ktype106, _vtype107, _size105) = iprot.readMapBegin()
+                    for _i109 in range(_size105):
+                        _key110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val111 = iprot.readI64()
+                        self.table_ends[_key110] = _val111
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.running = {}
-                    (_ktype104, _vtype105, _size103) = iprot.readMapBegin()
-                    for _i107 in range(_size103):
-                        _key108 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val109 = iprot.readI32()
-                        self.running[_key108] = _val109
+                    (_ktype113, _vtype114, _size112) = iprot.readMapBegin()
+                    for _i116 in range(_size112):
+                        _key117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val118 = iprot.readI32()
+                        self.running[_key117] = _val118
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.MAP:
                     self.demand = {}
-                    (_ktype111, _vtype112, _size110) = iprot.readMapBegin()
-                    for _i114 in range(_size110):
-                        _key115 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val116 = iprot.readDouble()
-                        self.demand[_key115] = _val116
+                    (_ktype120, _vtype121, _size119) = iprot.readMapBegin()
+                    for _i123 in range(_size119):
+                        _key124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val125 = iprot.readDouble()
+                        self.demand[_key124] = _val125
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype120, _size117) = iprot.readListBegin()
-                    for _i121 in range(_size117):
-                        _elem122 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.suspects.append(_elem122)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.suspects.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1939,11 +2046,11 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = NodeStatus()
-                        _elem128.read(iprot)
-                        self.members.append(_elem128)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = NodeStatus()
+                        _elem137.read(iprot)
+                        self.members.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1956,40 +2063,52 @@
             elif fid == 13:
                 if ftype == TType.MAP:
                     self.leaving = {}
-                    (_ktype130, _vtype131, _size129) = iprot.readMapBegin()
-                    for _i133 in range(_size129):
-                        _key134 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val135 = iprot.readI64()
-                        self.leaving[_key134] = _val135
+                    (_ktype139, _vtype140, _size138) = iprot.readMapBegin()
+                    for _i142 in range(_size138):
+                        _key143 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val144 = iprot.readI64()
+                        self.leaving[_key143] = _val144
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.MAP:
                     self.crashes = {}
-                    (_ktype137, _vtype138, _size136) = iprot.readMapBegin()
-                    for _i140 in range(_size136):
-                        _key141 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val142 = []
-                        (_etype146, _size143) = iprot.readListBegin()
-                        for _i147 in range(_size143):
-                            _elem148 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _val142.append(_elem148)
+                    (_ktype146, _vtype147, _size145) = iprot.readMapBegin()
+                    for _i149 in range(_size145):
+                        _key150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val151 = []
+                        (_etype155, _size152) = iprot.readListBegin()
+                        for _i156 in range(_size152):
+                            _elem157 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _val151.append(_elem157)
                         iprot.readListEnd()
-                        self.crashes[_key141] = _val142
+                        self.crashes[_key150] = _val151
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.sound_parts = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.sound_parts.append(_elem154)
+                    (_etype161, _size158) = iprot.readListBegin()
+                    for _i162 in range(_size158):
+                        _elem163 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.sound_parts.append(_elem163)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.MAP:
+                    self.limits = {}
+                    (_ktype165, _vtype166, _size164) = iprot.readMapBegin()
+                    for _i168 in range(_size164):
+                        _key169 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val170 = ServerLimit()
+                        _val170.read(iprot)
+                        self.limits[_key169] = _val170
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2023,32 +2142,32 @@
         if self.table_ends is not None:
             oprot.writeFieldBegin('table_ends', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_ends))
-            for kiter155, viter156 in self.table_ends.items():
-                oprot.writeString(kiter155.encode('utf-8') if sys.version_info[0] == 2 else kiter155)
-                oprot.writeI64(viter156)
+            for kiter171, viter172 in self.table_ends.items():
+                oprot.writeString(kiter171.encode('utf-8') if sys.version_info[0] == 2 else kiter171)
+                oprot.writeI64(viter172)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter157, viter158 in self.running.items():
-                oprot.writeString(kiter157.encode('utf-8') if sys.version_info[0] == 2 else kiter157)
-                oprot.writeI32(viter158)
+            for kiter173, viter174 in self.running.items():
+                oprot.writeString(kiter173.encode('utf-8') if sys.version_info[0] == 2 else kiter173)
+                oprot.writeI32(viter174)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.MAP, 8)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.demand))
-            for kiter159, viter160 in self.demand.items():
-                oprot.writeString(kiter159.encode('utf-8') if sys.version_info[0] == 2 else kiter159)
-                oprot.writeDouble(viter160)
+            for kiter175, viter176 in self.demand.items():
+                oprot.writeString(kiter175.encode('utf-8') if sys.version_info[0] == 2 else kiter175)
+                oprot.writeDouble(viter176)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.suspects))
-            for iter161 in self.suspects:
-                oprot.writeString(iter161.encode('utf-8') if sys.version_info[0] == 2 else iter161)
+            for iter177 in self.suspects:
+                oprot.writeString(iter177.encode('utf-8') if sys.version_info[0] == 2 else iter177)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.has_traffic is not None:
@@ -2058,8 +2177,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter162 in self.members:
-                iter162.write(oprot)
+            for iter178 in self.members:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.member_load is not None:
@@ -2069,29 +2188,37 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.MAP, 13)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.leaving))
-            for kiter163, viter164 in self.leaving.items():
-                oprot.writeString(kiter163.encode('utf-8') if sys.version_info[0] == 2 else kiter163)
-                oprot.writeI64(viter164)
+            for kiter179, viter180 in self.leaving.items():
+                oprot.writeString(kiter179.encode('utf-8') if sys.version_info[0] == 2 else kiter179)
+                oprot.writeI64(viter180)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.MAP, 14)
             oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.crashes))
-            for kiter165, viter166 in self.crashes.items():
-                oprot.writeString(kiter165.encode('utf-8') if sys.version_info[0] == 2 else kiter165)
-                oprot.writeListBegin(TType.STRING, len(viter166))
-                for iter167 in viter166:
-                    oprot.writeString(iter167.encode('utf-8') if sys.version_info[0] == 2 else iter167)
+            for kiter181, viter182 in self.crashes.items():
+                oprot.writeString(kiter181.encode('utf-8') if sys.version_info[0] == 2 else kiter181)
+                oprot.writeListBegin(TType.STRING, len(viter182))
+                for iter183 in viter182:
+                    oprot.writeString(iter183.encode('utf-8') if sys.version_info[0] == 2 else iter183)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.sound_parts is not None:
             oprot.writeFieldBegin('sound_parts', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.sound_parts))
-            for iter168 in self.sound_parts:
-                oprot.writeString(iter168.encode('utf-8') if sys.version_info[0] == 2 else iter168)
+            for iter184 in self.sound_parts:
+                oprot.writeString(iter184.encode('utf-8') if sys.version_info[0] == 2 else iter184)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.MAP, 16)
+            oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.limits))
+            for kiter185, viter186 in self.limits.items():
+                oprot.writeString(kiter185.encode('utf-8') if sys.version_info[0] == 2 else kiter185)
+                viter186.write(oprot)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2164,21 +2291,21 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.nodes = []
-                    (_etype172, _size169) = iprot.readListBegin()
-                    for _i173 in range(_size169):
-                        _elem174 = NodeStatus()
-                        _elem174.read(iprot)
-                        self.nodes.append(_elem174)
+                    (_etype190, _size187) = iprot.readListBegin()
+                    for _i191 in range(_size187):
+                        _elem192 = NodeStatus()
+                        _elem192.read(iprot)
+                        self.nodes.append(_elem192)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.lost = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.lost.append(_elem180)
+                    (_etype196, _size193) = iprot.readListBegin()
+                    for _i197 in range(_size193):
+                        _elem198 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost.append(_elem198)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2213,15 +2340,15 @@
         if self.nodes is not None:
             oprot.writeFieldBegin('nodes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.nodes))
-            for iter181 in self.nodes:
-                iter181.write(oprot)
+            for iter199 in self.nodes:
+                iter199.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lost is not None:
             oprot.writeFieldBegin('lost', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.lost))
-            for iter182 in self.lost:
-                oprot.writeString(iter182.encode('utf-8') if sys.version_info[0] == 2 else iter182)
+            for iter200 in self.lost:
+                oprot.writeString(iter200.encode('utf-8') if sys.version_info[0] == 2 else iter200)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.load is not None:
@@ -2390,11 +2517,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype186, _size183) = iprot.readListBegin()
-                    for _i187 in range(_size183):
-                        _elem188 = TableRow()
-                        _elem188.read(iprot)
-                        self.rows.append(_elem188)
+                    (_etype204, _size201) = iprot.readListBegin()
+                    for _i205 in range(_size201):
+                        _elem206 = TableRow()
+                        _elem206.read(iprot)
+                        self.rows.append(_elem206)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2433,8 +2560,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter189 in self.rows:
-                iter189.write(oprot)
+            for iter207 in self.rows:
+                iter207.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2586,10 +2713,10 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.excluded_servers = []
-                    (_etype193, _size190) = iprot.readListBegin()
-                    for _i194 in range(_size190):
-                        _elem195 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded_servers.append(_elem195)
+                    (_etype211, _size208) = iprot.readListBegin()
+                    for _i212 in range(_size208):
+                        _elem213 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded_servers.append(_elem213)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2663,8 +2790,8 @@
         if self.excluded_servers is not None:
             oprot.writeFieldBegin('excluded_servers', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.excluded_servers))
-            for iter196 in self.excluded_servers:
-                oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
+            for iter214 in self.excluded_servers:
+                oprot.writeString(iter214.encode('utf-8') if sys.version_info[0] == 2 else iter214)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wait is not None:
@@ -2988,6 +3115,13 @@
     (1, TType.STRING, 'detail', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'step', 'UTF8', None, ),  # 2
 )
+all_structs.append(ServerLimit)
+ServerLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'born', None, None, ),  # 1
+    (2, TType.DOUBLE, 'per_s', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(Load)
 Load.thrift_spec = (
     None,  # 0
@@ -2999,6 +3133,7 @@
     (6, TType.MAP, 'leaving', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 6
     (7, TType.MAP, 'crashes', (TType.STRING, 'UTF8', TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 7
     (8, TType.LIST, 'sound_parts', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.MAP, 'limits', (TType.STRING, 'UTF8', TType.STRUCT, [ServerLimit, None], False), None, ),  # 9
 )
 all_structs.append(NodeStatus)
 NodeStatus.thrift_spec = (
@@ -3029,6 +3164,7 @@
     (13, TType.MAP, 'leaving', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 13
     (14, TType.MAP, 'crashes', (TType.STRING, 'UTF8', TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 14
     (15, TType.LIST, 'sound_parts', (TType.STRING, 'UTF8', False), None, ),  # 15
+    (16, TType.MAP, 'limits', (TType.STRING, 'UTF8', TType.STRUCT, [ServerLimit, None], False), None, ),  # 16
 )
 all_structs.append(FleetDigest)
 FleetDigest.thrift_spec = (
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -26,6 +26,7 @@
 from auburnwall.routing.forwarder import Forwarder, ForwarderDeps
 from auburnwall.routing.in_flight import InFlightRequests
 from auburnwall.routing.placer import Placer
+from auburnwall.routing.rate_limits import RateLimitGate
 from auburnwall.routing.routes import RouteTable
 from auburnwall.routing.shared_retry_budget import SharedRetryBudget
 from auburnwall.routing.warmup import WarmupGate
@@ -120,6 +121,9 @@
     def cold_rate(self, candidate):
         return None
 
+    def limit_per_s(self, server):
+        return self.notices.limit_per_s(server)
+
     def pause_left_s(self, server):
         return self.notices.pause_left_s(server)
 
@@ -146,10 +150,13 @@
         self.in_flight = InFlightRequests(clock, view.suspects.suspect)
         view.in_flight = self.in_flight
         self.registry = view.registry
-        gate = WarmupGate("n1", lambda: ["n1"], clock)
+        gates = (
+            WarmupGate("n1", lambda: ["n1"], clock),
+            RateLimitGate("n1", lambda: ["n1"], clock),
+        )
         self.crash_evidence = CrashEvidence(clock, lambda: 0.0)
         self.channels = self._stack.enter_context(closing(ChannelPool(clock)))
-        self.placer = Placer(view, self.in_flight, gate, clock, random.Random(4))
+        self.placer = Placer(view, self.in_flight, *gates, clock, random.Random(4))
         deps = ForwarderDeps(
             self.placer,
             self.channels,
--- a/tests/routed/test_peers.py
+++ b/tests/routed/test_peers.py
@@ -6,6 +6,8 @@
 from types import SimpleNamespace
 
 from auburnwall.fleet.formation.records import NodeRecord
+from auburnwall.fleet.server_notices import LIMIT_MEMORY_S, ServerNotices
+from auburnwall.node.routed.fleet_load import limits_to_wire
 from auburnwall.node.routed.handler import RoutedHandler
 from auburnwall.node.routed.peers import REPORT_PERIOD_S, Peers
 from auburnwall.node.routed.topology import NODES_PER_RELAY, parent_of, relays_of
@@ -37,6 +39,7 @@
         self.clock = FakeClock()
         self.state = SimpleNamespace(nodes={}, change_count=0)
         self.nodes, self.down, self.cut = {}, set(), set()
+        self.registry = SimpleNamespace(servers={"s1": SimpleNamespace(born=1)})
         # Fraction of the calls that are lost.
         self.rng, self.loss = random.Random(7), 0.0
         self.calls = Counter()
@@ -99,6 +102,8 @@
         self.peers.on_suspects = lambda names, node: self.heard_suspects.extend(names)
         self.evidence = CrashEvidence(network.clock, self.peers.settle_s)
         self.peers.on_crashes = self.evidence.note_peers
+        self.notices = ServerNotices(network.registry, network.clock)
+        self.peers.on_limits = self.notices.note_peer_limits
         self.handler = RoutedHandler(self.peers, {}, None, network.clock)
 
     def pulse(self):
@@ -114,6 +119,7 @@
             suspects=list(self.suspected),
             has_traffic=True,
             leaving={},
+            limits=limits_to_wire(self.notices.own_limits()),
             crashes=self.evidence.crashes_to_tell(),
             sound_parts=self.evidence.sound_parts_to_tell(),
         )
@@ -189,6 +195,50 @@
                 self.assertEqual(node.evidence.blocked_parts(), set(), name)
 
 
+class ServerLimitTests(unittest.TestCase):
+    """The limit that a server names to one node becomes known to all."""
+
+    def setUp(self):
+        self.network = Network()
+        self.network.run(4.0)
+
+    def hear(self, name, per_s):
+        clock = self.network.clock
+        notices = self.network.nodes[name].notices
+        notices.note_limit("s1", "test", per_s, clock.monotonic())
+
+    def known_limits(self):
+        return {n.notices.limit_per_s("s1") for n in self.network.nodes.values()}
+
+    def settle(self):
+        self.network.run(self.network.nodes["n20"].peers.settle_s() + REPORT_PERIOD_S)
+
+    def test_all_nodes_know_a_limit_that_one_has_heard(self):
+        self.hear("n30", 2.5)
+        self.settle()
+        self.assertEqual(self.known_limits(), {2.5})
+
+    def test_newest_limit_counts(self):
+        self.hear("n30", 2.5)
+        self.settle()
+        self.hear("n50", 4.0)
+        self.settle()
+        self.assertEqual(self.known_limits(), {4.0})
+
+    def test_peers_with_older_word_do_not_bring_back_a_limit_that_has_ended(self):
+        self.hear("n30", 2.5)
+        self.settle()
+        self.network.run(6.0)
+        self.hear("n50", None)
+        self.network.run(2.0)
+        self.assertIsNone(self.network.nodes["n50"].notices.limit_per_s("s1"))
+
+    def test_limit_that_is_not_repeated_ends_at_all_nodes(self):
+        self.hear("n30", 2.5)
+        self.network.run(LIMIT_MEMORY_S + 6.0)
+        self.assertEqual(self.known_limits(), {None})
+
+
 class RelayTests(unittest.TestCase):
     def setUp(self):
         self.network = Network()
--- a/tests/routed/test_server_notices.py
+++ b/tests/routed/test_server_notices.py
@@ -5,6 +5,7 @@
 gevent.monkey.patch_all()
 
 import unittest  # noqa: E402
+from types import SimpleNamespace  # noqa: E402
 
 import gevent  # noqa: E402
 
@@ -13,6 +14,7 @@
 from auburnwall.fleet.registrations import Registry  # noqa: E402
 from auburnwall.fleet.server_notices import (  # noqa: E402
     ServerNotices,
+    limit_from_header,
     pause_from_header,
 )
 from auburnwall.platform.servers import ServerClient  # noqa: E402
@@ -20,6 +22,7 @@
 from standins.modelserver import ModelServerStandin  # noqa: E402
 from standins.store import StoreStandin  # noqa: E402
 from tests.fleet.test_registrations import registration  # noqa: E402
+from tests.state.test_table import FakeClock  # noqa: E402
 
 from .support import FrontWithServers, send_call  # noqa: E402
 
@@ -121,7 +124,61 @@
         self.assertEqual(notices.pause_left_s("m-1"), 0.0)
 
 
+class LimitTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = FakeClock()
+        self.registry = Registry(
+            TableReplica("servers", None, self.clock), None, self.clock
+        )
+        self.registry.servers["m-1"] = registration("m-1")
+        self.notices = ServerNotices(self.registry, self.clock)
+
+    def hear(self, per_s, asked_s_ago=0.0):
+        asked_at = self.clock.monotonic() - asked_s_ago
+        self.notices.note_limit("m-1", "test", per_s, asked_at)
+
+    def test_response_without_a_limit_ends_it(self):
+        self.hear(2.0)
+        self.assertEqual(self.notices.limit_per_s("m-1"), 2.0)
+        self.clock.now += 1.0
+        self.hear(None)
+        self.assertIsNone(self.notices.limit_per_s("m-1"))
+        self.assertEqual(self.notices.own_limits(), [])
+
+    def test_response_to_a_request_sent_before_the_limit_was_heard_does_not(self):
+        self.hear(2.0)
+        self.clock.now += 1.0
+        self.hear(None, asked_s_ago=1.5)
+        self.assertEqual(self.notices.limit_per_s("m-1"), 2.0)
+
+    def test_limit_ends_with_the_incarnation_that_named_it(self):
+        self.hear(2.0)
+        self.registry.servers["m-1"] = registration("m-1", born=2)
+        self.assertIsNone(self.notices.limit_per_s("m-1"))
+
+    def test_peers_word_counts_if_it_is_newer_and_about_this_incarnation(self):
+        told = SimpleNamespace(born=1, per_s=3.0, age_ms=500)
+        self.hear(2.0)
+        self.notices.note_peer_limits({"m-1": told}, "n2")
+        self.assertEqual(self.notices.limit_per_s("m-1"), 2.0)
+        self.clock.now += 1.0
+        self.notices.note_peer_limits({"m-1": told}, "n2")
+        self.assertEqual(self.notices.limit_per_s("m-1"), 3.0)
+        # What this node has from a peer it does not tell others.
+        self.assertEqual(self.notices.own_limits(), [])
+        told.born, told.per_s, told.age_ms = 9, 1.0, 0
+        self.notices.note_peer_limits({"m-1": told}, "n2")
+        self.assertEqual(self.notices.limit_per_s("m-1"), 3.0)
+
+
 class HeaderTests(unittest.TestCase):
+    def test_limit_is_a_number_of_requests(self):
+        for text, per_s in (("1.5", 1.5), ("0", 0.0), ("12", 12.0)):
+            self.assertEqual(limit_from_header(text), per_s)
+        for text in (None, "", "-1", "nan", "inf", "1,5", "two"):
+            with self.subTest(text):
+                self.assertIsNone(limit_from_header(text))
+
     def test_only_seconds_of_a_refusal_are_a_pause(self):
         self.assertEqual(pause_from_header(503, "0.25"), 0.25)
         for status, value in (
--- a/tests/routing/test_brokers.py
+++ b/tests/routing/test_brokers.py
@@ -15,6 +15,7 @@
 from auburnwall.routing.exceptions import OverloadedError
 from auburnwall.routing.in_flight import InFlightRequests
 from auburnwall.routing.placer import Placer
+from auburnwall.routing.rate_limits import RateLimitGate
 from auburnwall.routing.slot_broker import SlotBroker
 from auburnwall.routing.step_model import Work
 from auburnwall.routing.warmup import WarmupGate
@@ -39,6 +40,7 @@
     def __init__(self, data_center, in_flight, only=False):
         self.data_center = data_center
         self.avoided, self.paused, self.leaving = set(), {}, set()
+        self.limits = {}
         self._in_flight = in_flight
         self._only = only
 
@@ -61,6 +63,9 @@
     def cold_rate(self, candidate):
         return None
 
+    def limit_per_s(self, server):
+        return self.limits.get(server)
+
     def expected_time_to_start_s(self, request):
         return 0.05
 
@@ -75,11 +80,14 @@
         self.name, self.network = name, network
         clock, rng = network.clock, random.Random(name)
         self.in_flight = InFlightRequests(clock, lambda name: None)
-        gate = WarmupGate(name, lambda: [name], clock)
+        gates = (
+            WarmupGate(name, lambda: [name], clock),
+            RateLimitGate(name, lambda: [name], clock),
+        )
         self.view = GroupsView(data_center, self.in_flight)
         broker_view = GroupsView(data_center, self.in_flight, only=True)
         self.broker = SlotBroker(
-            Placer(broker_view, self.in_flight, gate, clock, rng),
+            Placer(broker_view, self.in_flight, *gates, clock, rng),
             lambda node: node not in network.down,
             clock,
         )
@@ -101,7 +109,7 @@
             clock,
             SimpleNamespace(spawn=gevent.spawn),
         )
-        local = Placer(self.view, self.in_flight, gate, clock, rng)
+        local = Placer(self.view, self.in_flight, *gates, clock, rng)
         self.placer = BrokeredPlacer(local, self.view, self.brokers)
 
     def call(self, address, method, *args):
--- a/tests/routing/test_placer.py
+++ b/tests/routing/test_placer.py
@@ -13,10 +13,13 @@
 from auburnwall.routing.in_flight import InFlightRequests
 from auburnwall.routing.load_shedding import LATE_WAIT_S
 from auburnwall.routing.placer import Placer
+from auburnwall.routing.rate_limits import RateLimitGate
 from auburnwall.routing.step_model import Work
 from auburnwall.routing.warmup import WarmupGate
 from tests.faults.virtual_time import VirtualClock, VirtualTime
 
+# Nodes that share the limits of servers.
+NODES = [f"n{number}" for number in range(7)]
 SLOTS, SERVICE_S, TIME_TO_START_S, OBJECTIVE_S, DEADLINE_S = 9, 1.5, 0.17, 0.3, 6.0
 
 
@@ -31,6 +34,7 @@
             for n in range(group_count)
         ]
         self.in_flight = None
+        self.limits = {}
 
     def candidates(self, request):
         return self.groups
@@ -47,6 +51,9 @@
     def cold_rate(self, candidate):
         return None
 
+    def limit_per_s(self, server):
+        return self.limits.get(server)
+
     def expected_time_to_start_s(self, request):
         return TIME_TO_START_S
 
@@ -65,8 +72,12 @@
         view.in_flight = self.in_flight = InFlightRequests(
             self.clock, lambda name: None
         )
-        gate = WarmupGate("n1", lambda: ["n1"], self.clock)
-        self.placer = Placer(view, self.in_flight, gate, self.clock, self.rng)
+        gates = (
+            WarmupGate("n1", lambda: ["n1"], self.clock),
+            RateLimitGate("n1", lambda: NODES, self.clock),
+        )
+        self.limits = view.limits
+        self.placer = Placer(view, self.in_flight, *gates, self.clock, self.rng)
         self.in_time = self.late = self.unserved = 0
         self.refusal_waits_s = []
 
