--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -2,7 +2,13 @@
 
 from uuid import uuid4
 
-from auburnwall.routing.call import RoutedRequest, key_of, prompt_parts_of, work_of
+from auburnwall.routing.call import (
+    RoutedRequest,
+    fingerprint_of,
+    key_of,
+    prompt_parts_of,
+    work_of,
+)
 from auburnwall.routing.exceptions import BadRequestError, OverloadedError, RequestError
 from auburnwall.routing.retried_calls import RetriedCallDetector
 from auburnwall.routing.routes import ClientLimits, pick_target
@@ -129,6 +135,7 @@
             strip_key=config.teams_by_key is not None,
             elapsed_s=elapsed_s,
             prompt_parts=prompt_parts_of(call, self._header_names) if engine else (),
+            fingerprint=fingerprint_of(call, team.name if team else ""),
         )
         self._demand.record_request(request, engine)
         return request
--- a/packages/auburnwall-routing/src/auburnwall/routing/call.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/call.py
@@ -1,5 +1,6 @@
 """A caller's request, before and after its route is known."""
 
+import hashlib
 import re
 from typing import NamedTuple
 
@@ -9,6 +10,8 @@
 # values counts for nothing.
 MAX_PROMPT_PARTS = 32
 PART_ID = re.compile(r"[0-9A-Za-z_.-]{1,64}")
+# Begins a fingerprint, and no ID of a part. Length of its digest, in bytes.
+FINGERPRINT_PREFIX, FINGERPRINT_BYTES = "request:", 8
 
 
 class Call(NamedTuple):
@@ -38,6 +41,8 @@
     without models. ``strip_key`` removes the caller's key from the request to the
     server. The fair queue uses ``weight`` and ``priority``. ``prompt_parts`` are the
     IDs of the prompt's parts in their order; the last part is the request's own.
+    ``fingerprint`` is the same each time the caller sends the request, see
+    ``fingerprint_of``.
     """
 
     call: Call
@@ -53,6 +58,7 @@
     weight: float = 1.0
     elapsed_s: float = 0.0
     prompt_parts: tuple = ()
+    fingerprint: str = ""
 
     @property
     def shared_parts(self):
@@ -86,6 +92,20 @@
     return bearer_key(call.header("Authorization") or "") or ""
 
 
+def fingerprint_of(call, team):
+    """Return a text that two calls share if they are the same request of one team.
+
+    They have the same host, method, path and body. Their ids and deadlines may differ,
+    as those of a caller's retries do.
+    """
+    host = call.header("Host") or ""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for field in (team, host, call.method, call.path):
+        digest.update(field.encode(errors="surrogateescape") + b"\0")
+    digest.update(call.body or b"")
+    return FINGERPRINT_PREFIX + digest.hexdigest()
+
+
 def work_of(call, header_names, engine):
     """Return the ``Work`` that a call states in its headers.
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -441,6 +441,7 @@
             why=exc.detail,
             step=exc.step,
             events=attempt.exchange.reads,
+            fingerprint=self.request.fingerprint,
             parts=self.request.shared_parts,
             others=self._deps.in_flight.count_others(attempt.exchange),
         )
