--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -121,6 +121,13 @@
         """
         return self._post("/standin/crash-part", {"part": part}).json()
 
+    def set_crash_path(self, path):
+        """Set the end of the paths of requests that crash servers.
+
+        Returns the times at which such requests have reached them.
+        """
+        return self._post("/standin/crash-path", {"path": path}).json()
+
     def set_server_limit(self, per_s):
         """Set how many requests per second the servers say that they take.
 
--- a/standins/modelserver.py
+++ b/standins/modelserver.py
@@ -35,8 +35,9 @@
     response within its body; the connection is reset instead of closed).
 
     The server crashes at each request with ``crash_part`` among the parts of its
-    prompt, once it has begun to answer, and is back after ``restart_s``. ``crashes``
-    holds the times of these requests' arrivals.
+    prompt, once it has begun to answer, and at each one whose path ends with
+    ``crash_path``, before it answers. It is back after ``restart_s``. ``crashes`` holds
+    the times of these requests' arrivals.
     """
 
     def __init__(
@@ -63,7 +64,7 @@
         self.join_s = 0.1
         self.pause_s = 1.0
         self.unframed_end = None
-        self.crash_part = None
+        self.crash_part = self.crash_path = None
         self.crashes = []
         # Requests per second that the responses name as the server's limit.
         self.limit_per_s = None
@@ -269,11 +270,14 @@
             )
         if self.unframed_end:
             return self._unframed_response(req)
+        if self.crash_path and req.path.endswith(self.crash_path):
+            return self._crash(b"", req)
         if not self._domain:
             return self._plain_response(req)
         parts = req.headers.get("X-Prompt-Prefix", "").split(",")
         if self.crash_part in [part.partition(":")[0] for part in parts]:
-            return self._crash_on_prompt(req)
+            head = self._response_head(req, "Transfer-Encoding: chunked")
+            return self._crash(head, req)
         return self._event_stream(req)
 
     def _response_head(self, req, field):
@@ -286,11 +290,10 @@
         )
         return "".join(f"{line}\r\n" for line in (*lines, "")).encode()
 
-    def _crash_on_prompt(self, req):
-        """Send the head of a stream, then crash."""
+    def _crash(self, sent, req):
+        """Send the bytes ``sent``, then crash."""
         self.crashes.append(time.time())
-        head = self._response_head(req, "Transfer-Encoding: chunked")
-        req.environ["standin.socket"].sendall(head)
+        req.environ["standin.socket"].sendall(sent)
         gevent.sleep(self.event_s)
         # Crashing ends the task of this request too.
         gevent.spawn(self.crash)
--- a/standins/platformconfig.py
+++ b/standins/platformconfig.py
@@ -55,6 +55,14 @@
                 "Service": "desk",
                 "Attempts": 1,
             },
+            {
+                **common,
+                "Name": "look",
+                "PathPrefix": "/look/",
+                "Type": "idempotent",
+                "Service": "desk",
+                "Attempts": 2,
+            },
         ],
         "Services": [
             {"Name": "assist", "HealthPath": "/healthz", "Engine": engine},
--- a/standins/usersplatform.py
+++ b/standins/usersplatform.py
@@ -21,9 +21,10 @@
     ``POST /standin/stop`` with ``{"server": ...}`` stops a server without notice; its
     registration expires as after a crash. ``POST /standin/crash-part`` with ``{"part":
     ...}`` sets the part of prompts that crashes model servers, and returns the times at
-    which requests with such a part have reached them. ``POST /standin/limit`` with
-    ``{"per_s": ...}`` sets the limit that servers name, ``null`` for none, and returns
-    the times at which requests have reached each server.
+    which requests that crash servers have reached them; so does ``POST
+    /standin/crash-path`` with ``{"path": ...}``, the end of the paths that crash any.
+    ``POST /standin/limit`` with ``{"per_s": ...}`` sets the limit that servers name,
+    ``null`` for none, and returns the times at which requests have reached each server.
     """
 
     def __init__(self, address):
@@ -38,6 +39,7 @@
         self.store.app.route("/standin/stop", "POST", self._stop_server)
         self.store.app.route("/standin/crash-part", "POST", self._set_crash_part)
         self.store.app.route("/standin/limit", "POST", self._set_limit)
+        self.store.app.route("/standin/crash-path", "POST", self._set_crash_path)
         for server in self.servers.values():
             server.start()
 
@@ -54,6 +56,14 @@
     def _set_crash_part(self):
         for server in self.servers.values():
             server.crash_part = bottle.request.json["part"]
+        return self._crashes()
+
+    def _set_crash_path(self):
+        for server in self.servers.values():
+            server.crash_path = bottle.request.json["path"]
+        return self._crashes()
+
+    def _crashes(self):
         crashes = [at for server in self.servers.values() for at in server.crashes]
         return json_response(sorted(crashes))
 
