Ask a server whose limit is near zero now and then

With a limit of 0 no request was sent, so no response could tell that the limit had ended; after 30 s all nodes forgot it and sent at once. All nodes together now send one request in ten seconds at least, by the same shares.

--- a/packages/auburnwall-routing/src/auburnwall/routing/rate_limits.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/rate_limits.py
@@ -11,6 +11,9 @@
 
 from auburnwall.base.rendezvous import ranked
 
+# Rate at which all nodes together send to a server that takes fewer requests. Nothing
+# but a response can tell that a limit has ended.
+MIN_RATE_PER_S = 0.1
 # Requests that a server may get at once, apart from the rate that it names.
 MAX_BURST_REQUESTS = 5
 # Time in which the senders of a server may add as many requests as it takes in that
@@ -49,9 +52,10 @@
 
         Nodes are ranked by rendezvous hashing, and those ranked last may send none.
         """
-        count = MAX_BURST_REQUESTS + int(SENDER_SPREAD_S * limit_per_s)
+        rate_per_s = max(limit_per_s, MIN_RATE_PER_S)
+        count = MAX_BURST_REQUESTS + int(SENDER_SPREAD_S * rate_per_s)
         senders = _first_ranked(server, tuple(self._nodes()), count)
-        return limit_per_s / len(senders) if self._node in senders else 0.0
+        return rate_per_s / len(senders) if self._node in senders else 0.0
 
 
 @lru_cache(maxsize=MAX_RANKED_SERVERS)
