Let an unreadable server limit change nothing

A header such as '2, 9' counted like none and ended the limit before. It is now logged and what was heard before still counts. The new test failed before: the server got all that came.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/server_notices.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/server_notices.py
@@ -17,8 +17,8 @@
 LIMIT_MEMORY_S = 30.0
 # Limits that a heartbeat carries.
 MAX_LIMITS_TOLD = 64
-# Characters of an unreadable header that are logged.
-MAX_LOGGED_VALUE = 40
+# Characters of the header that are read.
+MAX_LIMIT_TEXT = 40
 
 
 class _Pause(NamedTuple):
@@ -199,18 +199,17 @@
 
 
 def limit_from_header(text):
-    """Return the requests per second that a response names, or ``None``.
+    """Return the requests per second that a response names.
+
+    ``None`` without the header. Raises ``ValueError`` if the header holds anything but
+    one number that is 0 or more.
 
     >>> limit_from_header("1.5")
     1.5
     """
-    if not text:
+    if text is None:
         return None
-    try:
-        per_s = float(text)
-    except ValueError:
-        per_s = float("nan")
-    if 0 <= per_s < float("inf"):
-        return per_s
-    event("server limit not readable", value=text[:MAX_LOGGED_VALUE])
-    return None
+    per_s = float(text[:MAX_LIMIT_TEXT])
+    if not 0 <= per_s < float("inf"):
+        raise ValueError(f"not a rate: {per_s}")
+    return per_s
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -7,6 +7,7 @@
 from urllib3.util import SKIP_HEADER
 
 from auburnwall.base.http import READ_BYTES
+from auburnwall.base.logs import event
 from auburnwall.fleet.server_notices import (
     LEAVING,
     limit_from_header,
@@ -199,11 +200,21 @@
         if self.status == 421:
             # Another server may have answered.
             return
-        text = self.headers.get(self._deps.header_names.limit)
+        try:
+            per_s = limit_from_header(self.headers.get(self._deps.header_names.limit))
+        except ValueError as exc:
+            # What was heard before still counts.
+            event(
+                "server limit not readable",
+                request=self._request.request_id,
+                peer=self.candidate.server,
+                why=str(exc),
+            )
+            return
         self._deps.notices.note_limit(
             self.candidate.server,
             f"request {self._request.request_id}",
-            limit_from_header(text),
+            per_s,
             asked_at=self.exchange.started_at,
         )
 
--- a/tests/routed/test_server_notices.py
+++ b/tests/routed/test_server_notices.py
@@ -93,6 +93,33 @@
         self.assertEqual([server.refused for server in self.front.desks], [1, 1])
 
 
+class LimitedServerTests(unittest.TestCase):
+    def setUp(self):
+        self.front = self.enterContext(FrontWithServers())
+        for server in self.front.desks:
+            server.limit_per_s = 0.3
+
+    def call(self, number):
+        return send_call(self.front.address, "GET", "/look/x", f"r-{number}")
+
+    def test_unreadable_limit_does_not_end_the_one_before(self):
+        while not all(server.seen for server in self.front.desks):
+            self.assertEqual(self.call(0)[0], 200)
+        for server in self.front.desks:
+            server.limit_per_s = "2, 9"
+        statuses = [self.call(number)[0] for number in range(2, 20)]
+        self.assertIn(503, statuses)
+        self.assertLessEqual(statuses.count(200), 8)
+
+    def test_refusal_says_that_it_is_due_to_limits_and_did_not_run(self):
+        replies = [self.call(number) for number in range(12)]
+        status, headers, body = next(r for r in replies if r[0] != 200)
+        self.assertEqual(status, 503)
+        self.assertIn(b"limits of all servers", body)
+        self.assertIn(b"not run", body)
+        self.assertGreater(float(headers["Retry-After"]), 0.0)
+
+
 class MemberClientTests(unittest.TestCase):
     def setUp(self):
         self.server = ModelServerStandin(StoreStandin(), "m-1", "assist", "norte", "d0")
@@ -175,9 +202,10 @@
     def test_limit_is_a_number_of_requests(self):
         for text, per_s in (("1.5", 1.5), ("0", 0.0), ("12", 12.0)):
             self.assertEqual(limit_from_header(text), per_s)
-        for text in (None, "", "-1", "nan", "inf", "1,5", "two"):
-            with self.subTest(text):
-                self.assertIsNone(limit_from_header(text))
+        self.assertIsNone(limit_from_header(None))
+        for text in ("", "-1", "nan", "inf", "1,5", "two", "1.5, 2"):
+            with self.subTest(text), self.assertRaises(ValueError):
+                limit_from_header(text)
 
     def test_only_seconds_of_a_refusal_are_a_pause(self):
         self.assertEqual(pause_from_header(503, "0.25"), 0.25)
