--- a/packages/auburnwall-routing/src/auburnwall/routing/load_shedding.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/load_shedding.py
@@ -193,10 +193,10 @@
         return math.inf, "the limits of all servers leave nothing for this node"
     if slots_per_s is not None:
         expected_s = (context.queued_ahead + 1) / slots_per_s
-        return (
-            expected_s,
-            f"{context.queued_ahead} go first, a place in {expected_s:.2f} s",
-        )
+        why = f"{context.queued_ahead} go first, a place in {expected_s:.2f} s"
+        if slots_per_s == context.rate_per_s:
+            why += f", the limits of all servers leave {slots_per_s:.2f} a second"
+        return expected_s, why
     if context.forming_groups:
         return FORMING_WAIT_S, f"no group serves, {context.forming_groups} are forming"
     # There is nothing to derive a time from. This is longer than most requests may
