Block a request that crashes server after server, however often it comes

Callers of bookings got 502 and 503 for most of 10 s: one lookup ended three servers, came again when others had started, and ended ten (and twelve of them from 56 s on), at whatever node it came.

Cause: the evidence on crashes knew parts of prompts only, so a plain request counted for nothing, and each repeat has another id. Ruled out: more servers in one attempt than its route allows (two each), and load (0 to 2 of 6 slots in use). The class is the query of death, as for prompt parts, and so is the mend: one finder for both. Nodes tell each other the fingerprints of the requests at crashed servers; one that explains three crashes is blocked at all nodes, unless a request with it was answered in the last minute. Requests with the same crashes are blocked together, and a blocked request does not hide a part that crashes servers too.

A server that is back under its old registration and crashes again counts as another crash: with relays the request had reached servers four times too late because both crashes looked like one.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
@@ -97,7 +97,8 @@
     node started. ``late_groups`` holds the keys of group records that were decided in
     an earlier era and written in this one. Nothing follows from these: their servers
     may have got another group in the time that the store has lost. ``blocked_parts``
-    maps the prompt parts that crash servers to the node that has recorded each.
+    maps the prompt parts and the fingerprints of requests that crash servers to the
+    node that has recorded each.
     """
 
     def __init__(self, replica):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/blocked_parts.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/blocked_parts.py
@@ -1,4 +1,7 @@
-"""Records of the blocked prompt parts in the fleet's table, for nodes that start."""
+"""Records of blocked prompt parts and requests in the fleet's table.
+
+They are for nodes that start.
+"""
 
 from auburnwall.base.logs import event
 from auburnwall.fleet.formation.records import BLOCKED_PART_PREFIX
@@ -9,10 +12,11 @@
 
 
 class BlockedParts:
-    """Keep this node's blocked parts and the fleet's table in accord.
+    """Keep what this node blocks and the fleet's table in accord.
 
-    All nodes block a part by the evidence that they exchange. The planner records it,
-    so that nodes that have started since know of it too.
+    All nodes block a part, or a request by its fingerprint, on the evidence that they
+    exchange. The planner records it, so that nodes that have started since know of it
+    too.
     """
 
     def __init__(self, evidence, state, writer, clock):
@@ -40,7 +44,7 @@
             self._evidence.block_known(part)
 
     def _write(self):
-        blocked = self._evidence.blocked_parts()
+        blocked = self._evidence.blocked_causes()
         recorded = self._state.blocked_parts.keys()
         added, removed = sorted(blocked - recorded), sorted(recorded - blocked)
         if not added and not removed:
--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -49,8 +49,8 @@
         ("peers", "Peers heard of lately.", lambda: len(node.peers.live())),
         (
             "blocked_parts",
-            "Prompt parts that are blocked because they crash servers.",
-            lambda: len(node.crash_evidence.blocked_parts()),
+            "Prompt parts and requests that are blocked because they crash servers.",
+            lambda: len(node.crash_evidence.blocked_causes()),
         ),
         (
             "limited_servers",
--- a/packages/auburnwall-routing/src/auburnwall/routing/call.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/call.py
@@ -65,6 +65,11 @@
         """Return the parts of the prompt that other requests may have too."""
         return self.prompt_parts[:-1]
 
+    @property
+    def crash_causes(self):
+        """Return what may crash a server that runs the request."""
+        return (*self.shared_parts, self.fingerprint)
+
     @property
     def objective_at(self):
         """Return the time of the route's objective, counted from the first call."""
@@ -106,6 +111,11 @@
     return FINGERPRINT_PREFIX + digest.hexdigest()
 
 
+def is_fingerprint(text):
+    """Return whether a text is the fingerprint of a request, not the ID of a part."""
+    return text.startswith(FINGERPRINT_PREFIX)
+
+
 def work_of(call, header_names, engine):
     """Return the ``Work`` that a call states in its headers.
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -10,7 +10,8 @@
 from auburnwall.base.logs import event
 
 from .attempt import Attempt
-from .crash_evidence import Crash
+from .call import is_fingerprint
+from .crash_evidence import Suspect
 from .exceptions import NOT_RUN, UNKNOWN, ExchangeError, OverloadedError, RequestError
 from .hop_by_hop import HOP_BY_HOP
 from .in_flight import FIRST_EVENT_STALL_TIMEOUT_S, DeadlineExceededError, StalledError
@@ -42,7 +43,8 @@
     ``placer`` gives slots, ``channels`` holds the connections to servers, and
     ``in_flight`` tracks exchanges. ``header_names`` are the platform's own headers.
     ``time_to_start`` holds the mean time until a response starts, ``notices`` what
-    servers say of themselves, ``crash_evidence`` which prompt parts crash them.
+    servers say of themselves, ``crash_evidence`` which prompt parts and requests crash
+    them.
     """
 
     placer: object
@@ -248,7 +250,7 @@
             self._deps.in_flight.make_suspect(attempt.candidate.name)
         self._log_failure(attempt, exc)
         if sent and isinstance(exc, ExchangeError):
-            self._check_for_crash(attempt.candidate)
+            self._check_for_crash(attempt)
         request = self.request
         if isinstance(exc, DeadlineExceededError):
             raise self._final_error(504, "Out of time", exc)
@@ -268,33 +270,46 @@
         if sent and not self._budget.take():
             raise self._final_error(502, "No repeats left", exc)
 
-    def _check_for_crash(self, candidate):
-        """Record the prompt as evidence if the server of an exchange has crashed."""
-        deps, prompt = self._deps, self.request.prompt_parts
-        if prompt and deps.channels.has_crashed(candidate.server, candidate.address):
+    def _check_for_crash(self, attempt):
+        """Record the request as evidence if the server of an exchange has crashed."""
+        deps, request, candidate = self._deps, self.request, attempt.candidate
+        if deps.channels.has_crashed(candidate.server, candidate.address):
             deps.crash_evidence.note_crash(
-                Crash(candidate.server, candidate.born), prompt, self.request.request_id
+                candidate.server,
+                candidate.born,
+                Suspect(
+                    request.shared_parts,
+                    "".join(request.prompt_parts[-1:]),
+                    request.fingerprint,
+                ),
+                request.request_id,
+                attempt.exchange.started_at,
             )
 
-    def _check_prompt(self):
-        """Raise ``RequestError`` if a part of the prompt crashes servers."""
-        found = self._deps.crash_evidence.blocked_part(self.request.shared_parts)
+    def _check_crash_causes(self):
+        """Raise ``RequestError`` if the request or a part of its prompt is blocked."""
+        found = self._deps.crash_evidence.blocked_cause(self.request.crash_causes)
         if found is None:
             return
-        part, left_s = found
-        detail = f"servers crash at prompts with part {part}"
+        cause, left_s = found
+        if is_fingerprint(cause):
+            step, title = "check request", "Request crashes servers"
+            detail = f"servers crash at this request, {cause}"
+        else:
+            step, title = "check prompt", "Prompt crashes servers"
+            detail = f"servers crash at prompts with part {cause}"
         event(
             "request refused",
             request=self.request.request_id,
-            step="check prompt",
-            part=part,
+            step=step,
+            part=cause,
             why=detail,
             retry_after_s=round(left_s, 2),
         )
         raise self._final_error(
             502 if self._possible_runs else 503,
-            "Prompt crashes servers",
-            OverloadedError(detail, left_s, step="check prompt"),
+            title,
+            OverloadedError(detail, left_s, step=step),
         )
 
     def unresumable_error(self):
@@ -310,8 +325,7 @@
     def log_response(self, attempt, event_name):
         """Log the end of a request that got a complete response."""
         exchange = attempt.exchange
-        if 200 <= attempt.status < 300 and exchange.reads:
-            self._deps.crash_evidence.note_answered(self.request.shared_parts)
+        self._deps.crash_evidence.note_answered(self._sound_causes(attempt))
         now = self._deps.clock.monotonic()
         if not exchange.reads:
             self._record_start(attempt, now)
@@ -326,6 +340,16 @@
             took_s=round(now - self.request.call.arrived_at, 3),
         )
 
+    def _sound_causes(self, attempt):
+        """Return what a complete response shows to be sound.
+
+        Only the events of a stream show that the server has read the prompt.
+        """
+        request = self.request
+        if attempt.exchange.reads and 200 <= attempt.status < 300:
+            return request.crash_causes
+        return () if request.route.streams else (request.fingerprint,)
+
     def _record_start(self, attempt, now):
         """Record how long the server took until ``now``, the start of its response."""
         request = self.request
@@ -334,7 +358,7 @@
 
     def _start_attempt(self, last_id, resume_window_s):
         request, deps = self.request, self._deps
-        self._check_prompt()
+        self._check_crash_causes()
         try:
             placement = deps.placer.place(request, self._avoid, resume_window_s)
         except OverloadedError as exc:
@@ -368,8 +392,8 @@
 
     def _check_placed(self):
         """Raise ``RequestError`` if a request that has a slot must not be sent now."""
-        # A part of the prompt may have been blocked while the request waited.
-        self._check_prompt()
+        # The request may have been blocked while it waited.
+        self._check_crash_causes()
         if self._deps.clock.monotonic() >= self.request.deadline:
             # The node was paused, or the slot came too late.
             exc = DeadlineExceededError("out of time", step="place")
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
@@ -165,10 +165,11 @@
  * many of them have had a request, `nodes_measured` how many have measured the demand.
  * `suspects` counts the nodes that suspect each group. `leaving` maps the servers
  * that told any of them that they leave to the start time of their incarnation.
- * `crashes` maps crashed servers, as SERVER@BORN, to the prompts in flight there, as
- * the IDs of their parts joined by commas. `sound_parts` are shared parts of such
- * prompts with which requests have been answered. `limits` maps servers to the limits
- * that they have named, the newest of each.
+ * `crashes` maps crashed servers, as SERVER@BORN/NUMBER, to the requests in flight
+ * there, each as the IDs of its prompt's parts joined by commas, a slash and its
+ * fingerprint. NUMBER counts the crashes before with the same BORN. `sound_parts` are
+ * shared parts and fingerprints of such requests that have been answered. `limits` maps
+ * servers to the limits that they have named, the newest of each.
  */
 struct Load {
   1: map<string, i32> running
--- a/tests/routed/test_blocked_parts.py
+++ b/tests/routed/test_blocked_parts.py
@@ -42,9 +42,9 @@
     def test_record_is_in_force_as_soon_as_it_is_read(self):
         """A node that has read the table takes requests before its next step."""
         self.read("bad", b'"n1"')
-        self.assertEqual(self.evidence.blocked_parts(), {"bad"})
+        self.assertEqual(self.evidence.blocked_causes(), {"bad"})
         self.read("bad", None)
-        self.assertEqual(self.evidence.blocked_parts(), set())
+        self.assertEqual(self.evidence.blocked_causes(), set())
 
     def test_planner_writes_what_has_changed_and_nothing_else(self):
         self.parts.step()
--- a/tests/routed/test_crashing_prompts.py
+++ b/tests/routed/test_crashing_prompts.py
@@ -10,7 +10,8 @@
 
 import gevent  # noqa: E402
 
-from auburnwall.routing.crash_evidence import BLOCK_S, MIN_CRASHES, Crash  # noqa: E402
+from auburnwall.routing.crash_evidence import BLOCK_S, MIN_CRASHES  # noqa: E402
+from tests.routing.test_crash_evidence import suspect  # noqa: E402
 
 from .support import FrontWithServers, send_call, wait_until  # noqa: E402
 
@@ -26,8 +27,9 @@
 
     def block(self, part):
         for number in range(MIN_CRASHES):
-            prompt = (part, f"own-{number}")
-            self.evidence.note_crash(Crash(f"s{number}", 1), prompt, "r")
+            self.evidence.note_crash(
+                f"s{number}", 1, suspect([part], f"own-{number}"), "r", 0.0
+            )
         self.evidence.update()
 
     def test_request_with_a_blocked_part_is_refused_at_once_and_not_sent(self):
@@ -60,8 +62,9 @@
 
     def test_request_is_not_sent_again_once_its_part_is_blocked(self):
         for number in range(MIN_CRASHES - 1):
-            prompt = ("bad", f"own-{number}")
-            self.evidence.note_crash(Crash(f"s{number}", 1), prompt, "r")
+            self.evidence.note_crash(
+                f"s{number}", 1, suspect(["bad"], f"own-{number}"), "r", 0.0
+            )
         for engine in self.front.engines:
             engine.crash_part = "bad"
         note_crash = self.evidence.note_crash
@@ -97,4 +100,4 @@
         status, _, body = caller.get(timeout=5.0)
         self.assertEqual((status, body.count(b"data: piece-")), (200, 10))
         self.evidence.update()
-        self.assertEqual(self.evidence.blocked_parts(), set())
+        self.assertEqual(self.evidence.blocked_causes(), set())
--- a/tests/routed/test_peers.py
+++ b/tests/routed/test_peers.py
@@ -11,9 +11,10 @@
 from auburnwall.node.routed.handler import RoutedHandler
 from auburnwall.node.routed.peers import REPORT_PERIOD_S, Peers
 from auburnwall.node.routed.topology import NODES_PER_RELAY, parent_of, relays_of
-from auburnwall.routing.crash_evidence import Crash, CrashEvidence
+from auburnwall.routing.crash_evidence import CrashEvidence
 from auburnwall.wire.exceptions import PeerUnavailableError
 from auburnwall.wire.peer.ttypes import Pulse
+from tests.routing.test_crash_evidence import suspect
 from tests.state.test_table import FakeClock
 
 DATA_CENTERS = ("norte", "sur", "este")
@@ -144,13 +145,12 @@
     def crash_servers(self, nodes, part="bad"):
         """Let a server crash at each of the nodes, at the same moment."""
         for number, name in enumerate(nodes):
-            prompt = ("hot", part, f"own-{number}")
-            crash = Crash(f"s{number}", 1)
-            self.nodes[name].evidence.note_crash(crash, prompt, "r")
+            request = suspect(["hot", part], f"own-{number}")
+            self.nodes[name].evidence.note_crash(f"s{number}", 1, request, "r", 0.0)
 
     def check_blocked(self, *, except_nodes=()):
         for name in set(self.nodes) - self.network.down - set(except_nodes):
-            self.assertEqual(self.nodes[name].evidence.blocked_parts(), {"bad"}, name)
+            self.assertEqual(self.nodes[name].evidence.blocked_causes(), {"bad"}, name)
 
     def answer(self, name, part):
         self.nodes[name].evidence.note_answered((part,))
@@ -192,7 +192,7 @@
         for _ in range(20):
             self.network.run(REPORT_PERIOD_S)
             for name, node in self.nodes.items():
-                self.assertEqual(node.evidence.blocked_parts(), set(), name)
+                self.assertEqual(node.evidence.blocked_causes(), set(), name)
 
 
 class ServerLimitTests(unittest.TestCase):
--- a/tests/routing/test_crash_evidence.py
+++ b/tests/routing/test_crash_evidence.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest.mock import patch
 
+from auburnwall.routing.call import Call, fingerprint_of, is_fingerprint
 from auburnwall.routing.crash_evidence import (
     BLOCK_S,
     EVIDENCE_S,
@@ -13,7 +14,8 @@
     MIN_CRASHES,
     Crash,
     CrashEvidence,
-    find_crashing_parts,
+    Suspect,
+    find_causes,
 )
 from tests.state.test_table import FakeClock
 
@@ -33,6 +35,10 @@
 )
 
 
+def suspect(shared_parts, own):
+    return Suspect(tuple(shared_parts), own, f"request:{own}")
+
+
 class Fleet:
     """The evidence at several nodes, which tell each other in rounds."""
 
@@ -59,10 +65,16 @@
         for index, prompt in enumerate(prompts):
             node = self.nodes[(first_node + index) % len(self.nodes)]
             own = f"own-{next(self.numbers)}"
-            node.note_crash(Crash(server, 1), (*prompt, own), "r")
+            node.note_crash(server, 1, suspect(prompt, own), "r", 0.0)
+
+    def crash_under(self, server, requests, first_node=0):
+        """Crash a server that runs plain requests with these fingerprints."""
+        for index, request in enumerate(requests):
+            node = self.nodes[(first_node + index) % len(self.nodes)]
+            node.note_crash(server, 1, Suspect((), "", request), "r", 0.0)
 
     def blocked(self):
-        return [node.blocked_parts() for node in self.nodes]
+        return [node.blocked_causes() for node in self.nodes]
 
 
 class CrashingPartTests(unittest.TestCase):
@@ -149,7 +161,7 @@
         for number in range(MIN_CRASHES):
             self.fleet.crash(f"s{number}", [("bad",)])
         self.fleet.run(1.0)
-        part, left_s = self.fleet.nodes[2].blocked_part(("hot", "bad"))
+        part, left_s = self.fleet.nodes[2].blocked_cause(("hot", "bad"))
         self.assertEqual(part, "bad")
         self.assertAlmostEqual(left_s, BLOCK_S, delta=1.0)
         self.fleet.clock.now += BLOCK_S
@@ -170,7 +182,7 @@
         node = self.fleet.nodes[0]
         for number in range(10 * MAX_CRASHES):
             node.note_crash(
-                Crash(f"s{number}", 1), (f"p{number}", f"own-{number}"), "r"
+                f"s{number}", 1, suspect([f"p{number}"], f"own-{number}"), "r", 0.0
             )
         self.assertEqual(len(node.crashes_to_tell()), MAX_CRASHES_TOLD)
         self.assertEqual(len(node._crashes), MAX_CRASHES)
@@ -180,27 +192,30 @@
         node.note_answered(("fine",))
         node.block_known("fine")
         node.block_known("bad")
-        self.assertEqual(node.blocked_parts(), {"bad"})
+        self.assertEqual(node.blocked_causes(), {"bad"})
         node.unblock("bad", "its record was removed")
-        self.assertEqual(node.blocked_parts(), set())
+        self.assertEqual(node.blocked_causes(), set())
 
     def test_a_part_is_no_cause_of_crashes_that_another_part_explains(self):
         prompts_by_crash = {
-            Crash(f"s{n}", 1): {("hot", "bad", f"own-{n}"), ("cold", "own")}
+            Crash(f"s{n}", 1): {
+                suspect(["hot", "bad"], f"own-{n}"),
+                suspect(["cold"], f"cold-{n}"),
+            }
             for n in range(5)
         }
-        found = find_crashing_parts(
-            prompts_by_crash, set(), lambda part, crashes, requests: crashes >= 3
+        found = find_causes(
+            prompts_by_crash, set(), lambda part, crashes, requests: len(crashes) >= 3
         )
-        self.assertEqual([part for part, _ in found], ["bad"])
+        self.assertEqual([causes for causes, _ in found], [["bad"]])
 
-    def test_crashes_under_one_request_block_no_shared_part(self):
+    def test_crashes_under_one_request_block_it_and_no_shared_part(self):
         """The request's own part may be the cause; its retries have the same one."""
         node = self.fleet.nodes[0]
         for number in range(2 * MIN_CRASHES):
-            node.note_crash(Crash(f"s{number}", 1), ("part", "own"), "r")
+            node.note_crash(f"s{number}", 1, suspect(["part"], "own"), "r", 0.0)
         self.fleet.run(1.0)
-        self.assertEqual(self.fleet.blocked(), [set()] * 7)
+        self.assertEqual(self.fleet.blocked(), [{"request:own"}] * 7)
 
     def test_node_that_starts_or_wakes_later_blocks_the_part_too(self):
         for number in range(MIN_CRASHES):
@@ -209,7 +224,7 @@
         late = CrashEvidence(self.fleet.clock, lambda: SETTLE_S)
         self.fleet.nodes.append(late)
         self.fleet.run(1.0)
-        self.assertEqual(late.blocked_parts(), {"bad"})
+        self.assertEqual(late.blocked_causes(), {"bad"})
 
     def test_removed_record_leaves_a_part_that_one_crash_blocks_again(self):
         node = self.fleet.nodes[0]
@@ -217,7 +232,7 @@
         node.unblock("bad", "its record was removed")
         self.fleet.crash("s1", [("bad",)])
         self.fleet.run(1.0)
-        self.assertEqual(node.blocked_parts(), {"bad"})
+        self.assertEqual(node.blocked_causes(), {"bad"})
 
     def test_part_is_found_among_many_prompts_at_each_server(self):
         """A server has up to twenty slots; its requests come from several nodes."""
@@ -228,6 +243,113 @@
         self.assertEqual(self.fleet.blocked(), [{"bad"}] * 7)
 
 
+class RepeatedRequestTests(unittest.TestCase):
+    """One request that crashes servers and comes again, at any node."""
+
+    def setUp(self):
+        self.fleet = Fleet(7)
+
+    def test_third_crash_blocks_the_request_at_all_nodes(self):
+        for number in range(MIN_CRASHES):
+            self.fleet.run(0.1)
+            self.assertEqual(self.fleet.blocked(), [set()] * 7)
+            self.fleet.crash_under(f"s{number}", ["request:bad"], first_node=number)
+        self.fleet.run(SETTLE_S + 0.2)
+        self.assertEqual(self.fleet.blocked(), [{"request:bad"}] * 7)
+
+    def test_requests_that_were_at_some_of_the_servers_are_not_blocked(self):
+        for number in range(2 * MIN_CRASHES):
+            beside = [f"request:{n}" for n in range(number, number + 2)]
+            self.fleet.crash_under(f"s{number}", ["request:bad", *beside], number)
+        self.fleet.run(1.0)
+        self.assertEqual(self.fleet.blocked(), [{"request:bad"}] * 7)
+
+    def test_requests_with_the_same_crashes_are_all_blocked_until_one_is_answered(self):
+        for number in range(MIN_CRASHES):
+            self.fleet.crash_under(f"s{number}", ["request:bad", "request:fine"])
+        self.fleet.run(1.0)
+        self.assertEqual(self.fleet.blocked(), [{"request:bad", "request:fine"}] * 7)
+        self.fleet.nodes[2].note_answered(["request:fine"])
+        self.fleet.run(0.2)
+        self.assertEqual(self.fleet.blocked(), [{"request:bad"}] * 7)
+
+    def test_request_that_many_callers_send_is_sound_once_one_is_answered(self):
+        """A query that a team polls is at many servers that crash at once."""
+        self.fleet.nodes[6].note_answered(["request:rates"])
+        for number in range(15):
+            self.fleet.crash_under(f"s{number}", ["request:rates", f"request:{number}"])
+        for _ in range(20):
+            self.assertEqual(self.fleet.blocked(), [set()] * 7)
+            self.fleet.run(0.1)
+
+    def test_blocked_request_does_not_hide_a_part_that_crashes_servers(self):
+        """The first request with the part comes again until it is blocked itself."""
+        for number in range(MIN_CRASHES):
+            node = self.fleet.nodes[number]
+            crashing = suspect(["hot", "bad"], "own")
+            node.note_crash(f"s{number}", 1, crashing, "r", 0.0)
+        self.fleet.run(1.0)
+        self.assertEqual(self.fleet.blocked(), [{"request:own"}] * 7)
+        self.fleet.nodes[0].note_answered(["hot"])
+        for number in range(MIN_CRASHES, MAX_CRASHES_BEFORE_BLOCK):
+            self.fleet.crash(f"s{number}", [("hot", "bad")], first_node=number)
+        self.fleet.run(1.0)
+        self.assertEqual(self.fleet.blocked(), [{"request:own", "bad"}] * 7)
+
+    def test_server_that_is_back_before_its_registration_crashes_anew(self):
+        node, crashing = self.fleet.nodes[0], Suspect((), "", "request:bad")
+        for _ in range(MIN_CRASHES):
+            self.assertEqual(node.blocked_causes(), set())
+            sent_at = self.fleet.clock.now
+            # Two requests at once are at the same crash.
+            for teller in self.fleet.nodes[:2]:
+                teller.note_crash("s1", 1, crashing, "r", sent_at)
+            self.fleet.run(1.0)
+        self.assertEqual(self.fleet.blocked(), [{"request:bad"}] * 7)
+
+    def test_one_crash_beside_a_blocked_request_blocks_none_of_its_parts(self):
+        for number in range(MIN_CRASHES):
+            node = self.fleet.nodes[number]
+            node.note_crash(f"s{number}", 1, suspect(["part"], "own"), "r", 0.0)
+        self.fleet.run(1.0)
+        self.fleet.crash("s9", [("part",)])
+        self.fleet.run(1.0)
+        self.assertEqual(self.fleet.blocked(), [{"request:own"}] * 7)
+
+
+class FingerprintTests(unittest.TestCase):
+    def fingerprint(self, team="blue", path="/a?b=1", body=b"x", **headers):
+        headers = {"Host": "shop.example", **headers}
+        call = Call("POST", path, tuple(headers.items()), body, 0.0)
+        return fingerprint_of(call, team)
+
+    def test_repeats_of_a_request_share_it(self):
+        first = self.fingerprint(**{"X-Attempt-Id": "1", "X-Deadline-Ms": "900"})
+        again = self.fingerprint(**{"X-Attempt-Id": "2", "X-Deadline-Ms": "300"})
+        self.assertEqual(first, again)
+        self.assertTrue(is_fingerprint(first))
+
+    def test_other_requests_have_another(self):
+        others = {
+            self.fingerprint(),
+            self.fingerprint(team="green"),
+            self.fingerprint(path="/a?b=2"),
+            self.fingerprint(body=b"y"),
+            self.fingerprint(Host="other.example"),
+            # Fields do not run into each other.
+            self.fingerprint(team="blueshop.example", Host=""),
+        }
+        self.assertEqual(len(others), 6)
+
+    def test_suspect_is_the_same_after_it_was_told_to_a_peer(self):
+        for told in (
+            suspect(["a", "b"], "own"),
+            suspect([], "own"),
+            Suspect((), "", self.fingerprint()),
+        ):
+            self.assertEqual(Suspect.decode(told.encode()), told)
+
+
 class MechanismTests(unittest.TestCase):
     """The failures that come back if a part of the mechanism is switched off."""
 
