--- /dev/null
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -0,0 +1,335 @@
+"""The attempts at one routed request: which may follow, and what each one teaches.
+
+A request is retried only if the server stated that it did not run it, if nothing was
+sent, or if its route allows it to run more than once.
+"""
+
+from auburnwall.base.logs import event
+
+from .attempt import Attempt
+from .call import is_fingerprint
+from .crash_evidence import Suspect
+from .exceptions import NOT_RUN, UNKNOWN, ExchangeError, OverloadedError, RequestError
+from .hop_by_hop import HOP_BY_HOP
+from .in_flight import FIRST_EVENT_STALL_TIMEOUT_S, DeadlineExceededError, StalledError
+
+# Attempts at one request, including those that the server refuses to run.
+MAX_ATTEMPTS = 4
+# Time after which a caller is told to retry where no better time is known.
+DEFAULT_RETRY_AFTER_S = 0.5
+
+
+class RequestAttempts:
+    """The attempts at one request, and whether a further attempt is allowed.
+
+    ``_possible_runs`` counts the failed attempts whose server may have run the request.
+    ``_avoid`` holds the servers that must get no further attempt.
+    """
+
+    def __init__(self, deps, request, budget):
+        self._deps = deps
+        self.request = request
+        self._budget = budget
+        self._avoid = frozenset()
+        self._attempt_count = 0
+        self._possible_runs = 0
+        self._caller_last_id = request.call.header(deps.header_names.last_event_id)
+        self.first_status = 0
+        self.first_headers = None
+        self._first_event_s = None
+        self._last_events_at = request.call.arrived_at
+        self._longest_pause_s = 0.0
+
+    def record_events(self, attempt):
+        """Record the time to the first event and the longest pause between events."""
+        now = self._deps.clock.monotonic()
+        if self._first_event_s is None:
+            self._record_start(attempt, now)
+            self._first_event_s = now - self.request.call.arrived_at
+        else:
+            self._longest_pause_s = max(
+                self._longest_pause_s, now - self._last_events_at
+            )
+        self._last_events_at = now
+
+    def keep_first_head(self, attempt):
+        """Keep status and headers of the first server whose response is passed on."""
+        if self.first_headers is None:
+            self.first_status = attempt.status
+            self.first_headers = end_to_end_headers(attempt.headers)
+
+    def next_attempt(self, last_id=None, resume_window_s=None):
+        """Return an attempt whose response has started.
+
+        Without ``last_id`` a stream starts where the caller requested. Raises
+        ``RequestError`` if no further attempt is allowed or no server has a slot.
+        """
+        if last_id is None:
+            last_id = self._caller_last_id
+        while True:
+            attempt = self._start_attempt(last_id, resume_window_s)
+            try:
+                attempt.open()
+                if attempt.not_run:
+                    self._handle_server_refusal(attempt)
+                elif self._take_retry_for_error(attempt):
+                    attempt.close()
+                else:
+                    return attempt
+            except (ExchangeError, StalledError, DeadlineExceededError) as exc:
+                attempt.close()
+                self.check_retry_after_failure(attempt, exc)
+            except BaseException:
+                attempt.close()
+                raise
+
+    def check_retry_after_failure(self, attempt, exc):
+        """Record a failed attempt and check whether a further one is allowed.
+
+        Excludes the server. If nothing was sent, the candidate becomes suspect, since
+        otherwise each further request would be tried there again. A retry of a request
+        that was sent is taken from the retry budget. Raises ``RequestError`` if no
+        further attempt is allowed.
+        """
+        self._avoid |= {attempt.candidate.server}
+        # StalledError and DeadlineExceededError occur only once sending has begun.
+        sent = getattr(exc, "sent", True)
+        self._possible_runs += sent
+        if not sent:
+            self._deps.in_flight.make_suspect(attempt.candidate.name)
+        self._log_failure(attempt, exc)
+        if sent and isinstance(exc, ExchangeError):
+            self._check_for_crash(attempt)
+        request = self.request
+        if isinstance(exc, DeadlineExceededError):
+            raise self._final_error(504, "Out of time", exc)
+        if self._deps.clock.monotonic() >= request.deadline:
+            raise self._final_error(
+                504 if self._possible_runs else 503, "Out of time", exc
+            )
+        if sent and not request.route.may_run_again:
+            raise self._final_error(502, "Backend server failed", exc)
+        if (
+            self._possible_runs >= request.route.max_servers
+            or self._attempt_count >= MAX_ATTEMPTS
+        ):
+            raise self._final_error(
+                502 if self._possible_runs else 503, "Backend server failed", exc
+            )
+        if sent and not self._budget.take():
+            raise self._final_error(502, "No repeats left", exc)
+
+    def _check_for_crash(self, attempt):
+        """Record the request as evidence if the server of an exchange has crashed."""
+        deps, request, candidate = self._deps, self.request, attempt.candidate
+        if deps.channels.has_crashed(candidate.server, candidate.address):
+            deps.crash_evidence.note_crash(
+                candidate.server,
+                candidate.born,
+                Suspect(
+                    request.shared_parts,
+                    "".join(request.prompt_parts[-1:]),
+                    request.fingerprint,
+                ),
+                request.request_id,
+                attempt.exchange.started_at,
+            )
+
+    def _check_crash_causes(self):
+        """Raise ``RequestError`` if the request or a part of its prompt is blocked."""
+        found = self._deps.crash_evidence.blocked_cause(self.request.crash_causes)
+        if found is None:
+            return
+        cause, left_s = found
+        if is_fingerprint(cause):
+            step, title = "check request", "Request crashes servers"
+            detail = f"servers crash at this request, {cause}"
+        else:
+            step, title = "check prompt", "Prompt crashes servers"
+            detail = f"servers crash at prompts with part {cause}"
+        event(
+            "request refused",
+            request=self.request.request_id,
+            step=step,
+            part=cause,
+            why=detail,
+            retry_after_s=round(left_s, 2),
+        )
+        raise self._final_error(
+            502 if self._possible_runs else 503,
+            title,
+            OverloadedError(detail, left_s, step=step),
+        )
+
+    def unresumable_error(self):
+        """Return the error for a stream that broke off and whose events have no ids."""
+        return RequestError(
+            502,
+            "Stream broke off",
+            "its events have no ids",
+            ran=UNKNOWN,
+            step="resume",
+        )
+
+    def log_response(self, attempt, event_name):
+        """Log the end of a request that got a complete response."""
+        exchange = attempt.exchange
+        self._deps.crash_evidence.note_answered(self._sound_causes(attempt))
+        now = self._deps.clock.monotonic()
+        if not exchange.reads:
+            self._record_start(attempt, now)
+        self._log(
+            attempt,
+            f"request {event_name}",
+            status=attempt.status,
+            events=exchange.reads,
+            offers=self._attempt_count,
+            first_s=self._first_event_s and round(self._first_event_s, 3),
+            longest_pause_s=round(self._longest_pause_s, 3),
+            took_s=round(now - self.request.call.arrived_at, 3),
+        )
+
+    def _sound_causes(self, attempt):
+        """Return what a complete response shows to be sound.
+
+        Only the events of a stream show that the server has read the prompt.
+        """
+        request = self.request
+        if attempt.exchange.reads and 200 <= attempt.status < 300:
+            return request.crash_causes
+        return () if request.route.streams else (request.fingerprint,)
+
+    def _record_start(self, attempt, now):
+        """Record how long the server took until ``now``, the start of its response."""
+        request = self.request
+        took_s = now - attempt.exchange.started_at
+        self._deps.time_to_start.record(request.service, request.model, took_s)
+
+    def _start_attempt(self, last_id, resume_window_s):
+        request, deps = self.request, self._deps
+        self._check_crash_causes()
+        try:
+            placement = deps.placer.place(request, self._avoid, resume_window_s)
+        except OverloadedError as exc:
+            if self._possible_runs:
+                raise self._final_error(502, "No server left to go on at", exc) from exc
+            raise
+        try:
+            self._check_placed()
+        except RequestError:
+            deps.placer.release_slot(placement)
+            raise
+        self._attempt_count += 1
+        attempt = Attempt(deps, request, placement, last_id)
+        exchange = attempt.exchange
+        may_use_another = self._possible_runs + 1 < request.route.max_servers
+        exchange.may_reroute = request.route.may_run_again and may_use_another
+        # Half the objective is allowed for reading the prompt.
+        exchange.stall_timeout_s = (
+            FIRST_EVENT_STALL_TIMEOUT_S + 0.5 * request.route.objective_s
+        )
+        self._log(
+            attempt,
+            "request placed",
+            model=request.model or None,
+            offer=self._attempt_count,
+            running=placement.load,
+            waited_s=round(deps.clock.monotonic() - request.call.arrived_at, 3),
+            resume_after=last_id,
+        )
+        return attempt
+
+    def _check_placed(self):
+        """Raise ``RequestError`` if a request that has a slot must not be sent now."""
+        # The request may have been blocked while it waited.
+        self._check_crash_causes()
+        if self._deps.clock.monotonic() >= self.request.deadline:
+            # The node was paused, or the slot came too late.
+            exc = DeadlineExceededError("out of time", step="place")
+            raise self._final_error(
+                504 if self._possible_runs else 503, "Out of time", exc
+            )
+
+    def _take_retry_for_error(self, attempt):
+        """Return whether a response with a 5xx status is retried at another server.
+
+        If so, takes the retry from the budget, counts the attempt as a possible run
+        and excludes the server.
+        """
+        route = self.request.route
+        if attempt.status < 500 or not route.repeatable:
+            return False
+        if self._possible_runs + 1 >= route.max_servers or not self._budget.take():
+            return False
+        self._possible_runs += 1
+        self._avoid |= {attempt.candidate.server}
+        self._log(attempt, "server failed", status=attempt.status)
+        return True
+
+    def _handle_server_refusal(self, attempt):
+        """Record that a server stated that it did not run the request.
+
+        Nodes send a group fewer requests than it can take, so a refusal is not due to
+        load: the group is broken or closing, even if the fleet's tables do not show it
+        yet. It becomes suspect, since its free slots would attract further requests. A
+        server that asks for a pause is not suspect. The retry is taken from the budget.
+        Raises ``RequestError`` if no further attempt is allowed.
+        """
+        attempt.close()
+        if self.request.model and attempt.pause_s is None:
+            self._deps.in_flight.make_suspect(attempt.candidate.name)
+        at_fault = attempt.headers.get(self._deps.header_names.server_at_fault, "")
+        self._avoid |= {attempt.candidate.server}
+        self._log(
+            attempt, "server refused", status=attempt.status, at_fault=at_fault or None
+        )
+        exhausted = self._attempt_count >= MAX_ATTEMPTS or not self._budget.take()
+        if not exhausted:
+            return
+        detail = f"{attempt.candidate.server} answered {attempt.status}"
+        if self._possible_runs:
+            raise RequestError(
+                502, "Backend server failed", detail, ran=UNKNOWN, step="offer"
+            )
+        raise OverloadedError(detail, DEFAULT_RETRY_AFTER_S, step="offer")
+
+    def _final_error(self, status, title, exc):
+        ran = UNKNOWN if self._possible_runs else NOT_RUN
+        retry_after_s = getattr(exc, "retry_after_s", None) or DEFAULT_RETRY_AFTER_S
+        return RequestError(
+            status,
+            title,
+            exc.detail,
+            ran=ran,
+            step=exc.step,
+            peer=exc.peer,
+            retry_after_s=retry_after_s,
+        )
+
+    def _log_failure(self, attempt, exc):
+        """Log a failed attempt, with this node's other requests at the server."""
+        self._log(
+            attempt,
+            "attempt failed",
+            why=exc.detail,
+            step=exc.step,
+            events=attempt.exchange.reads,
+            fingerprint=self.request.fingerprint,
+            parts=self.request.shared_parts,
+            others=self._deps.in_flight.count_others(attempt.exchange),
+        )
+
+    def _log(self, attempt, name, **fields):
+        candidate = attempt.candidate
+        event(
+            name,
+            request=self.request.request_id,
+            peer=candidate.server,
+            group=candidate.name,
+            **fields,
+        )
+
+
+def end_to_end_headers(headers):
+    """Return a response's headers that are passed on to the caller, as pairs."""
+    return [(n, v) for n, v in headers.items() if n.lower() not in HOP_BY_HOP]
