Wait until all nodes know an open group before the store falls silent

test_requests_are_served_while_store_is_unresponsive failed in 3 of 14 runs with a 503 at the second node: its setup waited for an open group at the first node only, and the store fell silent before the second had read of one.

--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -13,7 +13,11 @@
 class PlatformClusterTests(PlatformClusterTestCase):
     def setUp(self):
         super().setUp()
-        self.cluster.wait(lambda: self.is_served("first"), "a group is open")
+        # Each node reads of open groups by itself.
+        self.cluster.wait(
+            lambda: all(self.is_served(f"first-{name}", name) for name in self.names),
+            "all nodes know an open group",
+        )
 
     def is_served(self, request_id, node=None):
         try:
