--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -1,7 +1,10 @@
 """Test setup: nodes as processes on a stand-in of the users' platform."""
 
+import itertools
+import signal
 import tempfile
 import unittest
+from http.client import HTTPException
 
 from demo.platform_cluster import PlatformCluster
 
@@ -17,7 +20,28 @@
         cluster = PlatformCluster(self.NODES, out, self.NODE_ENV)
         self.cluster = self.enterContext(cluster)
         self.names = sorted(self.cluster.nodes)
+        self.numbers = itertools.count()
         self.cluster.wait(self.all_ready, "all nodes are ready")
 
     def all_ready(self):
         return all(map(self.cluster.is_ready, self.names))
+
+    def send_request(self, node, path="/ask/x", prompt=""):
+        """Send a request; return status and body, 0 if there is no whole response."""
+        try:
+            return self.cluster.send_request(
+                node, f"c-{next(self.numbers)}", path, prompt=prompt
+            )
+        except (OSError, HTTPException):
+            return 0, b""
+
+    def restart_all_nodes(self):
+        """Kill all nodes, start them again, and wait until they are ready."""
+        for name in self.names:
+            self.cluster.signal(name, signal.SIGKILL)
+        for name in self.names:
+            self.cluster.wait(
+                lambda n=name: self.cluster.exit_code(n) is not None, "end"
+            )
+            self.cluster.add_node(name)
+        self.cluster.wait(self.all_ready, "all nodes are ready")
--- a/tests/processes/test_crashing_prompts.py
+++ b/tests/processes/test_crashing_prompts.py
@@ -1,10 +1,7 @@
 """A prompt part that crashes each model server reaches only a few of them."""
 
-import itertools
-import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
-from http.client import HTTPException
 
 from .support import PlatformClusterTestCase
 
@@ -19,17 +16,13 @@
 class CrashingPromptTests(PlatformClusterTestCase):
     def setUp(self):
         super().setUp()
-        self.numbers = itertools.count()
         self.cluster.wait(self.is_sound_served, "a group is open")
 
     def send(self, node, *shared_parts):
         """Send a request; return status and body, 0 if there is no whole response."""
         number = next(self.numbers)
         prompt = ",".join(f"{part}:40" for part in (*shared_parts, f"{number:08x}"))
-        try:
-            return self.cluster.send_request(node, f"c-{number}", prompt=prompt)
-        except (OSError, HTTPException):
-            return 0, b""
+        return self.send_request(node, prompt=prompt)
 
     def is_sound_served(self):
         status, body = self.send(self.names[0], SHARED_PART)
@@ -71,14 +64,7 @@
     def test_restarted_nodes_know_which_part_crashes_servers(self):
         self.cluster.set_crash_part(CRASH_PART)
         self.send_for(8.0)
-        for name in self.names:
-            self.cluster.signal(name, signal.SIGKILL)
-        for name in self.names:
-            self.cluster.wait(
-                lambda n=name: self.cluster.exit_code(n) is not None, "end"
-            )
-            self.cluster.add_node(name)
-        self.cluster.wait(self.all_ready, "all nodes are ready")
+        self.restart_all_nodes()
         self.send_for(6.0)
         self.assertLessEqual(self.requests_after_limit(), REQUESTS_AFTER)
         self.cluster.wait(self.is_sound_served, "sound requests are served")
--- a/tests/processes/test_repeated_requests.py
+++ b/tests/processes/test_repeated_requests.py
@@ -1,10 +1,8 @@
 """A request that crashes each server that runs it, and comes again, reaches few."""
 
 import itertools
-import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
-from http.client import HTTPException
 
 from .support import PlatformClusterTestCase
 
@@ -19,22 +17,13 @@
 class RepeatedRequestTests(PlatformClusterTestCase):
     def setUp(self):
         super().setUp()
-        self.numbers = itertools.count()
         for prefix in ("/look", "/ask"):
             self.cluster.wait(lambda p=prefix: self.is_served(p), f"{prefix} is served")
 
-    def send(self, node, path):
-        """Send a request; return its status, 0 if there is no whole response."""
-        try:
-            request_id = f"c-{next(self.numbers)}"
-            return self.cluster.send_request(node, request_id, path)[0]
-        except (OSError, HTTPException):
-            return 0
-
     def is_served(self, prefix):
         """Return whether sound requests are served at all nodes."""
         path = f"{prefix}/{next(self.numbers)}"
-        return all(self.send(name, path) == 200 for name in self.names)
+        return all(self.send_request(name, path)[0] == 200 for name in self.names)
 
     def repeat_for(self, seconds, prefix):
         """Send the request that crashes servers to all nodes, beside sound ones."""
@@ -43,7 +32,7 @@
         def repeat(node, is_sound):
             while time.monotonic() < ends_at:
                 end = f"/{next(self.numbers)}" if is_sound else CRASH_PATH
-                self.send(node, prefix + end)
+                self.send_request(node, prefix + end)
                 time.sleep(INTERVAL_S)
 
         with ThreadPoolExecutor(2 * self.NODES) as pool:
@@ -56,7 +45,8 @@
         limit = arrivals[CRASHES_BEFORE - 1] + CONTACT_S
         self.assertLessEqual(sum(at > limit for at in arrivals), REQUESTS_AFTER)
         self.cluster.wait(lambda: self.is_served(prefix), "sound requests are served")
-        statuses = {self.send(name, prefix + CRASH_PATH) for name in self.names}
+        path = prefix + CRASH_PATH
+        statuses = {self.send_request(name, path)[0] for name in self.names}
         self.assertEqual(statuses, {503})
 
     def test_request_that_crashes_plain_servers_reaches_few(self):
@@ -72,14 +62,7 @@
     def test_restarted_nodes_know_which_request_crashes_servers(self):
         self.cluster.set_crash_path(CRASH_PATH)
         self.repeat_for(8.0, "/look")
-        for name in self.names:
-            self.cluster.signal(name, signal.SIGKILL)
-        for name in self.names:
-            self.cluster.wait(
-                lambda n=name: self.cluster.exit_code(n) is not None, "end"
-            )
-            self.cluster.add_node(name)
-        self.cluster.wait(self.all_ready, "all nodes are ready")
+        self.restart_all_nodes()
         self.repeat_for(6.0, "/look")
         self.check("/look")
 
--- a/tests/processes/test_server_limit.py
+++ b/tests/processes/test_server_limit.py
@@ -4,7 +4,6 @@
 import time
 from bisect import bisect_right
 from concurrent.futures import ThreadPoolExecutor
-from http.client import HTTPException
 
 from .support import PlatformClusterTestCase
 
@@ -31,20 +30,11 @@
 class ServerLimitTests(PlatformClusterTestCase):
     def setUp(self):
         super().setUp()
-        self.numbers = itertools.count()
         for path in PATHS:
             self.cluster.wait(lambda p=path: self.is_served(p), f"{path} is served")
 
-    def send(self, node, path):
-        """Send a request; return its status, 0 if there is no whole response."""
-        try:
-            request_id = f"l-{next(self.numbers)}"
-            return self.cluster.send_request(node, request_id, path)[0]
-        except (OSError, HTTPException):
-            return 0
-
     def is_served(self, path):
-        return all(self.send(name, path) == 200 for name in self.names)
+        return all(self.send_request(name, path)[0] == 200 for name in self.names)
 
     def send_for(self, seconds):
         """Send more requests than the limits allow; return their statuses."""
@@ -52,7 +42,7 @@
 
         def repeat(node, path):
             while time.monotonic() < ends_at:
-                statuses.append(self.send(node, path))
+                statuses.append(self.send_request(node, path)[0])
                 time.sleep(INTERVAL_S)
 
         with ThreadPoolExecutor(SENDERS * self.NODES * len(PATHS)) as pool:
