--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -23,12 +23,14 @@
 class PlatformCluster(Processes):
     """A cluster of a stand-in platform and nodes, each in its own process.
 
-    ``node_env`` holds environment variables of the nodes.
+    ``node_env`` holds environment variables of the nodes, ``node_module`` is the
+    Python module that runs one.
     """
 
-    def __init__(self, node_count, out, node_env=()):
+    def __init__(self, node_count, out, node_env=(), node_module="auburnwall.platform"):
         super().__init__(out)
         self.nodes = {}
+        self._node_module = node_module
         self._node_env = dict(node_env)
         self._node_count = node_count
 
@@ -57,8 +59,13 @@
         )
         path = self.settings_path(name)
         path.write_text(text, "utf-8")
-        command = [sys.executable, "-m", "auburnwall.platform"]
-        self._start(name, command, {"AUBURNWALL_SETTINGS": str(path), **self._node_env})
+        command = [sys.executable, "-m", self._node_module]
+        environ = {"AUBURNWALL_SETTINGS": str(path), **self._node_env}
+        self._start(name, command, {**environ, **self.environ_of(name)})
+
+    def environ_of(self, node):
+        """Return environment variables that only this node has."""
+        return {}
 
     def settings_path(self, node):
         """Return the path of a node's settings file."""
@@ -68,6 +75,12 @@
         """Write a record to the store, as an operator or a server does."""
         self._post("/standin/put", {"topic": topic, "key": key, "value": value})
 
+    def server_addresses(self):
+        """Return the addresses of all backend servers."""
+        return self._http.request(
+            "GET", f"http://{self.store}/standin/addresses"
+        ).json()
+
     def stop_server(self, server):
         """Stop a server without notice."""
         self._post("/standin/stop", {"server": server})
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -14,10 +14,11 @@
 
     NODES = 3
     NODE_ENV = {}
+    CLUSTER_CLASS = PlatformCluster
 
     def setUp(self):
         out = self.enterContext(tempfile.TemporaryDirectory())
-        cluster = PlatformCluster(self.NODES, out, self.NODE_ENV)
+        cluster = self.CLUSTER_CLASS(self.NODES, out, self.NODE_ENV)
         self.cluster = self.enterContext(cluster)
         self.names = sorted(self.cluster.nodes)
         self.numbers = itertools.count()
@@ -26,6 +27,16 @@
     def all_ready(self):
         return all(map(self.cluster.is_ready, self.names))
 
+    def planner(self):
+        """Return the node that was elected leader last; the leader plans."""
+        elections = [
+            (event["term"], event["node"])
+            for name in self.names
+            for event in self.cluster.log_events(name)
+            if event["event"] == "planning taken over"
+        ]
+        return max(elections)[1]
+
     def send_request(self, node, path="/ask/x", prompt=""):
         """Send a request; return status and body, 0 if there is no whole response."""
         try:
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -26,16 +26,6 @@
             return False
         return status == 200 and body.count(b"data: piece-") == EVENTS_PER_STREAM
 
-    def planner(self):
-        """Return the node that was elected leader last; the leader plans."""
-        elections = [
-            (event["term"], event["node"])
-            for name in self.names
-            for event in self.cluster.log_events(name)
-            if event["event"] == "planning taken over"
-        ]
-        return max(elections)[1]
-
     def events(self, name):
         return [
             e
