Report a group as suspect only from a node that reaches servers

Cause: a node took its own loss of links for a failure of each group, and its peers believed it. Evidence: group doubted with the source own streams at the four cut-off nodes only, and 0.1 s later with their names at all others.

What a node sees itself goes before a peer's word: a group whose streams make progress here is not suspect because of a peer. After a cut the node drops its suspicions and idle connections, and stall timers start anew.

Ruled out: asking for several suspecting nodes, as in large fleets; of seven nodes four were cut off.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -57,6 +57,11 @@
             "Servers that have named a limit on their requests.",
             lambda: len(node.notices.limited_servers()),
         ),
+        (
+            "reaches_servers",
+            "Whether this node reaches any server, 1 or 0.",
+            lambda: int(not node.reach.cut_off),
+        ),
         ("connections", "Connections opened.", lambda: channels.connections_opened),
     ):
         metrics.gauge(f"auburnwall_{name}", documentation, function)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -19,6 +19,7 @@
 from auburnwall.fleet.formation.records import FleetState, FleetWriter
 from auburnwall.fleet.registrations import Registry
 from auburnwall.fleet.server_notices import ServerNotices
+from auburnwall.fleet.server_reach import RECHECK_INTERVAL_S, ServerReach
 from auburnwall.routing.answer_start import TimeToStart
 from auburnwall.routing.channels import ChannelPool
 from auburnwall.routing.crash_evidence import CrashEvidence
@@ -197,6 +198,7 @@
             (SWEEP_INTERVAL_S, self.channels.close_expired, "idle connections"),
             (NODE_REMOVAL_INTERVAL_S, self._remove_unreachable_nodes, "nodes gone"),
             (GRANT_CHECK_INTERVAL_S, self.placing.broker.expire_grants, "grants"),
+            (RECHECK_INTERVAL_S, self.reach.recheck, "links"),
             (CRASH_EVIDENCE_INTERVAL_S, self.blocked_parts.step, "crash evidence"),
             (SETTINGS_INTERVAL_S, self.settings.check, "settings"),
         ):
@@ -226,6 +228,11 @@
             self.replicas[SERVER_TABLE], platform.decode_registration, clock
         )
         self.notices = platform.engine.notices = ServerNotices(self.registry, clock)
+        self.channels = self._stack.enter_context(closing(ChannelPool(clock)))
+        self.reach = ServerReach(
+            self.registry, self.channels.can_connect, clock, self.rng, self.tasks
+        )
+        self.reach.listeners.append(self._apply_reach)
         self.fleet = FleetState(self.replicas[FLEET_TABLE])
         self.writer = FleetWriter(self.fleet, platform.store, clock, self.identity)
         pool = PeerPool(timeout_s=PEER_TIMEOUT_S, service=Routed)
@@ -304,7 +311,7 @@
 
     def _build_routing(self):
         cfg, clock = self.cfg, self.clock
-        self.suspects = SuspectCandidates(clock)
+        self.suspects = SuspectCandidates(clock, self.reach)
         self.suspects.listeners.append(self.member_monitor.suspect_group)
         self.peers.on_suspects = self._suspect_for_peer
         self.peers.on_leaving = self.notices.note_peer_leaving
@@ -316,7 +323,6 @@
         )
         self.in_flight = InFlightRequests(clock, self.suspects.suspect)
         self.suspects.last_progress_at = self.in_flight.last_progress_at
-        self.channels = self._stack.enter_context(closing(ChannelPool(clock)))
         self.demand = DemandMeter(clock)
         self.time_to_start = TimeToStart()
         self.candidate_index = CandidateIndex(
@@ -344,6 +350,7 @@
             self.time_to_start,
             self.notices,
             self.crash_evidence,
+            self.reach,
         )
         self._retry_budgets = {}
         self.metrics = RoutedMetrics()
@@ -428,6 +435,14 @@
             if name in self.fleet.groups:
                 self.suspects.suspect_for_peer(name, node)
 
+    def _apply_reach(self, cut_off):
+        """Drop what this node believes of servers because its own links were cut."""
+        if cut_off:
+            self.channels.close_idle()
+        else:
+            self.in_flight.restart_stall_timers()
+            self.suspects.forget_own()
+
     def _reached_by_peer(self, member):
         """Return whether a live peer reaches a server that this node cannot reach."""
         live = [name for name in self.peers.live() if name in self.fleet.nodes]
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -14,6 +14,10 @@
 MAX_SUSPECT_S = 4.0
 # Time after which an earlier suspicion no longer counts, in seconds.
 SUSPICION_MEMORY_S = 30.0
+# A peer's suspicion of a group does not count for a node whose own streams from the
+# group have made progress within this time, in seconds. It is the longest usual pause
+# of a stream.
+OWN_PROGRESS_S = 0.35
 # Fraction of the nodes with traffic that must have measured demand. If fewer have, the
 # sum of the measured demand is extrapolated to all of these nodes.
 MIN_MEASURED_FRACTION = 0.5
@@ -41,29 +45,48 @@
     stalled, if a request could not be sent to it, or if it is a group and refused a
     request. Peers' reports are only about groups. A node reports only its own
     observations to its peers: if nodes repeated each other's reports, a suspicion would
-    never end.
+    never end. It reports them once it has reached any server since: the streams of a
+    node whose own links are lost say nothing about the groups. A node whose own
+    streams from a group make progress ignores reports about it.
 
     A suspect candidate gets no requests for a time. If it is suspected again without
     any progress since, the next time is twice as long, up to a limit. After such a time
     it is on probation: each node sends it at most one request at a time, until it makes
     progress or the suspicion no longer counts. ``last_progress_at(name)`` returns
-    when the exchanges of this node with a candidate last made progress.
+    when the exchanges of this node with a candidate last made progress. ``reach`` is
+    the node's ``ServerReach``.
     """
 
-    def __init__(self, clock, last_progress_at=lambda name: 0.0):
+    def __init__(self, clock, reach, last_progress_at=lambda name: 0.0):
         self.listeners = []
         self.last_progress_at = last_progress_at
         self._clock = clock
+        self._reach = reach
+        self._own_since = {}
         self._own_until = {}
         self._reported_until = {}
         self._suspicions = {}
 
     def suspect(self, name):
         """Suspect a candidate because of this node's own exchanges with it."""
+        now = self._clock.monotonic()
+        if self._own_until.get(name, 0.0) < now:
+            self._own_since[name] = now
         self._suspect(self._own_until, name, "own streams")
+        if not self._reach.proved_since(self._own_since[name]):
+            self._reach.doubt()
+
+    def forget_own(self):
+        """Forget this node's own suspicions, for example because its links were cut."""
+        for name in self._own_until:
+            self._suspicions.pop(name, None)
+        self._own_since.clear()
+        self._own_until.clear()
 
     def suspect_for_peer(self, name, node):
         """Suspect a candidate because the peer ``node`` does."""
+        if self._clock.monotonic() - self.last_progress_at(name) < OWN_PROGRESS_S:
+            return
         self._suspect(self._reported_until, name, node)
 
     def __contains__(self, name):
@@ -79,10 +102,11 @@
         return suspicion is not None and self.last_progress_at(name) <= suspicion.at
 
     def own_suspects(self):
-        """Return the candidates that this node itself suspects; drop expired entries.
+        """Return the candidates that this node reports to its peers as suspect.
 
-        Only this method drops expired reports and suspicions, so it must be called
-        regularly. The node calls it for each heartbeat.
+        These are its own, as far as it has reached any server since. Only this method
+        drops expired reports and suspicions, so it must be called regularly. The node
+        calls it for each heartbeat.
         """
         now = self._clock.monotonic()
         self._own_until = {
@@ -96,7 +120,12 @@
             for name, suspicion in self._suspicions.items()
             if now - suspicion.at < SUSPICION_MEMORY_S
         }
-        return list(self._own_until)
+        self._own_since = {name: self._own_since[name] for name in self._own_until}
+        return [
+            name
+            for name, since in self._own_since.items()
+            if self._reach.proved_since(since)
+        ]
 
     def _suspect(self, until_by_name, name, source):
         now = self._clock.monotonic()
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -152,6 +152,7 @@
                 raise ExchangeError(
                     str(exc), step="connect", peer=candidate.server, sent=False
                 ) from exc
+            self._deps.reach.note_connected()
         # The connection applies this timeout to its socket before it sends and reads.
         channel.connection.timeout = READ_TIMEOUT_S
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/channels.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/channels.py
@@ -18,6 +18,8 @@
 # Timeout of the connection that shows whether a server has crashed, in seconds. The VM
 # of a crashed server refuses it at once; a request may be waiting for the result.
 CRASH_CHECK_TIMEOUT_S = 0.1
+# Timeout of the connection that shows whether this node reaches a server, in seconds.
+LINK_CHECK_TIMEOUT_S = 0.25
 
 
 class Channel:
@@ -97,6 +99,25 @@
             channel.close()
         return False
 
+    def can_connect(self, server, address):
+        """Return whether a new connection to a server can be opened."""
+        channel = Channel(server, address, LINK_CHECK_TIMEOUT_S)
+        try:
+            channel.connect()
+        except (HTTPError, OSError):
+            # The expected result of a check while the links are lost.
+            return False
+        finally:
+            channel.close()
+        return True
+
+    def close_idle(self):
+        """Close all idle connections."""
+        for idle in self._idle.values():
+            for channel in idle:
+                channel.close()
+        self._idle.clear()
+
     def close_expired(self):
         """Close idle connections that are past their idle timeout."""
         now = self._clock.monotonic()
@@ -108,11 +129,8 @@
                 del self._idle[key]
 
     def close(self):
-        """Close all idle connections."""
-        for idle in self._idle.values():
-            for channel in idle:
-                channel.close()
-        self._idle.clear()
+        """Close the pool with all its idle connections."""
+        self.close_idle()
 
 
 def _idle_timeout_s(headers):
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -35,7 +35,7 @@
     ``in_flight`` tracks exchanges. ``header_names`` are the platform's own headers.
     ``time_to_start`` holds the mean time until a response starts, ``notices`` what
     servers say of themselves, ``crash_evidence`` which prompt parts and requests crash
-    them.
+    them. ``reach`` is the node's ``ServerReach``.
     """
 
     placer: object
@@ -46,6 +46,7 @@
     time_to_start: object
     notices: object
     crash_evidence: object
+    reach: object
 
 
 class Forwarder:
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -136,10 +136,19 @@
             self._clock.sleep(CHECK_INTERVAL_S)
             now = self._clock.monotonic()
             if now - expected_at > MAX_CHECK_DELAY_S:
-                self._restart_stall_timers(now)
+                self.restart_stall_timers()
             expected_at = now + CHECK_INTERVAL_S
             self.check_progress(now)
 
+    def restart_stall_timers(self):
+        """Do not count the silence of the servers until now.
+
+        This node was paused, or had no links to the servers.
+        """
+        now = self._clock.monotonic()
+        for exchange in self._exchanges:
+            exchange.progress_at = now
+
     def check_progress(self, now):
         """Interrupt exchanges that are past their deadline or stalled.
 
@@ -187,8 +196,3 @@
         )
         # Raises the error in the task that reads from the server.
         exchange.task.kill(error, block=False)
-
-    def _restart_stall_timers(self, now):
-        """Do not count time in which this node was paused as silence of the servers."""
-        for exchange in self._exchanges:
-            exchange.progress_at = now
--- a/tests/processes/partitioned_node.py
+++ b/tests/processes/partitioned_node.py
@@ -1,9 +1,10 @@
 """Run a routed node whose connections to some addresses can be cut.
 
-While the file that ``AUBURNWALL_TEST_CUT`` names exists, the addresses that it lists cannot be
-reached: the file holds a JSON object with ``addresses`` and ``how``. With ``"hang"``
-nothing gets through in either direction, with ``"reset"`` open connections are reset
-and new ones refused, with ``"refuse"`` open ones live on and new ones are refused.
+While the file named by ``AUBURNWALL_TEST_CUT`` exists, the addresses that it lists
+cannot be reached. The file holds a JSON object with ``addresses`` and ``how``. With
+``"hang"`` nothing gets through in either direction, with ``"reset"`` open connections
+are reset and new ones refused, with ``"refuse"`` open ones live on and new ones are
+refused.
 """
 
 from gevent import monkey
--- a/tests/processes/test_partitioned_nodes.py
+++ b/tests/processes/test_partitioned_nodes.py
@@ -11,10 +11,10 @@
 
 from .support import PlatformClusterTestCase
 
-# Time after the cut from which the users' rule counts, and for how long it is observed.
+# Time after the cut from which the users' rule counts, and time of observation.
 CONTACT_S, OBSERVED_S = 3.0, 5.0
-# The users' rule: the callers of the nodes that are cut off are served at least so often
-# as a fraction of the others.
+# The users' rule: the callers of the nodes that are cut off are served at least so
+# often, as a fraction of the others.
 MIN_RELATIVE_SERVICE = 2 / 3
 # Fraction of the requests at the other nodes that are served: the cut concerns none of
 # the servers, which are far from full.
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -35,6 +35,7 @@
 from standins.platformconfig import routes
 from standins.store import StoreStandin
 from tests.fleet.test_registrations import registration
+from tests.fleet.test_server_reach import FixedReach
 
 KEY = "callers-key"
 
@@ -96,7 +97,7 @@
 
     def __init__(self, servers, clock):
         self.servers = servers
-        self.suspects = SuspectCandidates(clock)
+        self.suspects = SuspectCandidates(clock, FixedReach())
         self.in_flight = None
         self.registry = Registry(TableReplica("servers", None, clock), None, clock)
         self.notices = ServerNotices(self.registry, clock)
@@ -155,6 +156,7 @@
             RateLimitGate("n1", lambda: ["n1"], clock),
         )
         self.crash_evidence = CrashEvidence(clock, lambda: 0.0)
+        self.reach = FixedReach()
         self.channels = self._stack.enter_context(closing(ChannelPool(clock)))
         self.placer = Placer(view, self.in_flight, *gates, clock, random.Random(4))
         deps = ForwarderDeps(
@@ -166,6 +168,7 @@
             TimeToStart(),
             view.notices,
             self.crash_evidence,
+            self.reach,
         )
         self.budget = SharedRetryBudget(0.2, 20.0, 10.0, lambda: 1, clock)
         forwarder = Forwarder(deps, lambda service: self.budget, lambda r, n: None)
--- a/tests/routed/test_views.py
+++ b/tests/routed/test_views.py
@@ -11,6 +11,7 @@
     SuspectCandidates,
 )
 from auburnwall.wire.peer.ttypes import Pulse
+from tests.fleet.test_server_reach import FixedReach
 from tests.state.test_table import FakeClock
 
 
@@ -80,7 +81,7 @@
         """
         clock, progress_at = FakeClock(), {}
         suspects, times_s = (
-            SuspectCandidates(clock, lambda g: progress_at.get(g, 0.0)),
+            SuspectCandidates(clock, FixedReach(), lambda g: progress_at.get(g, 0.0)),
             [],
         )
         for _ in range(4):
@@ -100,7 +101,7 @@
 
     def test_group_on_probation_gets_one_request_of_a_node_at_a_time(self):
         clock, count = FakeClock(), {"g1": 0}
-        suspects = SuspectCandidates(clock)
+        suspects = SuspectCandidates(clock, FixedReach())
         in_flight = SimpleNamespace(count=count.get)
         view = RoutingView("", None, None, None, None, in_flight, suspects, None, None)
         suspects.suspect("g1")
@@ -109,9 +110,34 @@
         count["g1"] = 1
         self.assertTrue(view.must_avoid("g1"))
 
+    def test_node_that_reaches_no_server_reports_no_suspicion(self):
+        clock, reach = FakeClock(), FixedReach(cut_off=True)
+        suspects = SuspectCandidates(clock, reach)
+        suspects.suspect("g1")
+        self.assertIn("g1", suspects)
+        self.assertEqual(suspects.own_suspects(), [])
+        self.assertEqual(reach.doubts, 1)
+        reach.cut_off = False
+        self.assertEqual(suspects.own_suspects(), ["g1"])
+        suspects.forget_own()
+        self.assertNotIn("g1", suspects)
+        self.assertFalse(suspects.on_probation("g1"))
+
+    def test_own_progress_outweighs_the_suspicion_of_a_peer(self):
+        clock = FakeClock()
+        progress_at = {"g1": clock.now - 0.1, "g2": clock.now - 5.0}
+        suspects = SuspectCandidates(clock, FixedReach(), progress_at.get)
+        for name in progress_at:
+            suspects.suspect_for_peer(name, "n2")
+        self.assertNotIn("g1", suspects)
+        self.assertIn("g2", suspects)
+
     def test_suspicions_end_although_nodes_report_them_to_each_other(self):
         clock = FakeClock()
-        one, two = SuspectCandidates(clock), SuspectCandidates(clock)
+        one, two = (
+            SuspectCandidates(clock, FixedReach()),
+            SuspectCandidates(clock, FixedReach()),
+        )
         one.suspect("g1")
         for _ in range(40):
             for name in one.own_suspects():
