Let a planner without links to the servers end no group, and hand over

Cause: the planner's streams stalled and its probes failed behind the same cut, which were the two signs by which a group is lost. It then stayed the planner, since it reads the tables, and overtook the node that had taken over; its orders reached nobody.

A failed probe counts only if this node reaches any server since, and if no peer reaches this one; peers are asked at the first failure too. Heartbeats say whether a node is cut off from all servers. Such a node does not plan and is not elected, unless all are cut off; then nothing is ended, as no failure counts. A planner that comes back treats the groups formed meanwhile as those of an earlier planner.

The unit tests failed before (three of three, and the candidates' ones have no such field). Of the process tests those with a mesh pass for the nodes with links: 0 of 45 before, all after.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
@@ -105,6 +105,13 @@
             for service, engine in engines.items():
                 self._stage(service, engine, RESERVED_LOADS)
 
+    def pause(self):
+        """Forget that this node was the planner: another one plans for a time.
+
+        The orders of that one are then treated as those of any earlier planner.
+        """
+        self._planner_since = None
+
     def stage_without_tables(self):
         """Stage weights while the tables cannot be read and nothing can be planned.
 
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
@@ -34,12 +34,14 @@
     """Monitor the members of groups for the planner.
 
     ``reached_by_peer`` returns whether any other node reaches a server. It is called
-    before a server counts as gone.
+    before a server counts as unresponsive or gone. ``reach`` is this node's
+    ``ServerReach``: while its own links are lost, a failed probe counts for nothing.
     """
 
-    def __init__(self, registry, engine, reached_by_peer, clock, tasks):
+    def __init__(self, registry, engine, reach, reached_by_peer, clock, tasks):
         self._registry = registry
         self._engine = engine
+        self._reach = reach
         self._reached_by_peer = reached_by_peer
         self._clock = clock
         self._tasks = tasks
@@ -152,20 +154,32 @@
             return
         except EngineError as exc:
             report = None
-            failures = (previous.failures if previous else 0) + 1
-            event(
-                "server silent",
-                peer=member.server,
-                failures=failures,
-                registered=member.server in self._registry.servers,
-                why=exc.detail,
-            )
-            if self._may_be_gone(member, failures) and self._reached_by_peer(member):
-                failures = 0  # another node reaches the server
+            failures = self._count_failure(member, previous, probed_at, exc)
         finally:
             self._probing.discard(member.server)
         self._results[member.server] = _ProbeResult(probed_at, report, failures)
 
+    def _count_failure(self, member, previous, probed_at, exc):
+        """Log a failed probe; return the failures in a row that count.
+
+        None counts if this node reaches no server, or if another node reaches this one.
+        Peers are asked at the first failure, and at each that shows the server as gone.
+        """
+        failures = (previous.failures if previous else 0) + 1
+        reaches_any = self._reach.proved_since(probed_at) or self._reach.check()
+        asks_peers = failures == 1 or self._may_be_gone(member, failures)
+        reached_by_peer = reaches_any and asks_peers and self._reached_by_peer(member)
+        event(
+            "server silent",
+            peer=member.server,
+            failures=failures,
+            registered=member.server in self._registry.servers,
+            reaches_others=reaches_any,
+            reached_by_peer=reached_by_peer if reaches_any and asks_peers else None,
+            why=exc.detail,
+        )
+        return failures if reaches_any and not reached_by_peer else 0
+
 
 def _group_membership_of(result):
     """Return the group membership that an unregistered server last reported."""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -164,6 +164,7 @@
             limits=limits_to_wire(self.notices.own_limits()),
             crashes=self.crash_evidence.crashes_to_tell(),
             sound_parts=self.crash_evidence.sound_parts_to_tell(),
+            cut_off=self.reach.cut_off,
         )
 
     def is_ready(self):
@@ -251,7 +252,12 @@
         )
         self.election = Election(self.fleet, self.writer, self.peers, self.identity)
         self.member_monitor = MemberMonitor(
-            self.registry, platform.engine, self._reached_by_peer, clock, self.tasks
+            self.registry,
+            platform.engine,
+            self.reach,
+            self._reached_by_peer,
+            clock,
+            self.tasks,
         )
         self.formation_controller = FormationController(
             self.fleet,
@@ -495,6 +501,10 @@
     def _plan(self):
         if self.gateway.stop_begun:
             return
+        if self.reach.cut_off and self.peers.reaching():
+            # A peer that reaches servers plans instead.
+            self.formation_controller.pause()
+            return
         if self._reads_tables():
             self.formation_controller.step()
         elif self._no_node_reads_store():
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peer_status.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peer_status.py
@@ -6,13 +6,17 @@
 
 
 class PeerStatus(NamedTuple):
-    """What is known of a peer; ``heard_at`` is when its heartbeat was received."""
+    """What is known of a peer; ``heard_at`` is when its heartbeat was received.
+
+    ``cut_off`` is whether it reaches no backend server.
+    """
 
     incarnation: str
     ready: bool
     stopping: bool
     reads_tables: bool
     has_traffic: bool
+    cut_off: bool
     heard_at: float
 
 
@@ -80,6 +84,7 @@
         source.stopping,
         source.reads_tables,
         source.has_traffic,
+        bool(source.cut_off),
         heard_at,
     )
 
@@ -94,4 +99,5 @@
         status.reads_tables,
         status.has_traffic,
         int(1000 * age_s),
+        status.cut_off,
     )
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -212,14 +212,21 @@
     def planner_candidates(self):
         """Return the incarnations of the nodes that may plan, by node name.
 
-        These read the store and are not stopping. This node can be one of them.
+        These read the store and are not stopping. This node can be one of them. Nodes
+        that are cut off from all servers may plan only if all of them are.
         """
         statuses = {**self.live(), self._identity.node: self._own_pulse()}
-        return {
-            name: status.incarnation
+        able = {
+            name: status
             for name, status in statuses.items()
             if status.reads_tables and not status.stopping
         }
+        reaching = {name: s for name, s in able.items() if not s.cut_off}
+        return {name: s.incarnation for name, s in (reaching or able).items()}
+
+    def reaching(self):
+        """Return the names of the live peers that reach backend servers."""
+        return [name for name, status in self.live().items() if not status.cut_off]
 
     def load(self, name):
         """Return how many requests the peers report in flight at a group or server."""
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
@@ -183,7 +183,11 @@
   9: map<string, ServerLimit> limits
 }
 
-/** A node, and how many milliseconds ago it was last heard of. */
+/**
+ * A node, and how many milliseconds ago it was last heard of.
+ *
+ * `cut_off` is whether it reaches no backend server, though it reaches its peers.
+ */
 struct NodeStatus {
   1: string node
   2: string incarnation
@@ -192,6 +196,7 @@
   5: bool reads_tables
   6: bool has_traffic
   7: i32 age_ms
+  8: bool cut_off
 }
 
 /**
@@ -201,7 +206,7 @@
  * callers asked it for, by model, as a number of groups; empty until it has been
  * measured. `suspects` names groups whose requests make no progress. `table_ends` is up
  * to which offset it has read each of the platform's tables, `reads_tables` whether it
- * reads all of them from the store. `leaving`, `crashes`, `sound_parts` and `limits` are
+ * reads all of them from the store. `cut_off` is as in `NodeStatus`, `leaving`, `crashes`, `sound_parts` and `limits` are
  * as in `Load`. `members` are the nodes that report to it, and `member_load` is the load of
  * these.
  */
@@ -222,6 +227,7 @@
   14: map<string, list<string>> crashes
   15: list<string> sound_parts
   16: map<string, ServerLimit> limits
+  17: bool cut_off
 }
 
 /**
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
@@ -1790,6 +1790,8 @@
     """
     A node, and how many milliseconds ago it was last heard of.
 
+    `cut_off` is whether it reaches no backend server, though it reaches its peers.
+
     Attributes:
      - node
      - incarnation
@@ -1798,11 +1800,12 @@
      - reads_tables
      - has_traffic
      - age_ms
+     - cut_off
 
     """
 
 
-    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, has_traffic=None, age_ms=None,):
+    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, has_traffic=None, age_ms=None, cut_off=None,):
         self.node = node
         self.incarnation = incarnation
         self.ready = ready
@@ -1810,6 +1813,7 @@
         self.reads_tables = reads_tables
         self.has_traffic = has_traffic
         self.age_ms = age_ms
+        self.cut_off = cut_off
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1855,6 +1859,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.cut_off = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1893,6 +1902,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 7)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.cut_off is not None:
+            oprot.writeFieldBegin('cut_off', TType.BOOL, 8)
+            oprot.writeBool(self.cut_off)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1919,7 +1932,7 @@
     callers asked it for, by model, as a number of groups; empty until it has been
     measured. `suspects` names groups whose requests make no progress. `table_ends` is up
     to which offset it has read each of the platform's tables, `reads_tables` whether it
-    reads all of them from the store. `leaving`, `crashes`, `sound_parts` and `limits` are
+    reads all of them from the store. `cut_off` is as in `NodeStatus`, `leaving`, `crashes`, `sound_parts` and `limits` are
     as in `Load`. `members` are the nodes that report to it, and `member_load` is the load of
     these.
 
@@ -1940,11 +1953,12 @@
      - crashes
      - sound_parts
      - limits
+     - cut_off
 
     """
 
 
-    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None, limits=None,):
+    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None, limits=None, cut_off=None,):
         self.node = node
         self.incarnation = incarnation
         self.ready = ready
@@ -1961,6 +1975,7 @@
         self.crashes = crashes
         self.sound_parts = sound_parts
         self.limits = limits
+        self.cut_off = cut_off
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2110,6 +2125,11 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.BOOL:
+                    self.cut_off = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2220,6 +2240,10 @@
                 viter186.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.cut_off is not None:
+            oprot.writeFieldBegin('cut_off', TType.BOOL, 17)
+            oprot.writeBool(self.cut_off)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3146,6 +3170,7 @@
     (5, TType.BOOL, 'reads_tables', None, None, ),  # 5
     (6, TType.BOOL, 'has_traffic', None, None, ),  # 6
     (7, TType.I32, 'age_ms', None, None, ),  # 7
+    (8, TType.BOOL, 'cut_off', None, None, ),  # 8
 )
 all_structs.append(Pulse)
 Pulse.thrift_spec = (
@@ -3166,6 +3191,7 @@
     (14, TType.MAP, 'crashes', (TType.STRING, 'UTF8', TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 14
     (15, TType.LIST, 'sound_parts', (TType.STRING, 'UTF8', False), None, ),  # 15
     (16, TType.MAP, 'limits', (TType.STRING, 'UTF8', TType.STRUCT, [ServerLimit, None], False), None, ),  # 16
+    (17, TType.BOOL, 'cut_off', None, None, ),  # 17
 )
 all_structs.append(FleetDigest)
 FleetDigest.thrift_spec = (
--- a/tests/fleet/test_formation_controller.py
+++ b/tests/fleet/test_formation_controller.py
@@ -16,6 +16,7 @@
 from auburnwall.fleet.formation.member_monitor import MemberMonitor
 from auburnwall.fleet.formation.records import (
     HASHES_PER_OFFSET,
+    SERVING,
     FleetState,
     FleetWriter,
     Member,
@@ -31,6 +32,7 @@
 )
 from auburnwall.state.table.replica import TableReplica
 from tests.fleet.test_registrations import registration
+from tests.fleet.test_server_reach import FixedReach
 from tests.state.test_table import FakeClock
 
 # Fields: name, members, pace, share, load_s, warm_s.
@@ -125,14 +127,15 @@
         self.registry = Registry(self.servers, lambda key, value: value, clock)
         identity = SimpleNamespace(node=name, incarnation=f"{name}-1")
         self.writer = FleetWriter(self.state, table, clock, identity)
-        member_monitor = MemberMonitor(
-            self.registry, engine, lambda m: False, clock, Tasks()
+        self.reach, self.reaching_peers = FixedReach(), []
+        self.member_monitor = MemberMonitor(
+            self.registry, engine, self.reach, self.reached_by_peer, clock, Tasks()
         )
         self.formation_controller = FormationController(
             self.state,
             self.writer,
             self.registry,
-            member_monitor,
+            self.member_monitor,
             engine,
             view,
             clock,
@@ -140,6 +143,9 @@
         )
         replica.refresh(0.0)
 
+    def reached_by_peer(self, member):
+        return bool(self.reaching_peers)
+
     def register(self, server, offset, **changes):
         entry = registration(server, **changes)
         self.servers.apply_records(
@@ -402,6 +408,36 @@
         self.new_node("n2").formation_controller.stage_without_tables()
         self.assertEqual(self.engine.orders, [])
 
+    def lose_all_servers(self):
+        """Let all streams stall and all probes and orders fail; return the groups."""
+        self.node.formation_controller.step()
+        names = set(self.groups())
+        self.engine.unresponsive = set(self.node.registry.servers)
+        for _ in range(10):
+            for name in names:
+                self.node.member_monitor.suspect_group(name)
+            self.node.formation_controller.step()
+            self.clock.now += 0.2
+        return names
+
+    def groups_still_serving(self, names):
+        return {g.name for g in self.groups().values() if g.phase == SERVING} & names
+
+    def test_planner_without_links_ends_no_group(self):
+        self.node.reach.cut_off = True
+        names = self.lose_all_servers()
+        self.assertTrue(names)
+        self.assertEqual(self.groups_still_serving(names), names)
+
+    def test_groups_that_a_peer_reaches_do_not_end(self):
+        self.node.reaching_peers = ["n2"]
+        names = self.lose_all_servers()
+        self.assertEqual(self.groups_still_serving(names), names)
+
+    def test_groups_that_no_node_reaches_end(self):
+        names = self.lose_all_servers()
+        self.assertEqual(self.groups_still_serving(names), set())
+
     def test_groups_in_an_evacuated_data_centre_end(self):
         self.node.formation_controller.step()
         self.view.evacuated = {"norte"}
--- a/tests/routed/test_peers.py
+++ b/tests/routed/test_peers.py
@@ -81,6 +81,7 @@
         self.network = network
         self.name = name
         self.running, self.suspected, self.heard_suspects = {}, [], []
+        self.reads_tables = self.cut_off = False
         pool = SimpleNamespace(
             call=lambda address, method, *args: network.call(
                 name, address, method, *args
@@ -113,7 +114,8 @@
             incarnation=f"{self.name}-1",
             ready=True,
             stopping=False,
-            reads_tables=False,
+            reads_tables=self.reads_tables,
+            cut_off=self.cut_off,
             table_ends={},
             running=dict(self.running),
             demand={"big": 0.5},
@@ -239,6 +241,34 @@
         self.assertEqual(self.known_limits(), {None})
 
 
+class PlannerCandidatesTests(unittest.TestCase):
+    """Nodes that reach no backend server plan only if no other node reaches any."""
+
+    def check_candidates(self, max_mesh_nodes):
+        network = Network(8, max_mesh_nodes)
+        nodes = network.nodes
+        for name in ("n01", "n02", "n07"):
+            nodes[name].reads_tables = True
+        nodes["n01"].cut_off = nodes["n05"].cut_off = True
+        network.run(4.0)
+        for node in nodes.values():
+            self.assertEqual(set(node.peers.planner_candidates()), {"n02", "n07"})
+            self.assertNotIn("n05", node.peers.reaching())
+        for node in nodes.values():
+            node.cut_off = True
+        network.run(4.0)
+        for node in nodes.values():
+            candidates = set(node.peers.planner_candidates())
+            self.assertEqual(candidates, {"n01", "n02", "n07"})
+            self.assertEqual(node.peers.reaching(), [])
+
+    def test_in_a_mesh(self):
+        self.check_candidates(24)
+
+    def test_with_relays(self):
+        self.check_candidates(2)
+
+
 class RelayTests(unittest.TestCase):
     def setUp(self):
         self.network = Network()
