--- a/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
@@ -28,15 +28,25 @@
 class Brokers:
     """Choose the brokers and call them.
 
-    ``broker`` is this node's own ``SlotBroker``. ``quick_pool`` and ``waiting_pool``
-    are pools of connections to peers for calls that do not wait for a slot and for
-    those that do.
+    ``broker`` is this node's own ``SlotBroker``, ``reach`` its ``ServerReach``.
+    ``quick_pool`` and ``waiting_pool`` are pools of connections to peers for calls that
+    do not wait for a slot and for those that do.
     """
 
     def __init__(
-        self, identity, state, peers, broker, quick_pool, waiting_pool, clock, tasks
+        self,
+        identity,
+        state,
+        peers,
+        reach,
+        broker,
+        quick_pool,
+        waiting_pool,
+        clock,
+        tasks,
     ):
         self._identity = identity
+        self._reach = reach
         self._state = state
         self._peers = peers
         self._broker = broker
@@ -56,7 +66,8 @@
     def broker_of(self, service, model, data_center):
         """Return the broker of a model's groups in a data centre, or ``None``.
 
-        Rendezvous hashing chooses among the live relays there.
+        Rendezvous hashing chooses among the live relays there that reach servers. A
+        broker that is cut off from them suspects all groups and grants no slot.
         """
         relays = self._live_relays().get(data_center, ())
         broker = owner(f"slots of {service}/{model}", relays)
@@ -205,12 +216,17 @@
     def _live_relays(self):
         """Return the names of the live relays of each data centre."""
         now = self._clock.monotonic()
-        key = self._state.change_count, int(now / CHOICE_REUSED_S)
+        cut_off = self._reach.cut_off
+        key = self._state.change_count, int(now / CHOICE_REUSED_S), cut_off
         if key != self._relays_key:
             self._relays_key = key
             live, nodes = self._peers.live(), self._state.nodes
-            names = [n for n, s in live.items() if not s.stopping and n in nodes]
-            if self._identity.node in nodes:
+            names = [
+                name
+                for name, status in live.items()
+                if not status.stopping and not status.cut_off and name in nodes
+            ]
+            if self._identity.node in nodes and not cut_off:
                 names.append(self._identity.node)
             self._relays = {}
             for name in relays_of([nodes[name] for name in names]):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
@@ -54,6 +54,7 @@
             node.identity,
             node.fleet,
             node.peers,
+            node.reach,
             self.broker,
             quick_pool,
             waiting_pool,
--- a/tests/routing/test_brokers.py
+++ b/tests/routing/test_brokers.py
@@ -73,6 +73,17 @@
         return SlotUsage(sum(self._in_flight.slots_in_use.values()), 0, 0.5)
 
 
+class OwnReach:
+    """A node's ``ServerReach``, as far as brokers need it."""
+
+    def __init__(self, name, network):
+        self._name, self._network = name, network
+
+    @property
+    def cut_off(self):
+        return self._name in self._network.cut_off
+
+
 class Node:
     """A node with its broker; calls to others go through ``network``."""
 
@@ -103,6 +114,7 @@
             identity,
             state,
             peers,
+            OwnReach(name, network),
             self.broker,
             pool,
             pool,
@@ -142,7 +154,7 @@
 
     def __init__(self):
         self.clock = SystemClock()
-        self.down, self.calls = set(), Counter()
+        self.down, self.cut_off, self.calls = set(), set(), Counter()
         self.records, self.nodes = {}, {}
         for place in DATA_CENTERS:
             for index in range(4):
@@ -154,7 +166,11 @@
 
     def live(self, own):
         return {
-            name: SimpleNamespace(stopping=False, incarnation=f"{name}-1")
+            name: SimpleNamespace(
+                stopping=False,
+                cut_off=name in self.cut_off,
+                incarnation=f"{name}-1",
+            )
             for name in self.records
             if name != own and name not in self.down
         }
@@ -252,6 +268,17 @@
         gevent.sleep(0.3)
         self.assertNotEqual(asker.place(3).grant.broker, broker)
 
+    def test_broker_that_reaches_no_server_is_replaced(self):
+        """It suspects all groups, and would refuse the requests of all nodes."""
+        broker = self.network.broker("norte")
+        self.network.cut_off.add(broker)
+        gevent.sleep(0.3)
+        for name, node in self.network.nodes.items():
+            if name != broker:
+                self.assertNotEqual(node.place(1).grant.broker, broker)
+        own = self.network.nodes[broker].brokers
+        self.assertNotEqual(own.broker_of("assist", "big", "norte"), broker)
+
     def test_unreachable_broker_costs_no_request(self):
         """It is not known to be lost yet; the node places requests itself meanwhile."""
         broker = self.network.broker("norte")
