Count no crash that a node without links to the servers seems to see

A node whose connections to all servers are reset, and whose new ones are refused, took each of its servers for crashed, and told its peers which requests were in flight there: three such nodes block sound prompt parts for all callers.

After a refused connection the node now checks that it reaches any other server. The test failed before: one crash was told to the peers, none is now.

--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -120,20 +120,28 @@
             raise self._final_error(502, "No repeats left", exc)
 
     def _check_for_crash(self, attempt):
-        """Record the request as evidence if the server of an exchange has crashed."""
+        """Record the request as evidence if the server of an exchange has crashed.
+
+        A refused connection is no sign of that while this node reaches no server.
+        """
         deps, request, candidate = self._deps, self.request, attempt.candidate
-        if deps.channels.has_crashed(candidate.server, candidate.address):
-            deps.crash_evidence.note_crash(
-                candidate.server,
-                candidate.born,
-                Suspect(
-                    request.shared_parts,
-                    "".join(request.prompt_parts[-1:]),
-                    request.fingerprint,
-                ),
-                request.request_id,
-                attempt.exchange.started_at,
-            )
+        failed_at = deps.clock.monotonic()
+        if not deps.channels.has_crashed(candidate.server, candidate.address):
+            return
+        if not (deps.reach.proved_since(failed_at) or deps.reach.check()):
+            self._log(attempt, "crash not counted", why="no server can be reached")
+            return
+        deps.crash_evidence.note_crash(
+            candidate.server,
+            candidate.born,
+            Suspect(
+                request.shared_parts,
+                "".join(request.prompt_parts[-1:]),
+                request.fingerprint,
+            ),
+            request.request_id,
+            attempt.exchange.started_at,
+        )
 
     def _check_crash_causes(self):
         """Raise ``RequestError`` if the request or a part of its prompt is blocked."""
--- a/tests/routed/test_crashing_prompts.py
+++ b/tests/routed/test_crashing_prompts.py
@@ -89,6 +89,15 @@
                 self.call(number, "aa:4,fine:40")
         self.assertEqual(self.evidence.crashes_to_tell(), {})
 
+    def test_refused_connection_of_a_node_without_links_is_no_crash(self):
+        """Its connections are reset and new ones refused, as by crashed servers."""
+        self.front.reach.cut_off = True
+        for engine in self.front.engines:
+            engine.crash_part = "bad"
+        self.assertEqual(self.call(1, "aa:4,bad:40")[0], 502)
+        self.assertTrue([at for engine in self.front.engines for at in engine.crashes])
+        self.assertEqual(self.evidence.crashes_to_tell(), {})
+
     def test_sound_request_that_was_at_a_crashed_server_goes_on_elsewhere(self):
         first, second = self.front.engines
         for engine in (first, second):
