Serve the callers of a node without links to the servers through a peer

Cause: a node had no other way than its own links, and the directory went on naming it.

While a node reaches no server, it forwards its callers' requests to a ready peer that reaches some: its placer gives a slot at the peer, and the attempt goes to that node's entry address, with the caller's headers. All else is as before: retries, resumed streams, at most once, callers that leave. The peer serves it with its own slots and its answer is final; it sends it to no more servers than are left, and never on to a third node. Demand and the retry budget count it once. The directory names nodes that reach servers first.

Weighed: a tunnel of bytes through the peer to the server. Servers would then answer one node over the connection of another, which does not learn that they leave or want a pause.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/entry.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/entry.py
@@ -10,8 +10,9 @@
 class EntryPoints:
     """Choose the nodes that the directory names to a caller.
 
-    If enough ready nodes are in the caller's data centre, only these are named, since
-    the latency to the others is higher. Otherwise all ready nodes are named. ``cfg()``
+    Nodes that reach no backend server are named only if no ready node reaches any. If
+    enough of the others are in the caller's data centre, only these are named, since
+    the latency to the rest is higher. Otherwise all of them are named. ``cfg()``
     returns the node's current settings.
     """
 
@@ -30,11 +31,13 @@
     def addresses(self, caller_data_center):
         """Return the front addresses for a caller in the given data centre."""
         own = self._own_pulse()
-        ready = {
-            name
-            for name, pulse in {**self._peers.live(), own.node: own}.items()
-            if pulse.ready and not pulse.stopping
+        statuses = {
+            name: status
+            for name, status in {**self._peers.live(), own.node: own}.items()
+            if status.ready and not status.stopping
         }
+        reaching = {name for name, status in statuses.items() if not status.cut_off}
+        ready = reaching or set(statuses)
         nodes = [node for name, node in self._state.nodes.items() if name in ready]
         near = [node for node in nodes if node.data_center == caller_data_center]
         chosen = near if len(near) >= self.MIN_NEAR_NODES else nodes
--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -10,6 +10,7 @@
     work_of,
 )
 from auburnwall.routing.exceptions import BadRequestError, OverloadedError, RequestError
+from auburnwall.routing.forwarded import FORWARDED_BY, max_servers_of
 from auburnwall.routing.retried_calls import RetriedCallDetector
 from auburnwall.routing.routes import ClientLimits, pick_target
 from auburnwall.routing.step_model import Work
@@ -121,6 +122,9 @@
         rank = DEFAULT_RANK if route.priority is None else route.priority
         if team is not None and team.priority is not None:
             rank = team.priority
+        forwarded_by = call.header(FORWARDED_BY) or ""
+        if forwarded_by:
+            route = route._replace(max_servers=max_servers_of(call, route))
         deadline, elapsed_s = self._deadline(route, call)
         request = RoutedRequest(
             call,
@@ -136,8 +140,11 @@
             elapsed_s=elapsed_s,
             prompt_parts=prompt_parts_of(call, self._header_names) if engine else (),
             fingerprint=fingerprint_of(call, team.name if team else ""),
+            forwarded_by=forwarded_by,
         )
-        self._demand.record_request(request, engine)
+        if not forwarded_by:
+            # Otherwise the node to which the caller sent it has recorded it.
+            self._demand.record_request(request, engine)
         return request
 
     def _deadline(self, route, call):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -62,6 +62,7 @@
             "Whether this node reaches any server, 1 or 0.",
             lambda: int(not node.reach.cut_off),
         ),
+        ("detours", "Requests that a peer serves.", node.placer.running_count),
         ("connections", "Connections opened.", lambda: channels.connections_opened),
     ):
         metrics.gauge(f"auburnwall_{name}", documentation, function)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -357,6 +357,7 @@
             self.notices,
             self.crash_evidence,
             self.reach,
+            cfg.node,
         )
         self._retry_budgets = {}
         self.metrics = RoutedMetrics()
@@ -441,6 +442,14 @@
             if name in self.fleet.groups:
                 self.suspects.suspect_for_peer(name, node)
 
+    def peers_for_detours(self):
+        """Return the ``NodeRecord`` of each ready peer that reaches servers."""
+        return [
+            self.fleet.nodes[name]
+            for name, status in self.peers.live().items()
+            if status.ready and not status.stopping and not status.cut_off
+        ]
+
     def _apply_reach(self, cut_off):
         """Drop what this node believes of servers because its own links were cut."""
         if cut_off:
--- a/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
@@ -4,6 +4,7 @@
 from contextlib import closing
 
 from auburnwall.routing.brokered_placer import BrokeredPlacer
+from auburnwall.routing.detour import DetourPlacer
 from auburnwall.routing.placer import Placer
 from auburnwall.routing.rate_limits import RateLimitGate
 from auburnwall.routing.slot_broker import SlotBroker
@@ -61,7 +62,15 @@
             clock,
             node.tasks,
         )
-        self.placer = BrokeredPlacer(local, view, self.brokers)
+        self._brokered = BrokeredPlacer(local, view, self.brokers)
+        self.placer = DetourPlacer(
+            self._brokered,
+            node.reach,
+            node.peers_for_detours,
+            cfg.data_center,
+            clock,
+            rng,
+        )
         self._in_flight = in_flight
 
     def slots_in_use(self):
@@ -71,5 +80,5 @@
         granted slots, and its own ones whose broker is lost.
         """
         counts = Counter(self._in_flight.slots_in_use)
-        counts.update(self.placer.unaccounted_requests())
+        counts.update(self._brokered.unaccounted_requests())
         return dict(counts)
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -16,7 +16,9 @@
 
 from .event_stream import NumberedEventSplitter
 from .exceptions import ExchangeError
+from .forwarded import FORWARDED_BY, SERVERS_LEFT
 from .hop_by_hop import HOP_BY_HOP
+from .in_flight import FIRST_EVENT_STALL_TIMEOUT_S
 
 # How an exchange fails in ``urllib3``, or in the standard library below it, which
 # rejects bytes that are no response.
@@ -34,10 +36,16 @@
 
     If ``last_id`` is not ``None``, the server is asked to resume a stream after the
     event with that id. While the attempt waits for its server, ``in_flight`` may
-    interrupt it with ``StalledError`` or ``DeadlineExceededError``.
+    interrupt it with ``StalledError`` or ``DeadlineExceededError``. ``servers_left`` is
+    to how many servers the request may still be sent, this one included.
     """
 
-    def __init__(self, deps, request, placement, last_id):
+    is_detour = False
+    # Idle time after which the connection is not reused, in seconds; ``None`` to follow
+    # the server.
+    max_idle_s = None
+
+    def __init__(self, deps, request, placement, last_id, servers_left):
         self.status = 0
         self.headers = None
         self.candidate = placement.candidate
@@ -46,6 +54,7 @@
         self._request = request
         self._placement = placement
         self._last_id = last_id
+        self._servers_left = servers_left
         self._channel = None
         self._resp = None
         self._complete = False
@@ -89,6 +98,21 @@
         value = self.headers.get(self._deps.header_names.pause)
         return pause_from_header(self.status, value)
 
+    def limit_silence(self, *, may_reroute):
+        """Set for how long the server may be silent before it becomes suspect.
+
+        ``may_reroute`` allows the request to be sent to another server then. Half the
+        objective is allowed for reading the prompt.
+        """
+        self.exchange.may_reroute = may_reroute
+        self.exchange.stall_timeout_s = (
+            FIRST_EVENT_STALL_TIMEOUT_S + 0.5 * self._request.route.objective_s
+        )
+
+    def note_unreachable(self):
+        """Record that nothing could be sent to the server."""
+        self._deps.in_flight.make_suspect(self.candidate.name)
+
     def read_body(self):
         """Return the complete body.
 
@@ -135,7 +159,7 @@
             return
         if self._complete:
             pool = self._deps.channels
-            pool.release(channel, self.candidate.address, self.headers)
+            pool.release(channel, self.candidate.address, self.headers, self.max_idle_s)
         else:
             if self._resp is not None:
                 self._resp.close()
@@ -152,22 +176,39 @@
                 raise ExchangeError(
                     str(exc), step="connect", peer=candidate.server, sent=False
                 ) from exc
-            self._deps.reach.note_connected()
+            self._note_connected()
         # The connection applies this timeout to its socket before it sends and reads.
         channel.connection.timeout = READ_TIMEOUT_S
 
+    def _note_connected(self):
+        self._deps.reach.note_connected()
+
     def _sent_headers(self):
         request, header_names = self._request, self._deps.header_names
-        call = request.call
-        dropped = _connection_headers(call)
+        dropped = connection_headers(request.call)
         replaced = (
             header_names.deadline_ms,
             header_names.team,
             header_names.expected_server,
+            FORWARDED_BY,
+            SERVERS_LEFT,
         )
         dropped.update(name.lower() for name in replaced)
         if request.strip_key:
             dropped.add("authorization")
+        headers = self._headers_without(dropped)
+        headers[header_names.expected_server] = self.candidate.server
+        if request.team:
+            headers[header_names.team] = request.team
+        return headers
+
+    def _headers_without(self, dropped):
+        """Return the caller's headers without those named in ``dropped``.
+
+        The deadline and the event to resume after are those of this attempt.
+        """
+        request, header_names = self._request, self._deps.header_names
+        call = request.call
         if self._last_id is not None:
             dropped.add(header_names.last_event_id.lower())
         headers = HTTPHeaderDict()
@@ -179,9 +220,6 @@
             headers.setdefault(name, SKIP_HEADER)
         time_left_s = request.deadline - self._deps.clock.monotonic()
         headers[header_names.deadline_ms] = str(max(1, int(time_left_s * 1000)))
-        headers[header_names.expected_server] = self.candidate.server
-        if request.team:
-            headers[header_names.team] = request.team
         if self._last_id is not None:
             headers[header_names.last_event_id] = self._last_id
         return headers
@@ -279,7 +317,7 @@
         self._exchange.awaiting_server = False
 
 
-def _connection_headers(call):
+def connection_headers(call):
     """Return the lower-case names of headers that are not passed on to a server.
 
     These are the hop-by-hop headers, ``Expect`` and those that ``Connection`` names.
--- a/packages/auburnwall-routing/src/auburnwall/routing/call.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/call.py
@@ -42,7 +42,8 @@
     server. The fair queue uses ``weight`` and ``priority``. ``prompt_parts`` are the
     IDs of the prompt's parts in their order; the last part is the request's own.
     ``fingerprint`` is the same each time the caller sends the request, see
-    ``fingerprint_of``.
+    ``fingerprint_of``. ``forwarded_by`` is the node that the caller sent it to, if that
+    one has forwarded it.
     """
 
     call: Call
@@ -59,6 +60,7 @@
     elapsed_s: float = 0.0
     prompt_parts: tuple = ()
     fingerprint: str = ""
+    forwarded_by: str = ""
 
     @property
     def shared_parts(self):
--- a/packages/auburnwall-routing/src/auburnwall/routing/channels.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/channels.py
@@ -69,12 +69,15 @@
         self.connections_opened += 1
         return Channel(server, address, CONNECT_TIMEOUT_S), False
 
-    def release(self, channel, address, headers):
+    def release(self, channel, address, headers, max_idle_s=None):
         """Keep the connection of a complete exchange for reuse if its server allows.
 
-        ``headers`` are those of the last response.
+        ``headers`` are those of the last response. The connection is not reused after
+        ``max_idle_s`` seconds, if given.
         """
         idle_timeout_s = _idle_timeout_s(headers)
+        if max_idle_s is not None:
+            idle_timeout_s = min(idle_timeout_s, max_idle_s)
         idle = self._idle.setdefault((channel.server, address), [])
         if idle_timeout_s <= 0 or len(idle) >= MAX_IDLE_PER_SERVER:
             channel.close()
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -35,7 +35,7 @@
     ``in_flight`` tracks exchanges. ``header_names`` are the platform's own headers.
     ``time_to_start`` holds the mean time until a response starts, ``notices`` what
     servers say of themselves, ``crash_evidence`` which prompt parts and requests crash
-    them. ``reach`` is the node's ``ServerReach``.
+    them. ``reach`` is the node's ``ServerReach``, ``node`` its name.
     """
 
     placer: object
@@ -47,6 +47,7 @@
     notices: object
     crash_evidence: object
     reach: object
+    node: str
 
 
 class Forwarder:
@@ -67,7 +68,9 @@
         Raises ``RequestError`` if no server answers it.
         """
         budget = self._budget_of(request.service)
-        budget.note_request()
+        if not request.forwarded_by:
+            # Otherwise the node to which the caller sent it has counted it.
+            budget.note_request()
         attempts = RequestAttempts(self._deps, request, budget)
         attempt = attempts.next_attempt()
         headers = end_to_end_headers(attempt.headers)
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -5,6 +5,8 @@
 time.
 """
 
+import math
+
 import gevent
 
 from auburnwall.base.exceptions import AuburnwallError
@@ -43,7 +45,8 @@
 
     ``awaiting_server`` is true while the exchange's task sends to the server or reads
     from it. ``may_reroute`` allows the request to be sent to another server. After
-    ``stall_timeout_s`` without progress the candidate becomes suspect. ``reads`` counts
+    ``stall_timeout_s`` without progress the candidate becomes suspect; infinite for a
+    candidate that may be silent until the deadline. ``reads`` counts
     the pieces of a stream that have arrived, each of which may hold several events or
     a part of one.
     """
@@ -63,7 +66,8 @@
         """Record that bytes of a stream have arrived."""
         self.reads += 1
         self.progress_at = now
-        self.stall_timeout_s = STALL_TIMEOUT_S
+        if self.stall_timeout_s != math.inf:
+            self.stall_timeout_s = STALL_TIMEOUT_S
 
 
 class InFlightRequests:
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -41,12 +41,14 @@
 class Placement(NamedTuple):
     """A slot taken at ``candidate``, which had ``load`` other requests.
 
-    ``grant`` identifies a slot that a broker has granted, ``None`` for others.
+    ``grant`` identifies a slot that a broker has granted, ``None`` for others. With
+    ``is_detour``, ``candidate`` is a peer that serves the request.
     """
 
     candidate: object
     load: int
     grant: object = None
+    is_detour: bool = False
 
 
 class _EvictedError(Exception):
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -9,9 +9,10 @@
 from .attempt import Attempt
 from .call import is_fingerprint
 from .crash_evidence import Suspect
+from .detour import DetourAttempt
 from .exceptions import NOT_RUN, UNKNOWN, ExchangeError, OverloadedError, RequestError
 from .hop_by_hop import HOP_BY_HOP
-from .in_flight import FIRST_EVENT_STALL_TIMEOUT_S, DeadlineExceededError, StalledError
+from .in_flight import DeadlineExceededError, StalledError
 
 # Attempts at one request, including those that the server refuses to run.
 MAX_ATTEMPTS = 4
@@ -96,9 +97,9 @@
         sent = getattr(exc, "sent", True)
         self._possible_runs += sent
         if not sent:
-            self._deps.in_flight.make_suspect(attempt.candidate.name)
+            attempt.note_unreachable()
         self._log_failure(attempt, exc)
-        if sent and isinstance(exc, ExchangeError):
+        if sent and isinstance(exc, ExchangeError) and not attempt.is_detour:
             self._check_for_crash(attempt)
         request = self.request
         if isinstance(exc, DeadlineExceededError):
@@ -208,7 +209,12 @@
         return () if request.route.streams else (request.fingerprint,)
 
     def _record_start(self, attempt, now):
-        """Record how long the server took until ``now``, the start of its response."""
+        """Record how long the server took until ``now``, the start of its response.
+
+        The time of a detour, which may include a wait for a slot, does not count.
+        """
+        if attempt.is_detour:
+            return
         request = self.request
         took_s = now - attempt.exchange.started_at
         self._deps.time_to_start.record(request.service, request.model, took_s)
@@ -228,13 +234,11 @@
             deps.placer.release_slot(placement)
             raise
         self._attempt_count += 1
-        attempt = Attempt(deps, request, placement, last_id)
-        exchange = attempt.exchange
-        may_use_another = self._possible_runs + 1 < request.route.max_servers
-        exchange.may_reroute = request.route.may_run_again and may_use_another
-        # Half the objective is allowed for reading the prompt.
-        exchange.stall_timeout_s = (
-            FIRST_EVENT_STALL_TIMEOUT_S + 0.5 * request.route.objective_s
+        servers_left = request.route.max_servers - self._possible_runs
+        attempt_class = DetourAttempt if placement.is_detour else Attempt
+        attempt = attempt_class(deps, request, placement, last_id, servers_left)
+        attempt.limit_silence(
+            may_reroute=request.route.may_run_again and servers_left > 1
         )
         self._log(
             attempt,
@@ -244,6 +248,8 @@
             running=placement.load,
             waited_s=round(deps.clock.monotonic() - request.call.arrived_at, 3),
             resume_after=last_id,
+            detour=attempt.is_detour or None,
+            forwarded_by=request.forwarded_by or None,
         )
         return attempt
 
@@ -265,7 +271,7 @@
         and excludes the server.
         """
         route = self.request.route
-        if attempt.status < 500 or not route.repeatable:
+        if attempt.status < 500 or not route.repeatable or attempt.is_detour:
             return False
         if self._possible_runs + 1 >= route.max_servers or not self._budget.take():
             return False
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -11,6 +11,7 @@
 from auburnwall.base.clock import SystemClock
 from auburnwall.base.tasks import TaskGroup
 from auburnwall.fleet.candidate_index import Candidate
+from auburnwall.fleet.formation.records import NodeRecord
 from auburnwall.fleet.registrations import Registry
 from auburnwall.fleet.server_notices import ServerNotices
 from auburnwall.node.routed.demand import DemandMeter
@@ -23,6 +24,7 @@
 from auburnwall.routing.answer_start import TimeToStart
 from auburnwall.routing.channels import ChannelPool
 from auburnwall.routing.crash_evidence import CrashEvidence
+from auburnwall.routing.detour import DetourPlacer
 from auburnwall.routing.forwarder import Forwarder, ForwarderDeps
 from auburnwall.routing.in_flight import InFlightRequests
 from auburnwall.routing.placer import Placer
@@ -136,10 +138,14 @@
 
 
 class FrontWithServers:
-    """Two stand-in servers of each service and a front, all on loopback."""
+    """Two stand-in servers of each service and a front, all on loopback.
 
-    def __init__(self, body=None):
+    ``peers`` are other fronts, which serve the requests while ``reach`` is cut off.
+    """
+
+    def __init__(self, body=None, peers=()):
         self._body = body or config()
+        self._peers = peers
         self._stack = ExitStack()
 
     def __enter__(self):
@@ -159,8 +165,16 @@
         self.reach = FixedReach()
         self.channels = self._stack.enter_context(closing(ChannelPool(clock)))
         self.placer = Placer(view, self.in_flight, *gates, clock, random.Random(4))
-        deps = ForwarderDeps(
+        self.detours = DetourPlacer(
             self.placer,
+            self.reach,
+            self._peer_records,
+            "norte",
+            clock,
+            random.Random(6),
+        )
+        deps = ForwarderDeps(
+            self.detours,
             self.channels,
             self.in_flight,
             HEADER_NAMES,
@@ -169,6 +183,7 @@
             view.notices,
             self.crash_evidence,
             self.reach,
+            "n1",
         )
         self.budget = SharedRetryBudget(0.2, 20.0, 10.0, lambda: 1, clock)
         forwarder = Forwarder(deps, lambda service: self.budget, lambda r, n: None)
@@ -184,6 +199,7 @@
         server = new_front_server("127.0.0.1:0", self.gateway, clock)
         server.start()
         self._stack.callback(server.stop, 0.2)
+        self.server = server
         self.address = f"127.0.0.1:{server.server_port}"
         tasks = self._stack.enter_context(TaskGroup())
         tasks.spawn(self.in_flight.watch)
@@ -192,6 +208,12 @@
     def __exit__(self, *exc_info):
         self._stack.close()
 
+    def _peer_records(self):
+        return [
+            NodeRecord(f"peer-{n}", f"peer-{n}-1", peer.address, "", "norte")
+            for n, peer in enumerate(self._peers)
+        ]
+
     def _servers(self, store, service, domain):
         servers = []
         for number in range(2):
