End no group for a silence of a second or so

The planner ended a group as lost once its streams stalled and one probe failed, some 0.8 s into a silence; a group is back only after its load time. Found while looking for beliefs that rest on an exchange that failed.

A registered server now counts as unresponsive after 1.5 s of failed probes, or at once if its VM refuses connections: then its process has ended. Its group gets no requests meanwhile, as before. The comment on keepalive says what a user timeout does to it.

The test with a silence of 1.2 s failed before.

--- a/packages/auburnwall-base/src/auburnwall/base/http.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http.py
@@ -6,7 +6,7 @@
 
 import gevent
 import urllib3
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, NewConnectionError
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 
@@ -44,14 +44,25 @@
     )
 
 
-# These values detect a vanished server within 4 s, even if no timeout applies to the
-# request.
+# These values detect a vanished server within 3 s, even if no timeout applies to the
+# request: with a user timeout the kernel gives up at the first probe after it, whatever
+# the number of probes.
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     *keepalive_options(probe_s=1, user_timeout_ms=2_000),
 )
 
 
+def is_refused(exc):
+    """Return whether a ``urllib3`` error is a refused connection.
+
+    The VM is up then, and no process listens at the address.
+    """
+    return isinstance(exc, NewConnectionError) and isinstance(
+        exc.__cause__, ConnectionRefusedError
+    )
+
+
 def new_pool(connections=64):
     """Return a pool for ``connections`` hosts, without retries or redirects."""
     return urllib3.PoolManager(
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/exceptions.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/exceptions.py
@@ -23,5 +23,9 @@
     """Nothing was sent, since the server wants nothing from this node for a time."""
 
 
+class ServerRefusedError(EngineError):
+    """The server's VM refused the connection: its process has ended."""
+
+
 class OrderRefusedError(EngineError):
     """A backend server refused an order, for example one with an old fencing token."""
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
@@ -4,7 +4,7 @@
 
 from auburnwall.base.logs import event
 
-from ..exceptions import EngineError, ServerPausedError
+from ..exceptions import EngineError, ServerPausedError, ServerRefusedError
 from ..registrations import GroupMembership
 from .lifecycle import Liveness, MemberView
 from .records import Member
@@ -18,16 +18,33 @@
 # Number of failed probes in a row after which a server whose registration has expired
 # counts as gone.
 GONE_AFTER_FAILURES = 2
+# Time of failed probes after which a registered server counts as unresponsive. A sound
+# server may be silent for a second or so; one that refuses connections has ended.
+MIN_SILENCE_S = 1.5
 # A group remains suspect for this time after its last stall was reported.
 SUSPECT_S = 2.0
 
 
 class _ProbeResult(NamedTuple):
-    """Result of the last probe of a server, and the number of failures in a row."""
+    """Result of the last probe of a server.
+
+    ``failures`` is the number of failures in a row, the first of which began at
+    ``failing_since``. ``refused`` is whether the last one was a refused connection.
+    """
 
     probed_at: float
     report: object
-    failures: int
+    failures: int = 0
+    failing_since: float = 0.0
+    refused: bool = False
+
+    @property
+    def is_silent(self):
+        """Return whether the server has ended, or been silent for too long."""
+        if not self.failures:
+            return False
+        silent_s = self.probed_at - self.failing_since
+        return self.refused or silent_s >= MIN_SILENCE_S
 
 
 class MemberMonitor:
@@ -120,8 +137,9 @@
         failures = result.failures if result else 0
         if entry is None:
             return self._liveness_unregistered(member, failures)
-        # Two signs are needed: its group's streams stalled, and its last probe failed.
-        return Liveness.UNRESPONSIVE if is_suspect and failures else Liveness.ALIVE
+        # Two signs are needed: its group's streams stalled, and its probes failed.
+        is_silent = result is not None and result.is_silent
+        return Liveness.UNRESPONSIVE if is_suspect and is_silent else Liveness.ALIVE
 
     def _liveness_unregistered(self, member, failures):
         """Return the liveness of an unregistered server from its failed probes.
@@ -149,15 +167,21 @@
         previous = self._results.get(member.server)
         try:
             report = self._engine.fetch_report(member.server, member.address)
-            failures = 0
+            result = _ProbeResult(probed_at, report)
         except ServerPausedError:
             return
         except EngineError as exc:
-            report = None
             failures = self._count_failure(member, previous, probed_at, exc)
+            result = _ProbeResult(
+                probed_at,
+                None,
+                failures,
+                previous.failing_since if failures > 1 else probed_at,
+                isinstance(exc, ServerRefusedError),
+            )
         finally:
             self._probing.discard(member.server)
-        self._results[member.server] = _ProbeResult(probed_at, report, failures)
+        self._results[member.server] = result
 
     def _count_failure(self, member, previous, probed_at, exc):
         """Log a failed probe; return the failures in a row that count.
--- a/packages/auburnwall-routing/src/auburnwall/routing/channels.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/channels.py
@@ -1,10 +1,10 @@
 """Persistent connections to backend servers, each for one request at a time."""
 
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.exceptions import HTTPError
 from urllib3.util.wait import wait_for_read
 
-from auburnwall.base.http import SOCKET_OPTIONS
+from auburnwall.base.http import SOCKET_OPTIONS, is_refused
 
 # Idle time after which a connection is not reused, where the server states none.
 IDLE_TIMEOUT_S = 4.0
@@ -93,11 +93,9 @@
         channel = Channel(server, address, CRASH_CHECK_TIMEOUT_S)
         try:
             channel.connect()
-        except NewConnectionError as exc:
-            return isinstance(exc.__cause__, ConnectionRefusedError)
-        except (HTTPError, OSError):
+        except (HTTPError, OSError) as exc:
             # Any other failure is no evidence of a crash.
-            return False
+            return is_refused(exc)
         finally:
             channel.close()
         return False
--- a/tests/fleet/test_formation_controller.py
+++ b/tests/fleet/test_formation_controller.py
@@ -10,7 +10,7 @@
     OrderOutcome,
     StageOrder,
 )
-from auburnwall.fleet.exceptions import EngineError
+from auburnwall.fleet.exceptions import EngineError, ServerRefusedError
 from auburnwall.fleet.formation.adoption import ADOPTION_DELAY_S
 from auburnwall.fleet.formation.controller import FormationController
 from auburnwall.fleet.formation.member_monitor import MemberMonitor
@@ -75,9 +75,12 @@
     def __init__(self):
         self.orders = []
         self.unresponsive = set()
+        self.refusing = set()
         self.group_memberships = {}
 
     def fetch_report(self, server, address):
+        if server in self.refusing:
+            raise ServerRefusedError("refused", step="report", peer=server)
         if server in self.unresponsive:
             raise EngineError("no answer", step="report", peer=server)
         return MemberReport(1, self.group_memberships.get(server))
@@ -408,17 +411,20 @@
         self.new_node("n2").formation_controller.stage_without_tables()
         self.assertEqual(self.engine.orders, [])
 
-    def lose_all_servers(self):
+    def lose_all_servers(self, seconds=2.0):
         """Let all streams stall and all probes and orders fail; return the groups."""
         self.node.formation_controller.step()
         names = set(self.groups())
         self.engine.unresponsive = set(self.node.registry.servers)
-        for _ in range(10):
+        self.step_while_suspect(names, seconds)
+        return names
+
+    def step_while_suspect(self, names, seconds):
+        for _ in range(round(seconds / 0.2)):
             for name in names:
                 self.node.member_monitor.suspect_group(name)
             self.node.formation_controller.step()
             self.clock.now += 0.2
-        return names
 
     def groups_still_serving(self, names):
         return {g.name for g in self.groups().values() if g.phase == SERVING} & names
@@ -434,6 +440,19 @@
         names = self.lose_all_servers()
         self.assertEqual(self.groups_still_serving(names), names)
 
+    def test_groups_whose_servers_are_silent_for_a_second_do_not_end(self):
+        names = self.lose_all_servers(1.2)
+        self.engine.unresponsive = set()
+        self.step_while_suspect(names, 2.0)
+        self.assertEqual(self.groups_still_serving(names), names)
+
+    def test_groups_whose_servers_refuse_connections_end_at_once(self):
+        self.node.formation_controller.step()
+        names = set(self.groups())
+        self.engine.refusing = set(self.node.registry.servers)
+        self.step_while_suspect(names, 0.4)
+        self.assertEqual(self.groups_still_serving(names), set())
+
     def test_groups_that_no_node_reaches_end(self):
         names = self.lose_all_servers()
         self.assertEqual(self.groups_still_serving(names), set())
