Know the parts of prompt lists that servers read although they are malformed

The crashes had no part in common then, and no later request was recognized.

Each entry of such a list now gives a part, those of all its headers together; an ID of another form is replaced by a digest. All of them count as shared, since it is not certain which one the server takes for the request's own. A list with over 64 parts is a bad request, as the evidence of a crash is bounded; before, over 32 counted for nothing.

The test that a malformed list with a blocked part is served (200) stated the hole; it is replaced by one that expects a refusal for each of its lists, and a 200 for lists without the part.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -138,7 +138,7 @@
             rank,
             strip_key=config.teams_by_key is not None,
             elapsed_s=elapsed_s,
-            prompt_parts=prompt_parts_of(call, self._header_names) if engine else (),
+            prompt_parts=self._prompt_parts(call) if engine else (),
             fingerprint=fingerprint_of(call, team.name if team else ""),
             forwarded_by=forwarded_by,
         )
@@ -147,6 +147,16 @@
             self._demand.record_request(request, engine)
         return request
 
+    def _prompt_parts(self, call):
+        """Return the IDs of the prompt's parts.
+
+        Raises ``BadRequestError`` if there are too many of them.
+        """
+        try:
+            return prompt_parts_of(call, self._header_names)
+        except ValueError as exc:
+            raise BadRequestError(str(exc)) from exc
+
     def _deadline(self, route, call):
         """Return the deadline and the estimated seconds since the caller's first try.
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/call.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/call.py
@@ -6,9 +6,8 @@
 
 from .step_model import Work
 
-# Largest number of parts in a prompt, and the form of a part's ID. A header with other
-# values counts for nothing.
-MAX_PROMPT_PARTS = 32
+# Largest number of parts in a prompt, and the form of a part's ID.
+MAX_PROMPT_PARTS = 64
 PART_ID = re.compile(r"[0-9A-Za-z_.-]{1,64}")
 # Begins a fingerprint, and no ID of a part. Length of its digest, in bytes.
 FINGERPRINT_PREFIX, FINGERPRINT_BYTES = "request:", 8
@@ -32,6 +31,11 @@
         wanted = name.lower()
         return next((v for n, v in self.headers if n.lower() == wanted), None)
 
+    def header_values(self, name):
+        """Return all values of a header, as servers get them joined by commas."""
+        wanted = name.lower()
+        return [v for n, v in self.headers if n.lower() == wanted]
+
 
 class RoutedRequest(NamedTuple):
     """A call whose route is known; ``deadline`` is on the node's monotonic clock.
@@ -140,14 +144,35 @@
 
 
 def prompt_parts_of(call, header_names):
-    """Return the IDs of the prompt's parts, empty if the header is not valid.
+    """Return the IDs of the prompt's parts in their order, empty without a header.
 
     The header holds pairs of an ID and a number of tokens, for example
-    ``5c1e07a2:800,91bd3f06:410,e4402b7d:250``.
+    ``5c1e07a2:800,91bd3f06:410,e4402b7d:250``. Servers also read lists of another form,
+    so the parts of these are known as well: an ID ends at the first colon, and one of
+    another form is replaced by a digest. Which of them is the request's own is not
+    certain then; a digest of the whole list is added as its own part. Raises
+    ``ValueError`` if there are more than ``MAX_PROMPT_PARTS``.
     """
-    header = call.header(header_names.prompt_parts) or ""
+    header = ",".join(call.header_values(header_names.prompt_parts))
+    if not header:
+        return ()
     pairs = [pair.strip().partition(":") for pair in header.split(",")]
-    is_valid = len(pairs) <= MAX_PROMPT_PARTS and all(
-        PART_ID.fullmatch(part) and tokens.isdigit() for part, _, tokens in pairs
+    if len(pairs) > MAX_PROMPT_PARTS:
+        raise ValueError(
+            f"the prompt has {len(pairs)} parts, at most {MAX_PROMPT_PARTS} are allowed"
+        )
+    if all(PART_ID.fullmatch(part) and tokens.isdigit() for part, _, tokens in pairs):
+        return tuple(part for part, _, _ in pairs)
+    parts = (part.strip() for part, _, _ in pairs)
+    known = tuple(
+        part if PART_ID.fullmatch(part) else _digest_of(part) for part in parts if part
+    )
+    return (*known, _digest_of(header))
+
+
+def _digest_of(text):
+    """Return a text for a part that no valid ID equals."""
+    digest = hashlib.blake2b(
+        text.encode(errors="surrogateescape"), digest_size=FINGERPRINT_BYTES
     )
-    return tuple(part for part, _, _ in pairs) if is_valid else ()
+    return f"digest:{digest.hexdigest()}"
--- a/tests/processes/test_crashing_prompts.py
+++ b/tests/processes/test_crashing_prompts.py
@@ -14,6 +14,9 @@
 
 
 class CrashingPromptTests(PlatformClusterTestCase):
+    # A part with its number of tokens, as in the list of a prompt's parts.
+    PART_FORMAT = "{}:40"
+
     def setUp(self):
         super().setUp()
         self.cluster.wait(self.is_sound_served, "a group is open")
@@ -21,7 +24,8 @@
     def send(self, node, *shared_parts):
         """Send a request; return status and body, 0 if there is no whole response."""
         number = next(self.numbers)
-        prompt = ",".join(f"{part}:40" for part in (*shared_parts, f"{number:08x}"))
+        parts = (*shared_parts, f"{number:08x}")
+        prompt = ",".join(map(self.PART_FORMAT.format, parts))
         return self.send_request(node, prompt=prompt)
 
     def is_sound_served(self):
@@ -70,6 +74,12 @@
         self.cluster.wait(self.is_sound_served, "sound requests are served")
 
 
+class MalformedCrashingPromptTests(CrashingPromptTests):
+    """The lists have no numbers of tokens, and servers read them nevertheless."""
+
+    PART_FORMAT = "{}"
+
+
 class RelayedCrashingPromptTests(CrashingPromptTests):
     """The same with relays and brokers: two of five nodes are relays."""
 
--- a/tests/routed/test_crashing_prompts.py
+++ b/tests/routed/test_crashing_prompts.py
@@ -5,15 +5,17 @@
 gevent.monkey.patch_all()
 
 import http.client  # noqa: E402
+import socket  # noqa: E402
 import unittest  # noqa: E402
 from contextlib import suppress  # noqa: E402
 
 import gevent  # noqa: E402
 
+from auburnwall.routing.call import MAX_PROMPT_PARTS  # noqa: E402
 from auburnwall.routing.crash_evidence import BLOCK_S, MIN_CRASHES  # noqa: E402
 from tests.routing.test_crash_evidence import suspect  # noqa: E402
 
-from .support import FrontWithServers, send_call, wait_until  # noqa: E402
+from .support import KEY, FrontWithServers, send_call, wait_until  # noqa: E402
 
 
 class CrashingPromptTests(unittest.TestCase):
@@ -45,13 +47,33 @@
         self.block("00000007")
         self.assertEqual(self.call(7, "aa:4")[0], 200)
 
-    def test_malformed_list_of_parts_counts_for_nothing(self):
+    def test_malformed_list_with_a_blocked_part_is_refused(self):
+        """A server may read the list, and crash at the part."""
         self.block("bad")
         for number, prompt in enumerate(
-            ("bad", "bad:x", "b@d:4,bad:9", f"{'a' * 99}:1")
+            ("bad", "bad:x", "b@d:4,bad:9", " bad :1,", f"{'a' * 99}:1,bad:")
         ):
+            self.assertEqual(self.call(number, prompt)[0], 503, prompt)
+        for number, prompt in enumerate(("aa", "aa:x", "b@d:4", f"{'a' * 99}:1", ",")):
             self.assertEqual(self.call(number, prompt)[0], 200, prompt)
 
+    def test_part_in_the_second_of_two_headers_is_known(self):
+        self.block("bad")
+        with socket.create_connection(self.front.address.split(":"), 3.0) as sock:
+            sock.sendall(
+                b"POST /ask/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: r-1\r\n"
+                b"Authorization: Bearer " + KEY.encode() + b"\r\n"
+                b"X-Prompt-Prefix: aa:4\r\nX-Prompt-Prefix: bad:4,0001:9\r\n\r\n"
+            )
+            self.assertIn(b" 503 ", sock.recv(4096).split(b"\r\n")[0])
+
+    def test_list_with_too_many_parts_is_a_bad_request(self):
+        prompt = ",".join(f"{number:04x}:4" for number in range(MAX_PROMPT_PARTS - 1))
+        self.assertEqual(self.call(1, prompt)[0], 200)
+        status, _, body = self.call(2, f"{prompt},bad:4")
+        self.assertEqual(status, 400)
+        self.assertIn(f"at most {MAX_PROMPT_PARTS}".encode(), body)
+
     def test_request_under_which_servers_crash_is_told_that_it_may_have_run(self):
         for engine in self.front.engines:
             engine.crash_part = "bad"
