Know which services a node reaches, not only whether it reaches any

A node that loses the paths to the servers of one service still reaches others; a check that drew one of those took its links for sound, and for a moment it tried its own links again. The state, the checks and the heartbeats are per service now. A node that does not reach the model servers of a service neither plans nor grants slots; requests take a detour to peers that reach their service; the directory prefers nodes that reach all. A crash counts if the node reaches any server at all, so that the loss of the last server of a service still counts.

The process tests pass.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
@@ -190,7 +190,7 @@
         Peers are asked at the first failure, and at each that shows the server as gone.
         """
         failures = (previous.failures if previous else 0) + 1
-        reaches_any = self._reach.proved_since(probed_at) or self._reach.check()
+        reaches_any = self._reach.reaches_any_since(probed_at)
         asks_peers = failures == 1 or self._may_be_gone(member, failures)
         reached_by_peer = reaches_any and asks_peers and self._reached_by_peer(member)
         event(
--- a/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
@@ -28,9 +28,9 @@
 class Brokers:
     """Choose the brokers and call them.
 
-    ``broker`` is this node's own ``SlotBroker``, ``reach`` its ``ServerReach``.
-    ``quick_pool`` and ``waiting_pool`` are pools of connections to peers for calls that
-    do not wait for a slot and for those that do.
+    ``broker`` is this node's own ``SlotBroker``. ``is_cut_off()`` returns whether this
+    node does not reach the model servers. ``quick_pool`` and ``waiting_pool`` are pools
+    of connections to peers for calls that do not wait for a slot and for those that do.
     """
 
     def __init__(
@@ -38,7 +38,7 @@
         identity,
         state,
         peers,
-        reach,
+        is_cut_off,
         broker,
         quick_pool,
         waiting_pool,
@@ -46,7 +46,7 @@
         tasks,
     ):
         self._identity = identity
-        self._reach = reach
+        self._is_cut_off = is_cut_off
         self._state = state
         self._peers = peers
         self._broker = broker
@@ -216,7 +216,7 @@
     def _live_relays(self):
         """Return the names of the live relays of each data centre."""
         now = self._clock.monotonic()
-        cut_off = self._reach.cut_off
+        cut_off = self._is_cut_off()
         key = self._state.change_count, int(now / CHOICE_REUSED_S), cut_off
         if key != self._relays_key:
             self._relays_key = key
--- a/packages/auburnwall-node/src/auburnwall/node/routed/entry.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/entry.py
@@ -10,8 +10,8 @@
 class EntryPoints:
     """Choose the nodes that the directory names to a caller.
 
-    Nodes that reach no backend server are named only if no ready node reaches any. If
-    enough of the others are in the caller's data centre, only these are named, since
+    Nodes that do not reach all services are named only if no ready node does. If enough
+    of the others are in the caller's data centre, only these are named, since
     the latency to the rest is higher. Otherwise all of them are named. ``cfg()``
     returns the node's current settings.
     """
@@ -36,7 +36,7 @@
             for name, status in {**self._peers.live(), own.node: own}.items()
             if status.ready and not status.stopping
         }
-        reaching = {name for name, status in statuses.items() if not status.cut_off}
+        reaching = {n for n, status in statuses.items() if not status.lost_services}
         ready = reaching or set(statuses)
         nodes = [node for name, node in self._state.nodes.items() if name in ready]
         near = [node for node in nodes if node.data_center == caller_data_center]
--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -58,9 +58,9 @@
             lambda: len(node.notices.limited_servers()),
         ),
         (
-            "reaches_servers",
-            "Whether this node reaches any server, 1 or 0.",
-            lambda: int(not node.reach.cut_off),
+            "lost_services",
+            "Services of which this node reaches no server.",
+            lambda: len(node.reach.lost_services),
         ),
         ("detours", "Requests that a peer serves.", node.placer.running_count),
         ("connections", "Connections opened.", lambda: channels.connections_opened),
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -164,7 +164,8 @@
             limits=limits_to_wire(self.notices.own_limits()),
             crashes=self.crash_evidence.crashes_to_tell(),
             sound_parts=self.crash_evidence.sound_parts_to_tell(),
-            cut_off=self.reach.cut_off,
+            cut_off=self.is_cut_off(),
+            lost_services=self.reach.lost_services,
         )
 
     def is_ready(self):
@@ -317,7 +318,7 @@
 
     def _build_routing(self):
         cfg, clock = self.cfg, self.clock
-        self.suspects = SuspectCandidates(clock, self.reach)
+        self.suspects = SuspectCandidates(clock, self.reach, self._service_of)
         self.suspects.listeners.append(self.member_monitor.suspect_group)
         self.peers.on_suspects = self._suspect_for_peer
         self.peers.on_leaving = self.notices.note_peer_leaving
@@ -442,17 +443,38 @@
             if name in self.fleet.groups:
                 self.suspects.suspect_for_peer(name, node)
 
-    def peers_for_detours(self):
-        """Return the ``NodeRecord`` of each ready peer that reaches servers."""
+    def peers_for_detours(self, service):
+        """Return the ``NodeRecord`` of each ready peer that reaches a service."""
         return [
             self.fleet.nodes[name]
             for name, status in self.peers.live().items()
-            if status.ready and not status.stopping and not status.cut_off
+            if status.ready
+            and not status.stopping
+            and service not in status.lost_services
         ]
 
-    def _apply_reach(self, cut_off):
+    def is_cut_off(self):
+        """Return whether this node does not reach the model servers of a service.
+
+        Then it neither plans nor grants slots.
+        """
+        config = self.source.config
+        return config is not None and any(
+            config.services[service].engine is not None
+            for service in self.reach.lost_services
+            if service in config.services
+        )
+
+    def _service_of(self, candidate_name):
+        """Return the service of a group or of a plain server, empty if unknown."""
+        known = self.fleet.groups.get(candidate_name) or self.registry.servers.get(
+            candidate_name
+        )
+        return known.service if known else ""
+
+    def _apply_reach(self, service, lost):
         """Drop what this node believes of servers because its own links were cut."""
-        if cut_off:
+        if lost:
             self.channels.close_idle()
         else:
             self.in_flight.restart_stall_timers()
@@ -510,7 +532,7 @@
     def _plan(self):
         if self.gateway.stop_begun:
             return
-        if self.reach.cut_off and self.peers.reaching():
+        if self.is_cut_off() and self.peers.reaching():
             # A peer that reaches servers plans instead.
             self.formation_controller.pause()
             return
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peer_status.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peer_status.py
@@ -8,7 +8,8 @@
 class PeerStatus(NamedTuple):
     """What is known of a peer; ``heard_at`` is when its heartbeat was received.
 
-    ``cut_off`` is whether it reaches no backend server.
+    ``cut_off`` is whether it does not reach the model servers of a service,
+    ``lost_services`` are all services that it does not reach.
     """
 
     incarnation: str
@@ -17,6 +18,7 @@
     reads_tables: bool
     has_traffic: bool
     cut_off: bool
+    lost_services: tuple
     heard_at: float
 
 
@@ -85,6 +87,7 @@
         source.reads_tables,
         source.has_traffic,
         bool(source.cut_off),
+        tuple(source.lost_services or ()),
         heard_at,
     )
 
@@ -100,4 +103,5 @@
         status.has_traffic,
         int(1000 * age_s),
         status.cut_off,
+        list(status.lost_services or ()),
     )
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -213,7 +213,7 @@
         """Return the incarnations of the nodes that may plan, by node name.
 
         These read the store and are not stopping. This node can be one of them. Nodes
-        that are cut off from all servers may plan only if all of them are.
+        that are cut off from model servers may plan only if all of them are.
         """
         statuses = {**self.live(), self._identity.node: self._own_pulse()}
         able = {
@@ -225,7 +225,7 @@
         return {name: s.incarnation for name, s in (reaching or able).items()}
 
     def reaching(self):
-        """Return the names of the live peers that reach backend servers."""
+        """Return the names of the live peers that reach the model servers."""
         return [name for name, status in self.live().items() if not status.cut_off]
 
     def load(self, name):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
@@ -55,7 +55,7 @@
             node.identity,
             node.fleet,
             node.peers,
-            node.reach,
+            node.is_cut_off,
             self.broker,
             quick_pool,
             waiting_pool,
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -45,23 +45,24 @@
     stalled, if a request could not be sent to it, or if it is a group and refused a
     request. Peers' reports are only about groups. A node reports only its own
     observations to its peers: if nodes repeated each other's reports, a suspicion would
-    never end. It reports them once it has reached any server since: the streams of a
-    node whose own links are lost say nothing about the groups. A node whose own
-    streams from a group make progress ignores reports about it.
+    never end. It reports them once it has reached any server of the service since: the
+    streams of a node whose own links are lost say nothing about the groups. A node
+    whose own streams from a group make progress ignores reports about it.
 
     A suspect candidate gets no requests for a time. If it is suspected again without
     any progress since, the next time is twice as long, up to a limit. After such a time
     it is on probation: each node sends it at most one request at a time, until it makes
     progress or the suspicion no longer counts. ``last_progress_at(name)`` returns
     when the exchanges of this node with a candidate last made progress. ``reach`` is
-    the node's ``ServerReach``.
+    the node's ``ServerReach``, ``service_of(name)`` returns a candidate's service.
     """
 
-    def __init__(self, clock, reach, last_progress_at=lambda name: 0.0):
+    def __init__(self, clock, reach, service_of, last_progress_at=lambda name: 0.0):
         self.listeners = []
         self.last_progress_at = last_progress_at
         self._clock = clock
         self._reach = reach
+        self._service_of = service_of
         self._own_since = {}
         self._own_until = {}
         self._reported_until = {}
@@ -73,8 +74,8 @@
         if self._own_until.get(name, 0.0) < now:
             self._own_since[name] = now
         self._suspect(self._own_until, name, "own streams")
-        if not self._reach.proved_since(self._own_since[name]):
-            self._reach.doubt()
+        if not self._may_report(name):
+            self._reach.doubt(self._service_of(name))
 
     def forget_own(self):
         """Forget this node's own suspicions, for example because its links were cut."""
@@ -121,11 +122,12 @@
             if now - suspicion.at < SUSPICION_MEMORY_S
         }
         self._own_since = {name: self._own_since[name] for name in self._own_until}
-        return [
-            name
-            for name, since in self._own_since.items()
-            if self._reach.proved_since(since)
-        ]
+        return list(filter(self._may_report, self._own_until))
+
+    def _may_report(self, name):
+        """Return whether this node has reached the service since it suspected it."""
+        service = self._service_of(name)
+        return self._reach.proved_since(service, self._own_since[name])
 
     def _suspect(self, until_by_name, name, source):
         now = self._clock.monotonic()
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -181,7 +181,7 @@
         channel.connection.timeout = READ_TIMEOUT_S
 
     def _note_connected(self):
-        self._deps.reach.note_connected()
+        self._deps.reach.note_connected(self._request.service)
 
     def _sent_headers(self):
         request, header_names = self._request, self._deps.header_names
--- a/packages/auburnwall-routing/src/auburnwall/routing/detour.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/detour.py
@@ -1,6 +1,6 @@
-"""The detour of a request through a peer, while this node reaches no server.
+"""The detour of a request through a peer, while this node reaches no server for it.
 
-Failure pattern: a node is partitioned from all servers, while callers and peers still
+Failure pattern: a node is partitioned from the servers, while callers and peers still
 reach it. A peer with links then serves the requests of its callers, with its own slots
 and limits; to this node the peer is what a server is otherwise. A request takes one
 detour at most.
@@ -27,11 +27,11 @@
 
 
 class DetourPlacer:
-    """Chooses a peer in place of a server while this node reaches none.
+    """Chooses a peer in place of a server while this node reaches none of a service.
 
     ``direct`` is the placer of all other requests. ``reach`` is the node's
-    ``ServerReach``. ``peers()`` returns the ``NodeRecord`` of each ready peer that
-    reaches servers.
+    ``ServerReach``. ``peers(service)`` returns the ``NodeRecord`` of each ready peer
+    that reaches the service.
     """
 
     def __init__(self, direct, reach, peers, data_center, clock, rng):
@@ -77,12 +77,12 @@
 
     def _place_at_peer(self, request, excluded):
         """Return a placement at the peer with the fewest detours, ``None`` without."""
-        if not self._reach.cut_off or request.forwarded_by:
+        if request.forwarded_by or not self._reach.is_lost(request.service):
             return None
         now = self._clock.monotonic()
         peers = [
             peer
-            for peer in self._peers()
+            for peer in self._peers(request.service)
             if peer.node not in excluded
             and self._failed_until.get(peer.node, 0.0) < now
         ]
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -129,7 +129,7 @@
         failed_at = deps.clock.monotonic()
         if not deps.channels.has_crashed(candidate.server, candidate.address):
             return
-        if not (deps.reach.proved_since(failed_at) or deps.reach.check()):
+        if not deps.reach.reaches_any_since(failed_at):
             self._log(attempt, "crash not counted", why="no server can be reached")
             return
         deps.crash_evidence.note_crash(
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
@@ -186,7 +186,8 @@
 /**
  * A node, and how many milliseconds ago it was last heard of.
  *
- * `cut_off` is whether it reaches no backend server, though it reaches its peers.
+ * `lost_services` are the services of which it reaches no server, `cut_off` is whether
+ * one of them has model servers.
  */
 struct NodeStatus {
   1: string node
@@ -197,6 +198,7 @@
   6: bool has_traffic
   7: i32 age_ms
   8: bool cut_off
+  9: list<string> lost_services
 }
 
 /**
@@ -206,7 +208,8 @@
  * callers asked it for, by model, as a number of groups; empty until it has been
  * measured. `suspects` names groups whose requests make no progress. `table_ends` is up
  * to which offset it has read each of the platform's tables, `reads_tables` whether it
- * reads all of them from the store. `cut_off` is as in `NodeStatus`, `leaving`, `crashes`, `sound_parts` and `limits` are
+ * reads all of them from the store. `cut_off` and `lost_services` are as in
+ * `NodeStatus`, `leaving`, `crashes`, `sound_parts` and `limits` are
  * as in `Load`. `members` are the nodes that report to it, and `member_load` is the load of
  * these.
  */
@@ -228,6 +231,7 @@
   15: list<string> sound_parts
   16: map<string, ServerLimit> limits
   17: bool cut_off
+  18: list<string> lost_services
 }
 
 /**
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/Peer.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/Peer.py
@@ -933,11 +933,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype218, _size215) = iprot.readListBegin()
-                    for _i219 in range(_size215):
-                        _elem220 = ClaimAsk()
-                        _elem220.read(iprot)
-                        self.asks.append(_elem220)
+                    (_etype232, _size229) = iprot.readListBegin()
+                    for _i233 in range(_size229):
+                        _elem234 = ClaimAsk()
+                        _elem234.read(iprot)
+                        self.asks.append(_elem234)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -958,8 +958,8 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter221 in self.asks:
-                iter221.write(oprot)
+            for iter235 in self.asks:
+                iter235.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1011,11 +1011,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype225, _size222) = iprot.readListBegin()
-                    for _i226 in range(_size222):
-                        _elem227 = ClaimVerdict()
-                        _elem227.read(iprot)
-                        self.success.append(_elem227)
+                    (_etype239, _size236) = iprot.readListBegin()
+                    for _i240 in range(_size236):
+                        _elem241 = ClaimVerdict()
+                        _elem241.read(iprot)
+                        self.success.append(_elem241)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1037,8 +1037,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter228 in self.success:
-                iter228.write(oprot)
+            for iter242 in self.success:
+                iter242.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.error is not None:
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
@@ -1790,7 +1790,8 @@
     """
     A node, and how many milliseconds ago it was last heard of.
 
-    `cut_off` is whether it reaches no backend server, though it reaches its peers.
+    `lost_services` are the services of which it reaches no server, `cut_off` is whether
+    one of them has model servers.
 
     Attributes:
      - node
@@ -1801,11 +1802,12 @@
      - has_traffic
      - age_ms
      - cut_off
+     - lost_services
 
     """
 
 
-    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, has_traffic=None, age_ms=None, cut_off=None,):
+    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, has_traffic=None, age_ms=None, cut_off=None, lost_services=None,):
         self.node = node
         self.incarnation = incarnation
         self.ready = ready
@@ -1814,6 +1816,7 @@
         self.has_traffic = has_traffic
         self.age_ms = age_ms
         self.cut_off = cut_off
+        self.lost_services = lost_services
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1864,6 +1867,16 @@
                     self.cut_off = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.lost_services = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost_services.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1906,6 +1919,13 @@
             oprot.writeFieldBegin('cut_off', TType.BOOL, 8)
             oprot.writeBool(self.cut_off)
             oprot.writeFieldEnd()
+        if self.lost_services is not None:
+            oprot.writeFieldBegin('lost_services', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.lost_services))
+            for iter111 in self.lost_services:
+                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1932,7 +1952,8 @@
     callers asked it for, by model, as a number of groups; empty until it has been
     measured. `suspects` names groups whose requests make no progress. `table_ends` is up
     to which offset it has read each of the platform's tables, `reads_tables` whether it
-    reads all of them from the store. `cut_off` is as in `NodeStatus`, `leaving`, `crashes`, `sound_parts` and `limits` are
+    reads all of them from the store. `cut_off` and `lost_services` are as in
+    `NodeStatus`, `leaving`, `crashes`, `sound_parts` and `limits` are
     as in `Load`. `members` are the nodes that report to it, and `member_load` is the load of
     these.
 
@@ -1954,11 +1975,12 @@
      - sound_parts
      - limits
      - cut_off
+     - lost_services
 
     """
 
 
-    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None, limits=None, cut_off=None,):
+    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None, limits=None, cut_off=None, lost_services=None,):
         self.node = node
         self.incarnation = incarnation
         self.ready = ready
@@ -1976,6 +1998,7 @@
         self.sound_parts = sound_parts
         self.limits = limits
         self.cut_off = cut_off
+        self.lost_services = lost_services
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2014,43 +2037,43 @@
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.table_ends = {}
-                    (_ktype106, _vtype107, _size105) = iprot.readMapBegin()
-                    for _i109 in range(_size105):
-                        _key110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val111 = iprot.readI64()
-                        self.table_ends[_key110] = _val111
+                    (_ktype113, _vtype114, _size112) = iprot.readMapBegin()
+                    for _i116 in range(_size112):
+                        _key117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val118 = iprot.readI64()
+                        self.table_ends[_key117] = _val118
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.running = {}
-                    (_ktype113, _vtype114, _size112) = iprot.readMapBegin()
-                    for _i116 in range(_size112):
-                        _key117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val118 = iprot.readI32()
-                        self.running[_key117] = _val118
+                    (_ktype120, _vtype121, _size119) = iprot.readMapBegin()
+                    for _i123 in range(_size119):
+                        _key124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val125 = iprot.readI32()
+                        self.running[_key124] = _val125
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.MAP:
                     self.demand = {}
-                    (_ktype120, _vtype121, _size119) = iprot.readMapBegin()
-                    for _i123 in range(_size119):
-                        _key124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val125 = iprot.readDouble()
-                        self.demand[_key124] = _val125
+                    (_ktype127, _vtype128, _size126) = iprot.readMapBegin()
+                    for _i130 in range(_size126):
+                        _key131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val132 = iprot.readDouble()
+                        self.demand[_key131] = _val132
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.suspects.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.suspects.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2062,11 +2085,11 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = NodeStatus()
-                        _elem137.read(iprot)
-                        self.members.append(_elem137)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = NodeStatus()
+                        _elem144.read(iprot)
+                        self.members.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2079,49 +2102,49 @@
             elif fid == 13:
                 if ftype == TType.MAP:
                     self.leaving = {}
-                    (_ktype139, _vtype140, _size138) = iprot.readMapBegin()
-                    for _i142 in range(_size138):
-                        _key143 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val144 = iprot.readI64()
-                        self.leaving[_key143] = _val144
+                    (_ktype146, _vtype147, _size145) = iprot.readMapBegin()
+                    for _i149 in range(_size145):
+                        _key150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val151 = iprot.readI64()
+                        self.leaving[_key150] = _val151
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.MAP:
                     self.crashes = {}
-                    (_ktype146, _vtype147, _size145) = iprot.readMapBegin()
-                    for _i149 in range(_size145):
-                        _key150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val151 = []
-                        (_etype155, _size152) = iprot.readListBegin()
-                        for _i156 in range(_size152):
-                            _elem157 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _val151.append(_elem157)
+                    (_ktype153, _vtype154, _size152) = iprot.readMapBegin()
+                    for _i156 in range(_size152):
+                        _key157 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val158 = []
+                        (_etype162, _size159) = iprot.readListBegin()
+                        for _i163 in range(_size159):
+                            _elem164 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _val158.append(_elem164)
                         iprot.readListEnd()
-                        self.crashes[_key150] = _val151
+                        self.crashes[_key157] = _val158
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.sound_parts = []
-                    (_etype161, _size158) = iprot.readListBegin()
-                    for _i162 in range(_size158):
-                        _elem163 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.sound_parts.append(_elem163)
+                    (_etype168, _size165) = iprot.readListBegin()
+                    for _i169 in range(_size165):
+                        _elem170 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.sound_parts.append(_elem170)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.MAP:
                     self.limits = {}
-                    (_ktype165, _vtype166, _size164) = iprot.readMapBegin()
-                    for _i168 in range(_size164):
-                        _key169 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val170 = ServerLimit()
-                        _val170.read(iprot)
-                        self.limits[_key169] = _val170
+                    (_ktype172, _vtype173, _size171) = iprot.readMapBegin()
+                    for _i175 in range(_size171):
+                        _key176 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val177 = ServerLimit()
+                        _val177.read(iprot)
+                        self.limits[_key176] = _val177
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2130,6 +2153,16 @@
                     self.cut_off = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.LIST:
+                    self.lost_services = []
+                    (_etype181, _size178) = iprot.readListBegin()
+                    for _i182 in range(_size178):
+                        _elem183 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost_services.append(_elem183)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2163,32 +2196,32 @@
         if self.table_ends is not None:
             oprot.writeFieldBegin('table_ends', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_ends))
-            for kiter171, viter172 in self.table_ends.items():
-                oprot.writeString(kiter171.encode('utf-8') if sys.version_info[0] == 2 else kiter171)
-                oprot.writeI64(viter172)
+            for kiter184, viter185 in self.table_ends.items():
+                oprot.writeString(kiter184.encode('utf-8') if sys.version_info[0] == 2 else kiter184)
+                oprot.writeI64(viter185)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter173, viter174 in self.running.items():
-                oprot.writeString(kiter173.encode('utf-8') if sys.version_info[0] == 2 else kiter173)
-                oprot.writeI32(viter174)
+            for kiter186, viter187 in self.running.items():
+                oprot.writeString(kiter186.encode('utf-8') if sys.version_info[0] == 2 else kiter186)
+                oprot.writeI32(viter187)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.MAP, 8)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.demand))
-            for kiter175, viter176 in self.demand.items():
-                oprot.writeString(kiter175.encode('utf-8') if sys.version_info[0] == 2 else kiter175)
-                oprot.writeDouble(viter176)
+            for kiter188, viter189 in self.demand.items():
+                oprot.writeString(kiter188.encode('utf-8') if sys.version_info[0] == 2 else kiter188)
+                oprot.writeDouble(viter189)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.suspects))
-            for iter177 in self.suspects:
-                oprot.writeString(iter177.encode('utf-8') if sys.version_info[0] == 2 else iter177)
+            for iter190 in self.suspects:
+                oprot.writeString(iter190.encode('utf-8') if sys.version_info[0] == 2 else iter190)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.has_traffic is not None:
@@ -2198,8 +2231,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter178 in self.members:
-                iter178.write(oprot)
+            for iter191 in self.members:
+                iter191.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.member_load is not None:
@@ -2209,41 +2242,48 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.MAP, 13)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.leaving))
-            for kiter179, viter180 in self.leaving.items():
-                oprot.writeString(kiter179.encode('utf-8') if sys.version_info[0] == 2 else kiter179)
-                oprot.writeI64(viter180)
+            for kiter192, viter193 in self.leaving.items():
+                oprot.writeString(kiter192.encode('utf-8') if sys.version_info[0] == 2 else kiter192)
+                oprot.writeI64(viter193)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.MAP, 14)
             oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.crashes))
-            for kiter181, viter182 in self.crashes.items():
-                oprot.writeString(kiter181.encode('utf-8') if sys.version_info[0] == 2 else kiter181)
-                oprot.writeListBegin(TType.STRING, len(viter182))
-                for iter183 in viter182:
-                    oprot.writeString(iter183.encode('utf-8') if sys.version_info[0] == 2 else iter183)
+            for kiter194, viter195 in self.crashes.items():
+                oprot.writeString(kiter194.encode('utf-8') if sys.version_info[0] == 2 else kiter194)
+                oprot.writeListBegin(TType.STRING, len(viter195))
+                for iter196 in viter195:
+                    oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.sound_parts is not None:
             oprot.writeFieldBegin('sound_parts', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.sound_parts))
-            for iter184 in self.sound_parts:
-                oprot.writeString(iter184.encode('utf-8') if sys.version_info[0] == 2 else iter184)
+            for iter197 in self.sound_parts:
+                oprot.writeString(iter197.encode('utf-8') if sys.version_info[0] == 2 else iter197)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.MAP, 16)
             oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.limits))
-            for kiter185, viter186 in self.limits.items():
-                oprot.writeString(kiter185.encode('utf-8') if sys.version_info[0] == 2 else kiter185)
-                viter186.write(oprot)
+            for kiter198, viter199 in self.limits.items():
+                oprot.writeString(kiter198.encode('utf-8') if sys.version_info[0] == 2 else kiter198)
+                viter199.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.cut_off is not None:
             oprot.writeFieldBegin('cut_off', TType.BOOL, 17)
             oprot.writeBool(self.cut_off)
             oprot.writeFieldEnd()
+        if self.lost_services is not None:
+            oprot.writeFieldBegin('lost_services', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRING, len(self.lost_services))
+            for iter200 in self.lost_services:
+                oprot.writeString(iter200.encode('utf-8') if sys.version_info[0] == 2 else iter200)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2316,21 +2356,21 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.nodes = []
-                    (_etype190, _size187) = iprot.readListBegin()
-                    for _i191 in range(_size187):
-                        _elem192 = NodeStatus()
-                        _elem192.read(iprot)
-                        self.nodes.append(_elem192)
+                    (_etype204, _size201) = iprot.readListBegin()
+                    for _i205 in range(_size201):
+                        _elem206 = NodeStatus()
+                        _elem206.read(iprot)
+                        self.nodes.append(_elem206)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.lost = []
-                    (_etype196, _size193) = iprot.readListBegin()
-                    for _i197 in range(_size193):
-                        _elem198 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.lost.append(_elem198)
+                    (_etype210, _size207) = iprot.readListBegin()
+                    for _i211 in range(_size207):
+                        _elem212 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost.append(_elem212)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2365,15 +2405,15 @@
         if self.nodes is not None:
             oprot.writeFieldBegin('nodes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.nodes))
-            for iter199 in self.nodes:
-                iter199.write(oprot)
+            for iter213 in self.nodes:
+                iter213.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lost is not None:
             oprot.writeFieldBegin('lost', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.lost))
-            for iter200 in self.lost:
-                oprot.writeString(iter200.encode('utf-8') if sys.version_info[0] == 2 else iter200)
+            for iter214 in self.lost:
+                oprot.writeString(iter214.encode('utf-8') if sys.version_info[0] == 2 else iter214)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.load is not None:
@@ -2542,11 +2582,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype204, _size201) = iprot.readListBegin()
-                    for _i205 in range(_size201):
-                        _elem206 = TableRow()
-                        _elem206.read(iprot)
-                        self.rows.append(_elem206)
+                    (_etype218, _size215) = iprot.readListBegin()
+                    for _i219 in range(_size215):
+                        _elem220 = TableRow()
+                        _elem220.read(iprot)
+                        self.rows.append(_elem220)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2585,8 +2625,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter207 in self.rows:
-                iter207.write(oprot)
+            for iter221 in self.rows:
+                iter221.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2738,10 +2778,10 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.excluded_servers = []
-                    (_etype211, _size208) = iprot.readListBegin()
-                    for _i212 in range(_size208):
-                        _elem213 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded_servers.append(_elem213)
+                    (_etype225, _size222) = iprot.readListBegin()
+                    for _i226 in range(_size222):
+                        _elem227 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded_servers.append(_elem227)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2815,8 +2855,8 @@
         if self.excluded_servers is not None:
             oprot.writeFieldBegin('excluded_servers', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.excluded_servers))
-            for iter214 in self.excluded_servers:
-                oprot.writeString(iter214.encode('utf-8') if sys.version_info[0] == 2 else iter214)
+            for iter228 in self.excluded_servers:
+                oprot.writeString(iter228.encode('utf-8') if sys.version_info[0] == 2 else iter228)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wait is not None:
@@ -3171,6 +3211,7 @@
     (6, TType.BOOL, 'has_traffic', None, None, ),  # 6
     (7, TType.I32, 'age_ms', None, None, ),  # 7
     (8, TType.BOOL, 'cut_off', None, None, ),  # 8
+    (9, TType.LIST, 'lost_services', (TType.STRING, 'UTF8', False), None, ),  # 9
 )
 all_structs.append(Pulse)
 Pulse.thrift_spec = (
@@ -3192,6 +3233,7 @@
     (15, TType.LIST, 'sound_parts', (TType.STRING, 'UTF8', False), None, ),  # 15
     (16, TType.MAP, 'limits', (TType.STRING, 'UTF8', TType.STRUCT, [ServerLimit, None], False), None, ),  # 16
     (17, TType.BOOL, 'cut_off', None, None, ),  # 17
+    (18, TType.LIST, 'lost_services', (TType.STRING, 'UTF8', False), None, ),  # 18
 )
 all_structs.append(FleetDigest)
 FleetDigest.thrift_spec = (
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -99,7 +99,7 @@
 
     def __init__(self, servers, clock):
         self.servers = servers
-        self.suspects = SuspectCandidates(clock, FixedReach())
+        self.suspects = SuspectCandidates(clock, FixedReach(), str)
         self.in_flight = None
         self.registry = Registry(TableReplica("servers", None, clock), None, clock)
         self.notices = ServerNotices(self.registry, clock)
@@ -208,7 +208,7 @@
     def __exit__(self, *exc_info):
         self._stack.close()
 
-    def _peer_records(self):
+    def _peer_records(self, service):
         return [
             NodeRecord(f"peer-{n}", f"peer-{n}-1", peer.address, "", "norte")
             for n, peer in enumerate(self._peers)
--- a/tests/routed/test_peers.py
+++ b/tests/routed/test_peers.py
@@ -116,6 +116,7 @@
             stopping=False,
             reads_tables=self.reads_tables,
             cut_off=self.cut_off,
+            lost_services=["assist"] if self.cut_off else [],
             table_ends={},
             running=dict(self.running),
             demand={"big": 0.5},
--- a/tests/routed/test_views.py
+++ b/tests/routed/test_views.py
@@ -81,7 +81,9 @@
         """
         clock, progress_at = FakeClock(), {}
         suspects, times_s = (
-            SuspectCandidates(clock, FixedReach(), lambda g: progress_at.get(g, 0.0)),
+            SuspectCandidates(
+                clock, FixedReach(), str, lambda g: progress_at.get(g, 0.0)
+            ),
             [],
         )
         for _ in range(4):
@@ -101,7 +103,7 @@
 
     def test_group_on_probation_gets_one_request_of_a_node_at_a_time(self):
         clock, count = FakeClock(), {"g1": 0}
-        suspects = SuspectCandidates(clock, FixedReach())
+        suspects = SuspectCandidates(clock, FixedReach(), str)
         in_flight = SimpleNamespace(count=count.get)
         view = RoutingView("", None, None, None, None, in_flight, suspects, None, None)
         suspects.suspect("g1")
@@ -112,7 +114,7 @@
 
     def test_node_that_reaches_no_server_reports_no_suspicion(self):
         clock, reach = FakeClock(), FixedReach(cut_off=True)
-        suspects = SuspectCandidates(clock, reach)
+        suspects = SuspectCandidates(clock, reach, str)
         suspects.suspect("g1")
         self.assertIn("g1", suspects)
         self.assertEqual(suspects.own_suspects(), [])
@@ -126,7 +128,7 @@
     def test_own_progress_outweighs_the_suspicion_of_a_peer(self):
         clock = FakeClock()
         progress_at = {"g1": clock.now - 0.1, "g2": clock.now - 5.0}
-        suspects = SuspectCandidates(clock, FixedReach(), progress_at.get)
+        suspects = SuspectCandidates(clock, FixedReach(), str, progress_at.get)
         for name in progress_at:
             suspects.suspect_for_peer(name, "n2")
         self.assertNotIn("g1", suspects)
@@ -135,8 +137,8 @@
     def test_suspicions_end_although_nodes_report_them_to_each_other(self):
         clock = FakeClock()
         one, two = (
-            SuspectCandidates(clock, FixedReach()),
-            SuspectCandidates(clock, FixedReach()),
+            SuspectCandidates(clock, FixedReach(), str),
+            SuspectCandidates(clock, FixedReach(), str),
         )
         one.suspect("g1")
         for _ in range(40):
--- a/tests/routing/test_brokers.py
+++ b/tests/routing/test_brokers.py
@@ -73,17 +73,6 @@
         return SlotUsage(sum(self._in_flight.slots_in_use.values()), 0, 0.5)
 
 
-class OwnReach:
-    """A node's ``ServerReach``, as far as brokers need it."""
-
-    def __init__(self, name, network):
-        self._name, self._network = name, network
-
-    @property
-    def cut_off(self):
-        return self._name in self._network.cut_off
-
-
 class Node:
     """A node with its broker; calls to others go through ``network``."""
 
@@ -114,7 +103,7 @@
             identity,
             state,
             peers,
-            OwnReach(name, network),
+            lambda: name in network.cut_off,
             self.broker,
             pool,
             pool,
