Cut nodes off from all servers in the fault soak

Up to three such cuts a run, of the three kinds of the process test, beside all other faults; a generator of their own keeps the faults that each seed drew before.

--- a/tests/processes/test_partitioned_nodes.py
+++ b/tests/processes/test_partitioned_nodes.py
@@ -1,14 +1,12 @@
 """Nodes that lose their links to all backend servers, while peers still have theirs."""
 
 import itertools
-import json
 import time
 import unittest
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 
-from demo.platform_cluster import PlatformCluster
-
+from .partitioned_cluster import PartitionedCluster
 from .support import PlatformClusterTestCase
 
 # Time after the cut from which the users' rule counts, and time of observation.
@@ -24,33 +22,6 @@
 PATHS = ("/ask/x", "/book/x", "/look/x")
 
 
-class PartitionedCluster(PlatformCluster):
-    """A cluster whose nodes can be cut off from the backend servers."""
-
-    def __init__(self, node_count, out, node_env=()):
-        module = "tests.processes.partitioned_node"
-        super().__init__(node_count, out, node_env, module)
-
-    def environ_of(self, node):
-        """Return environment variables that only this node has."""
-        return {"AUBURNWALL_TEST_CUT": str(self._cut_path(node))}
-
-    def cut_off(self, node, how):
-        """Cut a node off from all servers; see ``partitioned_node`` for ``how``."""
-        content = {"addresses": self.server_addresses(), "how": how}
-        path = self._cut_path(node)
-        new_path = path.with_suffix(".new")
-        new_path.write_text(json.dumps(content), "utf-8")
-        new_path.replace(path)
-
-    def heal(self, node):
-        """End the cut of a node."""
-        self._cut_path(node).unlink()
-
-    def _cut_path(self, node):
-        return self._out / f"{node}.cut"
-
-
 class PartitionedNodesTests(PlatformClusterTestCase):
     CLUSTER_CLASS = PartitionedCluster
     HOW = "hang"
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -17,6 +17,9 @@
 STORE_TROUBLES = ("busy", "silent", "lost", "late")
 SERVER_FAULTS = ("stall", "cut", "shed", "unsealed", "foreign", "short", "fail")
 NODE_KINDS = ("kill", "pause", "term")
+# How a node loses its links to all servers, as ``partitioned_node`` describes, and the
+# largest number of such cuts in a run.
+LINK_CUTS, MAX_LINK_CUTS = ("hang", "reset", "refuse"), 3
 
 
 class Trouble(NamedTuple):
@@ -25,7 +28,7 @@
     Times are in seconds; ``at_s`` counts from the start of the troubles. ``how`` is the
     variant of the fault, for kinds that have several. The kinds "store way" and "server
     way" set the mode of the proxy before the store or a server; "history" expires the
-    history of the store's topics.
+    history of the store's topics; "links" cuts a node off from all servers.
     """
 
     at_s: float
@@ -47,7 +50,25 @@
         trouble = _draw_one(rng)
         if trouble.kind not in NODE_KINDS or _leaves_a_node(trouble, troubles):
             troubles.append(trouble)
-    return sorted(troubles)
+    return sorted(troubles + _draw_link_cuts(seed))
+
+
+def _draw_link_cuts(seed):
+    """Return troubles of the kind "links".
+
+    They have a generator of their own, so that seeds draw the other troubles as before.
+    """
+    rng = random.Random(f"links of {seed}")
+    return [
+        Trouble(
+            rng.uniform(0.0, TROUBLE_PERIOD_S),
+            rng.uniform(0.3, MAX_TROUBLE_S),
+            "links",
+            rng.choice(NODES),
+            rng.choice(LINK_CUTS),
+        )
+        for _ in range(rng.randint(0, MAX_LINK_CUTS))
+    ]
 
 
 def _draw_one(rng):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -4,10 +4,10 @@
 
 import gevent
 
-from demo.platform_cluster import PlatformCluster
 from standins.modelserver import TOPIC, ModelServerStandin
 from standins.store import StoreStandin
 from standins.usersplatform import REGISTRATION_EXPIRY_S
+from tests.processes.partitioned_cluster import PartitionedCluster
 
 from .plan import DESKS, ENGINES, NODES
 from .proxy import FaultyProxy
@@ -15,7 +15,7 @@
 HISTORY_TOPICS = ("keyed.op", "keyed.servers", "keyed.auburnwall")
 
 
-class SoakCluster(PlatformCluster):
+class SoakCluster(PartitionedCluster):
     """A cluster whose store and servers run in this process.
 
     Each server has a proxy, and each node has its own proxy to the store.
@@ -66,6 +66,10 @@
         server.start()
         self._expirations.pop(name, gevent.Greenlet()).kill()
 
+    def server_addresses(self):
+        """Return the addresses of the servers' proxies."""
+        return [proxy.address for proxy in self.server_proxies.values()]
+
     def stop_server(self, name):
         """Stop a server without notice; its registration expires later."""
         self.servers[name].stop()
@@ -93,6 +97,8 @@
             case "history":
                 for topic in HISTORY_TOPICS:
                     self.store_standin.expire_history(topic)
+            case "links":
+                self.cut_off(target, how)
             case "server":
                 self.stop_server(target)
             case "server way":
@@ -113,6 +119,8 @@
                 self.store_standin.trouble = ""
             case "store way":
                 self.store_proxies[target].set_mode("pass")
+            case "links":
+                self.heal(target)
             case "server":
                 self.servers[target].stop()
                 self.start_server(target, self.servers[target].domain)
