Check all services when one is lost, and leave a peer that is lost

What cut a node off from one service has mostly cut off the others too; each of them was noticed only when a request had failed there. The check of one that fails now starts those of the others.

A request on a detour waited for its peer until its deadline even if the peer had been frozen and was heard of no more. Where it may run again, it now goes on at another peer after the last event that the caller has. The test of a frozen peer fails without that (its call does not end in time), and so does that of the other service.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/server_reach.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/server_reach.py
@@ -128,6 +128,9 @@
                 proved_s=round(now - proved_at, 2) if proved_at > -math.inf else None,
             )
             self._call_listeners(service)
+            # What cut off one service has mostly cut off the others too.
+            for other in {entry.service for entry in self._registry.servers.values()}:
+                self.doubt(other)
         return False
 
     def _connects_in_rounds(self, servers):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
@@ -67,6 +67,7 @@
             self._brokered,
             node.reach,
             node.peers_for_detours,
+            lambda name: name in node.peers.live(),
             cfg.data_center,
             clock,
             rng,
--- a/packages/auburnwall-routing/src/auburnwall/routing/detour.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/detour.py
@@ -31,13 +31,14 @@
 
     ``direct`` is the placer of all other requests. ``reach`` is the node's
     ``ServerReach``. ``peers(service)`` returns the ``NodeRecord`` of each ready peer
-    that reaches the service.
+    that reaches the service, ``is_live(peer)`` whether a peer is heard of.
     """
 
-    def __init__(self, direct, reach, peers, data_center, clock, rng):
+    def __init__(self, direct, reach, peers, is_live, data_center, clock, rng):
         self._direct = direct
         self._reach = reach
         self._peers = peers
+        self.is_live = is_live
         self._data_center = data_center
         self._clock = clock
         self._rng = rng
@@ -104,7 +105,7 @@
 
     The peer's response is final whatever its status: the peer has made the further
     attempts that were worthwhile. It may hold the request back until a slot is free, so
-    its silence is no stall.
+    its silence is no stall, unless it is heard of no more.
     """
 
     is_detour = True
@@ -121,8 +122,11 @@
         return None
 
     def limit_silence(self, *, may_reroute):
-        """Let the deadline alone end the wait for the peer."""
+        """Let the deadline or the loss of the peer end the wait for it."""
+        peer, is_live = self.candidate.name, self._deps.placer.is_live
+        self.exchange.may_reroute = may_reroute
         self.exchange.stall_timeout_s = math.inf
+        self.exchange.is_lost = lambda: not is_live(peer)
 
     def note_unreachable(self):
         """Record that the peer could not be reached."""
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -48,7 +48,8 @@
     ``stall_timeout_s`` without progress the candidate becomes suspect; infinite for a
     candidate that may be silent until the deadline. ``reads`` counts
     the pieces of a stream that have arrived, each of which may hold several events or
-    a part of one.
+    a part of one. ``is_lost()``, if set, returns whether the candidate is known to be
+    lost.
     """
 
     def __init__(self, request, candidate, now):
@@ -59,6 +60,7 @@
         self.reads = 0
         self.awaiting_server = False
         self.may_reroute = False
+        self.is_lost = None
         self.stall_timeout_s = FIRST_EVENT_STALL_TIMEOUT_S
         self.task = gevent.getcurrent()
 
@@ -174,6 +176,9 @@
                     exchange, DeadlineExceededError("out of time", step="wait")
                 )
                 continue
+            if exchange.may_reroute and exchange.is_lost and exchange.is_lost():
+                self._interrupt(exchange, StalledError("it is lost", step="wait"))
+                continue
             # A group that has lost a member stalls all its streams, so the progress of
             # any of them shows that the group works.
             last_progress_at = self.last_progress_at(exchange.candidate.name)
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -146,6 +146,7 @@
     def __init__(self, body=None, peers=()):
         self._body = body or config()
         self._peers = peers
+        self.lost_peers = set()
         self._stack = ExitStack()
 
     def __enter__(self):
@@ -169,6 +170,7 @@
             self.placer,
             self.reach,
             self._peer_records,
+            lambda name: name not in self.lost_peers,
             "norte",
             clock,
             random.Random(6),
