--- a/packages/auburnwall-node/src/auburnwall/node/__main__.py
+++ b/packages/auburnwall-node/src/auburnwall/node/__main__.py
@@ -1,6 +1,10 @@
 """The ``auburnwalld`` command."""
 
-from gevent import monkey
+from auburnwall.base.startup import handle_signals_while_starting
+
+handle_signals_while_starting()
+
+from gevent import monkey  # noqa: E402
 
 monkey.patch_all()
 
--- a/tests/processes/partitioned_node.py
+++ b/tests/processes/partitioned_node.py
@@ -7,7 +7,12 @@
 refused.
 """
 
-from gevent import monkey
+from auburnwall.base.startup import handle_signals_while_starting
+
+if __name__ == "__main__":
+    handle_signals_while_starting()
+
+from gevent import monkey  # noqa: E402
 
 monkey.patch_all()
 
--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -4,6 +4,7 @@
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
 from .support import PlatformClusterTestCase
 
@@ -46,6 +47,24 @@
         for number in range(6):
             self.assertTrue(self.is_served(f"k-{number}", others[number % 2]))
 
+    def handles_signals(self, node):
+        """Return whether a node ignores SIGHUP or has a handler for it."""
+        status = Path(f"/proc/{self.cluster.process(node).pid}/status").read_text()
+        masks = dict(line.split(":", 1) for line in status.splitlines())
+        handled = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+        return bool(handled & 1 << signal.SIGHUP - 1)
+
+    def test_signals_while_a_node_starts(self):
+        """It ignores SIGHUP, as it reads the settings later, and ends at SIGTERM."""
+        for name, number in (("late-1", signal.SIGHUP), ("late-2", signal.SIGTERM)):
+            self.cluster.add_node(name)
+            self.cluster.wait(lambda n=name: self.handles_signals(n), "it starts")
+            self.cluster.signal(name, number)
+        self.cluster.wait(lambda: self.cluster.is_ready("late-1"), "it is ready")
+        self.cluster.wait(lambda: self.cluster.exit_code("late-2") == 0, "it ends")
+        started = [e for e in self.cluster.log_events("late-2") if "event" in e]
+        self.assertEqual(started, [])
+
     def test_restarted_nodes_adopt_existing_groups(self):
         for name in self.names:
             self.cluster.signal(name, signal.SIGKILL)
