Take no failure of a peer as a sign that a request is sound

The peer's 502 was recorded as an answer to the request, which clears it of all crashes under it. What a response on a detour shows is recorded by the peer alone.

--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -201,8 +201,11 @@
     def _sound_causes(self, attempt):
         """Return what a complete response shows to be sound.
 
-        Only the events of a stream show that the server has read the prompt.
+        Only the events of a stream show that the server has read the prompt. A peer's
+        response may be a failure of its own; what it shows, the peer itself records.
         """
+        if attempt.is_detour:
+            return ()
         request = self.request
         if attempt.exchange.reads and 200 <= attempt.status < 300:
             return request.crash_causes
--- a/tests/routed/test_detours.py
+++ b/tests/routed/test_detours.py
@@ -100,6 +100,14 @@
         self.assertIn(b"unknown", body)
         self.assertEqual(len(self.seen("desks")), 1)
 
+    def test_failure_of_a_peer_does_not_show_that_a_request_is_sound(self):
+        """Otherwise the crashes under it would count for nothing."""
+        for peer in self.peers:
+            for desk in peer.desks:
+                desk.faults = {"unsealed"}
+        self.assertEqual(self.call("/book/x")[0], 502)
+        self.assertEqual(len(self.front.crash_evidence._sound_at), 0)
+
     def test_request_takes_one_detour_at_most(self):
         for peer in self.peers:
             peer.reach.cut_off = True
