Let one piece of code serve where the detours wrote it again

Found when reading the change once more; what is served and refused stays as it is.

- The directory and the detours chose near nodes by the same rule: nodes_near.
The check for a crash and the one of the links opened a connection to see how that ends: _connect_error.
A group is stalled for a node after STALL_TIMEOUT_S in both places.
- A detour had an infinite stall timeout that two places had to know; an exchange whose candidate is watched otherwise is now just not checked for stalls.
An override that nothing called is gone, and the peers are asked in one condition instead of two.
Whoever reaches a server records it.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
@@ -192,14 +192,16 @@
         failures = (previous.failures if previous else 0) + 1
         reaches_any = self._reach.reaches_any_since(probed_at)
         asks_peers = failures == 1 or self._may_be_gone(member, failures)
-        reached_by_peer = reaches_any and asks_peers and self._reached_by_peer(member)
+        reached_by_peer = (
+            self._reached_by_peer(member) if reaches_any and asks_peers else None
+        )
         event(
             "server silent",
             peer=member.server,
             failures=failures,
             registered=member.server in self._registry.servers,
             reaches_others=reaches_any,
-            reached_by_peer=reached_by_peer if reaches_any and asks_peers else None,
+            reached_by_peer=reached_by_peer,
             why=exc.detail,
         )
         return failures if reaches_any and not reached_by_peer else 0
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
@@ -28,6 +28,8 @@
 # gets some dozen records a second, and the store loses records in a few drills, so
 # epochs stay exact as JSON numbers.
 OFFSETS_PER_ERA, HASHES_PER_OFFSET = 2**27, 2**16
+# Nodes of one data centre that are enough to be used without those of others.
+MIN_NEAR_NODES = 2
 
 
 class NotPlannerError(StateError):
@@ -56,6 +58,15 @@
     cores: float = 1.0
 
 
+def nodes_near(nodes, data_center):
+    """Return the nodes of a data centre, or all if too few of them are there.
+
+    The latency to the others is higher.
+    """
+    near = [node for node in nodes if node.data_center == data_center]
+    return near if len(near) >= MIN_NEAR_NODES else nodes
+
+
 class Member(NamedTuple):
     """A server in one of its incarnations, which ``born`` identifies."""
 
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/server_reach.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/server_reach.py
@@ -115,7 +115,6 @@
         if len(servers) < MIN_SERVERS:
             return not self.is_lost(service)
         if self._connects_in_rounds(servers):
-            self.note_connected(service)
             return True
         if not self.is_lost(service):
             now = self._lost_at[service] = self._clock.monotonic()
@@ -134,7 +133,10 @@
         return False
 
     def _connects_in_rounds(self, servers):
-        """Return whether a connection to one of the first servers can be opened."""
+        """Return whether a connection to one of the first servers can be opened.
+
+        If so, its service is in reach.
+        """
         remaining = iter(servers)
         return any(
             self._connects_to_any(list(itertools.islice(remaining, count)))
@@ -142,14 +144,18 @@
         )
 
     def _connects_to_any(self, entries):
-        calls = [
-            gevent.spawn(self._can_connect, entry.server, entry.address)
+        calls = {
+            gevent.spawn(self._can_connect, entry.server, entry.address): entry
             for entry in entries
-        ]
+        }
         try:
-            return any(call.value for call in gevent.iwait(calls))
+            reached = next((c for c in gevent.iwait(list(calls)) if c.value), None)
         finally:
-            gevent.killall(calls, block=False)
+            gevent.killall(list(calls), block=False)
+        if reached is None:
+            return False
+        self.note_connected(calls[reached].service)
+        return True
 
     def _spread_over_data_centers(self, entries):
         """Return registrations in random order, those of the data centres by turns."""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/entry.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/entry.py
@@ -4,20 +4,19 @@
 
 import bottle
 
+from auburnwall.fleet.formation.records import nodes_near
+
 from ..webserver import METRICS_TYPE
 
 
 class EntryPoints:
     """Choose the nodes that the directory names to a caller.
 
-    Nodes that do not reach all services are named only if no ready node does. If enough
-    of the others are in the caller's data centre, only these are named, since
-    the latency to the rest is higher. Otherwise all of them are named. ``cfg()``
-    returns the node's current settings.
+    Nodes that do not reach all services are named only if no ready node does. Of the
+    others, ``nodes_near`` chooses those near the caller. ``cfg()`` returns the node's
+    current settings.
     """
 
-    MIN_NEAR_NODES = 2
-
     def __init__(self, state, peers, own_pulse, cfg):
         self._state = state
         self._peers = peers
@@ -39,8 +38,7 @@
         reaching = {n for n, status in statuses.items() if not status.lost_services}
         ready = reaching or set(statuses)
         nodes = [node for name, node in self._state.nodes.items() if name in ready]
-        near = [node for node in nodes if node.data_center == caller_data_center]
-        chosen = near if len(near) >= self.MIN_NEAR_NODES else nodes
+        chosen = nodes_near(nodes, caller_data_center)
         return [node.front for node in chosen][: self._cfg().most_entry_points]
 
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -1,17 +1,13 @@
 """Build the components of a routed node and start their tasks."""
 
 import random
-import signal
-from collections import Counter
-from contextlib import ExitStack, closing
+from contextlib import closing
 from functools import partial
 from typing import NamedTuple
 
-import gevent
-
 from auburnwall.base import logs
 from auburnwall.base.clock import PauseDetector, SystemClock
-from auburnwall.base.tasks import TaskGroup, run_periodically, run_restarting
+from auburnwall.base.tasks import run_periodically, run_restarting
 from auburnwall.fleet.candidate_index import CandidateIndex
 from auburnwall.fleet.formation.controller import FormationController
 from auburnwall.fleet.formation.election import Election
@@ -29,7 +25,6 @@
 from auburnwall.state.proposer import new_incarnation
 from auburnwall.state.table.replica import TableReplica
 from auburnwall.wire.client import PeerPool
-from auburnwall.wire.exceptions import PeerUnavailableError
 from auburnwall.wire.peer import Routed
 from auburnwall.wire.peer.ttypes import Pulse
 from auburnwall.wire.server import PeerServer
@@ -41,6 +36,7 @@
 from .demand import DemandMeter
 from .entry import EntryPoints, new_directory_app, new_ready_app
 from .fleet_load import limits_to_wire
+from .fleet_reach import FleetReach
 from .front import new_front_server
 from .gateway import Gateway
 from .handler import RoutedHandler
@@ -93,10 +89,6 @@
 # Time for which this node keeps what it knows of the fleet after the store has lost
 # records, in seconds. A new planner, if one is needed, has written them again by then.
 FLEET_SETTLE_S = 6.0
-# Live peers of each data centre that are asked whether they reach a server.
-PEERS_ASKED_PER_DATA_CENTER = 2
-# Time allowed for writing out the remaining log lines at exit, in seconds.
-LOG_DRAIN_TIMEOUT_S = 0.2
 
 
 class Platform(NamedTuple):
@@ -164,7 +156,7 @@
             limits=limits_to_wire(self.notices.own_limits()),
             crashes=self.crash_evidence.crashes_to_tell(),
             sound_parts=self.crash_evidence.sound_parts_to_tell(),
-            cut_off=self.is_cut_off(),
+            cut_off=self.fleet_reach.is_cut_off(),
             lost_services=self.reach.lost_services,
         )
 
@@ -248,6 +240,9 @@
             cfg.pulse_s,
             cfg.max_mesh_nodes,
         )
+        self.fleet_reach = FleetReach(
+            self.reach, self.peers, self.fleet, self.source, self.rng
+        )
         self.announcement = Announcement(
             self.identity, self.fleet, self.writer, self.peers, lambda: self.cfg.cores
         )
@@ -256,7 +251,7 @@
             self.registry,
             platform.engine,
             self.reach,
-            self._reached_by_peer,
+            self.fleet_reach.is_reached_by_peer,
             clock,
             self.tasks,
         )
@@ -443,28 +438,6 @@
             if name in self.fleet.groups:
                 self.suspects.suspect_for_peer(name, node)
 
-    def peers_for_detours(self, service):
-        """Return the ``NodeRecord`` of each ready peer that reaches a service."""
-        return [
-            self.fleet.nodes[name]
-            for name, status in self.peers.live().items()
-            if status.ready
-            and not status.stopping
-            and service not in status.lost_services
-        ]
-
-    def is_cut_off(self):
-        """Return whether this node does not reach the model servers of a service.
-
-        Then it neither plans nor grants slots.
-        """
-        config = self.source.config
-        return config is not None and any(
-            config.services[service].engine is not None
-            for service in self.reach.lost_services
-            if service in config.services
-        )
-
     def _service_of(self, candidate_name):
         """Return the service of a group or of a plain server, empty if unknown."""
         known = self.fleet.groups.get(candidate_name) or self.registry.servers.get(
@@ -480,28 +453,6 @@
             self.in_flight.restart_stall_timers()
             self.suspects.forget_own()
 
-    def _reached_by_peer(self, member):
-        """Return whether a live peer reaches a server that this node cannot reach."""
-        live = [name for name in self.peers.live() if name in self.fleet.nodes]
-        self.rng.shuffle(live)
-        asked, counts = [], Counter()
-        for name in live:
-            data_center = self.fleet.nodes[name].data_center
-            counts[data_center] += 1
-            if counts[data_center] <= PEERS_ASKED_PER_DATA_CENTER:
-                asked.append(name)
-        calls = [gevent.spawn(self._peer_reaches, name, member) for name in asked]
-        gevent.joinall(calls)
-        return any(call.value for call in calls)
-
-    def _peer_reaches(self, name, member):
-        try:
-            address = self.peers.address(name)
-            return self.peers.call(address, "reaches", member.server, member.address)
-        except PeerUnavailableError as exc:
-            logs.event("peer check failed", peer=name, step="reaches", why=exc.detail)
-            return False
-
     def _check_for_pause(self):
         if self._pause_detector.check_pause():
             logs.warn("paused", step="pause watch")
@@ -532,7 +483,7 @@
     def _plan(self):
         if self.gateway.stop_begun:
             return
-        if self.is_cut_off() and self.peers.reaching():
+        if self.fleet_reach.is_cut_off() and self.peers.reaching():
             # A peer that reaches servers plans instead.
             self.formation_controller.pause()
             return
@@ -546,22 +497,3 @@
         statuses = self.peers.live().values()
         own = any(reader.reads_store for reader in self.readers.values())
         return bool(statuses) and not own and not any(s.reads_tables for s in statuses)
-
-
-def run_routed_node(cfg, new_platform, load_settings):
-    """Run a node until it receives SIGTERM or SIGINT and its shutdown has finished.
-
-    ``new_platform(stack)`` returns the ``Platform``. ``load_settings()`` reads the
-    settings again and raises ``AuburnwallError`` if they are invalid.
-    """
-    writer = logs.set_up(cfg.log_format, cfg.log_level, cfg.node, max_recent_events=0)
-    with ExitStack() as stack:
-        tasks = stack.enter_context(TaskGroup())
-        node = RoutedNode(cfg, new_platform(stack), tasks, stack, load_settings)
-        gevent.signal_handler(signal.SIGTERM, node.shutdown.begin)
-        gevent.signal_handler(signal.SIGINT, node.shutdown.begin)
-        gevent.signal_handler(signal.SIGHUP, node.reload)
-        node.start()
-        node.shutdown.finished.wait()
-    logs.event("stopped")
-    writer.drain(LOG_DRAIN_TIMEOUT_S)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -216,13 +216,9 @@
         that are cut off from model servers may plan only if all of them are.
         """
         statuses = {**self.live(), self._identity.node: self._own_pulse()}
-        able = {
-            name: status
-            for name, status in statuses.items()
-            if status.reads_tables and not status.stopping
-        }
-        reaching = {name: s for name, s in able.items() if not s.cut_off}
-        return {name: s.incarnation for name, s in (reaching or able).items()}
+        able = {n: s for n, s in statuses.items() if s.reads_tables and not s.stopping}
+        reaching = {n: s for n, s in able.items() if not s.cut_off}
+        return {n: s.incarnation for n, s in (reaching or able).items()}
 
     def reaching(self):
         """Return the names of the live peers that reach the model servers."""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
@@ -55,7 +55,7 @@
             node.identity,
             node.fleet,
             node.peers,
-            node.is_cut_off,
+            node.fleet_reach.is_cut_off,
             self.broker,
             quick_pool,
             waiting_pool,
@@ -66,7 +66,7 @@
         self.placer = DetourPlacer(
             self._brokered,
             node.reach,
-            node.peers_for_detours,
+            node.fleet_reach.peers_reaching,
             lambda name: name in node.peers.live(),
             cfg.data_center,
             clock,
--- /dev/null
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/run.py
@@ -0,0 +1,33 @@
+"""Run a routed node as a process, from its start to the end of its shutdown."""
+
+import signal
+from contextlib import ExitStack
+
+import gevent
+
+from auburnwall.base import logs
+from auburnwall.base.tasks import TaskGroup
+
+from .node import RoutedNode
+
+# Time allowed for writing out the remaining log lines at exit, in seconds.
+LOG_DRAIN_TIMEOUT_S = 0.2
+
+
+def run_routed_node(cfg, new_platform, load_settings):
+    """Run a node until it receives SIGTERM or SIGINT and its shutdown has finished.
+
+    ``new_platform(stack)`` returns the ``Platform``. ``load_settings()`` reads the
+    settings again and raises ``AuburnwallError`` if they are invalid.
+    """
+    writer = logs.set_up(cfg.log_format, cfg.log_level, cfg.node, max_recent_events=0)
+    with ExitStack() as stack:
+        tasks = stack.enter_context(TaskGroup())
+        node = RoutedNode(cfg, new_platform(stack), tasks, stack, load_settings)
+        gevent.signal_handler(signal.SIGTERM, node.shutdown.begin)
+        gevent.signal_handler(signal.SIGINT, node.shutdown.begin)
+        gevent.signal_handler(signal.SIGHUP, node.reload)
+        node.start()
+        node.shutdown.finished.wait()
+    logs.event("stopped")
+    writer.drain(LOG_DRAIN_TIMEOUT_S)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from auburnwall.base.logs import event
+from auburnwall.routing.in_flight import STALL_TIMEOUT_S
 from auburnwall.routing.step_model import service_time_s
 
 # Time for which a candidate gets no requests after a first suspicion, in seconds. The
@@ -14,10 +15,6 @@
 MAX_SUSPECT_S = 4.0
 # Time after which an earlier suspicion no longer counts, in seconds.
 SUSPICION_MEMORY_S = 30.0
-# A peer's suspicion of a group does not count for a node whose own streams from the
-# group have made progress within this time, in seconds. It is the longest usual pause
-# of a stream.
-OWN_PROGRESS_S = 0.35
 # Fraction of the nodes with traffic that must have measured demand. If fewer have, the
 # sum of the measured demand is extrapolated to all of these nodes.
 MIN_MEASURED_FRACTION = 0.5
@@ -47,7 +44,7 @@
     observations to its peers: if nodes repeated each other's reports, a suspicion would
     never end. It reports them once it has reached any server of the service since: the
     streams of a node whose own links are lost say nothing about the groups. A node
-    whose own streams from a group make progress ignores reports about it.
+    whose own streams from a group are not stalled ignores reports about it.
 
     A suspect candidate gets no requests for a time. If it is suspected again without
     any progress since, the next time is twice as long, up to a limit. After such a time
@@ -86,7 +83,7 @@
 
     def suspect_for_peer(self, name, node):
         """Suspect a candidate because the peer ``node`` does."""
-        if self._clock.monotonic() - self.last_progress_at(name) < OWN_PROGRESS_S:
+        if self._clock.monotonic() - self.last_progress_at(name) < STALL_TIMEOUT_S:
             return
         self._suspect(self._reported_until, name, node)
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/call.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/call.py
@@ -28,13 +28,12 @@
 
     def header(self, name):
         """Return the first value of a header, or ``None``."""
-        wanted = name.lower()
-        return next((v for n, v in self.headers if n.lower() == wanted), None)
+        return next(self.header_values(name), None)
 
     def header_values(self, name):
-        """Return all values of a header, as servers get them joined by commas."""
+        """Yield all values of a header; servers get them joined by commas."""
         wanted = name.lower()
-        return [v for n, v in self.headers if n.lower() == wanted]
+        return (v for n, v in self.headers if n.lower() == wanted)
 
 
 class RoutedRequest(NamedTuple):
--- a/packages/auburnwall-routing/src/auburnwall/routing/channels.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/channels.py
@@ -90,27 +90,11 @@
 
         This is false if its VM does not respond, since nothing is known then.
         """
-        channel = Channel(server, address, CRASH_CHECK_TIMEOUT_S)
-        try:
-            channel.connect()
-        except (HTTPError, OSError) as exc:
-            # Any other failure is no evidence of a crash.
-            return is_refused(exc)
-        finally:
-            channel.close()
-        return False
+        return is_refused(_connect_error(server, address, CRASH_CHECK_TIMEOUT_S))
 
     def can_connect(self, server, address):
         """Return whether a new connection to a server can be opened."""
-        channel = Channel(server, address, LINK_CHECK_TIMEOUT_S)
-        try:
-            channel.connect()
-        except (HTTPError, OSError):
-            # The expected result of a check while the links are lost.
-            return False
-        finally:
-            channel.close()
-        return True
+        return _connect_error(server, address, LINK_CHECK_TIMEOUT_S) is None
 
     def close_idle(self):
         """Close all idle connections."""
@@ -134,6 +118,19 @@
         self.close_idle()
 
 
+def _connect_error(server, address, timeout_s):
+    """Return why no connection to a server can be opened, ``None`` if one can be."""
+    channel = Channel(server, address, timeout_s)
+    try:
+        channel.connect()
+    except (HTTPError, OSError) as exc:
+        # An expected result, from which the caller draws its conclusion.
+        return exc
+    finally:
+        channel.close()
+    return None
+
+
 def _idle_timeout_s(headers):
     """Return for how many seconds a connection may be idle, 0 if it must be closed.
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/detour.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/detour.py
@@ -6,10 +6,10 @@
 detour at most.
 """
 
-import math
 from collections import Counter
 
 from auburnwall.fleet.candidate_index import Candidate
+from auburnwall.fleet.formation.records import nodes_near
 
 from .attempt import Attempt, connection_headers
 from .exceptions import OverloadedError
@@ -18,9 +18,6 @@
 
 # Time for which a peer that could not be reached is not chosen, in seconds.
 FAILED_PEER_S = 1.0
-# If fewer peers of the own data centre reach servers, those of all data centres share
-# the requests.
-MIN_NEAR_PEERS = 2
 # Idle time after which a connection to a peer is not reused, in seconds. The peer
 # closes it after the time that the configuration allows to callers.
 PEER_IDLE_S = 1.0
@@ -87,11 +84,9 @@
             if peer.node not in excluded
             and self._failed_until.get(peer.node, 0.0) < now
         ]
-        near = [peer for peer in peers if peer.data_center == self._data_center]
-        if len(near) >= MIN_NEAR_PEERS:
-            peers = near
         if not peers:
             return None
+        peers = nodes_near(peers, self._data_center)
         self._rng.shuffle(peers)
         peer = min(peers, key=lambda peer: self._running[peer.node])
         load = self._running[peer.node]
@@ -116,16 +111,10 @@
         """Return false: a refusal of the peer is passed on to the caller."""
         return False
 
-    @property
-    def pause_s(self):
-        """Return ``None``: what a server says of itself concerns the peer."""
-        return None
-
     def limit_silence(self, *, may_reroute):
         """Let the deadline or the loss of the peer end the wait for it."""
         peer, is_live = self.candidate.name, self._deps.placer.is_live
         self.exchange.may_reroute = may_reroute
-        self.exchange.stall_timeout_s = math.inf
         self.exchange.is_lost = lambda: not is_live(peer)
 
     def note_unreachable(self):
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -5,8 +5,6 @@
 time.
 """
 
-import math
-
 import gevent
 
 from auburnwall.base.exceptions import AuburnwallError
@@ -45,11 +43,10 @@
 
     ``awaiting_server`` is true while the exchange's task sends to the server or reads
     from it. ``may_reroute`` allows the request to be sent to another server. After
-    ``stall_timeout_s`` without progress the candidate becomes suspect; infinite for a
-    candidate that may be silent until the deadline. ``reads`` counts
-    the pieces of a stream that have arrived, each of which may hold several events or
-    a part of one. ``is_lost()``, if set, returns whether the candidate is known to be
-    lost.
+    ``stall_timeout_s`` without progress the candidate becomes suspect. ``reads`` counts
+    the pieces of a stream that have arrived, each of which may hold several events or a
+    part of one. If ``is_lost`` is set, the candidate may be silent as long as
+    ``is_lost()`` is false, and is never suspect.
     """
 
     def __init__(self, request, candidate, now):
@@ -68,8 +65,7 @@
         """Record that bytes of a stream have arrived."""
         self.reads += 1
         self.progress_at = now
-        if self.stall_timeout_s != math.inf:
-            self.stall_timeout_s = STALL_TIMEOUT_S
+        self.stall_timeout_s = STALL_TIMEOUT_S
 
 
 class InFlightRequests:
@@ -176,8 +172,9 @@
                     exchange, DeadlineExceededError("out of time", step="wait")
                 )
                 continue
-            if exchange.may_reroute and exchange.is_lost and exchange.is_lost():
-                self._interrupt(exchange, StalledError("it is lost", step="wait"))
+            if exchange.is_lost is not None:
+                if exchange.may_reroute and exchange.is_lost():
+                    self._interrupt(exchange, StalledError("it is lost", step="wait"))
                 continue
             # A group that has lost a member stalls all its streams, so the progress of
             # any of them shows that the group works.
--- a/tests/fleet/test_server_reach.py
+++ b/tests/fleet/test_server_reach.py
@@ -114,6 +114,12 @@
         self.clock.now += 1.0
         self.assertFalse(self.reach.reaches_any_since(self.clock.now))
 
+    def test_failures_at_one_moment_share_the_server_that_was_reached(self):
+        self.reachable = self.models | self.desks
+        for _ in range(5):
+            self.assertTrue(self.reach.reaches_any_since(self.clock.now))
+        self.assertEqual(len(self.tried), SERVERS_PER_ROUND[0])
+
     def test_failure_of_the_only_server_is_no_loss_of_links(self):
         for name in sorted(self.desks)[1:]:
             del self.registry.servers[name]
