--- a/tests/processes/partitioned_node.py
+++ b/tests/processes/partitioned_node.py
@@ -62,22 +62,20 @@
     def apply(self):
         """Wrap the methods of gevent's sockets."""
         self._wrap("connect", self._before_connect)
-        for name in ("recv", "recv_into", "sendall"):
-            self._wrap(name, self._check_open)
+        self._wrap("sendall", self._check_open)
         # What arrives while the cut lasts is not delivered before its end.
         for name in ("recv", "recv_into"):
-            self._wrap(name, self._check_open, after=True)
+            self._wrap(name, self._check_open, self._check_open)
 
-    def _wrap(self, name, check, after=False):
+    def _wrap(self, name, before, after=None):
         method = getattr(socket.socket, name)
 
         @functools.wraps(method)
         def wrapped(sock, *args, **kwargs):
-            if not after:
-                check(sock, *args)
+            before(sock, *args)
             result = method(sock, *args, **kwargs)
-            if after:
-                check(sock, *args)
+            if after is not None:
+                after(sock, *args)
             return result
 
         setattr(socket.socket, name, wrapped)
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -3,7 +3,9 @@
 import itertools
 import signal
 import tempfile
+import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 from http.client import HTTPException
 
 from demo.platform_cluster import PlatformCluster
@@ -46,6 +48,26 @@
         except (OSError, HTTPException):
             return 0, b""
 
+    def send_requests_for(self, seconds, senders, interval_s):
+        """Send requests until ``seconds`` have passed, those of all senders together.
+
+        ``senders`` are pairs of a node and a path. Returns triples of node, path and
+        status, in the order of their ends.
+        """
+        ends_at, ended = time.monotonic() + seconds, []
+
+        def repeat(node, path):
+            while time.monotonic() < ends_at:
+                ended.append((node, path, self.send_request(node, path)[0]))
+                time.sleep(interval_s)
+
+        senders = list(senders)
+        with ThreadPoolExecutor(len(senders)) as pool:
+            futures = [pool.submit(repeat, *sender) for sender in senders]
+        for future in futures:
+            future.result()
+        return ended
+
     def restart_all_nodes(self):
         """Kill all nodes, start them again, and wait until they are ready."""
         for name in self.names:
--- a/tests/processes/test_partitioned_nodes.py
+++ b/tests/processes/test_partitioned_nodes.py
@@ -1,10 +1,8 @@
 """Nodes that lose their links to all backend servers, while peers still have theirs."""
 
 import itertools
-import time
 import unittest
 from collections import Counter
-from concurrent.futures import ThreadPoolExecutor
 
 from .partitioned_cluster import PartitionedCluster
 from .support import PlatformClusterTestCase
@@ -38,24 +36,6 @@
     def is_served(self, path):
         return all(self.send_request(name, path)[0] == 200 for name in self.names)
 
-    def send_for(self, seconds):
-        """Send requests to all nodes; return the statuses by node and path."""
-        ends_at, statuses = time.monotonic() + seconds, Counter()
-
-        def repeat(node, path):
-            found = Counter()
-            while time.monotonic() < ends_at:
-                found[node, path, self.send_request(node, path)[0]] += 1
-                time.sleep(INTERVAL_S)
-            return found
-
-        with ThreadPoolExecutor(len(self.names) * len(PATHS)) as pool:
-            for found in pool.map(
-                lambda pair: repeat(*pair), itertools.product(self.names, PATHS)
-            ):
-                statuses.update(found)
-        return statuses
-
     def served_fraction(self, statuses, nodes, path):
         counts = Counter()
         for (node, asked_path, status), count in statuses.items():
@@ -66,8 +46,9 @@
     def cut_and_send(self):
         for name in self.cut_off:
             self.cluster.cut_off(name, self.HOW)
-        self.send_for(CONTACT_S)
-        return self.send_for(OBSERVED_S)
+        senders = list(itertools.product(self.names, PATHS))
+        self.send_requests_for(CONTACT_S, senders, INTERVAL_S)
+        return Counter(self.send_requests_for(OBSERVED_S, senders, INTERVAL_S))
 
     def test_nodes_with_links_serve_while_the_planner_has_none(self):
         statuses = self.cut_and_send()
--- a/tests/processes/test_server_limit.py
+++ b/tests/processes/test_server_limit.py
@@ -3,7 +3,6 @@
 import itertools
 import time
 from bisect import bisect_right
-from concurrent.futures import ThreadPoolExecutor
 
 from .support import PlatformClusterTestCase
 
@@ -38,18 +37,9 @@
 
     def send_for(self, seconds):
         """Send more requests than the limits allow; return their statuses."""
-        ends_at, statuses = time.monotonic() + seconds, []
-
-        def repeat(node, path):
-            while time.monotonic() < ends_at:
-                statuses.append(self.send_request(node, path)[0])
-                time.sleep(INTERVAL_S)
-
-        with ThreadPoolExecutor(SENDERS * self.NODES * len(PATHS)) as pool:
-            for node, path in itertools.product(self.names, PATHS):
-                for _ in range(SENDERS):
-                    pool.submit(repeat, node, path)
-        return statuses
+        senders = SENDERS * list(itertools.product(self.names, PATHS))
+        ended = self.send_requests_for(seconds, senders, INTERVAL_S)
+        return [status for _, _, status in ended]
 
     def test_servers_get_no_more_than_the_limit_that_they_name(self):
         self.cluster.set_server_limit(LIMIT_PER_S)
