--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,141 @@
+"""One server answers one booking with bytes without end; its node stops for good."""
+
+import os
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+from ..lib.deployment import (
+    ASK_PATH,
+    BOOK_PATH,
+    LOOK_PATH,
+    ROOT,
+    CaseError,
+    Deployment,
+    run_case,
+)
+
+FOLDER = Path(__file__).resolve().parent
+# Where the bytes without end are, see ``endless_server``.
+FORM = os.environ.get("FORM", "body")
+SERVER = "i-desk-endless"
+# ``TimeoutMs`` of the two routes, in seconds, and what the rule adds to it.
+TIMEOUT_S = {BOOK_PATH: 4.0, ASK_PATH: 8.0}
+RULE_SLACK_S = 0.5
+# Above both, so that the clients still wait when the rule says that answers are due.
+DEADLINE_MS = 12_000
+REQUESTS_PER_ROUTE = 12
+MAX_BOOKINGS = 60
+
+
+class EndlessProcess:
+    """The process of the endless server; ``lines`` are what it has printed."""
+
+    def __init__(self, deployment, address):
+        self.lines = []
+        self.process = subprocess.Popen(
+            ["python3", str(FOLDER / "endless_server.py")]
+            + [deployment.platform, address, SERVER, FORM],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+            cwd=ROOT,
+        )
+        self._record = deployment.record
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def _read(self):
+        for line in self.process.stdout:
+            self.lines.append(line.strip())
+            self._record.write(f"{SERVER}: {line.strip()}")
+
+    def begin(self):
+        """Answer with bytes without end from now on."""
+        self._record.write(f"{SERVER} answers with bytes without end ({FORM})")
+        self.process.stdin.write("begin\n")
+        self.process.stdin.flush()
+
+    def end(self):
+        """End the process."""
+        self.process.kill()
+        self.process.wait(10.0)
+
+
+def case(record, trouble):
+    """Return whether the rule held."""
+    with Deployment(record, {"engines": 4, "desks": 2}) as deployment:
+        address = f"127.0.0.1:{deployment.free_port()}"
+        server = EndlessProcess(deployment, address)
+        try:
+            return run(deployment, server, trouble)
+        finally:
+            server.end()
+
+
+def run(deployment, server, trouble):
+    """Bring one endless answer about, and count the answers of its node after it."""
+    record, (node, other, *_) = deployment.record, deployment.nodes
+    deployment.wait_until_serving()
+    deployment.wait_until(
+        lambda: sealed_by(deployment.request(node, "GET", LOOK_PATH, 4000), SERVER),
+        10.0,
+        f"{SERVER} gets requests",
+    )
+    if trouble:
+        server.begin()
+        hit = threading.Thread(target=book_until_hit, args=(deployment, node, server))
+        hit.start()
+        deployment.wait_until(lambda: server.lines, 10.0, f"{SERVER} gets a booking")
+    time.sleep(1.0)
+    replies = send_at_once(deployment, node)
+    late, unanswered = [], []
+    for path, reply in replies:
+        answered_in_s = reply.took_s if reply.status else float("inf")
+        if answered_in_s > TIMEOUT_S[path]:
+            late.append(reply)
+            if answered_in_s > TIMEOUT_S[path] + RULE_SLACK_S:
+                unanswered.append(reply)
+    record.write(f"{node}: {len(replies)} requests, of which {len(late)} were ")
+    record.write(f"unanswered at TimeoutMs and {len(unanswered)} half a second later")
+    record.write(f"{node} is ready: {deployment.is_ready(node)}")
+    record.write(f"{node} runs: {deployment.process(node).poll() is None}")
+    control = deployment.request(other, "POST", ASK_PATH, 8000)
+    if control.status != 200:
+        raise CaseError("a node without such an answer serves nothing either")
+    return 2 * len(unanswered) <= len(late)
+
+
+def book_until_hit(deployment, node, server):
+    """Send bookings, one by one, until the server has got one."""
+    for _ in range(MAX_BOOKINGS):
+        if server.lines:
+            return
+        deployment.request(node, "POST", BOOK_PATH, 4000, body=b"{}")
+
+
+def sealed_by(reply, server):
+    """Return whether an answer bears the seal of a server."""
+    return reply.headers.get("X-Server-Seal") == f"seal-of-{server}"
+
+
+def send_at_once(deployment, node):
+    """Send requests on both routes at the same time; return paths and replies."""
+    replies = []
+
+    def send(path):
+        reply = deployment.request(node, "POST", path, DEADLINE_MS, body=b"{}")
+        replies.append((path, reply))
+
+    paths = [path for path in TIMEOUT_S for _ in range(REQUESTS_PER_ROUTE)]
+    senders = [threading.Thread(target=send, args=(path,)) for path in paths]
+    for sender in senders:
+        sender.start()
+    for sender in senders:
+        sender.join()
+    return replies
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(FOLDER, case))
