--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """One server answers one booking with bytes without end; its node stops for good."""
 
 import os
+import signal
 import subprocess
 import sys
 import threading
@@ -28,6 +29,8 @@
 DEADLINE_MS = 12_000
 REQUESTS_PER_ROUTE = 12
 MAX_BOOKINGS = 60
+# ``GraceS``.
+GRACE_S = 8.0
 
 
 class EndlessProcess:
@@ -97,16 +100,29 @@
             late.append(reply)
             if answered_in_s > TIMEOUT_S[path] + RULE_SLACK_S:
                 unanswered.append(reply)
-    record.write(f"{node}: {len(replies)} requests, of which {len(late)} were ")
-    record.write(f"unanswered at TimeoutMs and {len(unanswered)} half a second later")
+    record.write(
+        f"{node}: of {len(replies)} requests, {len(late)} had no answer at TimeoutMs, "
+        f"{len(unanswered)} none half a second later"
+    )
     record.write(f"{node} is ready: {deployment.is_ready(node)}")
-    record.write(f"{node} runs: {deployment.process(node).poll() is None}")
+    deployment.write_runs()
+    write_stop(deployment, node)
     control = deployment.request(other, "POST", ASK_PATH, 8000)
     if control.status != 200:
         raise CaseError("a node without such an answer serves nothing either")
     return 2 * len(unanswered) <= len(late)
 
 
+def write_stop(deployment, node):
+    """Write down whether the node ends after SIGTERM; the result doesn't count."""
+    deployment.signal(node, signal.SIGTERM)
+    try:
+        code = deployment.process(node).wait(GRACE_S + 1.0)
+        deployment.record.write(f"{node} ended with {code}")
+    except subprocess.TimeoutExpired:
+        deployment.record.write(f"{node} still runs {GRACE_S + 1} s after SIGTERM")
+
+
 def book_until_hit(deployment, node, server):
     """Send bookings, one by one, until the server has got one."""
     for _ in range(MAX_BOOKINGS):
--- a/review/1/endless_server.py
+++ b/review/1/endless_server.py
@@ -18,13 +18,12 @@
 HEARTBEAT_S = 1.2
 HEADS = {
     "head": b"",
-    "body": b"HTTP/1.1 200 OK\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
-    "events": b"HTTP/1.1 200 OK\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "body": b"HTTP/1.1 200 OK\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nok\r\n0\r\n",
 }
 FILLINGS = {
     "head": b"HTTP/1.1 100 Continue\r\n\r\n",
     "body": b"x: y\r\n",
-    "events": b"6\r\n: ..\n\n\r\n",
 }
 BLOCK_BYTES = 1 << 18
 
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -262,9 +262,7 @@
         self._stack.callback(self._end_all)
         try:
             self._start_platform()
-            for number in range(self._node_count):
-                zone = ZONES[number % len(ZONES)]
-                self.add_node(f"edge-{zone}-{1 + number // len(ZONES)}", zone)
+            self.start_nodes(self._node_count)
         except BaseException:
             self._stack.close()
             raise
@@ -273,6 +271,16 @@
     def __exit__(self, *exc_info):
         self._stack.close()
 
+    def start_nodes(self, count):
+        """Start the first nodes of the deployment, in all zones by turns."""
+        for number in range(count):
+            zone = ZONES[number % len(ZONES)]
+            self.add_node(f"edge-{zone}-{1 + number // len(ZONES)}", zone)
+
+    def state(self):
+        """Return the state of the stand-ins, see ``platform_process``."""
+        return self.platform_call("/review/state")
+
     def add_node(self, name, zone):
         """Start a node with an address of its own."""
         ports = dict(
@@ -393,6 +401,12 @@
         text = (self.folder / f"{node}.log").read_text("utf-8", "replace")
         return [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
 
+    def write_runs(self):
+        """Write down which requests each server has run."""
+        for name, server in sorted(self.state()["servers"].items()):
+            ids = [seen["id"] for seen in server["seen"]]
+            self.record.write(f"run by {name}: {len(ids)}: {' '.join(map(str, ids))}")
+
     def _start_platform(self):
         self.platform = f"127.0.0.1:{self._ports(1)[0]}"
         self._start(
@@ -411,7 +425,9 @@
         return True
 
     def _start(self, name, command, environ):
-        inherited = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
+        inherited = {
+            k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ
+        }
         log = self._stack.enter_context((self.folder / f"{name}.log").open("ab"))
         self._processes[name] = subprocess.Popen(
             command,
--- a/review/lib/platform_process.py
+++ b/review/lib/platform_process.py
@@ -17,7 +17,7 @@
 import gevent  # noqa: E402
 from gevent.event import Event  # noqa: E402
 
-from standins.modelserver import TOPIC, ModelServerStandin  # noqa: E402
+from standins.modelserver import ModelServerStandin  # noqa: E402
 from standins.store import StoreStandin  # noqa: E402
 
 from .deployment import APP, ENGINES, ZONES  # noqa: E402
@@ -145,8 +145,7 @@
                 "violations": self.violations,
                 "era": self.store.era,
                 "records": {
-                    topic: len(records)
-                    for topic, records in self.store._topics.items()
+                    topic: len(records) for topic, records in self.store._topics.items()
                 },
             }
         )
