--- a/review/lib/platform_process.py
+++ b/review/lib/platform_process.py
@@ -41,11 +41,18 @@
         self.fleet = fleet
         self.violations = violations
         self.join_s = FIRST_LOAD_S
+        # Size of the answers of a plain server, if not the project's own.
+        self.answer_bytes = 0
 
     def _send_heartbeats(self):
         gevent.sleep(random.uniform(0.0, HEARTBEAT_S))
         super()._send_heartbeats()
 
+    def _plain_response(self, req):
+        if not self.answer_bytes:
+            return super()._plain_response(req)
+        return b"x" * self.answer_bytes
+
     def _do_join(self, order):
         before, members = self.group, self.members
         status = super()._do_join(order)
