--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,6 @@
 """One server answers one booking with bytes without end; its node stops for good."""
 
+import http.client
 import os
 import signal
 import subprocess
@@ -9,12 +10,15 @@
 from pathlib import Path
 
 from ..lib.deployment import (
+    APP,
     ASK_PATH,
     BOOK_PATH,
     LOOK_PATH,
     ROOT,
     CaseError,
     Deployment,
+    configuration,
+    request_headers,
     run_case,
 )
 
@@ -31,6 +35,10 @@
 MAX_BOOKINGS = 60
 # ``GraceS``.
 GRACE_S = 8.0
+# Of ``FORM=stream``: the streams, for how long they are read, the ``TimeoutMs`` of
+# their route, and how many of them the rule allows to go on after it.
+STREAM_PATH, STREAMS, STREAM_READ_BYTES = "/aviso/x", 16, 1 << 20
+STREAM_TIMEOUT_S, STREAM_WATCH_S, MIN_LATE_STREAMS = 4.0, 10.0, 8
 
 
 class EndlessProcess:
@@ -68,7 +76,8 @@
 
 def case(record, trouble):
     """Return whether the rule held."""
-    with Deployment(record, {"engines": 4, "desks": 2}) as deployment:
+    options = {"engines": 4, "desks": 2, "configuration": with_plain_stream()}
+    with Deployment(record, options) as deployment:
         address = f"127.0.0.1:{deployment.free_port()}"
         server = EndlessProcess(deployment, address)
         try:
@@ -88,6 +97,9 @@
     )
     if trouble:
         server.begin()
+    if FORM == "stream":
+        return streams_end(deployment, node)
+    if trouble:
         hit = threading.Thread(target=book_until_hit, args=(deployment, node, server))
         hit.start()
         deployment.wait_until(lambda: server.lines, 10.0, f"{SERVER} gets a booking")
@@ -113,6 +125,57 @@
     return 2 * len(unanswered) <= len(late)
 
 
+def with_plain_stream():
+    """Return the configuration with a route for streams of the plain servers."""
+    changed = configuration()
+    stream = next(r for r in changed["Routes"] if r["Type"] == "streaming")
+    fields = {"Name": "r-4", "PathPrefix": "/aviso/", "Service": APP, "Affinity": False}
+    changed["Routes"].append({**stream, **fields, "TimeoutMs": 4000})
+    return changed
+
+
+def streams_end(deployment, node):
+    """Return whether streams that last longer than ``TimeoutMs`` are ended then."""
+    record, late, unanswered = deployment.record, [], []
+
+    def read_stream(number):
+        conn = deployment.connect(node)
+        attempt, started_at, count = f"stream{number}", time.monotonic(), 0
+        headers = request_headers(attempt, DEADLINE_MS)
+        record.write(f"sent {attempt} POST {STREAM_PATH} to {node}")
+        why = "ended"
+        try:
+            conn.request("POST", STREAM_PATH, body=b"{}", headers=headers)
+            resp = conn.getresponse()
+            while data := resp.read1(STREAM_READ_BYTES):
+                count += len(data)
+                if time.monotonic() - started_at > STREAM_WATCH_S:
+                    why = "still going on"
+                    break
+        except (OSError, http.client.HTTPException) as exc:
+            why = repr(exc)
+        conn.close()
+        took_s = time.monotonic() - started_at
+        if took_s > STREAM_TIMEOUT_S:
+            late.append(attempt)
+        if took_s > STREAM_TIMEOUT_S + RULE_SLACK_S:
+            unanswered.append(attempt)
+        record.write(f"{attempt}: {count} bytes in {took_s:.2f} s, {why}")
+
+    readers = [threading.Thread(target=read_stream, args=(n,)) for n in range(STREAMS)]
+    for reader in readers:
+        reader.start()
+    time.sleep(1.0)
+    record.write(f"{node} is ready: {deployment.is_ready(node)}")
+    for reader in readers:
+        reader.join()
+    record.write(
+        f"{node}: of {STREAMS} streams, {len(late)} lasted longer than TimeoutMs, "
+        f"{len(unanswered)} had not ended half a second later"
+    )
+    return len(unanswered) < MIN_LATE_STREAMS or 4 * len(unanswered) <= len(late)
+
+
 def write_stop(deployment, node):
     """Write down whether the node ends after SIGTERM; the result doesn't count."""
     deployment.signal(node, signal.SIGTERM)
--- a/review/1/endless_server.py
+++ b/review/1/endless_server.py
@@ -3,12 +3,14 @@
 ``python3 -m review.1.endless_server STORE ADDRESS ID FORM``. It answers soundly until
 it gets a line on standard input. Then it answers each request for a run with bytes
 that are no answer, until the caller closes. ``FORM`` says where these are: in a
-``head`` (interim responses that no answer follows) or in a ``body`` (lines after the
-last chunk that are never followed by the empty one). It sends as fast as it can.
+``head`` (interim responses that no answer follows), in a ``body`` (lines after the
+last chunk that are never followed by the empty one), or in the body of a ``stream``
+(random bytes, with an empty line now and then). It sends as fast as it can.
 """
 
 import http.client
 import json
+import random
 import socket
 import sys
 import threading
@@ -16,14 +18,19 @@
 from contextlib import suppress
 
 HEARTBEAT_S = 1.2
+STREAM_BYTES = 65_536
 HEADS = {
     "head": b"",
     "body": b"HTTP/1.1 200 OK\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"2\r\nok\r\n0\r\n",
+    "stream": b"HTTP/1.1 200 OK\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n",
 }
 FILLINGS = {
     "head": b"HTTP/1.1 100 Continue\r\n\r\n",
     "body": b"x: y\r\n",
+    "stream": b"%x\r\n" % (STREAM_BYTES + 2)
+    + random.Random(1).randbytes(STREAM_BYTES)
+    + b"\n\n\r\n",
 }
 BLOCK_BYTES = 1 << 18
 
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -190,6 +190,16 @@
     }
 
 
+def request_headers(attempt, deadline_ms):
+    """Return the headers of every client attempt."""
+    return {
+        "Host": HOST_NAME,
+        "X-Attempt-Id": attempt,
+        "X-Deadline-Ms": str(deadline_ms),
+        "Authorization": f"Bearer {KEY}",
+    }
+
+
 class CaseError(Exception):
     """The case could not run, so it says nothing about the rule."""
 
@@ -332,12 +342,7 @@
         Without ``conn`` a new connection is used and closed.
         """
         attempt = f"{self._run_id}{next(self._attempt_numbers):06x}"
-        headers = {
-            "Host": HOST_NAME,
-            "X-Attempt-Id": attempt,
-            "X-Deadline-Ms": str(deadline_ms),
-            "Authorization": f"Bearer {KEY}",
-        }
+        headers = request_headers(attempt, deadline_ms)
         if path == ASK_PATH:
             headers.update({"X-Model": MODEL, "X-Token-Usage": "680,175"})
             headers["X-Prompt-Prefix"] = f"5c1e07a2:40,{attempt}:640"
