--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,13 +14,13 @@
     ASK_PATH,
     BOOK_PATH,
     LOOK_PATH,
-    ROOT,
     CaseError,
     Deployment,
     configuration,
     request_headers,
     run_case,
 )
+from ..lib.plain_server import ServerProcess, seal_of
 
 FOLDER = Path(__file__).resolve().parent
 # Where the bytes without end are, see ``endless_server``.
@@ -41,45 +41,12 @@
 STREAM_TIMEOUT_S, STREAM_WATCH_S, MIN_LATE_STREAMS = 4.0, 10.0, 8
 
 
-class EndlessProcess:
-    """The process of the endless server; ``lines`` are what it has printed."""
-
-    def __init__(self, deployment, address):
-        self.lines = []
-        self.process = subprocess.Popen(
-            ["python3", str(FOLDER / "endless_server.py")]
-            + [deployment.platform, address, SERVER, FORM],
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            text=True,
-            cwd=ROOT,
-        )
-        self._record = deployment.record
-        threading.Thread(target=self._read, daemon=True).start()
-
-    def _read(self):
-        for line in self.process.stdout:
-            self.lines.append(line.strip())
-            self._record.write(f"{SERVER}: {line.strip()}")
-
-    def begin(self):
-        """Answer with bytes without end from now on."""
-        self._record.write(f"{SERVER} answers with bytes without end ({FORM})")
-        self.process.stdin.write("begin\n")
-        self.process.stdin.flush()
-
-    def end(self):
-        """End the process."""
-        self.process.kill()
-        self.process.wait(10.0)
-
-
 def case(record, trouble):
     """Return whether the rule held."""
     options = {"engines": 4, "desks": 2, "configuration": with_plain_stream()}
     with Deployment(record, options) as deployment:
-        address = f"127.0.0.1:{deployment.free_port()}"
-        server = EndlessProcess(deployment, address)
+        module = f"{__package__}.endless_server"
+        server = ServerProcess(deployment, module, SERVER, FORM)
         try:
             return run(deployment, server, trouble)
         finally:
@@ -96,13 +63,13 @@
         f"{SERVER} gets requests",
     )
     if trouble:
-        server.begin()
+        server.begin_trouble()
     if FORM == "stream":
         return streams_end(deployment, node)
     if trouble:
         hit = threading.Thread(target=book_until_hit, args=(deployment, node, server))
         hit.start()
-        deployment.wait_until(lambda: server.lines, 10.0, f"{SERVER} gets a booking")
+        deployment.wait_until(lambda: was_hit(server), 10.0, f"{SERVER} gets a booking")
     time.sleep(1.0)
     replies = send_at_once(deployment, node)
     late, unanswered = [], []
@@ -186,17 +153,22 @@
         deployment.record.write(f"{node} still runs {GRACE_S + 1} s after SIGTERM")
 
 
+def was_hit(server):
+    """Return whether the server has begun to send without end."""
+    return any(line.startswith("endless") for line in server.lines)
+
+
 def book_until_hit(deployment, node, server):
     """Send bookings, one by one, until the server has got one."""
     for _ in range(MAX_BOOKINGS):
-        if server.lines:
+        if was_hit(server):
             return
         deployment.request(node, "POST", BOOK_PATH, 4000, body=b"{}")
 
 
 def sealed_by(reply, server):
     """Return whether an answer bears the seal of a server."""
-    return reply.headers.get("X-Server-Seal") == f"seal-of-{server}"
+    return reply.headers.get("X-Server-Seal") == seal_of(server)
 
 
 def send_at_once(deployment, node):
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,113 +1,106 @@
-"""The store comes back from a copy while the planner restarts; it takes open groups."""
+"""A server breaks off answers within the head; callers get them as whole successes."""
 
-import os
-import signal
+import re
 import sys
+import threading
 import time
+from collections import Counter
 from pathlib import Path
 
-from ..lib.deployment import ASK_PATH, CaseError, Deployment, run_case
+from ..lib.deployment import BOOK_PATH, LOOK_PATH, Deployment, run_case
+from ..lib.plain_server import ServerProcess, seal_of, sound_body
 
 FOLDER = Path(__file__).resolve().parent
-# Processes that are killed while the store is away: the planner's, all nodes' or none.
-KILL = os.environ.get("KILL", "planner")
-ENGINES, NODES = 12, 3
-# Age of the copy from which the store comes back, and time for which it is away.
-COPY_AGE_S, AWAY_S = 8.0, 3.0
-# Time from a kill to the restart of the process.
-RESTART_S = 0.5
-# Time for which joins are watched after the store's return.
-WATCH_S = 8.0
+SERVER = "i-desk-cutting"
+# Share of the answers of this server, one of three, that are broken off.
+CUT_SHARE = 0.03
+CLIENTS_PER_NODE = 3
+# Time for which the clients send requests, and their pause between two of them.
+TRAFFIC_S, PAUSE_S = 40.0, 0.01
+DEADLINE_MS = 4000
+RUN_BY = re.compile(rb"^(\S+) ran (\S+) ")
 
 
 def case(record, trouble):
     """Return whether the rule held."""
-    options = {"engines": ENGINES, "desks": 2}
-    with Deployment(record, options, node_count=0) as deployment:
-        return run(deployment, trouble)
+    with Deployment(record, {"engines": 4, "desks": 0}) as deployment:
+        module = f"{__package__}.cutting_server"
+        servers = [
+            ServerProcess(deployment, module, name, str(CUT_SHARE))
+            for name in (SERVER, "i-desk-1", "i-desk-2")
+        ]
+        try:
+            deployment.wait_until_serving()
+            time.sleep(1.5)
+            if trouble:
+                servers[0].begin_trouble()
+            return run(deployment, servers)
+        finally:
+            for server in servers:
+                server.end()
 
 
-def run(deployment, trouble):
-    """Play the drill and return whether no server was taken from an open group."""
-    record = deployment.record
-    deployment.wait_until(
-        lambda: deployment.state()["records"].get("keyed.servers", 0) >= ENGINES + 2,
-        10.0,
-        "all servers are registered",
-    )
-    deployment.platform_call("/standin/copy")
-    copied_at = time.monotonic()
-    record.write("the store's copy is of this moment")
-    deployment.start_nodes(NODES)
-    deployment.wait_until_serving()
-    planner = deployment.wait_until(lambda: find_planner(deployment), 10.0, "a planner")
-    record.write(f"the planner is {planner}")
-    left_s = copied_at + COPY_AGE_S - AWAY_S - time.monotonic()
-    if left_s < 0:
-        record.write(f"the groups were open {-left_s:.1f} s late")
-    time.sleep(max(0.0, left_s))
-    write_groups(deployment, "before the drill")
-    if trouble:
-        killed = {"all": list(deployment.nodes), "none": []}.get(KILL, [planner])
-        play_drill(deployment, killed)
-    else:
-        time.sleep(AWAY_S)
-    ends_at = time.monotonic() + WATCH_S
-    while time.monotonic() < ends_at:
-        for node in deployment.nodes:
-            deployment.request(node, "POST", ASK_PATH, 8000)
-        time.sleep(0.2)
-    write_groups(deployment, "at the end")
-    deployment.write_runs()
-    violations = deployment.state()["violations"]
-    for violation in violations:
-        record.write(f"taken from an open group: {violation}")
-    record.write(f"{len(violations)} joins of servers whose group's head was open")
-    return not violations
-
-
-def play_drill(deployment, nodes):
-    """Let the store come back from its copy, and restart ``nodes`` meanwhile."""
-    record = deployment.record
-    record.write("the store is away")
-    deployment.platform_call("/standin/trouble", {"trouble": "busy"})
-    back_at = time.monotonic() + AWAY_S
-    for node in nodes:
-        deployment.signal(node, signal.SIGKILL)
-    for node in nodes:
-        deployment.process(node).wait(5.0)
-    time.sleep(RESTART_S)
-    for node in nodes:
-        deployment.start_node(node, bootstrap=False)
-    time.sleep(max(0.0, back_at - time.monotonic()))
-    deployment.platform_call("/standin/back")
-    deployment.platform_call("/standin/trouble", {"trouble": ""})
-    record.write(f"the store is back in era {deployment.state()['era']}")
+def run(deployment, servers):
+    """Send bookings and lookups; return whether each success is whole."""
+    record, ends_at = deployment.record, time.monotonic() + TRAFFIC_S
+    replies, names = [], {server.server for server in servers}
 
+    def send(node, number):
+        conn = deployment.connect(node)
+        while time.monotonic() < ends_at:
+            number += 1
+            method, path = ("POST", BOOK_PATH) if number % 2 else ("GET", LOOK_PATH)
+            reply = deployment.request(node, method, path, DEADLINE_MS, conn=conn)
+            replies.append((path, reply))
+            if not reply.status:
+                conn.close()
+            time.sleep(PAUSE_S)
+        conn.close()
 
-def find_planner(deployment):
-    """Return the node that has taken over planning last, ``None`` without."""
-    taken = [
-        (event["time"], node)
+    threads = [
+        threading.Thread(target=send, args=(node, number))
         for node in deployment.nodes
-        for event in deployment.log_events(node)
-        if event["event"] == "planning taken over"
+        for number in range(CLIENTS_PER_NODE)
     ]
-    return max(taken)[1] if taken else None
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    counts = Counter((path, reply.status) for path, reply in replies)
+    for (path, status), count in sorted(counts.items()):
+        record.write(f"{path}: {count} answers {status}")
+    cuts = [line for line in servers[0].lines if line.startswith("breaks off")]
+    record.write(f"{SERVER} broke off {len(cuts)} answers")
+    wrong = [
+        (path, reply)
+        for path, reply in replies
+        if 200 <= reply.status < 300 and not is_whole(reply, names)
+    ]
+    for path, reply in wrong:
+        cut = next((line for line in cuts if reply.attempt in line), "not broken off")
+        record.write(
+            f"wrong success: {reply.attempt} {path}: {reply.status}, "
+            f"headers {reply.headers}, body of {len(reply.body)} bytes; {cut}"
+        )
+    record.write(f"{len(wrong)} of {len(replies)} answers are wrong successes")
+    return not wrong
+
 
+def is_whole(reply, names):
+    """Return whether a success has the seal and the whole body of one of the servers.
 
-def write_groups(deployment, moment):
-    """Write down each server's group; raise ``CaseError`` if none is open."""
-    open_heads = 0
-    for name, server in sorted(deployment.state()["servers"].items()):
-        if (group := server["group"]) is not None:
-            open_heads += group["State"] == "open"
-            deployment.record.write(
-                f"{moment}: {name} in {group['Name']}, rank {group['rank']}, "
-                f"{group['State']}, {server['running']} running"
-            )
-    if not open_heads:
-        raise CaseError(f"no group is open {moment}")
+    ``names`` are the servers.
+    """
+    found = RUN_BY.match(reply.body)
+    if not found:
+        return False
+    server, attempt = (text.decode() for text in found.groups())
+    return (
+        server in names
+        and attempt == reply.attempt
+        and reply.headers.get("X-Server-Seal") == seal_of(server)
+        and reply.body == sound_body(server, attempt)
+    )
 
 
 if __name__ == "__main__":
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -24,6 +24,7 @@
 PORT_RANGE = (12_000, 32_000)
 POLL_S = 0.05
 EXIT_TIMEOUT_S = 10.0
+STANDIN_ENVIRON = {"PYTHONPATH": "target/deps:."}
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 # Added to a deadline before a client counts a request as unanswered, in seconds.
 CLIENT_TIMEOUT_S = 12.0
@@ -413,12 +414,12 @@
             self.record.write(f"run by {name}: {len(ids)}: {' '.join(map(str, ids))}")
 
     def _start_platform(self):
-        self.platform = f"127.0.0.1:{self._ports(1)[0]}"
+        self.platform = self.free_address()
         self._start(
             "platform",
             ["python3", "-m", "review.lib.platform_process", self.platform]
             + [json.dumps({"configuration": configuration(), **self._options})],
-            {"PYTHONPATH": "target/deps:."},
+            STANDIN_ENVIRON,
         )
         self.wait_until(self._platform_responds, 20.0, "the platform answers")
 
@@ -430,9 +431,6 @@
         return True
 
     def _start(self, name, command, environ):
-        inherited = {
-            k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ
-        }
         log = self._stack.enter_context((self.folder / f"{name}.log").open("ab"))
         self._processes[name] = subprocess.Popen(
             command,
@@ -440,13 +438,17 @@
             stdout=log,
             stderr=log,
             cwd=ROOT,
-            env={**inherited, **environ},
+            env={**inherited_environ(), **environ},
         )
         self.record.write(f"started {name}")
 
-    def free_port(self):
-        """Return a port that only this case uses."""
-        return self._ports(1)[0]
+    def free_address(self):
+        """Return a loopback address that only this case uses."""
+        return f"127.0.0.1:{self._ports(1)[0]}"
+
+    def process_options(self):
+        """Return the folder and the environment of a stand-in's process."""
+        return {"cwd": ROOT, "env": {**inherited_environ(), **STANDIN_ENVIRON}}
 
     def _ports(self, count):
         """Return free ports, reserved by sockets that never listen."""
@@ -474,6 +476,12 @@
             process.wait(EXIT_TIMEOUT_S)
 
 
+def inherited_environ():
+    """Return the variables that a process gets from the caller."""
+    names = ("PATH", "HOME", "LANG")
+    return {name: os.environ[name] for name in names if name in os.environ}
+
+
 def _since(at):
     return time.monotonic() - at
 
