--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from pathlib import Path
 
-from ..lib.deployment import BOOK_PATH, LOOK_PATH, Deployment, run_case
+from ..lib.deployment import BOOK_PATH, LOOK_PATH, Deployment, play_spells, run_case
 from ..lib.plain_server import ServerProcess, seal_of, sound_body
 
 FOLDER = Path(__file__).resolve().parent
@@ -15,6 +15,8 @@
 # Share of the answers of this server, one of three, that are broken off.
 CUT_SHARE = 0.03
 CLIENTS_PER_NODE = 3
+# Length of one spell of trouble: ``for_s`` of the site file. Pause between two.
+SPELL_S, GAP_S = 5.5, 1.5
 # Time for which the clients send requests, and their pause between two of them.
 TRAFFIC_S, PAUSE_S = 40.0, 0.01
 DEADLINE_MS = 4000
@@ -32,15 +34,13 @@
         try:
             deployment.wait_until_serving()
             time.sleep(1.5)
-            if trouble:
-                servers[0].begin_trouble()
-            return run(deployment, servers)
+            return run(deployment, servers, trouble)
         finally:
             for server in servers:
                 server.end()
 
 
-def run(deployment, servers):
+def run(deployment, servers, trouble):
     """Send bookings and lookups; return whether each success is whole."""
     record, ends_at = deployment.record, time.monotonic() + TRAFFIC_S
     replies, names = [], {server.server for server in servers}
@@ -64,6 +64,14 @@
     ]
     for thread in threads:
         thread.start()
+    if trouble:
+        play_spells(
+            servers[0].begin_trouble,
+            servers[0].end_trouble,
+            until=ends_at,
+            spell_s=SPELL_S,
+            gap_s=GAP_S,
+        )
     for thread in threads:
         thread.join()
     counts = Counter((path, reply.status) for path, reply in replies)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -482,6 +482,15 @@
     return {name: os.environ[name] for name in names if name in os.environ}
 
 
+def play_spells(begin, end, *, until, spell_s, gap_s):
+    """Call ``begin`` and ``end`` by turns until the monotonic time ``until``."""
+    while time.monotonic() < until:
+        begin()
+        time.sleep(min(spell_s, max(0.0, until - time.monotonic())))
+        end()
+        time.sleep(gap_s)
+
+
 def _since(at):
     return time.monotonic() - at
 
--- a/review/lib/plain_server.py
+++ b/review/lib/plain_server.py
@@ -1,8 +1,9 @@
 """A server of the application service in a process of its own.
 
-It answers soundly until it gets a line on standard input; ``PlainServer.answer`` says
-what it does from then on. It prints a line for each request that it runs. Each
-connection has a thread, so that it sends whether or not its caller is reading.
+It answers soundly but for the times between the lines ``begin`` and ``end`` on standard
+input; ``PlainServer.answer`` says what it does then. It prints a line for each request
+that it runs. Each connection has a thread, so that it sends whether or not its caller
+is reading.
 """
 
 import http.client
@@ -19,6 +20,10 @@
 SERVICE, ZONE, SLOTS = "app-despacho", "norte-cali", 6
 # Size of a sound answer's body: the mean of the site file.
 BODY_BYTES = 800
+# Line on standard input with which the trouble begins.
+BEGIN = "begin"
+# Begins the line that a server prints for each request that it runs.
+RUN_MARK = "runs"
 
 
 def sound_body(server, attempt):
@@ -48,8 +53,11 @@
     def main(self):
         """Serve until the process is ended."""
         threading.Thread(target=self._run, daemon=True).start()
-        for _ in sys.stdin:
-            self.in_trouble.set()
+        for line in sys.stdin:
+            if line.strip() == BEGIN:
+                self.in_trouble.set()
+            else:
+                self.in_trouble.clear()
         threading.Event().wait()
 
     def head_fields(self, attempt):
@@ -105,11 +113,11 @@
             while line := reader.readline():
                 path = line.split()[1].decode()
                 headers = http.client.parse_headers(reader)
-                reader.read(int(headers.get("Content-Length") or 0))
-                if not self._answer_any(sock, path, headers):
+                body = reader.read(int(headers.get("Content-Length") or 0))
+                if not self._answer_any(sock, path, headers, body):
                     return
 
-    def _answer_any(self, sock, path, headers):
+    def _answer_any(self, sock, path, headers, sent_body):
         if path.startswith("/-/"):
             body = json.dumps({"born": self._born}).encode()
             head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
@@ -120,7 +128,7 @@
             head = f"HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: {attempt}\r\n"
             sock.sendall(f"{head}Content-Length: 0\r\n\r\n".encode())
             return True
-        self.say(f"runs {attempt}")
+        self.say(f"{RUN_MARK} {json.dumps([attempt, sent_body.decode('latin-1')])}")
         if self.in_trouble.is_set():
             return self.answer(sock, attempt)
         sock.sendall(self.sound_answer(attempt))
@@ -144,17 +152,33 @@
         )
         threading.Thread(target=self._read, daemon=True).start()
 
+    def runs(self):
+        """Return the id and the body of each request that the server has run."""
+        texts = [
+            line.removeprefix(RUN_MARK)
+            for line in list(self.lines)
+            if line.startswith(RUN_MARK)
+        ]
+        return [(a, body.encode("latin-1")) for a, body in map(json.loads, texts)]
+
     def begin_trouble(self):
         """Let the trouble begin."""
-        self._record.write(f"{self.server} is in trouble from now on")
-        self._process.stdin.write("begin\n")
-        self._process.stdin.flush()
+        self._steer(BEGIN)
+
+    def end_trouble(self):
+        """Let the trouble end."""
+        self._steer("end")
 
     def end(self):
         """End the process."""
         self._process.kill()
         self._process.wait(10.0)
 
+    def _steer(self, word):
+        self._record.write(f"{self.server}: {word} of the trouble")
+        self._process.stdin.write(f"{word}\n")
+        self._process.stdin.flush()
+
     def _read(self):
         for line in self._process.stdout:
             self.lines.append(line.strip())
