--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -318,6 +318,11 @@
         self.record.write(f"{signal.Signals(number).name} to {name}")
         self._processes[name].send_signal(number)
 
+    def freeze(self, name, for_s):
+        """Let a process of this case stand still, and go on after ``for_s``."""
+        self.signal(name, signal.SIGSTOP)
+        threading.Timer(for_s, self.signal, (name, signal.SIGCONT)).start()
+
     def process(self, name):
         """Return the process with this name that was started last."""
         return self._processes[name]
@@ -345,8 +350,8 @@
         attempt = f"{self._run_id}{next(self._attempt_numbers):06x}"
         headers = request_headers(attempt, deadline_ms)
         if path == ASK_PATH:
-            headers.update({"X-Model": MODEL, "X-Token-Usage": "680,175"})
-            headers["X-Prompt-Prefix"] = f"5c1e07a2:40,{attempt}:640"
+            headers.update({"X-Model": MODEL, "X-Token-Usage": "1460,170"})
+            headers["X-Prompt-Prefix"] = f"5c1e07a2:40,{attempt}:1420"
         own = conn is None
         conn = conn or self.connect(node)
         self.record.write(f"sent {attempt} {method} {path} to {node}")
@@ -402,6 +407,16 @@
                     f"{node} serves {path}",
                 )
 
+    def planner(self):
+        """Return the node that has taken over planning last, ``None`` without."""
+        taken = [
+            (event["time"], node)
+            for node in self.nodes
+            for event in self.log_events(node)
+            if event["event"] == "planning taken over"
+        ]
+        return max(taken)[1] if taken else None
+
     def log_events(self, node):
         """Return the events that a node has logged."""
         text = (self.folder / f"{node}.log").read_text("utf-8", "replace")
--- a/review/lib/platform_process.py
+++ b/review/lib/platform_process.py
@@ -43,11 +43,19 @@
         self.join_s = FIRST_LOAD_S
         # Size of the answers of a plain server, if not the project's own.
         self.answer_bytes = 0
+        # Time until which the streams of this server stand still.
+        self.silent_until = 0.0
 
     def _send_heartbeats(self):
         gevent.sleep(random.uniform(0.0, HEARTBEAT_S))
         super()._send_heartbeats()
 
+    def _event_stream(self, req):
+        for event in super()._event_stream(req):
+            while time.time() < self.silent_until:
+                gevent.sleep(0.01)
+            yield event
+
     def _plain_response(self, req):
         if not self.answer_bytes:
             return super()._plain_response(req)
@@ -112,6 +120,8 @@
         app.route("/review/state", "POST", self._state)
         app.route("/review/put", "POST", self._put)
         app.route("/review/server", "POST", self._set_server)
+        app.route("/review/restart", "POST", self._restart_servers)
+        app.route("/review/silence", "POST", self._silence_server)
         self.store.put("keyed.op", "config", options["configuration"])
 
     def start(self):
@@ -142,6 +152,7 @@
                     for s in server.seen
                 ],
                 "running": server.running,
+                "up": server.up,
             }
             for name, server in self.servers.items()
         }
@@ -161,6 +172,18 @@
         body = bottle.request.json
         self.store.put(body["topic"], body["key"], body["value"])
 
+    def _restart_servers(self):
+        """Let servers crash and start again under their ids after ``down_s``."""
+        body = bottle.request.json
+        for name in body["servers"]:
+            self.servers[name].restart_s = body["down_s"]
+            gevent.spawn(self.servers[name].crash)
+
+    def _silence_server(self):
+        """Let the streams of a server stand still for a time."""
+        body = bottle.request.json
+        self.servers[body["server"]].silent_until = time.time() + body["for_s"]
+
     def _set_server(self):
         """Set attributes of the servers whose ids begin with ``prefix``."""
         body = bottle.request.json
