Let other tasks run while a node reads bytes without end

Cause: tasks give way when they wait, and a read of a socket that has data does not wait. The parsers below us loop over lines as long as there are any. Time limits and interrupts come from other tasks, so none took effect. A stream past its time was not ended either while it waited for its caller.

Evidence: no 'exchange interrupted' from the watch, which runs every 50 ms. Ruled out: a lost limit of the one exchange (the whole node stands still), and a queue (other connections and /-/readyz do not answer).

Fix: one reader for all HTTP messages (responses of servers, peers, probes, orders and the store; callers' requests), which pauses after 5 ms without a wait and bounds lines that follow each other without data.

--- a/packages/auburnwall-base/src/auburnwall/base/http.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http.py
@@ -8,6 +8,8 @@
 import urllib3
 from urllib3.exceptions import HTTPError, NewConnectionError
 
+from .http_reader import ConnectionPools
+
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 # Largest read from a response, in bytes.
@@ -65,7 +67,7 @@
 
 def new_pool(connections=64):
     """Return a pool for ``connections`` hosts, without retries or redirects."""
-    return urllib3.PoolManager(
+    return ConnectionPools(
         num_pools=connections,
         maxsize=8,
         retries=False,
--- /dev/null
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -0,0 +1,141 @@
+"""Reads HTTP messages from peers, which may send anything and without end.
+
+The parsers of the standard library, ``urllib3`` and ``gevent`` read lines and data from
+a file object. They loop as long as data is available, without a limit on their number
+and without letting other tasks run. A file object of this module adds the limits.
+"""
+
+import io
+import time
+from http.client import HTTPException, HTTPResponse
+
+import gevent
+from urllib3 import HTTPConnectionPool, PoolManager
+from urllib3.connection import HTTPConnection
+
+# Time after which a task that reads without waiting lets other tasks run, in seconds.
+MAX_TURN_S = 0.005
+# Time for the others then, in seconds. With a sleep of 0 the event loop would run this
+# task again and again before it looks at any socket.
+TURN_PAUSE_S = 0.001
+# A read that takes longer has waited for data, while other tasks could run, in seconds.
+MIN_WAIT_S = 0.001
+# Largest total size of lines that follow each other without data, in bytes: those of a
+# head with its interim responses, or those between two pieces of a body.
+MAX_LINES_BYTES = 256 * 1024
+
+
+class MessageTooLongError(HTTPException, OSError):
+    """A message, or its lines without data between them, exceed their limit."""
+
+
+class _TurnTakingReader(io.RawIOBase):
+    """Reads from ``raw`` and lets other tasks run if it never waits for data.
+
+    Timeouts and interrupts of the reading task take effect then. Once ``bytes_left`` is
+    used up, reads raise ``MessageTooLongError``; it is ``None`` without a limit.
+    """
+
+    def __init__(self, raw):
+        self.bytes_left = None
+        self._raw = raw
+        self._turn_began_at = time.monotonic()
+
+    def readable(self):
+        """Return true."""
+        return True
+
+    def fileno(self):
+        """Return the file descriptor of the socket."""
+        return self._raw.fileno()
+
+    def readinto(self, buffer):
+        """Read available data, or wait for some; return the number of bytes."""
+        started_at = time.monotonic()
+        if started_at - self._turn_began_at > MAX_TURN_S:
+            gevent.sleep(TURN_PAUSE_S)
+            started_at = self._turn_began_at = time.monotonic()
+        count = self._raw.readinto(buffer)
+        ended_at = time.monotonic()
+        if ended_at - started_at > MIN_WAIT_S:
+            self._turn_began_at = ended_at
+        if self.bytes_left is not None and count:
+            self.bytes_left -= count
+            if self.bytes_left < 0:
+                raise MessageTooLongError("the message is too long")
+        return count
+
+    def close(self):
+        """Close this reader and the one below it."""
+        self._raw.close()
+        super().close()
+
+
+class MessageReader(io.BufferedReader):
+    """A file object for a parser of HTTP messages.
+
+    ``buffered`` is the file object that a socket's ``makefile("rb")`` returns, from
+    which nothing has been read yet; it is not usable afterwards.
+    """
+
+    def __init__(self, buffered):
+        super().__init__(_TurnTakingReader(buffered.detach()))
+        self._lines_bytes = 0
+
+    def begin_message(self, max_bytes=None):
+        """Begin a further message, of up to ``max_bytes`` bytes if that is given.
+
+        Reads beyond that raise ``MessageTooLongError``.
+        """
+        self.raw.bytes_left = max_bytes
+        self._lines_bytes = 0
+
+    def readline(self, size=-1):
+        """Return the next line; raises ``MessageTooLongError`` beyond the limit."""
+        max_bytes = MAX_LINES_BYTES - self._lines_bytes + 1
+        line = super().readline(max_bytes if size < 0 else min(size, max_bytes))
+        self._lines_bytes += len(line)
+        if self._lines_bytes > MAX_LINES_BYTES:
+            raise MessageTooLongError(f"over {MAX_LINES_BYTES} bytes without data")
+        return line
+
+    def read(self, size=-1):
+        """Return up to ``size`` bytes of data, fewer only at the connection's end."""
+        self._lines_bytes = 0
+        return super().read(size)
+
+    def read1(self, size=-1):
+        """Return up to ``size`` bytes of data, with one read of the socket at most."""
+        self._lines_bytes = 0
+        return super().read1(size)
+
+    def readinto(self, buffer):
+        """Read data into ``buffer`` and return the number of bytes."""
+        self._lines_bytes = 0
+        return super().readinto(buffer)
+
+
+class _Response(HTTPResponse):
+    """The response below ``urllib3``'s, read by a ``MessageReader``."""
+
+    def __init__(self, sock, *args, **kwargs):
+        super().__init__(sock, *args, **kwargs)
+        self.fp = MessageReader(self.fp)
+
+
+class Connection(HTTPConnection):
+    """A connection of ``urllib3`` whose responses a ``MessageReader`` reads."""
+
+    response_class = _Response
+
+
+class _ConnectionPool(HTTPConnectionPool):
+    ConnectionCls = Connection
+
+
+class ConnectionPools(PoolManager):
+    """A ``PoolManager`` whose connections are those of this module."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.pool_classes_by_scheme = {"http": _ConnectionPool}
--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -7,7 +7,12 @@
 from gevent.pywsgi import WSGIHandler
 from gevent.socket import wait_read
 
+from auburnwall.base.http_reader import MAX_LINES_BYTES, MessageReader
+
 SOCKET_KEY = "auburnwall.socket"
+# Largest number of bytes in a request for each byte of its body: a chunk with one byte
+# has five bytes of framing, and some callers add an extension.
+MAX_BYTES_PER_BODY_BYTE = 16
 
 
 class CallerDisconnectedError(Exception):
@@ -46,11 +51,12 @@
         gevent.kill(request_task, CallerDisconnectedError("the caller disconnected"))
 
 
-def make_handler(write_stall_s):
+def make_handler(write_stall_s, max_body_bytes=0):
     """Return a request handler class for ``WSGIServer``.
 
     A write that takes longer than ``write_stall_s`` seconds raises
-    ``CallerStalledError``.
+    ``CallerStalledError``. A request whose framing is much longer than a body of
+    ``max_body_bytes`` needs is not read to its end.
     """
 
     class Handler(WSGIHandler):
@@ -59,6 +65,17 @@
         def __init__(self, sock, *args, **kwargs):
             sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
             super().__init__(sock, *args, **kwargs)
+            self.rfile = MessageReader(self.rfile)
+
+        def max_body_bytes(self):
+            """Return the size of the largest body that is read, in bytes."""
+            return max_body_bytes
+
+        def read_requestline(self):
+            """Wait for the next request and limit its size; raises ``OSError``."""
+            framed_bytes = MAX_BYTES_PER_BODY_BYTE * self.max_body_bytes()
+            self.rfile.begin_message(MAX_LINES_BYTES + framed_bytes)
+            return super().read_requestline()
 
         def get_environ(self):
             """Add the caller's socket for ``watch_disconnect``."""
--- a/packages/auburnwall-node/src/auburnwall/node/components.py
+++ b/packages/auburnwall-node/src/auburnwall/node/components.py
@@ -84,14 +84,15 @@
 
 def new_external_deps(cfg, stack):
     """Return the real backends; closing ``stack`` closes their connections."""
+    clock = SystemClock()
     claim_timeout_s = cfg.claim_timeout_s + CLAIM_TIMEOUT_MARGIN_S
     return ExternalDeps(
-        SystemClock(),
+        clock,
         random.Random(),
         stack.enter_context(closing(HttpLog(cfg.log_url))),
         HttpVmList(cfg.vm_list_url),
         HttpEngine(),
-        stack.enter_context(closing(Exchanges())),
+        stack.enter_context(closing(Exchanges(clock))),
         stack.enter_context(closing(PeerPool(timeout_s=PEER_TIMEOUT_S))),
         stack.enter_context(closing(PeerPool(timeout_s=claim_timeout_s))),
     )
--- a/packages/auburnwall-node/src/auburnwall/node/http.py
+++ b/packages/auburnwall-node/src/auburnwall/node/http.py
@@ -39,9 +39,10 @@
     """The HTTP server on the node's address."""
 
     def __init__(self, components):
-        handler = make_handler(components.cfg.write_stall_s)
+        cfg = components.cfg
+        handler = make_handler(cfg.write_stall_s, cfg.most_body_bytes)
         app = make_app(components)
-        self._server = new_server(components.cfg.address, app, handler_class=handler)
+        self._server = new_server(cfg.address, app, handler_class=handler)
 
     def start(self):
         """Start accepting connections."""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -2,7 +2,7 @@
 
 import json
 from contextlib import ExitStack
-from http.client import responses
+from http.client import HTTPException, responses
 
 import gevent
 from absl import logging
@@ -174,6 +174,10 @@
             sock.setsockopt(*option)
         super().__init__(sock, *args, **kwargs)
 
+    def max_body_bytes(self):
+        """Return the size of the largest body that is read, in bytes."""
+        return self.gateway.limits().body_bytes
+
     def read_requestline(self):
         """Wait for the next request within the idle timeout; raises ``OSError``."""
         with gevent.Timeout(self.gateway.limits().idle_s, OSError("idle")):
@@ -186,8 +190,11 @@
         the body is ambiguous.
         """
         limits = self.gateway.limits()
-        with gevent.Timeout(limits.header_s, HeaderLimitError(408)):
-            accepted = super().read_request(raw_requestline)
+        try:
+            with gevent.Timeout(limits.header_s, HeaderLimitError(408)):
+                accepted = super().read_request(raw_requestline)
+        except HTTPException as exc:
+            raise HeaderLimitError(431) from exc
         size = len(raw_requestline) + sum(
             len(name) + len(value) + HEADER_OVERHEAD_BYTES
             for name, value in self.headers.items()
--- a/packages/auburnwall-node/src/auburnwall/node/webserver.py
+++ b/packages/auburnwall-node/src/auburnwall/node/webserver.py
@@ -2,6 +2,7 @@
 
 from gevent.pywsgi import WSGIServer
 
+from auburnwall.base.http_reader import MessageTooLongError
 from auburnwall.base.logs import event
 from auburnwall.routing.exceptions import BadRequestError
 
@@ -35,13 +36,17 @@
     """Return the body of a request.
 
     ``length`` is the length that the request states, negative if it states none.
-    Raises ``BadRequestError`` with status 413 if the body has over ``max_bytes`` bytes.
+    Raises ``BadRequestError`` with status 413 if the body has over ``max_bytes`` bytes
+    or its chunks have no end.
     """
-    body = b"" if length > max_bytes else stream.read(max_bytes + 1)
+    try:
+        body = b"" if length > max_bytes else stream.read(max_bytes + 1)
+    except MessageTooLongError as exc:
+        raise _too_large(str(exc)) from exc
     if max(length, len(body)) > max_bytes:
-        raise BadRequestError(
-            f"the body is larger than {max_bytes} bytes",
-            status=413,
-            title="Body too large",
-        )
+        raise _too_large(f"the body is larger than {max_bytes} bytes")
     return body
+
+
+def _too_large(detail):
+    return BadRequestError(detail, status=413, title="Body too large")
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -18,7 +18,7 @@
 from .exceptions import ExchangeError
 from .forwarded import FORWARDED_BY, SERVERS_LEFT
 from .hop_by_hop import HOP_BY_HOP
-from .in_flight import FIRST_EVENT_STALL_TIMEOUT_S
+from .in_flight import FIRST_EVENT_STALL_TIMEOUT_S, DeadlineExceededError
 
 # How an exchange fails in ``urllib3``, or in the standard library below it, which
 # rejects bytes that are no response.
@@ -27,6 +27,9 @@
 MAX_EVENT_BYTES = 1024 * 1024
 # Largest response that is collected as a whole, in bytes.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Time after the deadline in which events that are ready are still passed on, in
+# seconds.
+MAX_LATE_S = 0.25
 # Socket read timeout; stalled exchanges are interrupted long before.
 READ_TIMEOUT_S = 60.0
 
@@ -130,9 +133,17 @@
     def events(self):
         """Yield bytes of one or more complete events as they arrive.
 
-        Raises ``ExchangeError`` if the stream is cut short.
+        Raises ``ExchangeError`` if the stream is cut short. Raises
+        ``DeadlineExceededError`` if it goes on for ``MAX_LATE_S`` after the deadline,
+        or after the first data that is read later, as the node may have been paused.
         """
+        late_since = None
         for data in self._chunks():
+            now = self._deps.clock.monotonic()
+            if now >= self._request.deadline:
+                late_since = now if late_since is None else late_since
+                if now - late_since > MAX_LATE_S:
+                    raise DeadlineExceededError("out of time", step="read stream")
             if events := self.splitter.feed(data):
                 self._deps.in_flight.note_progress(self.exchange)
                 yield events
--- a/packages/auburnwall-routing/src/auburnwall/routing/channels.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/channels.py
@@ -1,10 +1,10 @@
 """Persistent connections to backend servers, each for one request at a time."""
 
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.util.wait import wait_for_read
 
 from auburnwall.base.http import SOCKET_OPTIONS, is_refused
+from auburnwall.base.http_reader import Connection
 
 # Idle time after which a connection is not reused, where the server states none.
 IDLE_TIMEOUT_S = 4.0
@@ -29,7 +29,7 @@
         host, _, port = address.rpartition(":")
         self.server = server
         self.usable_until = 0.0
-        self.connection = HTTPConnection(
+        self.connection = Connection(
             host, int(port), timeout=connect_timeout_s, socket_options=SOCKET_OPTIONS
         )
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/exchange.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/exchange.py
@@ -7,6 +7,7 @@
 
 from contextlib import closing, contextmanager
 
+import gevent
 from urllib3.exceptions import HTTPError, NewConnectionError
 
 from auburnwall.base.http import new_pool, timeout
@@ -24,7 +25,8 @@
 class Exchanges:
     """Makes exchanges and owns the connections to backend servers."""
 
-    def __init__(self, connections=512):
+    def __init__(self, clock, connections=512):
+        self._clock = clock
         self._pool = new_pool(connections)
 
     def close(self):
@@ -71,8 +73,21 @@
             resp.release_conn()
 
     def exchange_complete(self, request, address, headers, read_timeout_s, body=None):
-        """Return the complete ``Answer`` of one exchange; raise ``ExchangeError``."""
-        with self.open(request, address, headers, read_timeout_s, body) as resp:
+        """Return the complete ``Answer`` of one exchange; raise ``ExchangeError``.
+
+        It must be complete by the request's deadline, or within ``read_timeout_s``.
+        """
+        total_s = max(read_timeout_s, request.deadline - self._clock.monotonic())
+        too_slow = ExchangeError(
+            f"no complete response within {total_s:.1f} s",
+            step="read answer",
+            peer=address,
+            sent=True,
+        )
+        with (
+            gevent.Timeout(total_s, too_slow),
+            self.open(request, address, headers, read_timeout_s, body) as resp,
+        ):
             data = resp.read(MAX_ANSWER_BYTES + 1)
             if len(data) > MAX_ANSWER_BYTES:
                 raise ExchangeError(
@@ -90,7 +105,7 @@
         does not show whether anything was sent. On a new connection, a failure to
         connect shows that nothing was. Raises ``ExchangeError``.
         """
-        with closing(Exchanges(connections=1)) as exchanges:
+        with closing(Exchanges(self._clock, connections=1)) as exchanges:
             return exchanges.exchange_complete(
                 request, address, headers, read_timeout_s
             )
--- a/packages/auburnwall-routing/src/auburnwall/routing/sse.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/sse.py
@@ -5,24 +5,29 @@
 from .event_stream import EventSplitter
 
 DONE = b"data: [DONE]\n\n"
+# Largest event, in bytes; longer ones are no events of a model engine.
+MAX_EVENT_BYTES = 1024 * 1024
 _END = b"\n\n"
 
 
 class TruncatedStreamError(Exception):
-    """A stream ended without its end marker."""
+    """A stream ended without its end marker, or an event does not end."""
 
 
 def split_events(chunks):
     """Yield complete events from chunks of bytes; one item may hold several events.
 
     All chunks are read, so that the connection can be reused. Bytes after the end
-    marker are dropped. Raises ``TruncatedStreamError`` if there is no end marker.
+    marker are dropped. Raises ``TruncatedStreamError`` if there is no end marker or an
+    event is larger than ``MAX_EVENT_BYTES``.
     """
     splitter, done = EventSplitter(), False
     for chunk in chunks:
         if not done and (events := splitter.feed(chunk)):
             yield events
             done = events.endswith(DONE)
+        elif splitter.pending_bytes > MAX_EVENT_BYTES:
+            raise TruncatedStreamError("an event is too large")
     if not done:
         raise TruncatedStreamError("the stream ended without its end marker")
 
