Take no message for whole that ends early

Cause: the standard library takes the end of the connection for the end of a head, and half a line for a line. All readers are built on it: answers of servers and peers, probes, orders, the store, callers' requests.

Ruled out: bodies without a length (the servers send one in each answer) and bytes of other answers (the bodies are empty).

Fix: the reader of all HTTP messages raises an error if the connection ends anywhere but before a message. Exchanges of the product's own interface read bodies to the end of their framing.

--- a/packages/auburnwall-base/src/auburnwall/base/http.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http.py
@@ -121,11 +121,16 @@
             redirect=False,
             preload_content=False,
         )
-        return _read_response(resp, limits.body_bytes)
+        return read_response(resp, limits.body_bytes)
 
 
-def _read_response(resp, max_bytes):
-    """Read the body and return the connection to its pool, or close it."""
+def read_response(resp, max_bytes):
+    """Return the complete ``Response`` and give the connection back to its pool.
+
+    ``resp`` is a response of ``urllib3`` whose head has been read. Closes the
+    connection and raises ``urllib3.exceptions.HTTPError`` if the body is cut short or
+    has over ``max_bytes`` bytes.
+    """
     complete, chunks, size = False, [], 0
     try:
         for chunk in resp.stream(READ_BYTES, decode_content=False):
--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -2,7 +2,8 @@
 
 The parsers of the standard library, ``urllib3`` and ``gevent`` read lines and data from
 a file object. They loop as long as data is available, without a limit on their number
-and without letting other tasks run. A file object of this module adds the limits.
+and without letting other tasks run, and take the end of the connection for the end of a
+head. A file object of this module adds the limits and tells the two ends apart.
 """
 
 import io
@@ -29,6 +30,10 @@
     """A message, or its lines without data between them, exceed their limit."""
 
 
+class IncompleteMessageError(HTTPException, ConnectionError):
+    """The connection ended within a message."""
+
+
 class _TurnTakingReader(io.RawIOBase):
     """Reads from ``raw`` and lets other tasks run if it never waits for data.
 
@@ -81,6 +86,7 @@
     def __init__(self, buffered):
         super().__init__(_TurnTakingReader(buffered.detach()))
         self._lines_bytes = 0
+        self._begun = False
 
     def begin_message(self, max_bytes=None):
         """Begin a further message, of up to ``max_bytes`` bytes if that is given.
@@ -89,11 +95,22 @@
         """
         self.raw.bytes_left = max_bytes
         self._lines_bytes = 0
+        self._begun = False
 
     def readline(self, size=-1):
-        """Return the next line; raises ``MessageTooLongError`` beyond the limit."""
+        """Return the next line, or its first ``size`` bytes if it is longer.
+
+        The line is empty if the connection has ended and no message has begun. Raises
+        ``IncompleteMessageError`` if the connection ends anywhere else, and
+        ``MessageTooLongError`` beyond the limit.
+        """
         max_bytes = MAX_LINES_BYTES - self._lines_bytes + 1
-        line = super().readline(max_bytes if size < 0 else min(size, max_bytes))
+        if size >= 0:
+            max_bytes = min(size, max_bytes)
+        line = super().readline(max_bytes)
+        if len(line) < max_bytes and not line.endswith(b"\n") and (line or self._begun):
+            raise IncompleteMessageError(f"the connection ended after {line[-64:]!r}")
+        self._begun = True
         self._lines_bytes += len(line)
         if self._lines_bytes > MAX_LINES_BYTES:
             raise MessageTooLongError(f"over {MAX_LINES_BYTES} bytes without data")
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -8,6 +8,7 @@
 from absl import logging
 
 from auburnwall.base.http import keepalive_options
+from auburnwall.base.http_reader import IncompleteMessageError
 from auburnwall.base.logs import event
 from auburnwall.routing.call import Call
 from auburnwall.routing.exceptions import UNKNOWN, RequestError
@@ -156,8 +157,8 @@
         self._stack.close()
 
 
-class HeaderLimitError(ValueError):
-    """A request head exceeds a limit; ``status`` is the response status."""
+class RequestHeadError(ValueError):
+    """A request head is cut off or exceeds a limit; ``status`` is the response's."""
 
     def __init__(self, status):
         super().__init__(responses[status])
@@ -186,21 +187,23 @@
     def read_request(self, raw_requestline):
         """Read the head of a request within its limits of time and size.
 
-        Raises ``HeaderLimitError`` beyond a limit, and ``ValueError`` if the length of
-        the body is ambiguous.
+        Raises ``RequestHeadError`` beyond a limit or if the head is cut off, and
+        ``ValueError`` if the length of the body is ambiguous.
         """
         limits = self.gateway.limits()
         try:
-            with gevent.Timeout(limits.header_s, HeaderLimitError(408)):
+            with gevent.Timeout(limits.header_s, RequestHeadError(408)):
                 accepted = super().read_request(raw_requestline)
+        except IncompleteMessageError as exc:
+            raise RequestHeadError(400) from exc
         except HTTPException as exc:
-            raise HeaderLimitError(431) from exc
+            raise RequestHeadError(431) from exc
         size = len(raw_requestline) + sum(
             len(name) + len(value) + HEADER_OVERHEAD_BYTES
             for name, value in self.headers.items()
         )
         if size > limits.header_bytes:
-            raise HeaderLimitError(431)
+            raise RequestHeadError(431)
         self._check_framing()
         return accepted
 
@@ -220,8 +223,8 @@
         super().handle_error(kind, value, traceback)
 
     def _handle_client_error(self, exc):
-        """Return status and response for a request head that exceeds a limit."""
-        if not isinstance(exc, HeaderLimitError):
+        """Return status and response for a request head that is not accepted."""
+        if not isinstance(exc, RequestHeadError):
             return super()._handle_client_error(exc)
         event("request head refused", status=exc.status, why=str(exc))
         head = f"HTTP/1.1 {_status_line(exc.status)}\r\nConnection: close\r\n"
--- a/packages/auburnwall-node/src/auburnwall/node/webserver.py
+++ b/packages/auburnwall-node/src/auburnwall/node/webserver.py
@@ -36,13 +36,15 @@
     """Return the body of a request.
 
     ``length`` is the length that the request states, negative if it states none.
-    Raises ``BadRequestError`` with status 413 if the body has over ``max_bytes`` bytes
-    or its chunks have no end.
+    Raises ``BadRequestError``: with status 413 if the body has over ``max_bytes`` bytes
+    or its chunks have no end, with status 400 if it is cut off or its chunks are bad.
     """
     try:
         body = b"" if length > max_bytes else stream.read(max_bytes + 1)
     except MessageTooLongError as exc:
         raise _too_large(str(exc)) from exc
+    except OSError as exc:
+        raise BadRequestError(f"the body is not complete: {exc}") from exc
     if max(length, len(body)) > max_bytes:
         raise _too_large(f"the body is larger than {max_bytes} bytes")
     return body
--- a/packages/auburnwall-routing/src/auburnwall/routing/exchange.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/exchange.py
@@ -10,7 +10,7 @@
 import gevent
 from urllib3.exceptions import HTTPError, NewConnectionError
 
-from auburnwall.base.http import new_pool, timeout
+from auburnwall.base.http import new_pool, read_response, timeout
 
 from .exceptions import ExchangeError
 from .hop_by_hop import HOP_BY_HOP
@@ -88,15 +88,8 @@
             gevent.Timeout(total_s, too_slow),
             self.open(request, address, headers, read_timeout_s, body) as resp,
         ):
-            data = resp.read(MAX_ANSWER_BYTES + 1)
-            if len(data) > MAX_ANSWER_BYTES:
-                raise ExchangeError(
-                    "the answer is too large",
-                    step="read answer",
-                    peer=address,
-                    sent=True,
-                )
-            return Answer(resp.status, forwardable(resp.headers), data)
+            resp = read_response(resp, MAX_ANSWER_BYTES)
+            return Answer(resp.status, forwardable(resp.headers), resp.data)
 
     def exchange_on_new_connection(self, request, address, headers, read_timeout_s):
         """Return the complete ``Answer`` of an exchange on a new connection.
