--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -1,5 +1,6 @@
 """Start and stop nodes on a stand-in of the users' platform, on loopback."""
 
+import base64
 import http.client
 import json
 import sys
@@ -72,8 +73,14 @@
         return self._out / f"{node}.conf"
 
     def put(self, topic, key, value):
-        """Write a record to the store, as an operator or a server does."""
-        self._post("/standin/put", {"topic": topic, "key": key, "value": value})
+        """Write a record to the store, as an operator or a server does.
+
+        ``value`` is a JSON object, ``None`` to remove the key, or bytes.
+        """
+        body = {"topic": topic, "key": key, "value": value}
+        if isinstance(value, bytes):
+            body.update(value=None, raw=base64.b64encode(value).decode())
+        self._post("/standin/put", body)
 
     def server_addresses(self):
         """Return the addresses of all backend servers."""
@@ -167,9 +174,13 @@
 
     def log_events(self, node):
         """Return the events that a node has logged."""
-        lines = (self._out / f"{node}.log").read_text("utf-8").splitlines()
+        lines = self.log_text(node).splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
+    def log_text(self, node):
+        """Return all that a node has written."""
+        return (self._out / f"{node}.log").read_text("utf-8")
+
     def wait(self, condition, description, timeout_s=START_TIMEOUT_S):
         """Wait until ``condition()`` is true.
 
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
@@ -157,7 +157,8 @@
         try:
             value = None if record.value is None else json.loads(record.value)
             self._store(record.key, value)
-        except (ValueError, TypeError) as exc:
+        except Exception as exc:
+            # Whatever is wrong with one record, the others must still be read.
             event("bad fleet record", key=record.key, why=repr(exc))
 
     def _store(self, key, value):
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
@@ -65,8 +65,8 @@
 class Registry:
     """Registrations of all servers, updated from a replica of their table.
 
-    ``decode`` returns the ``Registration`` for a record's key and value and raises
-    ``ValueError`` if the record cannot be decoded.
+    ``decode`` returns the ``Registration`` for a record's key and value and raises an
+    error, usually ``ValueError``, if the record cannot be decoded.
     """
 
     def __init__(self, replica, decode, clock):
@@ -142,7 +142,8 @@
             return
         try:
             entry = self._decode(record.key, record.value)
-        except ValueError as exc:
+        except Exception as exc:
+            # Whatever is wrong with one entry, the others must still be read.
             self._remove_bad(record, exc)
             return
         self._decode_errors.pop(record.key, None)
@@ -242,9 +243,10 @@
 
     def _remove_bad(self, record, exc):
         """Remove the server of an entry that cannot be decoded; log each error once."""
-        if self._decode_errors.get(record.key) != str(exc):
-            self._decode_errors[record.key] = str(exc)
-            event("bad registration", key=record.key, why=str(exc))
+        why = str(exc) or repr(exc)
+        if self._decode_errors.get(record.key) != why:
+            self._decode_errors[record.key] = why
+            event("bad registration", key=record.key, why=why)
         self._remove(record.key, "bad registration")
 
     def _remove(self, server, why):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/source.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/source.py
@@ -10,9 +10,9 @@
     ``table`` is the ``RouteTable`` of the current configuration, or ``None``.
     ``codec.evacuated_data_center(key)`` returns the data centre that a record takes out
     of service, or ``None``. ``codec.is_config(key)`` returns whether a record holds the
-    configuration. ``codec.decode_config(value)`` returns it as a ``RoutingConfig`` and
-    raises ``ValueError``. A configuration is applied only if its version is higher than
-    the current one.
+    configuration. ``codec.decode_config(value)`` returns it as a ``RoutingConfig`` or
+    raises an error, usually ``ValueError``. A configuration is applied only if its
+    version is higher than the current one.
     """
 
     def __init__(self, replica, codec):
@@ -48,8 +48,9 @@
     def _apply_config(self, record):
         try:
             config = self._codec.decode_config(record.value)
-        except ValueError as exc:
-            event("bad configuration", offset=record.offset, why=str(exc))
+        except Exception as exc:
+            # The configuration in force stays, and later ones must still be read.
+            event("bad configuration", offset=record.offset, why=str(exc) or repr(exc))
             return
         current = self.config
         if current is not None and config.version <= current.version:
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -3,7 +3,7 @@
 from http.client import HTTPException
 
 from urllib3 import HTTPHeaderDict
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
 from auburnwall.base.http import READ_BYTES
@@ -14,6 +14,7 @@
     pause_from_header,
 )
 
+from .channels import CONNECT_FAILURES
 from .event_stream import NumberedEventSplitter
 from .exceptions import ExchangeError
 from .forwarded import FORWARDED_BY, SERVERS_LEFT
@@ -177,17 +178,17 @@
             channel.close()
 
     def _connect(self):
-        candidate = self.candidate
-        channel, reused = self._deps.channels.take(candidate.server, candidate.address)
-        self._channel = channel
-        if not reused:
-            try:
+        candidate, channels = self.candidate, self._deps.channels
+        try:
+            channel, reused = channels.take(candidate.server, candidate.address)
+            self._channel = channel
+            if not reused:
                 channel.connect()
-            except (ConnectTimeoutError, NewConnectionError, OSError) as exc:
-                raise ExchangeError(
-                    str(exc), step="connect", peer=candidate.server, sent=False
-                ) from exc
-            self._note_connected()
+                self._note_connected()
+        except CONNECT_FAILURES as exc:
+            raise ExchangeError(
+                str(exc), step="connect", peer=candidate.server, sent=False
+            ) from exc
         # The connection applies this timeout to its socket before it sends and reads.
         channel.connection.timeout = READ_TIMEOUT_S
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/channels.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/channels.py
@@ -1,8 +1,11 @@
 """Persistent connections to backend servers, each for one request at a time."""
 
+from contextlib import closing
+
 from urllib3.exceptions import HTTPError
 from urllib3.util.wait import wait_for_read
 
+from auburnwall.base.addresses import split_address
 from auburnwall.base.http import SOCKET_OPTIONS, is_refused
 from auburnwall.base.http_reader import Connection
 
@@ -13,6 +16,9 @@
 IDLE_TIMEOUT_MARGIN_S = 0.5
 # Idle connections that are kept per server.
 MAX_IDLE_PER_SERVER = 6
+# How connecting fails: with an error of ``urllib3`` or of the socket, or because the
+# address cannot be used at all.
+CONNECT_FAILURES = (HTTPError, OSError, ValueError)
 # Shorter than the 1 s after which TCP retransmits a lost connection packet.
 CONNECT_TIMEOUT_S = 0.5
 # Timeout of the connection that shows whether a server has crashed, in seconds. The VM
@@ -26,15 +32,15 @@
     """A connection to one server incarnation, which may be reused when idle."""
 
     def __init__(self, server, address, connect_timeout_s):
-        host, _, port = address.rpartition(":")
+        host, port = split_address(address)
         self.server = server
         self.usable_until = 0.0
         self.connection = Connection(
-            host, int(port), timeout=connect_timeout_s, socket_options=SOCKET_OPTIONS
+            host, port, timeout=connect_timeout_s, socket_options=SOCKET_OPTIONS
         )
 
     def connect(self):
-        """Open the connection; raises a ``urllib3`` error or ``OSError`` on failure."""
+        """Open the connection; raises one of ``CONNECT_FAILURES``."""
         self.connection.connect()
 
     def close(self):
@@ -58,7 +64,8 @@
     def take(self, server, address):
         """Return a channel to a server and whether it is a reused connection.
 
-        A new channel is not connected yet.
+        A new channel is not connected yet. Raises one of ``CONNECT_FAILURES`` if the
+        address cannot be used.
         """
         idle = self._idle.get((server, address), [])
         while idle:
@@ -120,14 +127,13 @@
 
 def _connect_error(server, address, timeout_s):
     """Return why no connection to a server can be opened, ``None`` if one can be."""
-    channel = Channel(server, address, timeout_s)
     try:
-        channel.connect()
-    except (HTTPError, OSError) as exc:
+        channel = Channel(server, address, timeout_s)
+        with closing(channel):
+            channel.connect()
+    except CONNECT_FAILURES as exc:
         # An expected result, from which the caller draws its conclusion.
         return exc
-    finally:
-        channel.close()
     return None
 
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -158,7 +158,9 @@
 
     def _put_record(self):
         body = bottle.request.json
-        self.put(body["topic"], body["key"], body["value"])
+        raw = body.get("raw")
+        value = body["value"] if raw is None else base64.b64decode(raw)
+        self.put(body["topic"], body["key"], value)
 
 
 def _json_response(value, status=200):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,10 +1,12 @@
 """The store client against a stand-in: reads, conditional writes and lost responses."""
 
+import struct
 import unittest
 import unittest.mock
 
 import gevent
 
+from auburnwall.base.http import Response
 from auburnwall.platform import store as store_module
 from auburnwall.platform.store import StoreTables
 from auburnwall.state.exceptions import (
@@ -73,3 +75,38 @@
             self.client.append("fleet", [("a", b"1")])
         self.assertTrue(caught.exception.effect_possible)
         self.assertIn("a", self.standin.newest("keyed.auburnwall"))
+
+
+class OddResponseTests(unittest.TestCase):
+    """Guards against readers that end, or stop, at what they cannot read."""
+
+    def answer(self, data):
+        """Return a client whose calls all get a response with this body."""
+        resp = Response(200, {}, data)
+        self.enterContext(
+            unittest.mock.patch.object(store_module, "exchange", return_value=resp)
+        )
+        return StoreTables("127.0.0.1:9")
+
+    def test_record_without_a_key_is_left_out(self):
+        contents = [b"\x01a1", b"", b"\x05ab", b"\x01b2"]
+        frames = b"".join(struct.pack(">I", len(c)) + c for c in contents)
+        client = self.answer(struct.pack(">QQ", 24, 0) + frames)
+        batch = client.read("servers", 20, wait_s=0.0)
+        rows = [(r.offset, r.key, r.value) for r in batch.records]
+        self.assertEqual(rows, [(20, "a", b"1"), (23, "b", b"2")])
+        self.assertEqual(batch.end, 24)
+
+    def test_unreadable_responses_count_as_none(self):
+        bodies = [b"", b"x", b"[]", b"{}", b"[" * 5_000, b'{"End": 1, "Entries": 2}']
+        bodies.append(b'{"End": 1, "Entries": [{"Key": "a", "Offset": 0}]}')
+        bodies.append(struct.pack(">QQI", 1, 0, 9) + b"\x01")
+        for body in bodies:
+            client = self.answer(body)
+            with self.subTest(body=body[:40]):
+                with self.assertRaises(LogUnavailableError):
+                    client.newest("servers")
+                with self.assertRaises(LogUnavailableError):
+                    client.append("fleet", [("a", b"1")])
+                with self.assertRaises(LogUnavailableError):
+                    client.read("servers", 0, wait_s=0.0)
