Read numbers in headers without errors

What callers saw (tests/routed/test_odd_headers.py): 500 for a request whose X-Deadline-Ms, X-Token-Usage or X-Length-Hint holds digits of another alphabet or thousands of digits, and 500 instead of a server's answer whose Keep-Alive does.

Cause, the one of the odd entries on another path: str.isdigit accepts more than int does, and int fails for very long numbers.

Fix: one function reads such numbers, up to a limit. Token counts stay within the 32 bits in which brokers get them. A body nested too deeply at the product's own interface is a bad request.

--- a/packages/auburnwall-node/src/auburnwall/node/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/gateway.py
@@ -3,6 +3,7 @@
 import json
 from uuid import uuid4
 
+from auburnwall.base.digits import parse_digits
 from auburnwall.base.tasks import run_restarting
 from auburnwall.routing.call import bearer_key
 from auburnwall.routing.completions import DEADLINE_HEADER
@@ -294,11 +295,12 @@
         time_left_s = cfg.default_deadline_s
         raw = headers.get(DEADLINE_HEADER)
         if raw is not None:
-            if not raw.isdigit() or int(raw) == 0:
+            left_ms = parse_digits(raw, int(1000 * cfg.most_deadline_s))
+            if not left_ms:
                 raise BadRequestError(
                     f"{DEADLINE_HEADER}: {raw!r} is not a number of milliseconds"
                 )
-            time_left_s = min(int(raw) / 1000, cfg.most_deadline_s)
+            time_left_s = left_ms / 1000
         return self._components.clock.monotonic() + time_left_s
 
 
@@ -324,7 +326,7 @@
     """
     try:
         value = json.loads(body)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise BadRequestError(f"the body is not JSON: {exc}") from exc
     if not isinstance(value, dict):
         raise BadRequestError("the body is not a JSON object")
@@ -335,8 +337,9 @@
     raw = headers.get(PRIORITY_HEADER)
     if raw is None:
         return DEFAULT_PRIORITY
-    if not raw.isdigit() or int(raw) > MAX_PRIORITY:
+    priority = parse_digits(raw, MAX_PRIORITY + 1)
+    if priority is None or priority > MAX_PRIORITY:
         raise BadRequestError(
             f"{PRIORITY_HEADER}: {raw!r} is not a number from 0 to {MAX_PRIORITY}"
         )
-    return int(raw)
+    return priority
--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -2,6 +2,7 @@
 
 from uuid import uuid4
 
+from auburnwall.base.digits import parse_digits
 from auburnwall.routing.call import (
     RoutedRequest,
     fingerprint_of,
@@ -18,6 +19,8 @@
 # Retry-After of a node that has no configuration yet, in seconds. A node takes about
 # this long to start.
 STARTING_RETRY_AFTER_S = 0.5
+# Largest deadline of a caller, in milliseconds; a route has a limit of its own.
+MAX_DEADLINE_MS = 10**9
 # Retry-After of a stopping node, in seconds. It is short, as the caller retries at
 # another node.
 STOPPING_RETRY_AFTER_S = 0.05
@@ -165,11 +168,12 @@
         raw = call.header(self._header_names.deadline_ms)
         if raw is None:
             return call.arrived_at + route.timeout_s, 0.0
-        if not raw.isdigit():
+        left_ms = parse_digits(raw, MAX_DEADLINE_MS)
+        if left_ms is None:
             raise BadRequestError(
                 f"{self._header_names.deadline_ms}: {raw!r} is not a number"
             )
-        left_s = int(raw) / 1000
+        left_s = left_ms / 1000
         elapsed_s = self._retried_calls.elapsed_s(
             (route.host, route.path_prefix), left_s
         )
--- a/packages/auburnwall-routing/src/auburnwall/routing/call.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/call.py
@@ -4,8 +4,12 @@
 import re
 from typing import NamedTuple
 
+from auburnwall.base.digits import parse_digits
+
 from .step_model import Work
 
+# Largest number of tokens that a call may state; peers get such numbers in 32 bits.
+MAX_TOKENS = 10**8
 # Largest number of parts in a prompt, and the form of a part's ID.
 MAX_PROMPT_PARTS = 64
 PART_ID = re.compile(r"[0-9A-Za-z_.-]{1,64}")
@@ -129,16 +133,12 @@
     prompt, answer = engine.mean_prompt_tokens, engine.mean_response_tokens
     token_counts = (call.header(header_names.tokens) or "").split(",")
     hinted_answer = call.header(header_names.answer_hint) or ""
-    if len(token_counts) == 2 and all(
-        count.strip().isdigit() for count in token_counts
-    ):
-        prompt, answer = int(token_counts[0]), int(token_counts[1])
-    if hinted_answer.isdigit():
-        answer = (
-            min(answer, int(hinted_answer))
-            if len(token_counts) == 2
-            else int(hinted_answer)
-        )
+    counts = [parse_digits(count.strip(), MAX_TOKENS) for count in token_counts]
+    if len(counts) == 2 and None not in counts:
+        prompt, answer = counts
+    hinted = parse_digits(hinted_answer, MAX_TOKENS)
+    if hinted is not None:
+        answer = min(answer, hinted) if len(token_counts) == 2 else hinted
     return Work(prompt, max(1, answer))
 
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/channels.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/channels.py
@@ -6,11 +6,14 @@
 from urllib3.util.wait import wait_for_read
 
 from auburnwall.base.addresses import split_address
+from auburnwall.base.digits import parse_digits
 from auburnwall.base.http import SOCKET_OPTIONS, is_refused
 from auburnwall.base.http_reader import Connection
 
 # Idle time after which a connection is not reused, where the server states none.
 IDLE_TIMEOUT_S = 4.0
+# Longest idle time that a server can state, in seconds.
+MAX_STATED_IDLE_S = 3_600
 # Subtracted from the idle time that a server states, because the server starts to
 # count at another moment.
 IDLE_TIMEOUT_MARGIN_S = 0.5
@@ -146,6 +149,8 @@
         return 0.0
     for part in headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return min(IDLE_TIMEOUT_S, int(value) - IDLE_TIMEOUT_MARGIN_S)
+        if name.lower() == "timeout":
+            stated_s = parse_digits(value, MAX_STATED_IDLE_S)
+            if stated_s is not None:
+                return min(IDLE_TIMEOUT_S, stated_s - IDLE_TIMEOUT_MARGIN_S)
     return IDLE_TIMEOUT_S
