Believe a refusal only if it bears the request's own id

Bookings that had run were answered 503 (not run), or sent to a second server. A 408, 429 or 503 of a server that does not state that it has not run the request was passed on, which promises that. An order took the late copy of an earlier outcome for its own.

Cause: refusals without an id counted, and what a response says of its server was recorded before its id was checked.

Ruled out: copies after an answer, in one piece or a moment later (the connection is closed or checked), and copies with an earlier id (an error already, but for the pause that they named).

Fix: a response without the request's own id says nothing. Statuses that promise what the server does not state become 502. A connection on which more has arrived than a response is not used again. A request without an id is a bad request.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -43,6 +43,7 @@
 
     def __init__(self, raw):
         self.bytes_left = None
+        self.bytes_read = 0
         self._raw = raw
         self._turn_began_at = time.monotonic()
 
@@ -64,6 +65,7 @@
         ended_at = time.monotonic()
         if ended_at - started_at > MIN_WAIT_S:
             self._turn_began_at = ended_at
+        self.bytes_read += count or 0
         if self.bytes_left is not None and count:
             self.bytes_left -= count
             if self.bytes_left < 0:
@@ -84,7 +86,9 @@
     """
 
     def __init__(self, buffered):
-        super().__init__(_TurnTakingReader(buffered.detach()))
+        self._socket_reader = _TurnTakingReader(buffered.detach())
+        super().__init__(self._socket_reader)
+        self._bytes_parsed = 0
         self._lines_bytes = 0
         self._begun = False
 
@@ -93,10 +97,15 @@
 
         Reads beyond that raise ``MessageTooLongError``.
         """
-        self.raw.bytes_left = max_bytes
+        self._socket_reader.bytes_left = max_bytes
         self._lines_bytes = 0
         self._begun = False
 
+    @property
+    def unread_bytes(self):
+        """Return how many bytes have arrived that no parser has read."""
+        return self._socket_reader.bytes_read - self._bytes_parsed
+
     def readline(self, size=-1):
         """Return the next line, or its first ``size`` bytes if it is longer.
 
@@ -108,6 +117,7 @@
         if size >= 0:
             max_bytes = min(size, max_bytes)
         line = super().readline(max_bytes)
+        self._bytes_parsed += len(line)
         if len(line) < max_bytes and not line.endswith(b"\n") and (line or self._begun):
             raise IncompleteMessageError(f"the connection ended after {line[-64:]!r}")
         self._begun = True
@@ -118,18 +128,23 @@
 
     def read(self, size=-1):
         """Return up to ``size`` bytes of data, fewer only at the connection's end."""
-        self._lines_bytes = 0
-        return super().read(size)
+        return self._count(super().read(size))
 
     def read1(self, size=-1):
         """Return up to ``size`` bytes of data, with one read of the socket at most."""
-        self._lines_bytes = 0
-        return super().read1(size)
+        return self._count(super().read1(size))
 
     def readinto(self, buffer):
         """Read data into ``buffer`` and return the number of bytes."""
         self._lines_bytes = 0
-        return super().readinto(buffer)
+        count = super().readinto(buffer)
+        self._bytes_parsed += count
+        return count
+
+    def _count(self, data):
+        self._lines_bytes = 0
+        self._bytes_parsed += len(data)
+        return data
 
 
 class _Response(HTTPResponse):
@@ -141,9 +156,29 @@
 
 
 class Connection(HTTPConnection):
-    """A connection of ``urllib3`` whose responses a ``MessageReader`` reads."""
+    """A connection of ``urllib3`` whose responses a ``MessageReader`` reads.
 
-    response_class = _Response
+    It counts as closed, and is not reused, if the peer has sent more than a response.
+    """
+
+    _last_reader = None
+
+    def response_class(self, *args, **kwargs):
+        """Return the response that is read next; the base class calls this."""
+        resp = _Response(*args, **kwargs)
+        self._last_reader = resp.fp
+        return resp
+
+    @property
+    def is_connected(self):
+        """Return whether the connection is open and nothing is left to read."""
+        reader = self._last_reader
+        return (reader is None or not reader.unread_bytes) and super().is_connected
+
+    def close(self):
+        """Close the connection; a new one may be opened."""
+        self._last_reader = None
+        super().close()
 
 
 class _ConnectionPool(HTTPConnectionPool):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -119,6 +119,9 @@
         return team
 
     def _new_request(self, config, route, team, call):
+        if not call.header(self._header_names.request_id):
+            # Servers refuse such a request, and no response could be told to be its.
+            raise BadRequestError(f"{self._header_names.request_id} is missing")
         service = pick_target(route, self._rng)
         engine = config.services[service].engine if service in config.services else None
         model = (call.header(self._header_names.model) or "") if engine else ""
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -31,6 +31,8 @@
 # Time after the deadline in which events that are ready are still passed on, in
 # seconds.
 MAX_LATE_S = 0.25
+# Statuses that promise a caller that its request has not run and will not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Socket read timeout; stalled exchanges are interrupted long before.
 READ_TIMEOUT_S = 60.0
 
@@ -70,7 +72,7 @@
         Raises ``ExchangeError`` if the server fails or the response is not valid.
         """
         self._connect()
-        request, call = self._request, self._request.call
+        call = self._request.call
         try:
             with self._awaiting_server():
                 self._channel.connection.request(
@@ -85,16 +87,24 @@
         except EXCHANGE_FAILURES as exc:
             raise self._failure(exc, "send") from exc
         self.status, self.headers = self._resp.status, self._resp.headers
+        self._check_id()
         self._note_notices()
-        self._check_head(request.request_id)
+        self._check_head()
         self._note_limit()
 
     @property
     def not_run(self):
-        """Return whether the server states that it did not run the request."""
+        """Return whether the server states that it did not run the request.
+
+        Only a response that bears the request's own id is such a statement.
+        """
         if self.headers is None:
             return False
-        return self.status == 421 or self._deps.header_names.not_run in self.headers
+        return self.status == 421 or self._states_not_run
+
+    @property
+    def _states_not_run(self):
+        return self._deps.header_names.not_run in self.headers
 
     @property
     def pause_s(self):
@@ -269,15 +279,36 @@
             asked_at=self.exchange.started_at,
         )
 
-    def _check_head(self, request_id):
+    def _check_id(self):
+        """Raise ``ExchangeError`` unless the response is to this request.
+
+        A server may write a response once more, also a refusal, on a connection that is
+        in use again. Nothing in a response to another request, or to an unknown one,
+        says anything of this one.
+        """
+        echoed = self.headers.get(self._deps.header_names.request_id)
+        if echoed != self._request.request_id:
+            raise self._error(
+                f"the answer, status {self.status}, is for {echoed!r}", "check answer"
+            )
+
+    def _check_head(self):
         header_names = self._deps.header_names
-        echoed = self.headers.get(header_names.request_id)
-        if echoed != request_id and not (echoed is None and self.not_run):
-            raise self._error(f"the answer is for {echoed!r}", "check answer")
         if "Content-Encoding" in self.headers:
             raise self._error("the answer is encoded", "check answer")
         if 200 <= self.status < 300 and header_names.seal not in self.headers:
             raise self._error("the answer has no seal", "check answer")
+        if self.status < 400 and self._states_not_run:
+            raise self._error("a success that has not run", "check answer")
+        if self.status in NOT_RUN_STATUSES and not self.may_refuse:
+            # The status alone would promise the caller what the server does not state.
+            detail = f"status {self.status} without the statement that it has not run"
+            raise self._error(detail, "check answer")
+
+    @property
+    def may_refuse(self):
+        """Return whether the response may promise that the request has not run."""
+        return self.not_run
 
     def _chunks(self):
         """Yield the body as it arrives.
--- a/packages/auburnwall-routing/src/auburnwall/routing/channels.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/channels.py
@@ -3,7 +3,6 @@
 from contextlib import closing
 
 from urllib3.exceptions import HTTPError
-from urllib3.util.wait import wait_for_read
 
 from auburnwall.base.addresses import split_address
 from auburnwall.base.digits import parse_digits
@@ -52,8 +51,7 @@
 
     def is_clean(self):
         """Return whether the connection is open and has no unexpected data to read."""
-        sock = self.connection.sock
-        return sock is not None and not wait_for_read(sock, timeout=0.0)
+        return self.connection.is_connected
 
 
 class ChannelPool:
--- a/packages/auburnwall-routing/src/auburnwall/routing/detour.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/detour.py
@@ -111,6 +111,11 @@
         """Return false: a refusal of the peer is passed on to the caller."""
         return False
 
+    @property
+    def may_refuse(self):
+        """Return whether no earlier attempt of this node may have run the request."""
+        return self._servers_left == self._request.route.max_servers
+
     def limit_silence(self, *, may_reroute):
         """Let the deadline or the loss of the peer end the wait for it."""
         peer, is_live = self.candidate.name, self._deps.placer.is_live
--- a/standins/modelserver.py
+++ b/standins/modelserver.py
@@ -25,9 +25,10 @@
     seal header), ``"foreign"`` (the ID of another request), ``"short"`` (a body shorter
     than its Content-Length), ``"fail"`` (500), ``"pause"`` (refuses with 503 and wants
     no request for ``pause_s``), ``"leaving"`` (says in all responses that it leaves),
-    ``"endless-head"`` or ``"endless-body"`` (bytes that are no response, without end),
-    ``"drip"`` (parts of an event that is never complete) or ``"twice"`` (a second copy
-    of the response, a moment later).
+    ``"contradiction"`` (a success that says that it has not run), ``"endless-head"`` or
+    ``"endless-body"`` (bytes that are no response, without end), ``"drip"`` (parts of
+    an event that is never complete) or ``"twice"`` (a second copy of the response, a
+    moment later).
 
     Responses have neither a length nor chunks if ``unframed_end`` says how they end:
     ``"whole"``, ``"torn"`` (a stream within its third event), ``"empty"`` (a stream
@@ -63,6 +64,8 @@
         self.events = 10
         self.join_s = 0.1
         self.pause_s = 1.0
+        # Status of the responses to requests that have run.
+        self.run_status = 200
         self.unframed_end = None
         self.crash_part = self.crash_path = None
         self.crashes = []
@@ -258,6 +261,9 @@
         if "fail" in self.faults:
             resp.status = 500
             return b"failed"
+        if "contradiction" in self.faults:
+            resp.headers["X-Not-Executed"] = "1"
+        resp.status = self.run_status
         if "drip" in self.faults:
             return self._dripping_stream()
         if "twice" in self.faults:
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -158,6 +158,7 @@
         self.in_flight = InFlightRequests(clock, view.suspects.suspect)
         view.in_flight = self.in_flight
         self.registry = view.registry
+        self.notices = view.notices
         gates = (
             WarmupGate("n1", lambda: ["n1"], clock),
             RateLimitGate("n1", lambda: ["n1"], clock),
--- a/tests/routed/test_mechanisms.py
+++ b/tests/routed/test_mechanisms.py
@@ -111,9 +111,14 @@
         self.assertEqual(self.status_with_fault("unsealed", "/move/x"), 502)
         self.assertEqual(self.status_with_fault("cut", "/once/x"), 0)
 
-    def test_foreign_responses_pass_without_the_check_of_the_head(self):
-        with mock.patch.object(Attempt, "_check_head", lambda *args: None):
+    def test_foreign_responses_pass_without_the_check_of_the_id(self):
+        with mock.patch.object(Attempt, "_check_id", lambda *args: None):
             self.assertEqual(self.status_with_fault("foreign", "/move/x"), 200)
+            self.assertEqual(self.status_with_fault("unsealed", "/move/x"), 502)
+
+    def test_unsealed_responses_pass_without_the_check_of_the_head(self):
+        with mock.patch.object(Attempt, "_check_head", lambda *args: None):
+            self.assertEqual(self.status_with_fault("foreign", "/move/x"), 502)
             self.assertEqual(self.status_with_fault("unsealed", "/move/x"), 200)
 
     def test_truncated_streams_pass_without_the_check_of_the_end(self):
