Continue a stream only with its own next event

Cause: each 2xx of the next server counted as a continuation, and what ended with an empty line as events. Nothing related the new run to the last event.

Ruled out: answers with other statuses and broken connections (no harm), and what the node writes itself (a failed stream ends with its connection).

Fix: a continuation has status 200, the type of an event stream if it names one, and begins with the event after the last one. Ids must rise once there are any. A continuation without an event is none. The product's own interface takes only lines of events.

--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -15,7 +15,7 @@
 )
 
 from .channels import CONNECT_FAILURES
-from .event_stream import NumberedEventSplitter
+from .event_stream import NumberedEventSplitter, is_event_stream
 from .exceptions import ExchangeError
 from .forwarded import FORWARDED_BY, SERVERS_LEFT
 from .hop_by_hop import HOP_BY_HOP
@@ -40,8 +40,8 @@
 class Attempt:
     """Owns a slot and a channel until the exchange is over.
 
-    If ``last_id`` is not ``None``, the server is asked to resume a stream after the
-    event with that id. While the attempt waits for its server, ``in_flight`` may
+    If ``resume_at`` is not ``None``, the server is asked to resume a stream after that
+    ``StreamPosition``. While the attempt waits for its server, ``in_flight`` may
     interrupt it with ``StalledError`` or ``DeadlineExceededError``. ``servers_left`` is
     to how many servers the request may still be sent, this one included.
     """
@@ -51,15 +51,15 @@
     # the server.
     max_idle_s = None
 
-    def __init__(self, deps, request, placement, last_id, servers_left):
+    def __init__(self, deps, request, placement, resume_at, servers_left):
         self.status = 0
         self.headers = None
         self.candidate = placement.candidate
-        self.splitter = NumberedEventSplitter()
+        self.splitter = NumberedEventSplitter(resume_at)
         self._deps = deps
         self._request = request
         self._placement = placement
-        self._last_id = last_id
+        self._last_id = resume_at.last_id if resume_at else None
         self._servers_left = servers_left
         self._channel = None
         self._resp = None
@@ -106,6 +106,11 @@
     def _states_not_run(self):
         return self._deps.header_names.not_run in self.headers
 
+    @property
+    def is_event_stream(self):
+        """Return whether the response is one that may hold the events of a stream."""
+        return self.status == 200 and is_event_stream(self.headers)
+
     @property
     def pause_s(self):
         """Return for how many seconds the server wants no request, or ``None``."""
@@ -144,7 +149,8 @@
     def events(self):
         """Yield bytes of one or more complete events as they arrive.
 
-        Raises ``ExchangeError`` if the stream is cut short. Raises
+        Raises ``ExchangeError`` if the stream is cut short or goes on with something
+        else than its next event. Raises
         ``DeadlineExceededError`` if it goes on for ``MAX_LATE_S`` after the deadline,
         or after the first data that is read later, as the node may have been paused.
         """
@@ -160,6 +166,8 @@
                 yield events
             elif self.splitter.pending_bytes > MAX_EVENT_BYTES:
                 raise self._error("an event is too large", "read stream")
+            if self.splitter.fault:
+                raise self._error(self.splitter.fault, "read stream")
         if self.splitter.pending:
             raise self._error("the stream ended within an event", "read stream")
         if not self._complete and not self.splitter.count:
--- a/packages/auburnwall-routing/src/auburnwall/routing/completions.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/completions.py
@@ -12,6 +12,7 @@
 from auburnwall.base.http import READ_BYTES
 from auburnwall.base.logs import event
 
+from .event_stream import is_event_stream
 from .exceptions import UNKNOWN, ExchangeError, RequestError
 from .sse import DONE, TruncatedStreamError, error_event, split_events, text_of
 
@@ -101,6 +102,13 @@
         ) as resp:
             if resp.status != 200:
                 self._raise_backend_error(resp.status, resp.read(4096), slot.group_view)
+            if not is_event_stream(resp.headers):
+                raise ExchangeError(
+                    f"the type is {resp.headers.get('Content-Type')}",
+                    step="read stream",
+                    peer=slot.group_view.name,
+                    sent=True,
+                )
             try:
                 yield from split_events(resp.stream(READ_BYTES))
             except TruncatedStreamError as exc:
--- a/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
@@ -1,9 +1,26 @@
 """Splits a stream of bytes into complete server-sent events."""
 
+from typing import NamedTuple
+
+from auburnwall.base.digits import parse_digits
+
+# Largest id of an event that is taken for a number.
+MAX_EVENT_NUMBER = 10**17
+# Characters of an unexpected id that are logged.
+MAX_LOGGED_ID_CHARS = 40
+
+EVENT_STREAM_TYPE = "text/event-stream"
+
 _EVENT_END = b"\n\n"
 _ID_FIELD = b"id:"
 
 
+def is_event_stream(headers):
+    """Return whether a response with these headers may hold the events of a stream."""
+    content_type = headers.get("Content-Type", EVENT_STREAM_TYPE)
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
+
+
 class EventSplitter:
     """Collects the bytes of a stream and returns complete events.
 
@@ -36,35 +53,105 @@
         return complete
 
 
+class StreamPosition(NamedTuple):
+    """How far a stream has come: the id of its last event, ``None`` before the first.
+
+    ``is_consecutive`` is whether each id up to there was one more than the last.
+    """
+
+    last_id: str | None
+    is_consecutive: bool
+
+
 class NumberedEventSplitter(EventSplitter):
-    """Also counts the events and remembers the last event id.
+    """Also counts the events and checks their ids, which must increase.
+
+    Once an event had an id, one without an id or with one that is not greater does not
+    belong to the stream. Then ``fault`` says why, and nothing is returned from there
+    on. Comments need no id. With ``resumed_at``, a ``StreamPosition``, this is the
+    continuation of a stream: also its first event needs an id that follows, and
+    comments before it are left out.
 
     >>> splitter = NumberedEventSplitter()
     >>> splitter.feed(b"id: 4\\ndata: x\\n\\nid: 5\\nda")
     b'id: 4\\ndata: x\\n\\n'
     >>> splitter.last_id, splitter.count
     ('4', 1)
+    >>> splitter.feed(b"ta: y\\n\\nid: 2\\ndata: z\\n\\n"), splitter.fault
+    (b'id: 5\\ndata: y\\n\\n', 'event 2 after event 5')
     """
 
-    def __init__(self):
+    def __init__(self, resumed_at=None):
         super().__init__()
-        self.last_id = None
+        self.position = resumed_at or StreamPosition(None, True)
         self.count = 0
+        self.fault = None
+        self._is_resumed = resumed_at is not None
 
     def feed(self, data):
         """Return the bytes of all events that are complete now, possibly none."""
-        complete = super().feed(data)
-        if complete:
-            self.last_id = _last_id(complete) or self.last_id
-            self.count += complete.count(_EVENT_END)
-        return complete
+        complete, begin, end = super().feed(data), 0, 0
+        while end < len(complete) and not self.fault:
+            next_end = complete.index(_EVENT_END, end) + len(_EVENT_END)
+            self.fault = self._fault_of(complete[end:next_end])
+            if not self.fault:
+                end = next_end
+            if self._is_resumed and not self.count:
+                begin = end
+        return complete[begin:end]
 
+    @property
+    def last_id(self):
+        """Return the id of the last event, ``None`` without one."""
+        return self.position.last_id
 
-def _last_id(events):
-    at = events.rfind(_ID_FIELD)
-    while at > 0 and events[at - 1 : at] != b"\n":
-        at = events.rfind(_ID_FIELD, 0, at)
-    if at < 0:
+    def _fault_of(self, event_bytes):
+        """Count an event; return why it does not belong here, ``None`` if it does."""
+        event_id = _id_of(event_bytes)
+        if event_id is None and _is_comment(event_bytes):
+            return None
+        last_id = self.position.last_id
+        if event_id is None:
+            if self._is_resumed or last_id is not None:
+                return f"an event without an id after event {last_id}"
+        elif last_id is not None and not self._may_follow(event_id):
+            return f"event {event_id[:MAX_LOGGED_ID_CHARS]} after event {last_id}"
+        else:
+            follows = _number_of(event_id) == (_number_of(last_id or "0") or 0) + 1
+            is_consecutive = follows and (
+                self.position.is_consecutive or not self.count
+            )
+            self.position = StreamPosition(event_id, is_consecutive)
+        self.count += 1
         return None
-    line = events[at + len(_ID_FIELD) :].partition(b"\n")[0]
-    return line.strip().decode("latin-1")
+
+    def _may_follow(self, event_id):
+        """Return whether an event with this id may be the next one."""
+        number, last = _number_of(event_id), _number_of(self.position.last_id)
+        if number is None or last is None:
+            # Ids of another form have no order.
+            return number is None and last is None and event_id != self.position.last_id
+        if self._is_resumed and not self.count and self.position.is_consecutive:
+            return number == last + 1
+        return number > last
+
+
+def _id_of(event_bytes):
+    """Return the id in the bytes of an event, ``None`` without one."""
+    at = 0
+    if not event_bytes.startswith(_ID_FIELD):
+        at = event_bytes.find(b"\n" + _ID_FIELD) + 1
+        if not at:
+            return None
+    line = event_bytes[at + len(_ID_FIELD) :].partition(b"\n")[0]
+    return line.strip().decode("latin-1") or None
+
+
+def _number_of(event_id):
+    return parse_digits(event_id, MAX_EVENT_NUMBER)
+
+
+def _is_comment(event_bytes):
+    """Return whether the bytes hold nothing but comments."""
+    lines = event_bytes.split(b"\n")
+    return all(not line or line.startswith(b":") for line in lines)
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -115,12 +115,12 @@
         Each item holds one or more complete events. Raises ``RequestError`` if the
         stream can't be resumed.
         """
-        last_id, caller_has_events, count = None, False, 0
+        position, caller_has_events, count = None, False, 0
         while True:
             try:
                 try:
                     for event_bytes in attempt.events():
-                        last_id = attempt.splitter.last_id or last_id
+                        position = attempt.splitter.position
                         attempts.record_events(attempt)
                         if not caller_has_events:
                             attempts.keep_first_head(attempt)
@@ -128,6 +128,9 @@
                         yield event_bytes
                     if not caller_has_events:
                         attempts.keep_first_head(attempt)
+                    elif not attempt.splitter.count:
+                        # A stream that breaks off before its end has more events.
+                        raise _no_continuation(attempt, "no further event")
                     attempts.log_response(attempt, "streamed")
                     count += attempt.splitter.count
                     self._note_stream(attempts.request, count)
@@ -137,34 +140,38 @@
             finally:
                 attempt.close()
             count += attempt.splitter.count
-            attempt = self._resume(attempts, last_id, caller_has_events)
+            attempt = self._resume(attempts, position, caller_has_events)
 
-    def _resume(self, attempts, last_id, caller_has_events):
-        """Return the attempt that resumes the stream after event ``last_id``.
+    def _resume(self, attempts, position, caller_has_events):
+        """Return the attempt that resumes the stream after ``position``.
 
         Raises ``RequestError`` if the caller has events but none had an id, because
         the point to resume from is then unknown.
         """
-        if caller_has_events and last_id is None:
+        if caller_has_events and position.last_id is None:
             raise attempts.unresumable_error()
         while True:
             attempt = attempts.next_attempt(
-                last_id, RESUME_WINDOW_S if caller_has_events else None
+                position, RESUME_WINDOW_S if caller_has_events else None
             )
-            if 200 <= attempt.status < 300:
+            is_success = 200 <= attempt.status < 300
+            if attempt.is_event_stream if caller_has_events else is_success:
                 return attempt
             attempt.close()
+            content_type = attempt.headers.get("Content-Type")
+            detail = f"status {attempt.status}, type {content_type}"
             attempts.check_retry_after_failure(
-                attempt,
-                ExchangeError(
-                    f"status {attempt.status}",
-                    step="resume",
-                    peer=attempt.candidate.server,
-                    sent=True,
-                ),
+                attempt, _no_continuation(attempt, detail)
             )
 
 
+def _no_continuation(attempt, detail):
+    """Return the error for a response that does not continue a stream."""
+    return ExchangeError(
+        detail, step="resume", peer=attempt.candidate.server, sent=True
+    )
+
+
 class _StreamBody:
     """Iterates over the bytes of a stream; ``close`` ends the attempt in flight."""
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -10,6 +10,7 @@
 from .call import is_fingerprint
 from .crash_evidence import Suspect
 from .detour import DetourAttempt
+from .event_stream import StreamPosition
 from .exceptions import NOT_RUN, UNKNOWN, ExchangeError, OverloadedError, RequestError
 from .hop_by_hop import HOP_BY_HOP
 from .in_flight import DeadlineExceededError, StalledError
@@ -34,7 +35,9 @@
         self._avoid = frozenset()
         self._attempt_count = 0
         self._possible_runs = 0
-        self._caller_last_id = request.call.header(deps.header_names.last_event_id)
+        last_id = request.call.header(deps.header_names.last_event_id)
+        # Whether the ids up to there were consecutive is not known.
+        self._caller_position = StreamPosition(last_id, False) if last_id else None
         self.first_status = 0
         self.first_headers = None
         self._first_event_s = None
@@ -59,16 +62,17 @@
             self.first_status = attempt.status
             self.first_headers = end_to_end_headers(attempt.headers)
 
-    def next_attempt(self, last_id=None, resume_window_s=None):
+    def next_attempt(self, resume_at=None, resume_window_s=None):
         """Return an attempt whose response has started.
 
-        Without ``last_id`` a stream starts where the caller requested. Raises
-        ``RequestError`` if no further attempt is allowed or no server has a slot.
+        A stream starts after the ``StreamPosition`` ``resume_at``, without one where
+        the caller requested. Raises ``RequestError`` if no further attempt is allowed
+        or no server has a slot.
         """
-        if last_id is None:
-            last_id = self._caller_last_id
+        if resume_at is None:
+            resume_at = self._caller_position
         while True:
-            attempt = self._start_attempt(last_id, resume_window_s)
+            attempt = self._start_attempt(resume_at, resume_window_s)
             try:
                 attempt.open()
                 if attempt.not_run:
@@ -222,7 +226,7 @@
         took_s = now - attempt.exchange.started_at
         self._deps.time_to_start.record(request.service, request.model, took_s)
 
-    def _start_attempt(self, last_id, resume_window_s):
+    def _start_attempt(self, resume_at, resume_window_s):
         request, deps = self.request, self._deps
         self._check_crash_causes()
         try:
@@ -239,7 +243,7 @@
         self._attempt_count += 1
         servers_left = request.route.max_servers - self._possible_runs
         attempt_class = DetourAttempt if placement.is_detour else Attempt
-        attempt = attempt_class(deps, request, placement, last_id, servers_left)
+        attempt = attempt_class(deps, request, placement, resume_at, servers_left)
         attempt.limit_silence(
             may_reroute=request.route.may_run_again and servers_left > 1
         )
@@ -250,7 +254,7 @@
             offer=self._attempt_count,
             running=placement.load,
             waited_s=round(deps.clock.monotonic() - request.call.arrived_at, 3),
-            resume_after=last_id,
+            resume_after=resume_at.last_id if resume_at else None,
             detour=attempt.is_detour or None,
             forwarded_by=request.forwarded_by or None,
         )
--- a/packages/auburnwall-routing/src/auburnwall/routing/sse.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/sse.py
@@ -1,6 +1,7 @@
 """Parsing and writing of server-sent events, as bytes."""
 
 import json
+import re
 
 from .event_stream import EventSplitter
 
@@ -8,22 +9,26 @@
 # Largest event, in bytes; longer ones are no events of a model engine.
 MAX_EVENT_BYTES = 1024 * 1024
 _END = b"\n\n"
+# A line of an event: empty, a comment, or a field.
+_LINE = re.compile(rb"(data|event|id|retry)?(:|$)")
 
 
 class TruncatedStreamError(Exception):
-    """A stream ended without its end marker, or an event does not end."""
+    """A stream ended without its end marker, or holds what is no event."""
 
 
 def split_events(chunks):
     """Yield complete events from chunks of bytes; one item may hold several events.
 
     All chunks are read, so that the connection can be reused. Bytes after the end
-    marker are dropped. Raises ``TruncatedStreamError`` if there is no end marker or an
-    event is larger than ``MAX_EVENT_BYTES``.
+    marker are dropped. Raises ``TruncatedStreamError`` if there is no end marker, if an
+    event is larger than ``MAX_EVENT_BYTES``, or before anything that is no event.
     """
     splitter, done = EventSplitter(), False
     for chunk in chunks:
         if not done and (events := splitter.feed(chunk)):
+            if not all(map(_LINE.match, events.split(b"\n"))):
+                raise TruncatedStreamError("not an event in the stream")
             yield events
             done = events.endswith(DONE)
         elif splitter.pending_bytes > MAX_EVENT_BYTES:
--- a/tests/faults/fakes.py
+++ b/tests/faults/fakes.py
@@ -328,6 +328,7 @@
     """The part of an HTTP response that the streaming path uses."""
 
     def __init__(self, status, chunks):
+        self.headers = {}
         self.status = status
         self._chunks = chunks
 
--- a/tests/routing/test_streams.py
+++ b/tests/routing/test_streams.py
@@ -8,7 +8,7 @@
 from auburnwall.base.clock import SystemClock
 from auburnwall.fleet.directory import GroupView
 from auburnwall.routing.completions import Completions
-from auburnwall.routing.exceptions import ExchangeError
+from auburnwall.routing.exceptions import ExchangeError, RequestError
 from auburnwall.routing.request import CallerRequest
 from auburnwall.routing.retries import RetryBudget
 from auburnwall.routing.sse import DONE, TruncatedStreamError, split_events, text_of
@@ -32,6 +32,16 @@
         with self.assertRaises(TruncatedStreamError):
             list(split_events([text_event("a"), b"data: [DO"]))
 
+    def test_text_that_is_no_event_ends_the_stream(self):
+        """Guards against an error's text in the middle of a stream."""
+        head = b"HTTP/1.1 503 Busy\r\nX-A: 1\r\n\r\nfailed\n\n"
+        for text in (b'{"error": "busy"}\n\n', b"<html>\n\n", head, b"no server\n\n"):
+            got = []
+            with self.subTest(text=text), self.assertRaises(TruncatedStreamError):
+                got.extend(split_events([text_event("a"), text, DONE]))
+            for events in (got, list(split_events([b": ping\n\n", DONE]))):
+                self.assertNotIn(text, events)
+
     def test_text_and_number_of_pieces(self):
         self.assertEqual(
             text_of([text_event("a ") + text_event("b"), DONE]), ("a b", 2)
@@ -46,6 +56,7 @@
 
     def __init__(self, *scripts):
         self._scripts = list(scripts)
+        self.headers = {}
         self.bodies = []
 
     @contextmanager
@@ -53,7 +64,9 @@
         self.bodies.append(json.loads(body or request.body))
         chunks, fails = self._scripts.pop(0)
         yield SimpleNamespace(
-            status=200, stream=lambda size: self._send_chunks(chunks, fails)
+            status=200,
+            headers=self.headers,
+            stream=lambda size: self._send_chunks(chunks, fails),
         )
 
     def _send_chunks(self, chunks, fails):
@@ -91,6 +104,12 @@
             exchanges.bodies[1]["auburnwall_resume"], {"text": "a b ", "pieces": 2}
         )
 
+    def test_response_that_is_no_stream_is_not_passed_on(self):
+        exchanges = FakeExchanges(*[([text_event("a"), DONE], False)] * 4)
+        exchanges.headers = {"Content-Type": "text/html"}
+        with self.assertRaises(RequestError):
+            self.stream(exchanges)
+
     def test_failure_after_the_end_marker_is_not_retried(self):
         exchanges = FakeExchanges(
             ([text_event("a"), DONE], True), ([text_event("a"), DONE], False)
