Count a request as running until its answer is written

Cause: a request counted as running until the application had returned its answer; an answer that is complete in memory is written after that.

Evidence: 'stop finished' with running=0 while the callers read. Ruled out: the end of the grace time and the limit of blocked writes.

Fix: the connection's handler counts the request until the response is handed to the kernel, at the front and at the product's own interface.

Before: SlowReaderTests in tests/routed/test_shutdown.py and tests/node/test_callers.py failed.

--- a/packages/auburnwall-node/src/auburnwall/node/http.py
+++ b/packages/auburnwall-node/src/auburnwall/node/http.py
@@ -1,7 +1,7 @@
 """The node's HTTP interface for callers and operators; see ``docs/ref/http.md``."""
 
 import json
-from contextlib import ExitStack
+from contextlib import ExitStack, nullcontext
 from typing import NamedTuple
 
 import bottle
@@ -22,6 +22,8 @@
     read_body,
 )
 
+# Begins the paths of requests that a graceful shutdown waits for.
+CALLERS_PREFIX = "/v1/"
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 BURN_REPORT_PERIOD_S = 86_400
 REQUEST_ID_KEY = "auburnwall.request_id"
@@ -39,8 +41,12 @@
     """The HTTP server on the node's address."""
 
     def __init__(self, components):
-        cfg = components.cfg
-        handler = make_handler(cfg.write_stall_s, cfg.most_body_bytes)
+        cfg, gateway = components.cfg, components.gateway
+
+        def running(path):
+            return gateway if path.startswith(CALLERS_PREFIX) else nullcontext()
+
+        handler = make_handler(cfg.write_stall_s, cfg.most_body_bytes, running)
         app = make_app(components)
         self._server = new_server(cfg.address, app, handler_class=handler)
 
@@ -123,10 +129,7 @@
             request = self._read_request(
                 name, f"/{path}" + (f"?{query}" if query else "")
             )
-            with (
-                components.gateway,
-                components.burn.track(request, components.cfg.data_center) as outcome,
-            ):
+            with components.burn.track(request, components.cfg.data_center) as outcome:
                 answer = components.service_calls.serve(
                     request,
                     service,
@@ -146,7 +149,6 @@
         request = self._read_request(_model_of(fields), bottle.request.path, body)
         dispatcher = components.gateway.model_dispatcher(request)
         with ExitStack() as stack:
-            stack.enter_context(components.gateway)
             stack.enter_context(watch_disconnect(bottle.request.environ))
             outcome = stack.enter_context(
                 components.burn.track(request, components.cfg.data_center)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -49,7 +49,6 @@
             try:
                 call = self._read_call(environ)
                 request_id = self._gateway.request_id(call)
-                stack.enter_context(self._gateway)
                 stack.enter_context(watch_disconnect(environ))
                 request = self._gateway.resolve(call)
                 reply = self._gateway.forwarder.serve(request)
@@ -179,6 +178,10 @@
         """Return the size of the largest body that is read, in bytes."""
         return self.gateway.limits().body_bytes
 
+    def running(self):
+        """Return the context manager that counts the request until it is answered."""
+        return self.gateway
+
     def read_requestline(self):
         """Wait for the next request within the idle timeout; raises ``OSError``."""
         with gevent.Timeout(self.gateway.limits().idle_s, OSError("idle")):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -31,7 +31,8 @@
 class Gateway:
     """Resolve calls for the front and count the running requests.
 
-    Each request is served inside ``with gateway``, which counts it in ``running``.
+    Each request is served inside ``with gateway`` until its response is written, which
+    counts it in ``running``.
     ``idle_since`` is the time at which a request last ended. Once ``stop_begun`` is
     true, connections are closed after the current response; once ``refusing`` is true,
     new requests are refused.
--- a/standins/modelserver.py
+++ b/standins/modelserver.py
@@ -64,6 +64,8 @@
         self.events = 10
         self.join_s = 0.1
         self.pause_s = 1.0
+        # Smallest size of the body of a plain server's response.
+        self.body_bytes = 0
         # Status of the responses to requests that have run.
         self.run_status = 200
         self.unframed_end = None
@@ -307,6 +309,7 @@
 
     def _plain_response(self, req):
         body = json.dumps({"by": self.server, "of": req.path}).encode()
+        body = body.ljust(self.body_bytes)
         if "short" in self.faults:
             bottle.response.headers["Content-Length"] = str(len(body) + 9)
         return body
--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -8,9 +8,11 @@
 import socket
 import unittest
 from contextlib import closing
+from unittest import mock
 
 import openai
 import urllib3
+from gevent.pywsgi import WSGIHandler
 from uuid6 import uuid7
 
 from standins.engine import response_words
@@ -57,6 +59,26 @@
         self.assertEqual(problem["request_id"], resp.headers["X-Request-Id"])
 
 
+class SlowReaderTests(CallerTestCase):
+    """Guards against a stop that cuts off answers that are still being written."""
+
+    def test_answer_counts_as_running_until_it_is_written(self):
+        gateway, states = self.node.components.gateway, []
+        write = WSGIHandler._sendall
+
+        def record(handler, data):
+            states.append(gateway.running())
+            write(handler, data)
+
+        with mock.patch.object(WSGIHandler, "_sendall", record):
+            resp, _ = self.send("GET", "/v1/models")
+            self.assertEqual(resp.status, 200)
+            resp, _ = self.send("GET", "/admin/status")
+        self.assertEqual(states[0], 1)
+        self.assertEqual(states[-1], 0)
+        self.node.wait_idle()
+
+
 class ValidRequestTests(CallerTestCase):
     def test_openai_client_gets_streams_and_complete_responses(self):
         client = openai.OpenAI(
--- a/tests/routed/test_shutdown.py
+++ b/tests/routed/test_shutdown.py
@@ -1,13 +1,24 @@
 """Graceful shutdown: accepted requests can finish and new callers go elsewhere."""
 
-import unittest
-from types import SimpleNamespace
+import gevent.monkey
 
-import gevent
+gevent.monkey.patch_all()
 
-from auburnwall.node.routed.settings import RoutedSettings
-from auburnwall.node.routed.shutdown import ACCEPT_SHARE, END_SHARE, GracefulShutdown
-from tests.state.test_table import FakeClock
+import socket  # noqa: E402
+import unittest  # noqa: E402
+from types import SimpleNamespace  # noqa: E402
+
+import gevent  # noqa: E402
+
+from auburnwall.node.routed.settings import RoutedSettings  # noqa: E402
+from auburnwall.node.routed.shutdown import (  # noqa: E402
+    ACCEPT_SHARE,
+    END_SHARE,
+    GracefulShutdown,
+)
+from tests.state.test_table import FakeClock  # noqa: E402
+
+from .support import KEY, FrontWithServers, send_call, wait_until  # noqa: E402
 
 # The longest streams under load take half of the default grace time of 8 s.
 LONGEST_STREAM_S = 4.0
@@ -74,3 +85,41 @@
         while not self.shutdown.finished.is_set():
             gevent.sleep(0)
         self.assertLess(self.clock.now - began_at, 8.0)
+
+
+class SlowReaderTests(unittest.TestCase):
+    """Guards against a stop that cuts off answers that are still being written."""
+
+    BODY_BYTES = 8_000_000
+
+    def test_answer_counts_as_running_until_it_is_written(self):
+        with FrontWithServers() as front:
+            for server in front.desks:
+                server.body_bytes = self.BODY_BYTES
+            host, port = "127.0.0.1", front.server.server_port
+            with socket.socket() as sock:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+                sock.settimeout(5.0)
+                sock.connect((host, port))
+                sock.sendall(
+                    b"GET /look/x HTTP/1.1\r\nHost: shop.example\r\n"
+                    b"X-Attempt-Id: r-1\r\nAuthorization: Bearer "
+                    + KEY.encode()
+                    + b"\r\n\r\n"
+                )
+                count = len(sock.recv(65_536))
+                gevent.sleep(0.3)
+                self.assertEqual(front.gateway.running, 1)
+                self.assertEqual(front.in_flight.slots_in_use, {})
+                while count < self.BODY_BYTES:
+                    count += len(sock.recv(65_536))
+            wait_until(lambda: not front.gateway.running)
+
+    def test_stream_counts_as_running_until_it_is_written(self):
+        with FrontWithServers() as front:
+            address = front.address
+            task = gevent.spawn(send_call, address, "POST", "/ask/x", "r-1")
+            wait_until(lambda: front.gateway.running)
+            status, _, body = task.get()
+            self.assertEqual((status, body.count(b"data:")), (200, 10))
+            wait_until(lambda: not front.gateway.running)
