Let a planner act only on what it knows of this era, life and moment

Cause: a planner's copy of the table may have been begun in the middle of a drill or be from before a pause, and a probe from an earlier life of a server; nothing asked for era, life and moment.

Fix: one module says what a planner must know, and election, plans, monitoring and heartbeats ask it. A node that cannot know the groups of the era waits until the servers have written theirs, and says meanwhile that it does not read the tables. Nothing that nodes say or write has another form than before.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
@@ -83,8 +83,7 @@
             self._planner_since = None
             return
         if self._planner_since is None:
-            self._planner_since = self._clock.monotonic()
-            self._min_own_epoch = self._state.next_epoch()
+            self._begin_planning()
         if not self._write_lost_entries():
             return
         engines = engines_of(config)
@@ -105,6 +104,19 @@
             for service, engine in engines.items():
                 self._stage(service, engine, RESERVED_LOADS)
 
+    def _begin_planning(self):
+        """Forget what was concluded when this node planned before.
+
+        Another planner may have acted since. Orders without a response and loads are
+        remembered, as they may still take effect.
+        """
+        self._planner_since = self._clock.monotonic()
+        self._min_own_epoch = self._state.next_epoch()
+        self._refusals.clear()
+        self._groups_with_retired_head.clear()
+        self._sent_at.clear()
+        self._shifts.clear()
+
     def pause(self):
         """Forget that this node was the planner: another one plans for a time.
 
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/lifecycle.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/lifecycle.py
@@ -121,6 +121,9 @@
     unusable = [member.server for member in status.members if member.unusable]
     if unusable:
         return GroupActions({}, end_cause="leaving: " + ", ".join(unusable))
+    if not all(member.membership_known for member in status.members):
+        # What a member is in now is yet to be read; an order could take it from there.
+        return NO_ACTIONS
     states = [_state_in(group, member) for member in status.members]
     if states[0] == OPEN:
         return _open_actions(status, states)
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
@@ -1,20 +1,20 @@
 """Liveness of the servers of groups, from registrations and direct probes."""
 
-from typing import NamedTuple
-
 from auburnwall.base.logs import event
 
 from ..exceptions import EngineError, ServerPausedError, ServerRefusedError
 from ..registrations import GroupMembership
+from .knowledge import (
+    MAX_EVIDENCE_AGE_S,
+    Evidence,
+    counting,
+    is_in_unregistered_group,
+)
 from .lifecycle import Liveness, MemberView
 from .records import Member
 
 # Interval between two probes of a suspect server.
 PROBE_INTERVAL_S = 0.15
-# A server without a registration or probe within this time is probed before a new group
-# may use it. The time is a little longer than the interval between two registrations of
-# a server plus the delay until they are read.
-MAX_EVIDENCE_AGE_S = 2.2
 # Number of failed probes in a row after which a server whose registration has expired
 # counts as gone.
 GONE_AFTER_FAILURES = 2
@@ -25,28 +25,6 @@
 SUSPECT_S = 2.0
 
 
-class _ProbeResult(NamedTuple):
-    """Result of the last probe of a server.
-
-    ``failures`` is the number of failures in a row, the first of which began at
-    ``failing_since``. ``refused`` is whether the last one was a refused connection.
-    """
-
-    probed_at: float
-    report: object
-    failures: int = 0
-    failing_since: float = 0.0
-    refused: bool = False
-
-    @property
-    def is_silent(self):
-        """Return whether the server has ended, or been silent for too long."""
-        if not self.failures:
-            return False
-        silent_s = self.probed_at - self.failing_since
-        return self.refused or silent_s >= MIN_SILENCE_S
-
-
 class MemberMonitor:
     """Monitor the members of groups for the planner.
 
@@ -76,16 +54,20 @@
         Starts a probe of a member that is not registered or whose group is suspect.
         """
         entry = self._registry.servers.get(member.server)
-        if entry is not None and entry.born != member.born:
+        if entry is not None and entry.born > member.born:
             return MemberView(
                 member.server, Liveness.GONE, False, entry.group_membership, True
             )
+        if entry is not None and entry.born < member.born:
+            # The entry is of an earlier life; the member's own is yet to be read.
+            return MemberView(member.server, Liveness.ALIVE, False, None, False)
         is_suspect = (
             self._suspected_until.get(group.name, 0.0) > self._clock.monotonic()
         )
         if entry is None or is_suspect:
             self._probe(member)
-        result = self._results.get(member.server)
+        now = self._clock.monotonic()
+        result = counting(self._results.get(member.server), member, now)
         liveness = self._liveness(member, entry, result, is_suspect)
         group_membership = (
             entry.group_membership if entry else _group_membership_of(result)
@@ -109,14 +91,19 @@
     def is_usable(self, entry):
         """Return whether a new group may use a server.
 
-        It may not if a probe has failed since its last registration, or if both the
-        last registration and the last probe are too old. Then it is probed again.
+        It may not if a probe has failed since its last registration, if it has said
+        since that it serves in another group, or if both the last registration and the
+        last probe are too old. Then it is probed again.
         """
         now = self._clock.monotonic()
         result = self._results.get(entry.server)
         last_registered_at = self._registry.registered_at.get(entry.server, 0.0)
         probed_at = result.probed_at if result else 0.0
-        if result is not None and result.failures and probed_at >= last_registered_at:
+        if (
+            result is not None
+            and probed_at >= last_registered_at
+            and (result.failures or is_in_unregistered_group(result, entry))
+        ):
             self._probe(Member(entry.server, entry.born, entry.address))
             return False
         if max(last_registered_at, probed_at) >= now - MAX_EVIDENCE_AGE_S:
@@ -130,7 +117,7 @@
 
     def _liveness(self, member, entry, result, is_suspect):
         if result is not None and result.report is not None:
-            if result.report.born != member.born:
+            if result.report.born > member.born:
                 return Liveness.GONE
             if entry is None:
                 return Liveness.ALIVE
@@ -138,7 +125,7 @@
         if entry is None:
             return self._liveness_unregistered(member, failures)
         # Two signs are needed: its group's streams stalled, and its probes failed.
-        is_silent = result is not None and result.is_silent
+        is_silent = result is not None and _is_silent(result)
         return Liveness.UNRESPONSIVE if is_suspect and is_silent else Liveness.ALIVE
 
     def _liveness_unregistered(self, member, failures):
@@ -164,15 +151,15 @@
 
     def _probe_now(self, member):
         probed_at = self._clock.monotonic()
-        previous = self._results.get(member.server)
+        previous = counting(self._results.get(member.server), member, probed_at)
         try:
             report = self._engine.fetch_report(member.server, member.address)
-            result = _ProbeResult(probed_at, report)
+            result = Evidence(probed_at, report)
         except ServerPausedError:
             return
         except EngineError as exc:
             failures = self._count_failure(member, previous, probed_at, exc)
-            result = _ProbeResult(
+            result = Evidence(
                 probed_at,
                 None,
                 failures,
@@ -207,6 +194,14 @@
         return failures if reaches_any and not reached_by_peer else 0
 
 
+def _is_silent(evidence):
+    """Return whether a server has ended, or been silent for too long."""
+    if not evidence.failures:
+        return False
+    silent_s = evidence.probed_at - evidence.failing_since
+    return evidence.refused or silent_s >= MIN_SILENCE_S
+
+
 def _group_membership_of(result):
     """Return the group membership that an unregistered server last reported."""
     group_membership = (
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
@@ -105,11 +105,11 @@
     """The state of the fleet, from the records of the table's replica.
 
     ``known_groups`` holds the names of all groups that the table has had since this
-    node started. ``late_groups`` holds the keys of group records that were decided in
-    an earlier era and written in this one. Nothing follows from these: their servers
-    may have got another group in the time that the store has lost. ``blocked_parts``
-    maps the prompt parts and the fingerprints of requests that crash servers to the
-    node that has recorded each.
+    node started, or since its copy was begun anew. ``late_groups`` holds the keys of
+    group records that were decided in an earlier era and written in this one. Nothing
+    follows from these: their servers may have got another group in the time that the
+    store has lost. ``blocked_parts`` maps the prompt parts and the fingerprints of
+    requests that crash servers to the node that has recorded each.
     """
 
     def __init__(self, replica):
@@ -122,6 +122,7 @@
         self.blocked_parts = {}
         self.change_count = 0
         replica.listeners.append(self._apply)
+        replica.reset_listeners.append(self.known_groups.clear)
 
     def next_epoch(self, entries_before=0, members=()):
         """Return the epoch of a record that is written at the end of the table.
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -11,6 +11,7 @@
 from auburnwall.fleet.candidate_index import CandidateIndex
 from auburnwall.fleet.formation.controller import FormationController
 from auburnwall.fleet.formation.election import Election
+from auburnwall.fleet.formation.knowledge import PlannerKnowledge
 from auburnwall.fleet.formation.member_monitor import MemberMonitor
 from auburnwall.fleet.formation.records import FleetState, FleetWriter
 from auburnwall.fleet.registrations import Registry
@@ -212,7 +213,7 @@
         }
         self.replicas[SERVER_TABLE].is_repeat = self._platform.is_same_registration
         self.replicas[FLEET_TABLE] = TableReplica(
-            FLEET_TABLE, store, clock, settle_s=FLEET_SETTLE_S
+            FLEET_TABLE, store, clock, settle_s=FLEET_SETTLE_S, survives_pause=False
         )
 
     def _build_fleet(self):
@@ -247,6 +248,7 @@
             self.identity, self.fleet, self.writer, self.peers, lambda: self.cfg.cores
         )
         self.election = Election(self.fleet, self.writer, self.peers, self.identity)
+        self.knowledge = PlannerKnowledge(self.fleet, cfg.first_start, clock)
         self.member_monitor = MemberMonitor(
             self.registry,
             platform.engine,
@@ -410,10 +412,15 @@
         return max(MAX_FOLLOWED_AGE_S, relayed_age_s)
 
     def _reads_tables(self):
-        """Return whether all tables are read from the store itself and are recent."""
+        """Return whether this node has the tables and knows enough to plan.
+
+        It reads all of them from the store itself, and its copies are recent.
+        """
         ages = [replica.age_s() for replica in self.replicas.values()]
-        return all(reader.reads_store for reader in self.readers.values()) and all(
-            age_s is not None and age_s < MAX_PLANNING_AGE_S for age_s in ages
+        return (
+            all(reader.reads_store for reader in self.readers.values())
+            and all(a is not None and a < MAX_PLANNING_AGE_S for a in ages)
+            and self.knowledge.is_sufficient()
         )
 
     def _retry_budget(self, service):
--- a/packages/auburnwall-state/src/auburnwall/state/table/replica.py
+++ b/packages/auburnwall-state/src/auburnwall/state/table/replica.py
@@ -38,6 +38,11 @@
     ``entries`` still holds what was known before. ``reloading`` is true while listeners
     are notified of records that may be older than their key's last record.
 
+    ``loaded_at`` is the time at which the replica was begun, by its first load or anew.
+    If ``survives_pause`` is false, it is begun anew in a new era if ``complete_at`` is
+    ``None`` then, because the node was paused: others may have written in that era what
+    is newer than all that this node knows. ``reset_listeners`` are called before.
+
     ``is_repeat(old, new)`` tells whether a value says nothing new. Of such records only
     ``repeat_listeners`` are notified, with the key, and peers do not get them.
     """
@@ -50,6 +55,7 @@
         *,
         settle_s=SETTLE_S,
         is_repeat=lambda old, new: False,
+        survives_pause=True,
     ):
         self.table = table
         self.entries = {}
@@ -60,10 +66,13 @@
         self.unsettled = {}
         self.listeners = []
         self.repeat_listeners = []
+        self.reset_listeners = []
+        self.loaded_at = None
         self._client = client
         self._clock = clock
         self._settle_s = settle_s
         self._is_repeat = is_repeat
+        self._survives_pause = survives_pause
         self._settle_at = 0.0
         self._recent = deque()
         self._recent_from = 0  # ``_recent`` lacks no record from this offset on.
@@ -156,8 +165,12 @@
         if era < self.era or (era == self.era and end < self.end):
             return
         if era > self.era and self.end >= 0:
-            self._enter_era(records, end, complete_at, era)
-            return
+            if self.complete_at is not None or self._survives_pause:
+                self._enter_era(records, end, complete_at, era)
+                return
+            self._begin_anew(era)
+        if self.loaded_at is None:
+            self.loaded_at = self._clock.monotonic()
         self.era = era
         present_keys = {record.key for record in records}
         # A removal gets the replica's end as its offset, so that ``_apply`` doesn't
@@ -217,6 +230,18 @@
         self.era, self.end, self.complete_at = era, end, complete_at
         self._forget_recent(end)
 
+    def _begin_anew(self, era):
+        """Count what is known for nothing against the table of a new era."""
+        event("table begun anew", table=self.table, era=era, instead_of=self.era)
+        self.unsettled.clear()
+        self.entries = {
+            key: record._replace(offset=EARLIER_ERA_OFFSET)
+            for key, record in self.entries.items()
+        }
+        self.loaded_at = None
+        for listener in self.reset_listeners:
+            listener()
+
     def _forget_recent(self, end):
         """Give peers no recent records from before ``end``.
 
