--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -7,20 +7,18 @@
 """
 
 import io
-import time
 from http.client import HTTPException, HTTPResponse
 
 import gevent
 from urllib3 import HTTPConnectionPool, PoolManager
 from urllib3.connection import HTTPConnection
 
-# Time after which a task that reads without waiting lets other tasks run, in seconds.
-MAX_TURN_S = 0.005
-# Time for the others then, in seconds. With a sleep of 0 the event loop would run this
-# task again and again before it looks at any socket.
+# Reads of a socket in a row, none of which waited for data, after which a task pauses
+# so that others can run.
+MAX_READS_PER_TURN = 2
+# Length of that pause, in seconds. With a sleep of 0 the event loop would run this task
+# again and again before it looks at any socket.
 TURN_PAUSE_S = 0.001
-# A read that takes longer has waited for data, while other tasks could run, in seconds.
-MIN_WAIT_S = 0.001
 # Largest total size of lines that follow each other without data, in bytes: those of a
 # head with its interim responses, or those between two pieces of a body.
 MAX_LINES_BYTES = 256 * 1024
@@ -38,14 +36,17 @@
     """Reads from ``raw`` and lets other tasks run if it never waits for data.
 
     Timeouts and interrupts of the reading task take effect then. Once ``bytes_left`` is
-    used up, reads raise ``MessageTooLongError``; it is ``None`` without a limit.
+    used up, reads raise ``MessageTooLongError``; it is ``None`` without a limit. Once
+    ``is_at_end`` is set, nothing more is read.
     """
 
     def __init__(self, raw):
         self.bytes_left = None
-        self.bytes_read = 0
+        self.is_at_end = False
         self._raw = raw
-        self._turn_began_at = time.monotonic()
+        self._loop = gevent.get_hub().loop
+        self._loop_iteration = self._loop.iteration
+        self._reads = 0
 
     def readable(self):
         """Return true."""
@@ -57,15 +58,15 @@
 
     def readinto(self, buffer):
         """Read available data, or wait for some; return the number of bytes."""
-        started_at = time.monotonic()
-        if started_at - self._turn_began_at > MAX_TURN_S:
+        if self.is_at_end:
+            return 0
+        if self._loop.iteration != self._loop_iteration:
+            # The event loop has run since, so other tasks had their turn.
+            self._loop_iteration, self._reads = self._loop.iteration, 0
+        elif self._reads >= MAX_READS_PER_TURN:
             gevent.sleep(TURN_PAUSE_S)
-            started_at = self._turn_began_at = time.monotonic()
+        self._reads += 1
         count = self._raw.readinto(buffer)
-        ended_at = time.monotonic()
-        if ended_at - started_at > MIN_WAIT_S:
-            self._turn_began_at = ended_at
-        self.bytes_read += count or 0
         if self.bytes_left is not None and count:
             self.bytes_left -= count
             if self.bytes_left < 0:
@@ -82,13 +83,14 @@
     """A file object for a parser of HTTP messages.
 
     ``buffered`` is the file object that a socket's ``makefile("rb")`` returns, from
-    which nothing has been read yet; it is not usable afterwards.
+    which nothing has been read yet; it is not usable afterwards. Once closed,
+    ``has_unread`` is whether more had arrived than was read.
     """
 
     def __init__(self, buffered):
         self._socket_reader = _TurnTakingReader(buffered.detach())
         super().__init__(self._socket_reader)
-        self._bytes_parsed = 0
+        self.has_unread = False
         self._lines_bytes = 0
         self._begun = False
 
@@ -101,11 +103,6 @@
         self._lines_bytes = 0
         self._begun = False
 
-    @property
-    def unread_bytes(self):
-        """Return how many bytes have arrived that no parser has read."""
-        return self._socket_reader.bytes_read - self._bytes_parsed
-
     def readline(self, size=-1):
         """Return the next line, or its first ``size`` bytes if it is longer.
 
@@ -114,12 +111,15 @@
         ``MessageTooLongError`` beyond the limit.
         """
         max_bytes = MAX_LINES_BYTES - self._lines_bytes + 1
-        if size >= 0:
-            max_bytes = min(size, max_bytes)
+        if 0 <= size < max_bytes:
+            max_bytes = size
         line = super().readline(max_bytes)
-        self._bytes_parsed += len(line)
-        if len(line) < max_bytes and not line.endswith(b"\n") and (line or self._begun):
-            raise IncompleteMessageError(f"the connection ended after {line[-64:]!r}")
+        if not line.endswith(b"\n") and len(line) < max_bytes:
+            if line or self._begun:
+                raise IncompleteMessageError(
+                    f"the connection ended after {line[-64:]!r}"
+                )
+            return line
         self._begun = True
         self._lines_bytes += len(line)
         if self._lines_bytes > MAX_LINES_BYTES:
@@ -128,23 +128,15 @@
 
     def read(self, size=-1):
         """Return up to ``size`` bytes of data, fewer only at the connection's end."""
-        return self._count(super().read(size))
-
-    def read1(self, size=-1):
-        """Return up to ``size`` bytes of data, with one read of the socket at most."""
-        return self._count(super().read1(size))
-
-    def readinto(self, buffer):
-        """Read data into ``buffer`` and return the number of bytes."""
         self._lines_bytes = 0
-        count = super().readinto(buffer)
-        self._bytes_parsed += count
-        return count
+        return super().read(size)
 
-    def _count(self, data):
-        self._lines_bytes = 0
-        self._bytes_parsed += len(data)
-        return data
+    def close(self):
+        """Close the reader, and the socket's file object below it."""
+        if not self.closed:
+            self._socket_reader.is_at_end = True
+            self.has_unread = bool(self.peek(1))
+        super().close()
 
 
 class _Response(HTTPResponse):
@@ -173,7 +165,7 @@
     def is_connected(self):
         """Return whether the connection is open and nothing is left to read."""
         reader = self._last_reader
-        return (reader is None or not reader.unread_bytes) and super().is_connected
+        return (reader is None or not reader.has_unread) and super().is_connected
 
     def close(self):
         """Close the connection; a new one may be opened."""
--- a/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
@@ -2,10 +2,8 @@
 
 from typing import NamedTuple
 
-from auburnwall.base.digits import parse_digits
-
-# Largest id of an event that is taken for a number.
-MAX_EVENT_NUMBER = 10**17
+# Digits of the longest id of an event that is taken for a number.
+MAX_ID_DIGITS = 18
 # Characters of an unexpected id that are logged.
 MAX_LOGGED_ID_CHARS = 40
 
@@ -83,10 +81,25 @@
 
     def __init__(self, resumed_at=None):
         super().__init__()
-        self.position = resumed_at or StreamPosition(None, True)
         self.count = 0
         self.fault = None
         self._is_resumed = resumed_at is not None
+        self._last_id = self._last_number = None
+        self._is_consecutive = True
+        if resumed_at is not None:
+            self._last_id = resumed_at.last_id.encode("latin-1", "replace")
+            self._last_number = _number_of(self._last_id)
+            self._is_consecutive = resumed_at.is_consecutive
+
+    @property
+    def position(self):
+        """Return the ``StreamPosition`` after the last event."""
+        return StreamPosition(self.last_id, self._is_consecutive)
+
+    @property
+    def last_id(self):
+        """Return the id of the last event, ``None`` without one."""
+        return None if self._last_id is None else self._last_id.decode("latin-1")
 
     def feed(self, data):
         """Return the bytes of all events that are complete now, possibly none."""
@@ -100,55 +113,57 @@
                 begin = end
         return complete[begin:end]
 
-    @property
-    def last_id(self):
-        """Return the id of the last event, ``None`` without one."""
-        return self.position.last_id
-
     def _fault_of(self, event_bytes):
         """Count an event; return why it does not belong here, ``None`` if it does."""
         event_id = _id_of(event_bytes)
-        if event_id is None and _is_comment(event_bytes):
-            return None
-        last_id = self.position.last_id
         if event_id is None:
-            if self._is_resumed or last_id is not None:
-                return f"an event without an id after event {last_id}"
-        elif last_id is not None and not self._may_follow(event_id):
-            return f"event {event_id[:MAX_LOGGED_ID_CHARS]} after event {last_id}"
-        else:
-            follows = _number_of(event_id) == (_number_of(last_id or "0") or 0) + 1
-            is_consecutive = follows and (
-                self.position.is_consecutive or not self.count
-            )
-            self.position = StreamPosition(event_id, is_consecutive)
+            if _is_comment(event_bytes):
+                return None
+            if self._is_resumed or self._last_id is not None:
+                return f"an event without an id after event {self.last_id}"
+            self.count += 1
+            return None
+        number, last = _number_of(event_id), self._last_number
+        is_next = number is not None and number == (last or 0) + 1
+        if (
+            self._last_id is not None
+            and not is_next
+            and not self._may_skip_to(event_id)
+        ):
+            shown_id = event_id[:MAX_LOGGED_ID_CHARS].decode("latin-1")
+            return f"event {shown_id} after event {self.last_id}"
+        self._is_consecutive = is_next and (self._is_consecutive or not self.count)
+        self._last_id, self._last_number = event_id, number
         self.count += 1
         return None
 
-    def _may_follow(self, event_id):
-        """Return whether an event with this id may be the next one."""
-        number, last = _number_of(event_id), _number_of(self.position.last_id)
+    def _may_skip_to(self, event_id):
+        """Return whether an event that is not the next number may follow."""
+        number, last = _number_of(event_id), self._last_number
         if number is None or last is None:
             # Ids of another form have no order.
-            return number is None and last is None and event_id != self.position.last_id
-        if self._is_resumed and not self.count and self.position.is_consecutive:
-            return number == last + 1
+            return number is None and last is None and event_id != self._last_id
+        if self._is_resumed and not self.count and self._is_consecutive:
+            return False
         return number > last
 
 
 def _id_of(event_bytes):
     """Return the id in the bytes of an event, ``None`` without one."""
-    at = 0
-    if not event_bytes.startswith(_ID_FIELD):
-        at = event_bytes.find(b"\n" + _ID_FIELD) + 1
-        if not at:
+    if event_bytes.startswith(_ID_FIELD):
+        at = len(_ID_FIELD)
+    else:
+        at = event_bytes.find(b"\n" + _ID_FIELD)
+        if at < 0:
             return None
-    line = event_bytes[at + len(_ID_FIELD) :].partition(b"\n")[0]
-    return line.strip().decode("latin-1") or None
+        at += 1 + len(_ID_FIELD)
+    return event_bytes[at : event_bytes.index(b"\n", at)].strip() or None
 
 
 def _number_of(event_id):
-    return parse_digits(event_id, MAX_EVENT_NUMBER)
+    """Return the number that an id is, ``None`` if it is none."""
+    is_number = event_id.isdigit() and len(event_id) <= MAX_ID_DIGITS
+    return int(event_id) if is_number else None
 
 
 def _is_comment(event_bytes):
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -120,7 +120,6 @@
             try:
                 try:
                     for event_bytes in attempt.events():
-                        position = attempt.splitter.position
                         attempts.record_events(attempt)
                         if not caller_has_events:
                             attempts.keep_first_head(attempt)
@@ -139,6 +138,8 @@
                     attempts.check_retry_after_failure(attempt, exc)
             finally:
                 attempt.close()
+            if attempt.splitter.count:
+                position = attempt.splitter.position
             count += attempt.splitter.count
             attempt = self._resume(attempts, position, caller_has_events)
 
@@ -148,7 +149,7 @@
         Raises ``RequestError`` if the caller has events but none had an id, because
         the point to resume from is then unknown.
         """
-        if caller_has_events and position.last_id is None:
+        if caller_has_events and (position is None or position.last_id is None):
             raise attempts.unresumable_error()
         while True:
             attempt = attempts.next_attempt(
