Log what a node knows of the groups; pass on no interim status

A node says when it comes to know, or no longer knows, which groups the era has, since it neither plans nor stands for election without that. A status below 200 other than 100 is no answer; a caller of a booking got a 103 as its answer (test_interim_response_is_no_answer, failed before).

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/knowledge.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/knowledge.py
@@ -8,6 +8,8 @@
 
 from typing import NamedTuple
 
+from auburnwall.base.logs import event
+
 from ..registrations import CLOSING, OPEN
 
 # Time in which servers have written their entries again after the store has come back
@@ -30,6 +32,7 @@
         self._state = state
         self._first_start = first_start
         self._first_loaded_at = None
+        self._was_sufficient = False
         self._clock = clock
 
     def is_sufficient(self):
@@ -40,8 +43,18 @@
         other node has to wait until the servers have written what groups they are in.
         """
         replica = self._state.replica
-        if replica.loaded_at is None:
-            return False
+        is_sufficient = replica.loaded_at is not None and self._knows_era(replica)
+        if is_sufficient != self._was_sufficient:
+            self._was_sufficient = is_sufficient
+            event(
+                "groups known" if is_sufficient else "groups not known",
+                era=replica.era,
+                end=replica.end,
+                groups=len(self._state.groups),
+            )
+        return is_sufficient
+
+    def _knows_era(self, replica):
         if self._first_loaded_at is None:
             self._first_loaded_at = replica.loaded_at
         is_first = self._first_start and replica.loaded_at == self._first_loaded_at
@@ -75,7 +88,7 @@
         return self.report is not None and self.report.born < member.born
 
 
-def counting(evidence, member, now):
+def valid_evidence(evidence, member, now):
     """Return the evidence if it says anything of a member now, otherwise ``None``."""
     if evidence is None or not evidence.is_recent(now):
         return None
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
@@ -7,8 +7,8 @@
 from .knowledge import (
     MAX_EVIDENCE_AGE_S,
     Evidence,
-    counting,
     is_in_unregistered_group,
+    valid_evidence,
 )
 from .lifecycle import Liveness, MemberView
 from .records import Member
@@ -67,7 +67,7 @@
         if entry is None or is_suspect:
             self._probe(member)
         now = self._clock.monotonic()
-        result = counting(self._results.get(member.server), member, now)
+        result = valid_evidence(self._results.get(member.server), member, now)
         liveness = self._liveness(member, entry, result, is_suspect)
         group_membership = (
             entry.group_membership if entry else _group_membership_of(result)
@@ -151,7 +151,7 @@
 
     def _probe_now(self, member):
         probed_at = self._clock.monotonic()
-        previous = counting(self._results.get(member.server), member, probed_at)
+        previous = valid_evidence(self._results.get(member.server), member, probed_at)
         try:
             report = self._engine.fetch_report(member.server, member.address)
             result = Evidence(probed_at, report)
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -150,9 +150,9 @@
         """Yield bytes of one or more complete events as they arrive.
 
         Raises ``ExchangeError`` if the stream is cut short or goes on with something
-        else than its next event. Raises
-        ``DeadlineExceededError`` if it goes on for ``MAX_LATE_S`` after the deadline,
-        or after the first data that is read later, as the node may have been paused.
+        else than its next event. Raises ``DeadlineExceededError`` if it goes on for
+        ``MAX_LATE_S`` after the deadline, or after the first data that is read later,
+        as the node may have been paused.
         """
         late_since = None
         for data in self._chunks():
@@ -302,6 +302,8 @@
 
     def _check_head(self):
         header_names = self._deps.header_names
+        if self.status < 200:
+            raise self._error(f"status {self.status} is not final", "check answer")
         if "Content-Encoding" in self.headers:
             raise self._error("the answer is encoded", "check answer")
         if 200 <= self.status < 300 and header_names.seal not in self.headers:
--- a/tests/routed/test_stream_continuations.py
+++ b/tests/routed/test_stream_continuations.py
@@ -203,6 +203,16 @@
                 )
                 self.assertEqual(status, 502, body)
 
+    def test_interim_response_is_no_answer(self):
+        """Guards against a caller that gets a status that is not final."""
+        with FrontWithServers() as front:
+            server = BreakingServer("desk-0", NO_CONTINUATIONS["103"][0])
+            self.addCleanup(server.stop)
+            front.desks[:] = [server]
+            server.first = server.continuation
+            status, _, _ = send_call(front.address, "POST", "/book/x", "r-1")
+            self.assertEqual(status, 502)
+
     def test_caller_that_resumes_gets_what_follows(self):
         for answer in (chunked(numbered(4, 5)), chunked(numbered(7)), chunked()):
             for server in self.front.engines:
