Interrupt an exchange only while it awaits its server

Cause: an interrupt is decided by the watch and raised in the task by a later callback of the event loop. If the server's last bytes arrive at that moment, the task goes on and the error is raised in whatever it does next.

Fix: the callback raises the error only if the task is still in the same wait. An answer that has arrived goes before the interrupt.

Before: test_interrupt_does_not_reach_what_comes_after_the_wait failed; after: it passes. The other tests of the module look for the error where it is raised now, after a turn of the event loop.

--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -365,6 +365,7 @@
 
     def __enter__(self):
         self._exchange.awaiting_server = True
+        self._exchange.waits += 1
 
     def __exit__(self, *exc_info):
         self._exchange.awaiting_server = False
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -42,11 +42,11 @@
     """One request at one candidate.
 
     ``awaiting_server`` is true while the exchange's task sends to the server or reads
-    from it. ``may_reroute`` allows the request to be sent to another server. After
-    ``stall_timeout_s`` without progress the candidate becomes suspect. ``reads`` counts
-    the pieces of a stream that have arrived, each of which may hold several events or a
-    part of one. If ``is_lost`` is set, the candidate may be silent as long as
-    ``is_lost()`` is false, and is never suspect.
+    from it, and ``waits`` counts these times. ``may_reroute`` allows the request to be
+    sent to another server. After ``stall_timeout_s`` without progress the candidate
+    becomes suspect. ``reads`` counts the pieces of a stream that have arrived, each of
+    which may hold several events or a part of one. If ``is_lost`` is set, the candidate
+    may be silent as long as ``is_lost()`` is false, and is never suspect.
     """
 
     def __init__(self, request, candidate, now):
@@ -56,6 +56,7 @@
         self.progress_at = now
         self.reads = 0
         self.awaiting_server = False
+        self.waits = 0
         self.may_reroute = False
         self.is_lost = None
         self.stall_timeout_s = FIRST_EVENT_STALL_TIMEOUT_S
@@ -190,7 +191,6 @@
                 self._interrupt(exchange, StalledError(detail, step="wait"))
 
     def _interrupt(self, exchange, error):
-        exchange.awaiting_server = False
         event(
             "exchange interrupted",
             request=exchange.request.request_id,
@@ -200,5 +200,17 @@
             age_s=round(self._clock.monotonic() - exchange.started_at, 2),
             why=error.detail,
         )
-        # Raises the error in the task that reads from the server.
-        exchange.task.kill(error, block=False)
+        gevent.get_hub().loop.run_callback(
+            _raise_if_awaiting, exchange, exchange.waits, error
+        )
+
+
+def _raise_if_awaiting(exchange, wait, error):
+    """Raise an error in an exchange's task if that still awaits its server.
+
+    Called by the event loop, while no task runs. The server may have sent something
+    since the interrupt was decided, and the task may be at something else already.
+    """
+    if exchange.awaiting_server and exchange.waits == wait:
+        exchange.awaiting_server = False
+        exchange.task.throw(error)
--- a/tests/routing/test_in_flight.py
+++ b/tests/routing/test_in_flight.py
@@ -4,7 +4,11 @@
 import unittest.mock
 from types import SimpleNamespace
 
+import gevent
+from gevent.event import Event
+
 from auburnwall.fleet.candidate_index import Candidate
+from auburnwall.routing.attempt import _AwaitingServer
 from auburnwall.routing.in_flight import (
     REROUTE_DELAY_S,
     STALL_TIMEOUT_S,
@@ -35,7 +39,8 @@
         self.in_flight.check_progress(self.clock.now)
 
     def interruption(self, exchange):
-        calls = exchange.task.kill.call_args_list
+        gevent.sleep(0)
+        calls = exchange.task.throw.call_args_list
         return calls[0].args[0] if calls else None
 
     def test_stalled_group_is_suspect_first_and_its_exchange_interrupted_later(self):
@@ -73,6 +78,30 @@
         self.check_after(2.0)
         self.assertIsInstance(self.interruption(exchange), DeadlineExceededError)
 
+    def test_interrupt_does_not_reach_what_comes_after_the_wait(self):
+        """Guards against an interrupt that arrives while a crash is being checked."""
+        arrived, errors = Event(), []
+
+        def run():
+            exchange = self.exchange(deadline_s=2.0)
+            exchange.task = gevent.getcurrent()
+            try:
+                with _AwaitingServer(exchange):
+                    arrived.wait()
+                gevent.sleep(0.01)
+                with _AwaitingServer(exchange):
+                    gevent.sleep(0.01)
+            except DeadlineExceededError as exc:
+                errors.append(exc)
+
+        task = gevent.spawn(run)
+        gevent.sleep(0)
+        # The response arrives at the same moment as the decision to interrupt.
+        arrived.set()
+        self.check_after(2.0)
+        task.get()
+        self.assertEqual(errors, [])
+
     def test_exchange_that_writes_to_its_caller_is_not_interrupted(self):
         exchange = self.exchange(deadline_s=2.0)
         exchange.awaiting_server = False
