Take no spoiled framing for sound

Cause: int() takes signs, prefixes and underscores, the bytes after a chunk are dropped unseen, and an unreadable length counts as none.

Fix: the reader of all HTTP messages checks the line before each chunk and the bytes after it; a response must state one length, or chunks, or neither.

Callers' requests were checked already.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -7,12 +7,15 @@
 """
 
 import io
+import re
 from http.client import HTTPException, HTTPResponse
 
 import gevent
 from urllib3 import HTTPConnectionPool, PoolManager
 from urllib3.connection import HTTPConnection
 
+from .digits import parse_digits
+
 # Reads of a socket in a row, none of which waited for data, after which a task pauses
 # so that others can run.
 MAX_READS_PER_TURN = 2
@@ -22,6 +25,10 @@
 # Largest total size of lines that follow each other without data, in bytes: those of a
 # head with its interim responses, or those between two pieces of a body.
 MAX_LINES_BYTES = 256 * 1024
+# The line before a chunk: its size, and extensions that mean nothing here. ``int`` also
+# takes signs, prefixes and underscores for parts of a number.
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;[^\r\n]*)?\r?\n")
+_CHUNK_END = b"\r\n"
 
 
 class MessageTooLongError(HTTPException, OSError):
@@ -32,6 +39,10 @@
     """The connection ended within a message."""
 
 
+class FramingError(HTTPException):
+    """A message does not say clearly where it ends."""
+
+
 class _TurnTakingReader(io.RawIOBase):
     """Reads from ``raw`` and lets other tasks run if it never waits for data.
 
@@ -93,6 +104,7 @@
         self.has_unread = False
         self._lines_bytes = 0
         self._begun = False
+        self._chunk_left = None
 
     def begin_message(self, max_bytes=None):
         """Begin a further message, of up to ``max_bytes`` bytes if that is given.
@@ -103,6 +115,14 @@
         self._lines_bytes = 0
         self._begun = False
 
+    def begin_chunks(self):
+        """Check from now on that what is read are sound chunks.
+
+        The parser reads the line before a chunk, its data, and the two bytes after it.
+        Raises ``FramingError`` then. After the last chunk nothing is checked.
+        """
+        self._chunk_left = 0
+
     def readline(self, size=-1):
         """Return the next line, or its first ``size`` bytes if it is longer.
 
@@ -124,12 +144,30 @@
         self._lines_bytes += len(line)
         if self._lines_bytes > MAX_LINES_BYTES:
             raise MessageTooLongError(f"over {MAX_LINES_BYTES} bytes without data")
+        if self._chunk_left is not None:
+            self._begin_chunk(line)
         return line
 
     def read(self, size=-1):
         """Return up to ``size`` bytes of data, fewer only at the connection's end."""
         self._lines_bytes = 0
-        return super().read(size)
+        data = super().read(size)
+        if self._chunk_left is not None:
+            self._check_chunk_data(data)
+        return data
+
+    def _begin_chunk(self, line):
+        match = _CHUNK_LINE.fullmatch(line)
+        if match is None:
+            raise FramingError(f"bad line before a chunk: {line[:64]!r}")
+        size = int(match[1], 16)
+        # The end of the chunk is read like its data.
+        self._chunk_left = size + len(_CHUNK_END) if size else None
+
+    def _check_chunk_data(self, data):
+        self._chunk_left -= len(data)
+        if not self._chunk_left and not data.endswith(_CHUNK_END):
+            raise FramingError(f"a chunk ends with {data[-2:]!r}")
 
     def close(self):
         """Close the reader, and the socket's file object below it."""
@@ -146,6 +184,18 @@
         super().__init__(sock, *args, **kwargs)
         self.fp = MessageReader(self.fp)
 
+    def begin(self):
+        """Read the head; raises ``FramingError`` if the body has no clear length."""
+        super().begin()
+        lengths = self.headers.get_all("Content-Length", [])
+        codings = self.headers.get_all("Transfer-Encoding", [])
+        if codings and (lengths or [c.strip().lower() for c in codings] != ["chunked"]):
+            raise FramingError(f"lengths {lengths} and codings {codings}")
+        if len(lengths) > 1 or any(parse_digits(n.strip(), 1) is None for n in lengths):
+            raise FramingError(f"lengths {lengths}")
+        if self.chunked:
+            self.fp.begin_chunks()
+
 
 class Connection(HTTPConnection):
     """A connection of ``urllib3`` whose responses a ``MessageReader`` reads.
--- a/tests/routed/test_truncated_messages.py
+++ b/tests/routed/test_truncated_messages.py
@@ -30,6 +30,42 @@
 ATTEMPT_ID = re.compile(rb"(?i)x-attempt-id: *([^\r]*)")
 
 
+SEALED_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\n"
+CHUNKED = SEALED_HEAD + b"Transfer-Encoding: chunked\r\n"
+# Responses whose framing is spoiled, and sound ones.
+SPOILED = (
+    *(
+        CHUNKED + b"\r\n" + chunks
+        for chunks in (
+            b"2\r\nok\r\n-0\r\n\r\n",
+            b"0x2\r\nok\r\n0\r\n\r\n",
+            b"+2\r\nok\r\n0\r\n\r\n",
+            b"0_2\r\nok\r\n0\r\n\r\n",
+            b" 2\r\nok\r\n0\r\n\r\n",
+            b"2\r\nokXX0\r\n\r\n",
+            b"2\r\nok\n\r0\r\n\r\n",
+            b"2\r\nok\r\n\r\n0\r\n\r\n",
+            b"2 2\r\nok\r\n0\r\n\r\n",
+        )
+    ),
+    CHUNKED + b"Content-Length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    SEALED_HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    SEALED_HEAD + b"Transfer-Encoding: identity\r\n\r\nok",
+    SEALED_HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+    *(
+        SEALED_HEAD + b"Content-Length: " + length + b"\r\n\r\nok"
+        for length in (b"-2", b"+2", b"2, 2", b"0x2", b"two", b"", b"2_0", b"\xb2")
+    ),
+)
+SOUND = (
+    CHUNKED + b"\r\n2\r\nok\r\n0\r\n\r\n",
+    CHUNKED + b"\r\n02 ;a=b\r\nok\r\n00\r\nX-Trailer: 1\r\n\r\n",
+    CHUNKED + b"\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+    SEALED_HEAD + b"Content-Length: 2 \r\n\r\nok",
+    SEALED_HEAD + b"\r\nok",
+)
+
+
 class CuttingServer:
     """Sends the first ``cut`` bytes of ``answer`` to each request, then closes.
 
@@ -164,6 +200,30 @@
         )
 
 
+class SpoiledFramingTests(unittest.TestCase):
+    """Guards against a body that is taken for sound although its framing is spoiled."""
+
+    def statuses(self, answers):
+        server = CuttingServer(b"")
+        self.addCleanup(server.stop)
+        with front_before(server, "desks") as front:
+            for answer in answers:
+                server.answer = answer
+                for path in ("/book/x", "/look/x"):
+                    status, _, body = send_call(front.address, "POST", path, "r1")
+                    yield answer, status, body
+
+    def test_spoiled_framing(self):
+        for answer, status, body in self.statuses(SPOILED):
+            with self.subTest(answer=answer[60:]):
+                self.assertEqual(status, 502, body)
+
+    def test_sound_framing(self):
+        for answer, status, body in self.statuses(SOUND):
+            with self.subTest(answer=answer[60:]):
+                self.assertEqual((status, body), (200, b"ok"))
+
+
 class TruncatedRequestTests(unittest.TestCase):
     """Guards against a request that runs although its caller left within it."""
 
