Give removals that are read first after an outage their time of grace

What was seen (review, by reading): after an outage of the store the removals of the first read took effect at once, since the time of grace was set after the records of that read had been applied.

Fix: the outage is noticed when the first removal is applied.

Before: test_removal_that_is_read_first_after_an_outage_may_be_renewed failed; after: it passes.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
@@ -92,15 +92,20 @@
 
     def record_read(self):
         """Record that the table was just read, and apply the removals that are due."""
+        self._check_for_outage()
+        self._last_read_at = self._clock.monotonic()
+        self.apply_due_removals()
+
+    def _check_for_outage(self):
+        """Begin the time of grace if the table was not read for ``OUTAGE_S``."""
         now = self._clock.monotonic()
-        if self._last_read_at is not None and now - self._last_read_at > OUTAGE_S:
-            self._grace_until = now + REMOVAL_GRACE_S
-            event(
-                "registrations readable again",
-                after_s=round(now - self._last_read_at, 2),
-            )
+        if self._last_read_at is None or now - self._last_read_at <= OUTAGE_S:
+            return
+        self._grace_until = now + REMOVAL_GRACE_S
+        event(
+            "registrations readable again", after_s=round(now - self._last_read_at, 2)
+        )
         self._last_read_at = now
-        self.apply_due_removals()
 
     def apply_due_removals(self):
         """Remove the servers whose removal is due."""
@@ -135,6 +140,8 @@
 
     def _apply(self, record):
         if record.value is None:
+            # The records of a read are applied before ``record_read`` is called.
+            self._check_for_outage()
             self._removal_due_at.setdefault(
                 record.key, max(self._clock.monotonic(), self._grace_until)
             )
--- a/tests/fleet/test_registrations.py
+++ b/tests/fleet/test_registrations.py
@@ -74,6 +74,22 @@
         self.assertIsNotNone(self.registry.usable_registration("i-1"))
         self.assertIsNone(self.registry.usable_registration("i-2"))
 
+    def test_removal_that_is_read_first_after_an_outage_may_be_renewed(self):
+        """Guards against servers that are lost because the store was away."""
+        self.write("i-1", registration("i-1"))
+        self.write("i-2", registration("i-2"))
+        self.registry.record_read()
+        self.clock.now += 6.0
+        self.write("i-1", None)
+        self.write("i-2", None)
+        self.registry.record_read()
+        self.assertIsNotNone(self.registry.usable_registration("i-1"))
+        self.write("i-1", registration("i-1"))
+        self.clock.now += REMOVAL_GRACE_S + 0.01
+        self.registry.record_read()
+        self.assertIsNotNone(self.registry.usable_registration("i-1"))
+        self.assertIsNone(self.registry.usable_registration("i-2"))
+
     def test_undecodable_entry_removes_the_server_and_is_logged_once(self):
         self.write("i-1", registration("i-1"))
         with self.assertLogs("absl", "INFO") as logs:
