--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/knowledge.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/knowledge.py
@@ -38,9 +38,9 @@
     def is_sufficient(self):
         """Return whether this node knows of all groups that may be serving.
 
-        A node that has followed the table since before its present era, or that finds
-        groups there that were recorded in this era, knows them from the table. Any
-        other node has to wait until the servers have written what groups they are in.
+        A node that has followed the tables since before their present era knows them.
+        Any other node has to wait until the servers have written what groups they are
+        in: the tables that it has loaded may be from the copy of a moment ago.
         """
         replica = self._state.replica
         is_sufficient = replica.loaded_at is not None and self._knows_era(replica)
@@ -60,8 +60,6 @@
         is_first = self._first_start and replica.loaded_at == self._first_loaded_at
         if not replica.era or is_first:
             return True
-        if any(g.written_era == replica.era for g in self._state.groups.values()):
-            return True
         return self._clock.monotonic() - replica.loaded_at >= ENTRIES_RENEWED_S
 
 
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/records.py
@@ -105,7 +105,8 @@
     """The state of the fleet, from the records of the table's replica.
 
     ``known_groups`` holds the names of all groups that the table has had since this
-    node started, or since its copy was begun anew. ``late_groups`` holds the keys of
+    node started, or since its copy was begun anew, without those that the store has
+    lost for good. ``late_groups`` holds the keys of
     group records that were decided in an earlier era and written in this one. Nothing
     follows from these: their servers may have got another group in the time that the
     store has lost. ``blocked_parts`` maps the prompt parts and the fingerprints of
@@ -186,6 +187,9 @@
                 )
                 return
             self.known_groups.add(group.name)
+        elif self.replica.reloading:
+            # The store does not have it any more. No planner need have dissolved it.
+            self.known_groups.discard(key.partition("/")[2])
         _set_or_remove(self.groups, key, group)
 
     def _current_value(self, key):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -208,13 +208,15 @@
     def _build_tables(self):
         store, clock = self._platform.store, self.clock
         self.replicas = {
-            name: TableReplica(name, store, clock)
-            for name in (OPERATOR_TABLE, SERVER_TABLE)
+            OPERATOR_TABLE: TableReplica(OPERATOR_TABLE, store, clock),
+            SERVER_TABLE: TableReplica(
+                SERVER_TABLE, store, clock, survives_pause=False
+            ),
+            FLEET_TABLE: TableReplica(
+                FLEET_TABLE, store, clock, settle_s=FLEET_SETTLE_S, survives_pause=False
+            ),
         }
         self.replicas[SERVER_TABLE].is_repeat = self._platform.is_same_registration
-        self.replicas[FLEET_TABLE] = TableReplica(
-            FLEET_TABLE, store, clock, settle_s=FLEET_SETTLE_S, survives_pause=False
-        )
 
     def _build_fleet(self):
         cfg, platform, clock = self.cfg, self._platform, self.clock
--- a/tests/fleet/test_knowledge.py
+++ b/tests/fleet/test_knowledge.py
@@ -51,17 +51,14 @@
         self.clock.now += 0.2
         self.assertTrue(knowledge.is_sufficient())
 
-    def test_node_that_starts_in_the_same_era_need_not_wait(self):
-        _, knowledge = self.restarted()
-        self.assertTrue(knowledge.is_sufficient())
-
-    def test_groups_written_again_end_the_wait(self):
+    def test_records_of_the_new_era_do_not_end_the_wait(self):
+        """The entries of the servers may be from before those groups."""
         self.table.lose(1)
         node, knowledge = self.restarted()
         self.one.replica.refresh(0.0)
         self.one.writer.write_lost_entries()
         node.replica.refresh(0.0)
-        self.assertTrue(knowledge.is_sufficient())
+        self.assertFalse(knowledge.is_sufficient())
 
     def test_node_that_followed_the_table_need_not_wait(self):
         self.clock.now += ENTRIES_RENEWED_S
--- a/tests/state/test_era.py
+++ b/tests/state/test_era.py
@@ -315,14 +315,18 @@
         two.form("e", "f")
         self.assertEqual(two.state.late_groups, set())
 
-    def test_known_names_outlast_the_drill(self):
+    def test_known_names_are_those_of_dissolved_groups(self):
+        """A group that the store has lost for good may still be serving."""
         lost = self.one.form("a", "b")
-        self.table.lose(1)
+        dissolved = self.one.form("c", "d")
+        self.one.writer.write_groups([], [dissolved], [])
+        self.table.lose(3)
         self.one.replica.refresh(0.0)
+        self.assertIn(lost.name, self.one.state.known_groups)
         self.clock.now += 6.1
         self.one.replica.refresh(0.0)
-        self.assertNotIn(lost.name, self.one.state.groups)
-        self.assertIn(lost.name, self.one.state.known_groups)
+        self.assertEqual(self.one.state.groups, {})
+        self.assertEqual(self.one.state.known_groups, {dissolved.name})
 
     def test_keys(self):
         self.one.form("a", "b")
