--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -29,6 +29,8 @@
 # takes signs, prefixes and underscores for parts of a number.
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;[^\r\n]*)?\r?\n")
 _CHUNK_END = b"\r\n"
+# The methods that are called for each line and each piece of data.
+_readline, _read = io.BufferedReader.readline, io.BufferedReader.read
 
 
 class MessageTooLongError(HTTPException, OSError):
@@ -44,17 +46,19 @@
 
 
 class _TurnTakingReader(io.RawIOBase):
-    """Reads from ``raw`` and lets other tasks run if it never waits for data.
+    """Reads from a socket and lets other tasks run if it never waits for data.
 
-    Timeouts and interrupts of the reading task take effect then. Once ``bytes_left`` is
+    ``raw`` is the socket's own file object, which is closed with this one. Timeouts and
+    interrupts of the reading task take effect while others run. Once ``bytes_left`` is
     used up, reads raise ``MessageTooLongError``; it is ``None`` without a limit. Once
     ``is_at_end`` is set, nothing more is read.
     """
 
-    def __init__(self, raw):
+    def __init__(self, sock, raw):
         self.bytes_left = None
         self.is_at_end = False
         self._raw = raw
+        self._recv_into = sock.recv_into
         self._loop = gevent.get_hub().loop
         self._loop_iteration = self._loop.iteration
         self._reads = 0
@@ -71,21 +75,22 @@
         """Read available data, or wait for some; return the number of bytes."""
         if self.is_at_end:
             return 0
-        if self._loop.iteration != self._loop_iteration:
+        iteration = self._loop.iteration
+        if iteration != self._loop_iteration:
             # The event loop has run since, so other tasks had their turn.
-            self._loop_iteration, self._reads = self._loop.iteration, 0
+            self._loop_iteration, self._reads = iteration, 0
         elif self._reads >= MAX_READS_PER_TURN:
             gevent.sleep(TURN_PAUSE_S)
         self._reads += 1
-        count = self._raw.readinto(buffer)
-        if self.bytes_left is not None and count:
+        count = self._recv_into(buffer)
+        if self.bytes_left is not None:
             self.bytes_left -= count
             if self.bytes_left < 0:
                 raise MessageTooLongError("the message is too long")
         return count
 
     def close(self):
-        """Close this reader and the one below it."""
+        """Close this reader and the socket's file object."""
         self._raw.close()
         super().close()
 
@@ -93,13 +98,13 @@
 class MessageReader(io.BufferedReader):
     """A file object for a parser of HTTP messages.
 
-    ``buffered`` is the file object that a socket's ``makefile("rb")`` returns, from
+    ``buffered`` is the file object that ``sock.makefile("rb")`` has returned, from
     which nothing has been read yet; it is not usable afterwards. Once closed,
     ``has_unread`` is whether more had arrived than was read.
     """
 
-    def __init__(self, buffered):
-        self._socket_reader = _TurnTakingReader(buffered.detach())
+    def __init__(self, sock, buffered):
+        self._socket_reader = _TurnTakingReader(sock, buffered.detach())
         super().__init__(self._socket_reader)
         self.has_unread = False
         self._lines_bytes = 0
@@ -133,8 +138,8 @@
         max_bytes = MAX_LINES_BYTES - self._lines_bytes + 1
         if 0 <= size < max_bytes:
             max_bytes = size
-        line = super().readline(max_bytes)
-        if not line.endswith(b"\n") and len(line) < max_bytes:
+        line = _readline(self, max_bytes)
+        if line[-1:] != b"\n" and len(line) < max_bytes:
             if line or self._begun:
                 raise IncompleteMessageError(
                     f"the connection ended after {line[-64:]!r}"
@@ -151,9 +156,11 @@
     def read(self, size=-1):
         """Return up to ``size`` bytes of data, fewer only at the connection's end."""
         self._lines_bytes = 0
-        data = super().read(size)
+        data = _read(self, size)
         if self._chunk_left is not None:
-            self._check_chunk_data(data)
+            self._chunk_left -= len(data)
+            if not self._chunk_left and data[-2:] != _CHUNK_END:
+                raise FramingError(f"a chunk ends with {data[-2:]!r}")
         return data
 
     def _begin_chunk(self, line):
@@ -164,11 +171,6 @@
         # The end of the chunk is read like its data.
         self._chunk_left = size + len(_CHUNK_END) if size else None
 
-    def _check_chunk_data(self, data):
-        self._chunk_left -= len(data)
-        if not self._chunk_left and not data.endswith(_CHUNK_END):
-            raise FramingError(f"a chunk ends with {data[-2:]!r}")
-
     def close(self):
         """Close the reader, and the socket's file object below it."""
         if not self.closed:
@@ -182,7 +184,7 @@
 
     def __init__(self, sock, *args, **kwargs):
         super().__init__(sock, *args, **kwargs)
-        self.fp = MessageReader(self.fp)
+        self.fp = MessageReader(sock, self.fp)
 
     def begin(self):
         """Read the head; raises ``FramingError`` if the body has no clear length."""
--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -66,7 +66,7 @@
         def __init__(self, sock, *args, **kwargs):
             sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
             super().__init__(sock, *args, **kwargs)
-            self.rfile = MessageReader(self.rfile)
+            self.rfile = MessageReader(sock, self.rfile)
 
         def max_body_bytes(self):
             """Return the size of the largest body that is read, in bytes."""
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -151,18 +151,17 @@
 
         Raises ``ExchangeError`` if the stream is cut short or goes on with something
         else than its next event. Raises ``DeadlineExceededError`` if it goes on for
-        ``MAX_LATE_S`` after the deadline, or after the first data that is read later,
+        ``MAX_LATE_S`` after the deadline, or after the first event that is read later,
         as the node may have been paused.
         """
-        late_since = None
+        exchange, deadline, late_since = self.exchange, self._request.deadline, None
         for data in self._chunks():
-            now = self._deps.clock.monotonic()
-            if now >= self._request.deadline:
-                late_since = now if late_since is None else late_since
-                if now - late_since > MAX_LATE_S:
-                    raise DeadlineExceededError("out of time", step="read stream")
             if events := self.splitter.feed(data):
-                self._deps.in_flight.note_progress(self.exchange)
+                self._deps.in_flight.note_progress(exchange)
+                if exchange.progress_at >= deadline:
+                    late_since = late_since or exchange.progress_at
+                    if exchange.progress_at - late_since > MAX_LATE_S:
+                        raise DeadlineExceededError("out of time", step="read stream")
                 yield events
             elif self.splitter.pending_bytes > MAX_EVENT_BYTES:
                 raise self._error("an event is too large", "read stream")
