Count running requests around the application, not in the handler

The application is wrapped now; a request runs until the server closes its response, after its last byte.

--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -1,6 +1,6 @@
 """Connections of callers: detect disconnected callers and stalled ones."""
 
-from contextlib import contextmanager, nullcontext
+from contextlib import contextmanager
 from socket import IPPROTO_TCP, MSG_PEEK, TCP_NODELAY
 
 import gevent
@@ -51,13 +51,12 @@
         gevent.kill(request_task, CallerDisconnectedError("the caller disconnected"))
 
 
-def make_handler(write_stall_s, max_body_bytes=0, running=lambda path: nullcontext()):
+def make_handler(write_stall_s, max_body_bytes=0):
     """Return a request handler class for ``WSGIServer``.
 
     A write that takes longer than ``write_stall_s`` seconds raises
     ``CallerStalledError``. A request whose framing is much longer than a body of
-    ``max_body_bytes`` needs is not read to its end. ``running(path)`` returns a context
-    manager; a request is served within it until its response is written.
+    ``max_body_bytes`` needs is not read to its end.
     """
 
     class Handler(WSGIHandler):
@@ -78,15 +77,6 @@
             self.rfile.begin_message(MAX_LINES_BYTES + framed_bytes)
             return super().read_requestline()
 
-        def running(self):
-            """Return the context manager within which the request is served."""
-            return running(self.path)
-
-        def handle_one_response(self):
-            """Serve one request and write its response."""
-            with self.running():
-                super().handle_one_response()
-
         def get_environ(self):
             """Add the caller's socket for ``watch_disconnect``."""
             environ = super().get_environ()
--- a/packages/auburnwall-node/src/auburnwall/node/http.py
+++ b/packages/auburnwall-node/src/auburnwall/node/http.py
@@ -1,7 +1,7 @@
 """The node's HTTP interface for callers and operators; see ``docs/ref/http.md``."""
 
 import json
-from contextlib import ExitStack, nullcontext
+from contextlib import ExitStack
 from typing import NamedTuple
 
 import bottle
@@ -18,6 +18,7 @@
     METRICS_TYPE,
     PROBLEM_TYPE,
     SSE_TYPE,
+    CountedApp,
     new_server,
     read_body,
 )
@@ -41,12 +42,8 @@
     """The HTTP server on the node's address."""
 
     def __init__(self, components):
-        cfg, gateway = components.cfg, components.gateway
-
-        def running(path):
-            return gateway if path.startswith(CALLERS_PREFIX) else nullcontext()
-
-        handler = make_handler(cfg.write_stall_s, cfg.most_body_bytes, running)
+        cfg = components.cfg
+        handler = make_handler(cfg.write_stall_s, cfg.most_body_bytes)
         app = make_app(components)
         self._server = new_server(cfg.address, app, handler_class=handler)
 
@@ -74,7 +71,7 @@
     app.route("/admin/events", "GET", operators.events)
     app.route("/admin/drain", "POST", operators.drain)
     app.default_error_handler = _framework_error
-    return app
+    return CountedApp(app, components.gateway, CALLERS_PREFIX)
 
 
 class _CallerApi:
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -20,7 +20,7 @@
     make_handler,
     watch_disconnect,
 )
-from ..webserver import PROBLEM_TYPE, new_server, read_body
+from ..webserver import PROBLEM_TYPE, CountedApp, new_server, read_body
 
 HANDLER_KEY = "auburnwall.call"
 # Time after which a blocked write to a caller ends its connection, in seconds. It is
@@ -178,10 +178,6 @@
         """Return the size of the largest body that is read, in bytes."""
         return self.gateway.limits().body_bytes
 
-    def running(self):
-        """Return the context manager that counts the request until it is answered."""
-        return self.gateway
-
     def read_requestline(self):
         """Wait for the next request within the idle timeout; raises ``OSError``."""
         with gevent.Timeout(self.gateway.limits().idle_s, OSError("idle")):
@@ -250,8 +246,8 @@
 def new_front_server(address, gateway, clock):
     """Return the HTTP server for callers at ``address``."""
     handler = type("GatewayHandler", (CallerHandler,), {"gateway": gateway})
-    front = Front(gateway, clock)
-    return new_server(address, front, handler_class=handler, backlog=LISTEN_BACKLOG)
+    app = CountedApp(Front(gateway, clock), gateway)
+    return new_server(address, app, handler_class=handler, backlog=LISTEN_BACKLOG)
 
 
 def _status_line(status):
--- a/packages/auburnwall-node/src/auburnwall/node/webserver.py
+++ b/packages/auburnwall-node/src/auburnwall/node/webserver.py
@@ -1,5 +1,7 @@
 """Parts that all HTTP servers of a node share."""
 
+from contextlib import ExitStack
+
 from gevent.pywsgi import WSGIServer
 
 from auburnwall.base.http_reader import MessageTooLongError
@@ -24,6 +26,45 @@
         """Do nothing: each message is logged immediately."""
 
 
+class CountedApp:
+    """A WSGI application that counts its requests until their responses are written.
+
+    Each request is served inside ``with gateway``, which lasts until the server closes
+    the response, after its last byte. Only paths that begin with ``prefix`` count.
+    """
+
+    def __init__(self, app, gateway, prefix=""):
+        self._app = app
+        self._gateway = gateway
+        self._prefix = prefix
+
+    def __call__(self, environ, start_response):
+        """Serve one request."""
+        if not environ["PATH_INFO"].startswith(self._prefix):
+            return self._app(environ, start_response)
+        with ExitStack() as stack:
+            stack.enter_context(self._gateway)
+            body = self._app(environ, start_response)
+            if hasattr(body, "close"):
+                stack.callback(body.close)
+            return _CountedBody(body, stack.pop_all())
+
+
+class _CountedBody:
+    """The body of a response, until whose ``close`` its request is running."""
+
+    def __init__(self, body, stack):
+        self._body = body
+        self._stack = stack
+
+    def __iter__(self):
+        return iter(self._body)
+
+    def close(self):
+        """Release what the request holds."""
+        self._stack.close()
+
+
 def new_server(address, app, **options):
     """Return a ``WSGIServer`` for ``app`` at ``address`` that does not log requests."""
     host, _, port = address.rpartition(":")
