Let the raw servers of the tests share one base

Two process tests waited for their paths by the same code; it is wait_until_served of their base class.

Assertions, bounds and cases are as before.

--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -29,6 +29,15 @@
     def all_ready(self):
         return all(map(self.cluster.is_ready, self.names))
 
+    def is_served(self, path):
+        """Return whether all nodes serve requests on a path."""
+        return all(self.send_request(name, path)[0] == 200 for name in self.names)
+
+    def wait_until_served(self, paths):
+        """Wait until all nodes serve requests on these paths."""
+        for path in paths:
+            self.cluster.wait(lambda p=path: self.is_served(p), f"{path} is served")
+
     def planner(self):
         """Return the node that was elected leader last; the leader plans."""
         elections = [
--- a/tests/processes/test_odd_entries.py
+++ b/tests/processes/test_odd_entries.py
@@ -20,11 +20,7 @@
 
     def setUp(self):
         super().setUp()
-        for path in PATHS:
-            self.cluster.wait(lambda p=path: self.is_served(p), f"{path} is served")
-
-    def is_served(self, path):
-        return all(self.send_request(name, path)[0] == 200 for name in self.names)
+        self.wait_until_served(PATHS)
 
     def put_odd_entries(self):
         """Write the odd entries of both services, and sound ones under odd keys."""
@@ -53,8 +49,7 @@
         self.cluster.stop_server("i-engine-0")
         self.cluster.stop_server("i-engine-1")
         time.sleep(READ_S)
-        for path in PATHS:
-            self.cluster.wait(lambda p=path: self.is_served(p), f"{path} is served")
+        self.wait_until_served(PATHS)
         for name in self.names:
             self.assertIsNone(self.cluster.exit_code(name))
             events = self.cluster.log_events(name)
--- a/tests/processes/test_server_limit.py
+++ b/tests/processes/test_server_limit.py
@@ -29,11 +29,7 @@
 class ServerLimitTests(PlatformClusterTestCase):
     def setUp(self):
         super().setUp()
-        for path in PATHS:
-            self.cluster.wait(lambda p=path: self.is_served(p), f"{path} is served")
-
-    def is_served(self, path):
-        return all(self.send_request(name, path)[0] == 200 for name in self.names)
+        self.wait_until_served(PATHS)
 
     def send_for(self, seconds):
         """Send more requests than the limits allow; return their statuses."""
@@ -62,8 +58,7 @@
         self.assertGreaterEqual(min(rates.values()), MIN_USE * LIMIT_PER_S, rates)
         self.assertLessEqual(set(statuses), {200, 503})
         # A server that names no limit any more gets all that comes.
-        for path in PATHS:
-            self.cluster.wait(lambda p=path: self.is_served(p), f"{path} is served")
+        self.wait_until_served(PATHS)
         self.assertGreater(self.send_for(4.0)[-60:].count(200), 50)
 
 
--- a/tests/routed/endless_server.py
+++ b/tests/routed/endless_server.py
@@ -6,13 +6,14 @@
 after ``MAX_SEND_S``, so that a reader that never stops fails a test, but ends.
 """
 
-import re
 import socket
 import sys
 import threading
 import time
 from contextlib import suppress
 
+from .raw_server import attempt_id, read_request
+
 MAX_SEND_S = 6.0
 BLOCK_BYTES = 1 << 18
 CHUNKED = b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
@@ -53,16 +54,11 @@
 
 def answer(sock, form):
     """Read one request and answer it."""
-    request = b""
-    while b"\r\n\r\n" not in request:
-        data = sock.recv(65536)
-        if not data:
-            return
-        request += data
-    attempt = re.search(rb"(?i)x-attempt-id: *([^\r]*)", request)
+    if not (request := read_request(sock)):
+        return
     fields = b"X-Server-Seal: endless\r\n"
-    if attempt:
-        fields += b"X-Attempt-Id: " + attempt[1] + b"\r\n"
+    if attempt := attempt_id(request):
+        fields += b"X-Attempt-Id: " + attempt + b"\r\n"
     begin, piece = FORMS[form]
     send_without_end(sock, begin.replace(b"%s", fields), piece)
     sock.close()
--- a/tests/routed/test_repeated_refusals.py
+++ b/tests/routed/test_repeated_refusals.py
@@ -5,19 +5,17 @@
 gevent.monkey.patch_all()
 
 import itertools  # noqa: E402
-import re  # noqa: E402
 import unittest  # noqa: E402
-from contextlib import closing, suppress  # noqa: E402
+from contextlib import closing  # noqa: E402
 
 import gevent  # noqa: E402
-from gevent.server import StreamServer  # noqa: E402
 
 from auburnwall.fleet.engines.group import LeaveOrder, OrderOutcome  # noqa: E402
 from auburnwall.platform.servers import ServerClient  # noqa: E402
 
+from .raw_server import RawServer, attempt_id, read_request  # noqa: E402
 from .support import FrontWithServers, send_call  # noqa: E402
 
-ATTEMPT_ID = re.compile(rb"(?i)x-attempt-id: *([^\r]*)")
 # Statuses by which a node promises that a request has not run and will not.
 PROMISES = (408, 421, 429, 503)
 EARLIER, NO_ID, EMPTY_ID = "earlier", "none", "empty"
@@ -38,7 +36,7 @@
     ).encode()
 
 
-class FaultyServer:
+class FaultyServer(RawServer):
     """Runs each request; writes ``extra`` before the answer, as ``when`` says.
 
     ``"kept"``: before the second answer on a connection and those after it. ``"new"``:
@@ -49,35 +47,25 @@
     def __init__(self, server, extra, when, runs):
         self.server = server
         self._extra, self._when, self._runs = extra, when, runs
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
-        self._server.start()
-        self.address = f"127.0.0.1:{self._server.server_port}"
-
-    def _serve(self, sock, address):
-        with sock, suppress(OSError):
-            for number in itertools.count():
-                request = b""
-                while b"\r\n\r\n" not in request:
-                    data = sock.recv(65536)
-                    if not data:
-                        return
-                    request += data
-                attempt = ATTEMPT_ID.search(request)[1]
-                self._runs.append(attempt.decode())
-                answer = (
-                    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + b"\r\n"
-                    b"X-Server-Seal: seal\r\nContent-Length: 2\r\n\r\nok"
-                )
-                if self._when == ("kept" if number else "new"):
-                    sock.sendall(self._extra)
-                    gevent.sleep(0.02)
-                sock.sendall(answer + (self._extra if self._when == "same" else b""))
-                if self._when == "idle":
-                    gevent.sleep(0.02)
-                    sock.sendall(self._extra)
-
-    def stop(self):
-        self._server.stop(0.1)
+        super().__init__()
+
+    def serve(self, sock):
+        for number in itertools.count():
+            if not (request := read_request(sock)):
+                return
+            attempt = attempt_id(request)
+            self._runs.append(attempt.decode())
+            answer = (
+                b"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + b"\r\n"
+                b"X-Server-Seal: seal\r\nContent-Length: 2\r\n\r\nok"
+            )
+            if self._when == ("kept" if number else "new"):
+                sock.sendall(self._extra)
+                gevent.sleep(0.02)
+            sock.sendall(answer + (self._extra if self._when == "same" else b""))
+            if self._when == "idle":
+                gevent.sleep(0.02)
+                sock.sendall(self._extra)
 
 
 class RepeatedRefusalTests(unittest.TestCase):
@@ -156,32 +144,26 @@
                 self.assertEqual(got, outcome)
 
 
-class LateCopyServer:
+class LateCopyServer(RawServer):
     """Writes a copy of the last outcome of an order before the next response."""
 
     def __init__(self):
         self.status = 200
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
-        self._server.start()
-        self.address = f"127.0.0.1:{self._server.server_port}"
+        super().__init__()
 
-    def _serve(self, sock, address):
+    def serve(self, sock):
         copy, report = b"", b'{"born": 5}'
-        with sock, suppress(OSError):
-            while request := sock.recv(65536):
-                if b"/-/report" in request:
-                    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(report)}\r\n\r\n"
-                    sock.sendall(head.encode() + report)
-                    continue
-                if copy:
-                    sock.sendall(copy)
-                    gevent.sleep(0.02)
-                head = f"HTTP/1.1 {self.status} OK\r\nContent-Length: 0\r\n\r\n"
-                copy = head.encode()
+        while request := sock.recv(65536):
+            if b"/-/report" in request:
+                head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(report)}\r\n\r\n"
+                sock.sendall(head.encode() + report)
+                continue
+            if copy:
                 sock.sendall(copy)
-
-    def stop(self):
-        self._server.stop(0.1)
+                gevent.sleep(0.02)
+            head = f"HTTP/1.1 {self.status} OK\r\nContent-Length: 0\r\n\r\n"
+            copy = head.encode()
+            sock.sendall(copy)
 
 
 if __name__ == "__main__":
--- a/tests/routed/test_stream_continuations.py
+++ b/tests/routed/test_stream_continuations.py
@@ -7,13 +7,11 @@
 import http.client  # noqa: E402
 import re  # noqa: E402
 import unittest  # noqa: E402
-from contextlib import closing, suppress  # noqa: E402
-
-from gevent.server import StreamServer  # noqa: E402
+from contextlib import closing  # noqa: E402
 
+from .raw_server import RawServer, attempt_id, read_request  # noqa: E402
 from .support import KEY, FrontWithServers, send_call  # noqa: E402
 
-ATTEMPT_ID = re.compile(rb"(?i)x-attempt-id: *([^\r]*)")
 LAST_EVENT_ID = re.compile(rb"(?i)\r\nlast-event-id: *([^\r]*)")
 SEALED = b"X-Attempt-Id: %s\r\nX-Server-Seal: seal\r\n"
 EVENTS = b"Content-Type: text/event-stream\r\n"
@@ -107,36 +105,26 @@
 }
 
 
-class BreakingServer:
+class BreakingServer(RawServer):
     """Breaks a stream off after ``COUNT`` events, and answers attempts to resume it."""
 
     def __init__(self, server, continuation):
         self.server = server
         self.continuation = continuation
         self.first = unframed(b"", EVENTS + SEALED + CHUNKED)
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
-        self._server.start()
-        self.address = f"127.0.0.1:{self._server.server_port}"
-
-    def _serve(self, sock, address):
-        with sock, suppress(OSError):
-            request = b""
-            while b"\r\n\r\n" not in request:
-                data = sock.recv(65536)
-                if not data:
-                    return
-                request += data
-            attempt = ATTEMPT_ID.search(request)[1]
-            if LAST_EVENT_ID.search(request):
-                sock.sendall(self.continuation.replace(b"%s", attempt))
-                return
-            sock.sendall(self.first.replace(b"%s", attempt))
-            for number in range(1, COUNT + 1):
-                event = numbered(number)
-                sock.sendall(b"%x\r\n%b\r\n" % (len(event), event))
-
-    def stop(self):
-        self._server.stop(0.1)
+        super().__init__()
+
+    def serve(self, sock):
+        if not (request := read_request(sock)):
+            return
+        attempt = attempt_id(request)
+        if LAST_EVENT_ID.search(request):
+            sock.sendall(self.continuation.replace(b"%s", attempt))
+            return
+        sock.sendall(self.first.replace(b"%s", attempt))
+        for number in range(1, COUNT + 1):
+            event = numbered(number)
+            sock.sendall(b"%x\r\n%b\r\n" % (len(event), event))
 
 
 class ContinuationTests(unittest.TestCase):
--- a/tests/routed/test_truncated_messages.py
+++ b/tests/routed/test_truncated_messages.py
@@ -5,15 +5,13 @@
 gevent.monkey.patch_all()
 
 import json  # noqa: E402
-import re  # noqa: E402
 import socket  # noqa: E402
 import struct  # noqa: E402
 import unittest  # noqa: E402
-from contextlib import contextmanager, suppress  # noqa: E402
+from contextlib import contextmanager  # noqa: E402
 from types import SimpleNamespace  # noqa: E402
 
 import gevent  # noqa: E402
-from gevent.server import StreamServer  # noqa: E402
 
 from auburnwall.base.clock import SystemClock  # noqa: E402
 from auburnwall.fleet.engines.group import StageOrder  # noqa: E402
@@ -25,11 +23,9 @@
 from auburnwall.routing.request import CallerRequest  # noqa: E402
 from auburnwall.state.exceptions import LogUnavailableError  # noqa: E402
 
+from .raw_server import RawServer, attempt_id, read_request  # noqa: E402
 from .support import KEY, FrontWithServers, send_call  # noqa: E402
 
-ATTEMPT_ID = re.compile(rb"(?i)x-attempt-id: *([^\r]*)")
-
-
 SEALED_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\n"
 CHUNKED = SEALED_HEAD + b"Transfer-Encoding: chunked\r\n"
 # Responses whose framing is spoiled, and sound ones.
@@ -66,7 +62,7 @@
 )
 
 
-class CuttingServer:
+class CuttingServer(RawServer):
     """Sends the first ``cut`` bytes of ``answer`` to each request, then closes.
 
     ``%s`` in the answer stands for the request's id.
@@ -74,24 +70,12 @@
 
     def __init__(self, answer):
         self.answer, self.cut = answer, None
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
-        self._server.start()
-        self.address = f"127.0.0.1:{self._server.server_port}"
-
-    def _serve(self, sock, address):
-        with sock, suppress(OSError):
-            request = b""
-            while b"\r\n\r\n" not in request:
-                data = sock.recv(65536)
-                if not data:
-                    return
-                request += data
-            attempt = ATTEMPT_ID.search(request)
-            answer = self.answer.replace(b"%s", attempt[1] if attempt else b"")
-            sock.sendall(answer[: self.cut])
+        super().__init__()
 
-    def stop(self):
-        self._server.stop(0.1)
+    def serve(self, sock):
+        if request := read_request(sock):
+            answer = self.answer.replace(b"%s", attempt_id(request))
+            sock.sendall(answer[: self.cut])
 
 
 def answer(body, *fields):
