Use one name, one limit and one number reader where there were two

Evidence in formation/knowledge.py is ProbeResult, since fleet/evidence.py has another class of that name. The largest event is one constant for both interfaces; ports are read by parse_digits. The choice of what may continue a stream is written out.

Behaviour is as before.

--- a/packages/auburnwall-base/src/auburnwall/base/addresses.py
+++ b/packages/auburnwall-base/src/auburnwall/base/addresses.py
@@ -2,6 +2,10 @@
 
 import ipaddress
 
+from .digits import parse_digits
+
+MAX_PORT = 2**16 - 1
+
 
 def split_address(address):
     """Return the host and the port of an address; raise ``ValueError``.
@@ -13,6 +17,7 @@
     """
     host, _, port = address.rpartition(":")
     ipaddress.IPv4Address(host)
-    if not (port.isascii() and port.isdigit() and 0 < int(port) < 2**16):
+    number = parse_digits(port, MAX_PORT + 1)
+    if number is None or not 0 < number <= MAX_PORT:
         raise ValueError(f"bad port in address {address[:64]!a}")
-    return host, int(port)
+    return host, number
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/knowledge.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/knowledge.py
@@ -63,7 +63,7 @@
         return self._clock.monotonic() - replica.loaded_at >= ENTRIES_RENEWED_S
 
 
-class Evidence(NamedTuple):
+class ProbeResult(NamedTuple):
     """What a probe has shown of a server, and what counts of it.
 
     ``report`` is ``None`` if the server did not respond. ``failures`` is the number of
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
@@ -6,7 +6,7 @@
 from ..registrations import GroupMembership
 from .knowledge import (
     MAX_EVIDENCE_AGE_S,
-    Evidence,
+    ProbeResult,
     is_in_unregistered_group,
     valid_evidence,
 )
@@ -154,12 +154,12 @@
         previous = valid_evidence(self._results.get(member.server), member, probed_at)
         try:
             report = self._engine.fetch_report(member.server, member.address)
-            result = Evidence(probed_at, report)
+            result = ProbeResult(probed_at, report)
         except ServerPausedError:
             return
         except EngineError as exc:
             failures = self._count_failure(member, previous, probed_at, exc)
-            result = Evidence(
+            result = ProbeResult(
                 probed_at,
                 None,
                 failures,
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -15,7 +15,11 @@
 )
 
 from .channels import CONNECT_FAILURES
-from .event_stream import NumberedEventSplitter, is_event_stream
+from .event_stream import (
+    MAX_EVENT_BYTES,
+    NumberedEventSplitter,
+    is_event_stream,
+)
 from .exceptions import ExchangeError
 from .forwarded import FORWARDED_BY, SERVERS_LEFT
 from .hop_by_hop import HOP_BY_HOP
@@ -24,8 +28,6 @@
 # How an exchange fails in ``urllib3``, or in the standard library below it, which
 # rejects bytes that are no response.
 EXCHANGE_FAILURES = (HTTPError, HTTPException, OSError, ValueError)
-# Largest event of a stream, in bytes; longer ones are no events of a server.
-MAX_EVENT_BYTES = 1024 * 1024
 # Largest response that is collected as a whole, in bytes.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Time after the deadline in which events that are ready are still passed on, in
--- a/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
@@ -7,6 +7,9 @@
 # Characters of an unexpected id that are logged.
 MAX_LOGGED_ID_CHARS = 40
 
+# Largest event, in bytes; a longer one is no event of a server.
+MAX_EVENT_BYTES = 1024 * 1024
+
 EVENT_STREAM_TYPE = "text/event-stream"
 
 _EVENT_END = b"\n\n"
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -155,8 +155,11 @@
             attempt = attempts.next_attempt(
                 position, RESUME_WINDOW_S if caller_has_events else None
             )
-            is_success = 200 <= attempt.status < 300
-            if attempt.is_event_stream if caller_has_events else is_success:
+            if caller_has_events:
+                is_suitable = attempt.is_event_stream
+            else:
+                is_suitable = 200 <= attempt.status < 300
+            if is_suitable:
                 return attempt
             attempt.close()
             content_type = attempt.headers.get("Content-Type")
--- a/packages/auburnwall-routing/src/auburnwall/routing/sse.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/sse.py
@@ -3,11 +3,9 @@
 import json
 import re
 
-from .event_stream import EventSplitter
+from .event_stream import MAX_EVENT_BYTES, EventSplitter
 
 DONE = b"data: [DONE]\n\n"
-# Largest event, in bytes; longer ones are no events of a model engine.
-MAX_EVENT_BYTES = 1024 * 1024
 _END = b"\n\n"
 # A line of an event: empty, a comment, or a field.
 _LINE = re.compile(rb"(data|event|id|retry)?(:|$)")
