Tell a late node from silent servers where an exchange is interrupted

The line 'exchange interrupted' looks the same if one server is silent, if all are, and if this node itself ran late. It now has how late the node's own check was, and how many of the candidates from which the node awaits something are silent, of how many. No logic is changed.

--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -84,6 +84,8 @@
         self.make_suspect = make_suspect
         self._exchanges = set()
         self._progress_by_candidate = {}
+        # How late the last check was, in seconds.
+        self._check_late_s = 0.0
 
     def count(self, name):
         """Return the number of slots that this node uses at a candidate."""
@@ -138,7 +140,8 @@
         while True:
             self._clock.sleep(CHECK_INTERVAL_S)
             now = self._clock.monotonic()
-            if now - expected_at > MAX_CHECK_DELAY_S:
+            self._check_late_s = max(0.0, now - expected_at)
+            if self._check_late_s > MAX_CHECK_DELAY_S:
                 self.restart_stall_timers()
             expected_at = now + CHECK_INTERVAL_S
             self.check_progress(now)
@@ -190,14 +193,34 @@
                 detail = f"no progress for {now - exchange.progress_at:.2f} s"
                 self._interrupt(exchange, StalledError(detail, step="wait"))
 
+    def _silence_of_service(self, service, now):
+        """Return the number of a service's silent candidates and of all awaited ones.
+
+        Awaited are the candidates from which an exchange of this node awaits bytes.
+        """
+        awaited = {
+            exchange.candidate.name: max(
+                exchange.progress_at, self.last_progress_at(exchange.candidate.name)
+            )
+            for exchange in self._exchanges
+            if exchange.awaiting_server and exchange.request.service == service
+        }
+        silent = sum(now - at > STALL_TIMEOUT_S for at in awaited.values())
+        return silent, len(awaited)
+
     def _interrupt(self, exchange, error):
+        now = self._clock.monotonic()
+        silent, awaited = self._silence_of_service(exchange.request.service, now)
         event(
             "exchange interrupted",
             request=exchange.request.request_id,
             peer=exchange.candidate.server,
             group=exchange.candidate.name,
             events=exchange.reads,
-            age_s=round(self._clock.monotonic() - exchange.started_at, 2),
+            age_s=round(now - exchange.started_at, 2),
+            check_late_s=round(self._check_late_s, 3),
+            silent=silent,
+            awaited=awaited,
             why=error.detail,
         )
         gevent.get_hub().loop.run_callback(
--- a/tests/routing/test_in_flight.py
+++ b/tests/routing/test_in_flight.py
@@ -26,7 +26,9 @@
 
     def exchange(self, group="g1", deadline_s=60.0, may_reroute=True):
         """Return an exchange that got one event and awaits the next one."""
-        request = SimpleNamespace(request_id="r", deadline=self.clock.now + deadline_s)
+        request = SimpleNamespace(
+            request_id="r", service="assist", deadline=self.clock.now + deadline_s
+        )
         candidate = Candidate(group, "s1", 1, "", "norte", 9)
         exchange = self.in_flight.begin(request, candidate)
         exchange.task = unittest.mock.Mock()
@@ -51,6 +53,23 @@
         self.check_after(REROUTE_DELAY_S)
         self.assertIsInstance(self.interruption(exchange), StalledError)
 
+    def test_interrupt_tells_how_late_the_node_was_and_who_else_was_silent(self):
+        """Without both, a late node and a silent server look alike in the log."""
+        self.exchange("g1"), self.exchange("g2", may_reroute=False)
+        self.check_after(STALL_TIMEOUT_S)
+        self.exchange("g3")
+        with self.assertLogs("absl", "INFO") as logs:
+            self.check_after(REROUTE_DELAY_S - 0.2)
+            self.exchange("g3")
+            self.check_after(0.21)
+        (fields,) = [
+            record.fields
+            for record in logs.records
+            if record.msg == "exchange interrupted"
+        ]
+        self.assertEqual((fields["silent"], fields["awaited"]), (2, 3))
+        self.assertEqual(fields["check_late_s"], 0.0)
+
     def test_slow_group_keeps_its_streams(self):
         """Servers twelve times slower, at 0.6 s an event, finish their streams."""
         exchange = self.exchange()
