Show streams that are given up in a silence with no other place at hand

The stand-in servers can fall silent; the tests' view has settable slots and the node's own progress, as the real one has.

--- a/standins/modelserver.py
+++ b/standins/modelserver.py
@@ -62,6 +62,8 @@
         # Interval between the events of a stream, and their number.
         self.event_s = 0.02
         self.events = 10
+        # Monotonic time until which nothing is sent, also within a stream.
+        self.silent_until = 0.0
         self.join_s = 0.1
         self.pause_s = 1.0
         # Smallest size of the body of a plain server's response.
@@ -214,7 +216,12 @@
         ordered = (order["group"], order["epoch"])
         return group is not None and (group["Name"], group["epoch"]) == ordered
 
+    def _wait_while_silent(self):
+        while (left_s := self.silent_until - time.monotonic()) > 0:
+            gevent.sleep(left_s)
+
     def _apply_faults_of_any_response(self):
+        self._wait_while_silent()
         if "leaving" in self.faults:
             bottle.response.headers["Server-Leaving"] = "1"
         if self.limit_per_s is not None:
@@ -360,6 +367,7 @@
         self.running += 1
         try:
             for number in range(first_number, self.events + 1):
+                self._wait_while_silent()
                 if "cut" in self.faults and number == first_number + 2:
                     yield b"id: 99\ndata: torn"
                     raise OSError("cut")
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -99,6 +99,8 @@
 
     def __init__(self, servers, clock):
         self.servers = servers
+        # Slots of each server.
+        self.slots = 9
         self.suspects = SuspectCandidates(clock, FixedReach(), str)
         self.in_flight = None
         self.registry = Registry(TableReplica("servers", None, clock), None, clock)
@@ -110,7 +112,7 @@
 
     def candidates(self, request):
         return [
-            Candidate(s.server, s.server, 1, s.address, "norte", 9)
+            Candidate(s.server, s.server, 1, s.address, "norte", self.slots)
             for s in self.servers[request.service]
             if self.registry.usable_registration(s.server)
         ]
@@ -155,8 +157,10 @@
         self.desks = self._servers(store, "desk", "")
         self.engines = self._servers(store, "assist", "d0")
         view = StandinView({"desk": self.desks, "assist": self.engines}, clock)
+        self.view = view
         self.in_flight = InFlightRequests(clock, view.suspects.suspect)
         view.in_flight = self.in_flight
+        view.suspects.last_progress_at = self.in_flight.last_progress_at
         self.registry = view.registry
         self.notices = view.notices
         gates = (
