Give up an attempt only for a slot that its request has elsewhere

What callers saw (LOST): streams of one node ended without a whole answer after a second of silence of their servers, though these had them still and ended their runs. The log: exchange interrupted (no progress), attempt failed, request refused (class resuming), stream broken off.

Cause: the watch of a node interrupted a stalled exchange first, and asked afterwards for the retry budget, an attempt, an id to resume from and a slot. Each of the four could refuse, and the refusal of what had not begun ended what had. The same order stood in the retry of a 5xx response: the server's own answer was given up for a slot that was not there.

Now a stalled exchange looks for all four in a task of its own and is interrupted once it has them; until then it is kept ('exchange kept', with why), also while it waits in the queue. The slot is given back if the exchange goes on meanwhile, ends, or reads in the same moment. While all candidates of a service from which a node awaits something are silent, it waits longer before it looks: in the front's test the streams of two silent servers changed places.

Ruled out: the deadline, the caller's write and the idle connection, none of which is in the logs of the cut requests.

--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -9,12 +9,11 @@
 
 from .exceptions import ExchangeError
 from .in_flight import DeadlineExceededError, StalledError
-from .request_attempts import RequestAttempts, end_to_end_headers
-
-# Longest wait for a slot in each attempt to resume a stream that broke off: the
-# shortest pause after which callers abandon a stream, minus the time from getting the
-# slot to the first event.
-RESUME_WINDOW_S = 1.4
+from .request_attempts import (
+    RESUME_WINDOW_S,
+    RequestAttempts,
+    end_to_end_headers,
+)
 
 
 class Reply(NamedTuple):
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -2,7 +2,8 @@
 
 Failure pattern: a group whose member has died still accepts requests but makes no
 progress on any of them. The first sign is that all of its streams stop at the same
-time.
+time. The same is seen while sound servers pause, so a stalled exchange is given up only
+for a slot that its request already has elsewhere.
 """
 
 import gevent
@@ -10,6 +11,8 @@
 from auburnwall.base.exceptions import AuburnwallError
 from auburnwall.base.logs import event
 
+from .exceptions import RequestError
+
 # Time between two checks for stalled exchanges.
 CHECK_INTERVAL_S = 0.05
 # A check that is late by more than this shows that this node was paused. The silence of
@@ -22,6 +25,11 @@
 # response is late by then in any case, and a group that is only slow finishes it with
 # less work than another group that has to read the prompt again.
 REROUTE_DELAY_S = 0.45
+# The same if all candidates of the service that this node awaits are silent at the same
+# time: another one is hardly any better, and a pause of all of them ends for all.
+COMMON_REROUTE_DELAY_S = 1.0
+# Time after which a stalled request that found no slot elsewhere looks for one again.
+SEARCH_RETRY_S = 0.3
 # Silence before the first event after which a group is suspect, in addition to the
 # time for reading the prompt.
 FIRST_EVENT_STALL_TIMEOUT_S = 0.6
@@ -31,7 +39,14 @@
 
 
 class StalledError(AuburnwallError):
-    """The candidate makes no progress; the request may be sent to another one."""
+    """The candidate makes no progress, and ``placement`` is a slot at another one.
+
+    Whoever handles the error owns the placement.
+    """
+
+    def __init__(self, *args, placement=None, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.placement = placement
 
 
 class DeadlineExceededError(AuburnwallError):
@@ -47,6 +62,10 @@
     becomes suspect. ``reads`` counts the pieces of a stream that have arrived, each of
     which may hold several events or a part of one. If ``is_lost`` is set, the candidate
     may be silent as long as ``is_lost()`` is false, and is never suspect.
+
+    ``place_elsewhere()`` returns a ``Placement`` for the request at
+    another candidate, for which it may wait, or raises ``RequestError``.
+    ``release_slot(placement)`` gives it back. ``search`` is the task that calls them.
     """
 
     def __init__(self, request, candidate, now):
@@ -59,6 +78,10 @@
         self.waits = 0
         self.may_reroute = False
         self.is_lost = None
+        self.place_elsewhere = None
+        self.release_slot = None
+        self.search = None
+        self.next_search_at = 0.0
         self.stall_timeout_s = FIRST_EVENT_STALL_TIMEOUT_S
         self.task = gevent.getcurrent()
 
@@ -115,6 +138,8 @@
     def end(self, exchange):
         """Stop tracking an exchange."""
         self._exchanges.discard(exchange)
+        if exchange.search is not None:
+            exchange.search.kill(block=False)
 
     def take_slot(self, name):
         """Count one more slot in use at a candidate; does not check for a free one."""
@@ -156,12 +181,13 @@
             exchange.progress_at = now
 
     def check_progress(self, now):
-        """Interrupt exchanges that are past their deadline or stalled.
+        """Find exchanges that are past their deadline or stalled.
 
-        A stalled candidate becomes suspect. Its exchanges are interrupted
-        ``REROUTE_DELAY_S`` later, and only if they may be sent to another server.
-        Exchanges that do not await their server are left alone, also past their
-        deadline. Progress older than ``PROGRESS_RETENTION_S`` is removed.
+        The former are interrupted. A stalled candidate becomes suspect. Its exchanges
+        go on ``REROUTE_DELAY_S`` later if they may be sent to another server and as
+        soon as one has a slot for them; until then they keep what they have. Exchanges
+        that do not await their server are left alone, also past their deadline.
+        Progress older than ``PROGRESS_RETENTION_S`` is removed.
         """
         self._progress_by_candidate = {
             name: at
@@ -178,20 +204,63 @@
                 continue
             if exchange.is_lost is not None:
                 if exchange.may_reroute and exchange.is_lost():
-                    self._interrupt(exchange, StalledError("it is lost", step="wait"))
+                    self._search_slot(exchange, now, "it is lost")
                 continue
-            # A group that has lost a member stalls all its streams, so the progress of
-            # any of them shows that the group works.
-            last_progress_at = self.last_progress_at(exchange.candidate.name)
-            silent_s = now - max(exchange.progress_at, last_progress_at)
-            if silent_s > exchange.stall_timeout_s:
-                self.make_suspect(exchange.candidate.name)
-            if (
-                exchange.may_reroute
-                and silent_s > exchange.stall_timeout_s + REROUTE_DELAY_S
-            ):
-                detail = f"no progress for {now - exchange.progress_at:.2f} s"
-                self._interrupt(exchange, StalledError(detail, step="wait"))
+            self._check_for_stall(exchange, now)
+
+    def _check_for_stall(self, exchange, now):
+        # A group that has lost a member stalls all its streams, so the progress of any
+        # of them shows that the group works.
+        name = exchange.candidate.name
+        silent_s = now - max(exchange.progress_at, self.last_progress_at(name))
+        if silent_s <= exchange.stall_timeout_s:
+            return
+        self.make_suspect(name)
+        over_s = silent_s - exchange.stall_timeout_s
+        if not exchange.may_reroute or over_s <= REROUTE_DELAY_S:
+            return
+        if over_s <= COMMON_REROUTE_DELAY_S:
+            silent, awaited = self._silence_of_service(exchange.request.service, now)
+            if 1 < awaited == silent:
+                return
+        detail = f"no progress for {now - exchange.progress_at:.2f} s"
+        self._search_slot(exchange, now, detail)
+
+    def _search_slot(self, exchange, now, why):
+        """Start a task that looks for a slot elsewhere, if none is running."""
+        if exchange.search is None and now >= exchange.next_search_at:
+            exchange.next_search_at = now + SEARCH_RETRY_S
+            exchange.search = gevent.spawn(self._reroute, exchange, why)
+
+    def _reroute(self, exchange, why):
+        """Interrupt a stalled exchange once it has a slot elsewhere.
+
+        If there is none, or if the exchange goes on meanwhile, it is kept.
+        """
+        progress_at = exchange.progress_at
+        try:
+            placement = exchange.place_elsewhere()
+        except RequestError as exc:
+            self._log_kept(exchange, why, exc.detail)
+            return
+        finally:
+            exchange.search = None
+            exchange.next_search_at = self._clock.monotonic() + SEARCH_RETRY_S
+        if exchange.progress_at > progress_at or not exchange.awaiting_server:
+            exchange.release_slot(placement)
+            self._log_kept(exchange, why, "it goes on")
+            return
+        self._interrupt(exchange, StalledError(why, step="wait", placement=placement))
+
+    def _log_kept(self, exchange, why, kept_since):
+        event(
+            "exchange kept",
+            request=exchange.request.request_id,
+            peer=exchange.candidate.server,
+            group=exchange.candidate.name,
+            events=exchange.reads,
+            why=f"{why}; {kept_since}",
+        )
 
     def _silence_of_service(self, service, now):
         """Return the number of a service's silent candidates and of all awaited ones.
@@ -237,3 +306,5 @@
     if exchange.awaiting_server and exchange.waits == wait:
         exchange.awaiting_server = False
         exchange.task.throw(error)
+    elif getattr(error, "placement", None) is not None:
+        exchange.release_slot(error.placement)
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -4,6 +4,8 @@
 sent, or if its route allows it to run more than once.
 """
 
+from functools import partial
+
 from auburnwall.base.logs import event
 
 from .attempt import Attempt
@@ -17,6 +19,10 @@
 
 # Attempts at one request, including those that the server refuses to run.
 MAX_ATTEMPTS = 4
+# Longest wait for a slot in each attempt to resume a stream that broke off: the
+# shortest pause after which callers abandon a stream, minus the time from getting the
+# slot to the first event.
+RESUME_WINDOW_S = 1.4
 # Time after which a caller is told to retry where no better time is known.
 DEFAULT_RETRY_AFTER_S = 0.5
 
@@ -35,6 +41,7 @@
         self._avoid = frozenset()
         self._attempt_count = 0
         self._possible_runs = 0
+        self._next_placement = None
         last_id = request.call.header(deps.header_names.last_event_id)
         # Whether the ids up to there were consecutive is not known.
         self._caller_position = StreamPosition(last_id, False) if last_id else None
@@ -77,7 +84,7 @@
                 attempt.open()
                 if attempt.not_run:
                     self._handle_server_refusal(attempt)
-                elif self._take_retry_for_error(attempt):
+                elif self._may_retry_error(attempt):
                     attempt.close()
                 else:
                     return attempt
@@ -93,7 +100,8 @@
 
         Excludes the server. If nothing was sent, the candidate becomes suspect, since
         otherwise each further request would be tried there again. A retry of a request
-        that was sent is taken from the retry budget. Raises ``RequestError`` if no
+        that was sent is taken from the retry budget, unless the attempt was given up
+        for a slot elsewhere, see ``place_elsewhere``. Raises ``RequestError`` if no
         further attempt is allowed.
         """
         self._avoid |= {attempt.candidate.server}
@@ -105,6 +113,9 @@
         self._log_failure(attempt, exc)
         if sent and isinstance(exc, ExchangeError) and not attempt.is_detour:
             self._check_for_crash(attempt)
+        self._next_placement = getattr(exc, "placement", None)
+        if self._next_placement is not None:
+            return
         request = self.request
         if isinstance(exc, DeadlineExceededError):
             raise self._final_error(504, "Out of time", exc)
@@ -124,6 +135,33 @@
         if sent and not self._budget.take():
             raise self._final_error(502, "No repeats left", exc)
 
+    def place_elsewhere(self, attempt):
+        """Return a ``Placement`` for the attempt that is to follow a running one.
+
+        Waits for a free slot as any other attempt does. The retry is taken from the
+        budget. Raises ``RequestError`` if there is no slot or no further attempt is
+        allowed; the running attempt is worth more then.
+        """
+        placer, has_begun = self._deps.placer, self._first_event_s is not None
+        if has_begun and attempt.splitter.last_id is None:
+            raise self.unresumable_error()
+        if self._attempt_count >= MAX_ATTEMPTS or not self._budget.may_take():
+            raise self._no_retry_error()
+        placement = placer.place(
+            self.request,
+            self._avoid | {attempt.candidate.server},
+            RESUME_WINDOW_S if has_begun else None,
+        )
+        if not self._budget.take():
+            placer.release_slot(placement)
+            raise self._no_retry_error()
+        return placement
+
+    def _no_retry_error(self):
+        return RequestError(
+            502, "No repeats left", "no repeats left", ran=UNKNOWN, step="place"
+        )
+
     def _check_for_crash(self, attempt):
         """Record the request as evidence if the server of an exchange has crashed.
 
@@ -228,13 +266,9 @@
 
     def _start_attempt(self, resume_at, resume_window_s):
         request, deps = self.request, self._deps
-        self._check_crash_causes()
-        try:
-            placement = deps.placer.place(request, self._avoid, resume_window_s)
-        except OverloadedError as exc:
-            if self._possible_runs:
-                raise self._final_error(502, "No server left to go on at", exc) from exc
-            raise
+        placement, self._next_placement = self._next_placement, None
+        if placement is None:
+            placement = self._place(resume_window_s)
         try:
             self._check_placed()
         except RequestError:
@@ -247,6 +281,8 @@
         attempt.limit_silence(
             may_reroute=request.route.may_run_again and servers_left > 1
         )
+        attempt.exchange.place_elsewhere = partial(self.place_elsewhere, attempt)
+        attempt.exchange.release_slot = deps.placer.release_slot
         self._log(
             attempt,
             "request placed",
@@ -260,6 +296,15 @@
         )
         return attempt
 
+    def _place(self, resume_window_s):
+        self._check_crash_causes()
+        try:
+            return self._deps.placer.place(self.request, self._avoid, resume_window_s)
+        except OverloadedError as exc:
+            if self._possible_runs:
+                raise self._final_error(502, "No server left to go on at", exc) from exc
+            raise
+
     def _check_placed(self):
         """Raise ``RequestError`` if a request that has a slot must not be sent now."""
         # The request may have been blocked while it waited.
@@ -271,16 +316,22 @@
                 504 if self._possible_runs else 503, "Out of time", exc
             )
 
-    def _take_retry_for_error(self, attempt):
+    def _may_retry_error(self, attempt):
         """Return whether a response with a 5xx status is retried at another server.
 
-        If so, takes the retry from the budget, counts the attempt as a possible run
-        and excludes the server.
+        It is if another server has a slot; otherwise the response is the caller's. If
+        so, takes the slot and the retry from the budget, counts the attempt as a
+        possible run and excludes the server.
         """
         route = self.request.route
         if attempt.status < 500 or not route.repeatable or attempt.is_detour:
             return False
-        if self._possible_runs + 1 >= route.max_servers or not self._budget.take():
+        if self._possible_runs + 1 >= route.max_servers:
+            return False
+        try:
+            self._next_placement = self.place_elsewhere(attempt)
+        except RequestError as exc:
+            self._log(attempt, "failure passed on", status=attempt.status, why=str(exc))
             return False
         self._possible_runs += 1
         self._avoid |= {attempt.candidate.server}
--- a/packages/auburnwall-routing/src/auburnwall/routing/shared_retry_budget.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/shared_retry_budget.py
@@ -33,13 +33,17 @@
 
     def take(self):
         """Return whether one retry may be sent, and count it if so."""
+        if not self.may_take():
+            return False
+        self._retries.append(self._clock.monotonic())
+        return True
+
+    def may_take(self):
+        """Return whether one retry may be sent."""
         now = self._clock.monotonic()
         for times in (self._requests, self._retries):
             while times and times[0] <= now - self._window_s:
                 times.popleft()
         reserve = self._reserve / max(1, self._nodes())
         allowed = self._margin * (self._share * len(self._requests) + reserve)
-        if len(self._retries) + 1 > allowed:
-            return False
-        self._retries.append(now)
-        return True
+        return len(self._retries) + 1 <= allowed
--- a/tests/routed/test_silent_servers.py
+++ b/tests/routed/test_silent_servers.py
@@ -73,14 +73,14 @@
     def test_stream_is_kept_while_the_only_other_place_is_taken(self):
         self.front.view.slots = 1
         for engine in self.front.engines:
-            engine.event_s = 0.2
+            engine.event_s = 0.15
         calls = self.start_calls("/ask/x", self.front.engines)
         gevent.sleep(0.25)
         self.silence(self.front.engines[:1])
         self.assertEqual(self.results(calls), [(200, 10)] * 2)
 
     def test_stream_is_kept_without_retry_budget(self):
-        self.front.budget.take = self.front.budget.can_take = lambda: False
+        self.front.budget.take = self.front.budget.may_take = lambda: False
         calls = self.start_calls("/ask/x", self.front.engines)
         gevent.sleep(0.12)
         self.silence(self.front.engines)
--- a/tests/routing/test_in_flight.py
+++ b/tests/routing/test_in_flight.py
@@ -5,11 +5,13 @@
 from types import SimpleNamespace
 
 import gevent
-from gevent.event import Event
+from gevent.event import AsyncResult, Event
 
 from auburnwall.fleet.candidate_index import Candidate
 from auburnwall.routing.attempt import _AwaitingServer
+from auburnwall.routing.exceptions import OverloadedError
 from auburnwall.routing.in_flight import (
+    COMMON_REROUTE_DELAY_S,
     REROUTE_DELAY_S,
     STALL_TIMEOUT_S,
     DeadlineExceededError,
@@ -23,6 +25,7 @@
     def setUp(self):
         self.clock, self.suspects = FakeClock(), []
         self.in_flight = InFlightRequests(self.clock, self.suspects.append)
+        self.placement, self.released = "a slot at s2", []
 
     def exchange(self, group="g1", deadline_s=60.0, may_reroute=True):
         """Return an exchange that got one event and awaits the next one."""
@@ -33,6 +36,8 @@
         exchange = self.in_flight.begin(request, candidate)
         exchange.task = unittest.mock.Mock()
         exchange.awaiting_server, exchange.may_reroute = True, may_reroute
+        exchange.place_elsewhere = lambda: self.placement
+        exchange.release_slot = self.released.append
         self.in_flight.note_progress(exchange)
         return exchange
 
@@ -41,6 +46,8 @@
         self.in_flight.check_progress(self.clock.now)
 
     def interruption(self, exchange):
+        # The task that looks for a slot, and the interrupt.
+        gevent.sleep(0)
         gevent.sleep(0)
         calls = exchange.task.throw.call_args_list
         return calls[0].args[0] if calls else None
@@ -62,6 +69,7 @@
             self.check_after(REROUTE_DELAY_S - 0.2)
             self.exchange("g3")
             self.check_after(0.21)
+            gevent.sleep(0)
         (fields,) = [
             record.fields
             for record in logs.records
@@ -70,6 +78,82 @@
         self.assertEqual((fields["silent"], fields["awaited"]), (2, 3))
         self.assertEqual(fields["check_late_s"], 0.0)
 
+    def test_stalled_exchange_is_kept_until_its_request_has_a_slot_elsewhere(self):
+        exchange, slot = self.exchange(), AsyncResult()
+        exchange.place_elsewhere = slot.get
+        self.check_after(STALL_TIMEOUT_S + REROUTE_DELAY_S + 0.01)
+        self.check_after(1.0)
+        self.assertIsNone(self.interruption(exchange))
+        slot.set(self.placement)
+        error = self.interruption(exchange)
+        self.assertEqual(error.placement, self.placement)
+        self.assertEqual(self.released, [])
+
+    def test_stalled_exchange_without_a_slot_elsewhere_is_kept_and_asks_again(self):
+        exchange, asked_at = self.exchange(), []
+
+        def refuse():
+            asked_at.append(self.clock.now)
+            raise OverloadedError("no slot", 1.0)
+
+        exchange.place_elsewhere = refuse
+        for _ in range(40):
+            self.check_after(0.05)
+            self.assertIsNone(self.interruption(exchange))
+        # The first time after 0.8 s, then each 0.3 s.
+        self.assertIn(len(asked_at), (4, 5))
+
+    def test_slot_is_given_back_if_the_exchange_goes_on_meanwhile(self):
+        exchange, slot = self.exchange(), AsyncResult()
+        exchange.place_elsewhere = slot.get
+        self.check_after(STALL_TIMEOUT_S + REROUTE_DELAY_S + 0.01)
+        gevent.sleep(0)
+        self.clock.now += 0.05
+        self.in_flight.note_progress(exchange)
+        slot.set(self.placement)
+        self.assertIsNone(self.interruption(exchange))
+        self.assertEqual(self.released, [self.placement])
+
+    def test_slot_is_given_back_if_bytes_arrive_before_the_interrupt(self):
+        exchange = self.exchange()
+        self.check_after(STALL_TIMEOUT_S + REROUTE_DELAY_S + 0.01)
+        gevent.sleep(0)
+        exchange.awaiting_server = False
+        self.assertIsNone(self.interruption(exchange))
+        self.assertEqual(self.released, [self.placement])
+
+    def test_search_ends_with_its_exchange(self):
+        exchange, ended = self.exchange(), []
+
+        def search():
+            try:
+                gevent.sleep(5.0)
+            finally:
+                ended.append(True)
+
+        exchange.place_elsewhere = search
+        self.check_after(STALL_TIMEOUT_S + REROUTE_DELAY_S + 0.01)
+        gevent.sleep(0)
+        self.in_flight.end(exchange)
+        gevent.sleep(0)
+        self.assertEqual(ended, [True])
+
+    def test_silence_of_all_candidates_is_waited_out_for_longer(self):
+        first, second = self.exchange(), self.exchange("g2")
+        self.check_after(STALL_TIMEOUT_S + REROUTE_DELAY_S + 0.01)
+        self.assertIsNone(self.interruption(first))
+        self.assertEqual(sorted(self.suspects), ["g1", "g2"])
+        self.check_after(COMMON_REROUTE_DELAY_S - REROUTE_DELAY_S)
+        self.assertIsInstance(self.interruption(first), StalledError)
+        self.assertIsInstance(self.interruption(second), StalledError)
+
+    def test_silence_of_one_candidate_of_two_is_not_waited_out(self):
+        stalled, active = self.exchange(), self.exchange("g2")
+        self.check_after(STALL_TIMEOUT_S + REROUTE_DELAY_S - 0.1)
+        self.in_flight.note_progress(active)
+        self.check_after(0.11)
+        self.assertIsInstance(self.interruption(stalled), StalledError)
+
     def test_slow_group_keeps_its_streams(self):
         """Servers twelve times slower, at 0.6 s an event, finish their streams."""
         exchange = self.exchange()
