End a suspicion with the progress that refutes it

What callers saw: after a silence of the servers of a second nearly all streams were refused for seconds more.

Cause: a group that had stalled stayed suspect for 2 s after the last check that found it silent, whatever its streams did since, and was told to the peers as long. Progress ended only the probation that follows.

Now progress of this node's exchanges after the suspicion ends it, here and in what the peers are told. Since exchanges are kept during a silence, they are there to show progress.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -46,7 +46,8 @@
     streams of a node whose own links are lost say nothing about the groups. A node
     whose own streams from a group are not stalled ignores reports about it.
 
-    A suspect candidate gets no requests for a time. If it is suspected again without
+    A suspect candidate gets no requests for a time, or until this node's exchanges with
+    it make progress. If it is suspected again without
     any progress since, the next time is twice as long, up to a limit. After such a time
     it is on probation: each node sends it at most one request at a time, until it makes
     progress or the suspicion no longer counts. ``last_progress_at(name)`` returns
@@ -68,7 +69,7 @@
     def suspect(self, name):
         """Suspect a candidate because of this node's own exchanges with it."""
         now = self._clock.monotonic()
-        if self._own_until.get(name, 0.0) < now:
+        if self._own_until.get(name, 0.0) < now or self._is_refuted(name):
             self._own_since[name] = now
         self._suspect(self._own_until, name, "own streams")
         if not self._may_report(name):
@@ -89,15 +90,12 @@
 
     def __contains__(self, name):
         now = self._clock.monotonic()
-        return (
-            max(self._own_until.get(name, 0.0), self._reported_until.get(name, 0.0))
-            >= now
-        )
+        until = max(self._own_until.get(name, 0.0), self._reported_until.get(name, 0.0))
+        return until >= now and not self._is_refuted(name)
 
     def on_probation(self, name):
         """Return whether a candidate was suspected and has made no progress since."""
-        suspicion = self._suspicions.get(name)
-        return suspicion is not None and self.last_progress_at(name) <= suspicion.at
+        return name in self._suspicions and not self._is_refuted(name)
 
     def own_suspects(self):
         """Return the candidates that this node reports to its peers as suspect.
@@ -108,7 +106,9 @@
         """
         now = self._clock.monotonic()
         self._own_until = {
-            name: until for name, until in self._own_until.items() if until >= now
+            name: until
+            for name, until in self._own_until.items()
+            if until >= now and not self._is_refuted(name)
         }
         self._reported_until = {
             name: until for name, until in self._reported_until.items() if until >= now
@@ -121,6 +121,11 @@
         self._own_since = {name: self._own_since[name] for name in self._own_until}
         return list(filter(self._may_report, self._own_until))
 
+    def _is_refuted(self, name):
+        """Return whether a candidate has made progress since it was suspected."""
+        suspicion = self._suspicions.get(name)
+        return suspicion is not None and self.last_progress_at(name) > suspicion.at
+
     def _may_report(self, name):
         """Return whether this node has reached the service since it suspected it."""
         service = self._service_of(name)
--- a/tests/routed/test_views.py
+++ b/tests/routed/test_views.py
@@ -101,6 +101,24 @@
         clock.now += SUSPECT_S + 0.1
         self.assertNotIn("g1", suspects)
 
+    def test_suspicion_ends_with_the_progress_that_refutes_it(self):
+        """Otherwise a node refuses requests for seconds after a pause of its servers."""
+        clock, progress_at = FakeClock(), {}
+        suspects = SuspectCandidates(
+            clock, FixedReach(), str, lambda g: progress_at.get(g, 0.0)
+        )
+        for _ in range(20):
+            suspects.suspect("g1")
+            clock.now += 0.05
+        self.assertEqual(suspects.own_suspects(), ["g1"])
+        progress_at["g1"] = clock.now
+        self.assertNotIn("g1", suspects)
+        self.assertEqual(suspects.own_suspects(), [])
+        clock.now += 0.5
+        suspects.suspect("g1")
+        self.assertEqual(suspects.own_suspects(), ["g1"])
+        self.assertIn("g1", suspects)
+
     def test_group_on_probation_gets_one_request_of_a_node_at_a_time(self):
         clock, count = FakeClock(), {"g1": 0}
         suspects = SuspectCandidates(clock, FixedReach(), str)
