Take unread bytes of a server for no silence

A node that runs late finds its check due while the bytes of a server lie unread in its socket. The check read clocks only, and took the node's own lateness for the server's: the exchange was interrupted, or ended at its deadline with its answer at hand. Now an exchange with bytes to read is neither stalled nor out of time.

Tests: test_bytes_that_a_late_node_has_not_read_are_no_silence (interrupted before) and test_bytes_that_have_arrived_at_an_attempt_are_seen.

--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -5,6 +5,7 @@
 from urllib3 import HTTPHeaderDict
 from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
+from urllib3.util.wait import wait_for_read
 
 from auburnwall.base.http import READ_BYTES
 from auburnwall.base.logs import event
@@ -67,6 +68,7 @@
         self._resp = None
         self._complete = False
         self.exchange = deps.in_flight.begin(request, placement.candidate)
+        self.exchange.has_unread = self._has_unread
 
     def open(self):
         """Send the request and read the head of the response.
@@ -347,6 +349,15 @@
         while data := self._resp.read1(READ_BYTES):
             yield data
 
+    def _has_unread(self):
+        """Return whether bytes have arrived that this attempt has not read yet.
+
+        The node may run late. The socket is not known once it belongs to a response
+        that ends with its connection; then this is false.
+        """
+        sock = self._channel.connection.sock if self._channel else None
+        return sock is not None and wait_for_read(sock, timeout=0.0)
+
     def _awaiting_server(self):
         """Return a context in which ``in_flight`` may interrupt the exchange."""
         return _AwaitingServer(self.exchange)
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -63,7 +63,8 @@
     which may hold several events or a part of one. If ``is_lost`` is set, the candidate
     may be silent as long as ``is_lost()`` is false, and is never suspect.
 
-    ``place_elsewhere()`` returns a ``Placement`` for the request at
+    ``has_unread()`` returns whether bytes of the candidate have arrived that its task
+    has not read yet. ``place_elsewhere()`` returns a ``Placement`` for the request at
     another candidate, for which it may wait, or raises ``RequestError``.
     ``release_slot(placement)`` gives it back. ``search`` is the task that calls them.
     """
@@ -78,6 +79,7 @@
         self.waits = 0
         self.may_reroute = False
         self.is_lost = None
+        self.has_unread = bool
         self.place_elsewhere = None
         self.release_slot = None
         self.search = None
@@ -186,8 +188,8 @@
         The former are interrupted. A stalled candidate becomes suspect. Its exchanges
         go on ``REROUTE_DELAY_S`` later if they may be sent to another server and as
         soon as one has a slot for them; until then they keep what they have. Exchanges
-        that do not await their server are left alone, also past their deadline.
-        Progress older than ``PROGRESS_RETENTION_S`` is removed.
+        that do not await their server, or have bytes to read, are left alone, also past
+        their deadline. Progress older than ``PROGRESS_RETENTION_S`` is removed.
         """
         self._progress_by_candidate = {
             name: at
@@ -198,9 +200,10 @@
             if not exchange.awaiting_server:
                 continue
             if now >= exchange.request.deadline:
-                self._interrupt(
-                    exchange, DeadlineExceededError("out of time", step="wait")
-                )
+                if not exchange.has_unread():
+                    self._interrupt(
+                        exchange, DeadlineExceededError("out of time", step="wait")
+                    )
                 continue
             if exchange.is_lost is not None:
                 if exchange.may_reroute and exchange.is_lost():
@@ -213,7 +216,7 @@
         # of them shows that the group works.
         name = exchange.candidate.name
         silent_s = now - max(exchange.progress_at, self.last_progress_at(name))
-        if silent_s <= exchange.stall_timeout_s:
+        if silent_s <= exchange.stall_timeout_s or exchange.has_unread():
             return
         self.make_suspect(name)
         over_s = silent_s - exchange.stall_timeout_s
@@ -246,7 +249,8 @@
         finally:
             exchange.search = None
             exchange.next_search_at = self._clock.monotonic() + SEARCH_RETRY_S
-        if exchange.progress_at > progress_at or not exchange.awaiting_server:
+        goes_on = exchange.progress_at > progress_at or not exchange.awaiting_server
+        if goes_on or exchange.has_unread():
             exchange.release_slot(placement)
             self._log_kept(exchange, why, "it goes on")
             return
--- a/tests/routing/test_in_flight.py
+++ b/tests/routing/test_in_flight.py
@@ -1,5 +1,6 @@
 """Detection of stalled exchanges, without interrupting slow ones."""
 
+import socket
 import unittest
 import unittest.mock
 from types import SimpleNamespace
@@ -8,7 +9,7 @@
 from gevent.event import AsyncResult, Event
 
 from auburnwall.fleet.candidate_index import Candidate
-from auburnwall.routing.attempt import _AwaitingServer
+from auburnwall.routing.attempt import Attempt, _AwaitingServer
 from auburnwall.routing.exceptions import OverloadedError
 from auburnwall.routing.in_flight import (
     COMMON_REROUTE_DELAY_S,
@@ -154,6 +155,26 @@
         self.check_after(0.11)
         self.assertIsInstance(self.interruption(stalled), StalledError)
 
+    def test_bytes_that_a_late_node_has_not_read_are_no_silence(self):
+        exchange = self.exchange(deadline_s=3.0)
+        exchange.has_unread = lambda: True
+        self.check_after(STALL_TIMEOUT_S + REROUTE_DELAY_S + 0.01)
+        self.check_after(3.0)
+        self.assertIsNone(self.interruption(exchange))
+        self.assertEqual(self.suspects, [])
+
+    def test_bytes_that_have_arrived_at_an_attempt_are_seen(self):
+        ours, theirs = socket.socketpair()
+        self.addCleanup(theirs.close)
+        self.addCleanup(ours.close)
+        channel = SimpleNamespace(connection=SimpleNamespace(sock=ours))
+        attempt = SimpleNamespace(_channel=channel)
+        self.assertFalse(Attempt._has_unread(attempt))
+        theirs.sendall(b"id: 1")
+        self.assertTrue(Attempt._has_unread(attempt))
+        attempt._channel = None
+        self.assertFalse(Attempt._has_unread(attempt))
+
     def test_slow_group_keeps_its_streams(self):
         """Servers twelve times slower, at 0.6 s an event, finish their streams."""
         exchange = self.exchange()
