End no stream by an estimate of its wait for a place

A stream that had broken off was refused at once if its place was expected later than its window, or if nothing was known of its groups: 'request refused', class resuming, '2 go first, a place in 1.59 s' or 'nothing serves it and nothing is forming', then 'stream broken off'. The rule is made for requests that have not begun, whose callers can come back. A stream now waits its window, 1.4 s at most, unless it is known that no server takes it (all want a longer pause, or the limits leave nothing).

Test: test_broken_stream_is_not_ended_by_an_estimate_of_its_wait failed before.

--- a/packages/auburnwall-routing/src/auburnwall/routing/load_shedding.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/load_shedding.py
@@ -152,8 +152,12 @@
     late_in_shortage = _is_late_in_shortage(context)
     if late_in_shortage:
         why = f"late, and places have been short for {context.short_s:.2f} s"
+    if context.wait_class is WaitClass.RESUMING:
+        is_worthwhile = max_wait_s > 0 and not _is_hopeless(context, max_wait_s)
+    else:
+        is_worthwhile = expected_s <= max_wait_s and not late_in_shortage
     return WaitDecision(
-        expected_s <= max_wait_s and not late_in_shortage,
+        is_worthwhile,
         max_wait_s,
         _queue_limit(context, max_wait_s),
         _retry_after_s(context, expected_s),
@@ -175,6 +179,15 @@
     return max(context.pause_s, min(MAX_RETRY_AFTER_S, delay_s))
 
 
+def _is_hopeless(context, max_wait_s):
+    """Return whether it is known that no server takes a request within the wait.
+
+    An estimate of the wait is enough to refuse what has not begun, but not to end a
+    stream that has: its caller has no other way to the rest of it.
+    """
+    return context.pause_s > max_wait_s or _slots_per_s(context) == 0
+
+
 def _is_late_in_shortage(context):
     """Return whether the request is refused because it is late and slots are scarce."""
     return (
--- a/tests/routing/test_deciding.py
+++ b/tests/routing/test_deciding.py
@@ -128,6 +128,16 @@
         )
         self.assertEqual((decision.wait, decision.max_wait_s), (True, 1.4))
 
+    def test_broken_stream_is_not_ended_by_an_estimate_of_its_wait(self):
+        """A caller has no other way to the rest of a stream that has begun."""
+        stream = {"wait_class": WaitClass.RESUMING, "resume_window_s": 1.4}
+        busy = self.decide(queued_ahead=40, **stream)
+        unknown = self.decide(slots_in_use=0, **stream)
+        self.assertEqual((busy.wait, busy.max_wait_s), (True, 1.4))
+        self.assertEqual((unknown.wait, unknown.max_wait_s), (True, 1.4))
+        for known in ({"pause_s": 1.5}, {"rate_per_s": 0.0}, {"time_left_s": 0.0}):
+            self.assertFalse(self.decide(**stream, **known).wait)
+
     def test_no_wait_past_the_deadline(self):
         self.assertFalse(self.decide(time_left_s=0.0).wait)
         self.assertEqual(self.decide(time_left_s=0.1).max_wait_s, 0.1)
