Let a peer's report of a suspicion count only while it is repeated

A node took a peer's word for 2 s, and again with each heartbeat, so a group that one node suspected was avoided by all for 2 s after that node had ended its suspicion. A report now counts for the time that it takes to reach all nodes, 0.6 s at least. Test: test_report_of_a_peer_ends_soon_after_the_peer_no_longer_repeats_it (2 s before).

--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -317,7 +317,9 @@
 
     def _build_routing(self):
         cfg, clock = self.cfg, self.clock
-        self.suspects = SuspectCandidates(clock, self.reach, self._service_of)
+        self.suspects = SuspectCandidates(
+            clock, self.reach, self._service_of, settle_s=self.peers.settle_s
+        )
         self.suspects.listeners.append(self.member_monitor.suspect_group)
         self.peers.on_suspects = self._suspect_for_peer
         self.peers.on_leaving = self.notices.note_peer_leaving
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -13,6 +13,9 @@
 # Maximum of this time, which doubles with each repeated suspicion, in seconds. A node
 # that was cut off from all groups thus serves again soon after the cut.
 MAX_SUSPECT_S = 4.0
+# Minimum time for which a peer's report of a suspicion counts, in seconds. The peer
+# repeats it with each heartbeat, of which a few may be lost.
+MIN_REPORT_S = 0.6
 # Time after which an earlier suspicion no longer counts, in seconds.
 SUSPICION_MEMORY_S = 30.0
 # Fraction of the nodes with traffic that must have measured demand. If fewer have, the
@@ -53,14 +56,24 @@
     progress or the suspicion no longer counts. ``last_progress_at(name)`` returns
     when the exchanges of this node with a candidate last made progress. ``reach`` is
     the node's ``ServerReach``, ``service_of(name)`` returns a candidate's service.
+    ``settle_s()`` is how long a report takes to reach all nodes; for so long, or
+    ``MIN_REPORT_S``, each report counts.
     """
 
-    def __init__(self, clock, reach, service_of, last_progress_at=lambda name: 0.0):
+    def __init__(
+        self,
+        clock,
+        reach,
+        service_of,
+        last_progress_at=lambda name: 0.0,
+        settle_s=float,
+    ):
         self.listeners = []
         self.last_progress_at = last_progress_at
         self._clock = clock
         self._reach = reach
         self._service_of = service_of
+        self._settle_s = settle_s
         self._own_since = {}
         self._own_until = {}
         self._reported_until = {}
@@ -71,7 +84,7 @@
         now = self._clock.monotonic()
         if self._own_until.get(name, 0.0) < now or self._is_refuted(name):
             self._own_since[name] = now
-        self._suspect(self._own_until, name, "own streams")
+        self._suspect(self._own_until, name, "own streams", MAX_SUSPECT_S)
         if not self._may_report(name):
             self._reach.doubt(self._service_of(name))
 
@@ -86,7 +99,8 @@
         """Suspect a candidate because the peer ``node`` does."""
         if self._clock.monotonic() - self.last_progress_at(name) < STALL_TIMEOUT_S:
             return
-        self._suspect(self._reported_until, name, node)
+        report_s = max(MIN_REPORT_S, self._settle_s())
+        self._suspect(self._reported_until, name, node, report_s)
 
     def __contains__(self, name):
         now = self._clock.monotonic()
@@ -131,7 +145,7 @@
         service = self._service_of(name)
         return self._reach.proved_since(service, self._own_since[name])
 
-    def _suspect(self, until_by_name, name, source):
+    def _suspect(self, until_by_name, name, source, max_s):
         now = self._clock.monotonic()
         if name not in self or name not in self._suspicions:
             repeated = self.on_probation(name)
@@ -139,7 +153,7 @@
             for_s = min(for_s, MAX_SUSPECT_S)
             self._suspicions[name] = _Suspicion(now, for_s)
             event("group doubted", group=name, source=source, for_s=for_s)
-        until_by_name[name] = now + self._suspicions[name].for_s
+        until_by_name[name] = now + min(max_s, self._suspicions[name].for_s)
         for listener in self.listeners:
             listener(name)
 
--- a/tests/routed/test_views.py
+++ b/tests/routed/test_views.py
@@ -5,6 +5,7 @@
 
 from auburnwall.node.routed.fleet_load import load_of_pulse, sum_loads
 from auburnwall.node.routed.views import (
+    MIN_REPORT_S,
     SUSPECT_S,
     PlanningView,
     RoutingView,
@@ -152,6 +153,21 @@
         self.assertNotIn("g1", suspects)
         self.assertIn("g2", suspects)
 
+    def test_report_of_a_peer_ends_soon_after_the_peer_no_longer_repeats_it(self):
+        """Otherwise nodes refuse requests twice as long as the one that saw a stall."""
+        for settle_s, counts_s in ((0.36, MIN_REPORT_S), (1.6, 1.6)):
+            clock = FakeClock()
+            suspects = SuspectCandidates(
+                clock, FixedReach(), str, settle_s=lambda s=settle_s: s
+            )
+            for _ in range(20):
+                suspects.suspect_for_peer("g1", "n2")
+                clock.now += 0.1
+            clock.now += counts_s - 0.2
+            self.assertIn("g1", suspects)
+            clock.now += 0.2
+            self.assertNotIn("g1", suspects)
+
     def test_suspicions_end_although_nodes_report_them_to_each_other(self):
         clock = FakeClock()
         one, two = (
