Show how streams end in a short silence of all servers

The stand-in's streams can be longer and name their request, and its servers can be silent while the store goes on.

--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -92,6 +92,17 @@
         """Stop a server without notice."""
         self._post("/standin/stop", {"server": server})
 
+    def set_streams(self, events, event_s):
+        """Set the number of each stream's events and the seconds between them.
+
+        Each event names its request from then on.
+        """
+        self._post("/standin/streams", {"events": events, "event_s": event_s})
+
+    def silence_servers(self, seconds):
+        """Let all servers send nothing for some seconds, while the store goes on."""
+        self._post("/standin/silence", {"s": seconds})
+
     def set_store_fault(self, fault):
         """Set the store's fault, one of ``StoreStandin``'s; an empty name ends it."""
         self._post("/standin/trouble", {"trouble": fault})
--- a/standins/modelserver.py
+++ b/standins/modelserver.py
@@ -62,6 +62,10 @@
         # Interval between the events of a stream, and their number.
         self.event_s = 0.02
         self.events = 10
+        # Whether each event of a stream names its request.
+        self.names_request = False
+        # Monotonic time before which the server sends nothing.
+        self.silent_until = 0.0
         self.join_s = 0.1
         self.pause_s = 1.0
         # Smallest size of the body of a plain server's response.
@@ -123,6 +127,10 @@
         self._started_ms = int(time.time() * 1000)
         self.start()
 
+    def _wait_out_silence(self):
+        while (left_s := self.silent_until - time.monotonic()) > 0:
+            gevent.sleep(left_s)
+
     def register(self):
         """Write the server's current registration to the store."""
         self._heartbeats += 1
@@ -145,6 +153,7 @@
 
     def _send_heartbeats(self):
         while True:
+            self._wait_out_silence()
             self.register()
             gevent.sleep(self._heartbeat_s)
 
@@ -158,6 +167,7 @@
     # is in place, 202 if its execution has begun, 409 if it isn't possible in the
     # present state, 412 if its epoch is older than that of an earlier order.
     def _order(self):
+        self._wait_out_silence()
         order = bottle.request.json
         self.orders.append(order)
         status = getattr(self, f"_do_{order['Op'].lower()}")(order)
@@ -215,6 +225,7 @@
         return group is not None and (group["Name"], group["epoch"]) == ordered
 
     def _apply_faults_of_any_response(self):
+        self._wait_out_silence()
         if "leaving" in self.faults:
             bottle.response.headers["Server-Leaving"] = "1"
         if self.limit_per_s is not None:
@@ -357,6 +368,8 @@
     def _event_stream(self, req):
         bottle.response.content_type = "text/event-stream"
         first_number = int(req.headers.get("Last-Event-Id") or 0) + 1
+        request_id = req.headers.get(REQUEST_ID_HEADER, "")
+        owner = f" of {request_id}" if self.names_request else ""
         self.running += 1
         try:
             for number in range(first_number, self.events + 1):
@@ -364,7 +377,8 @@
                     yield b"id: 99\ndata: torn"
                     raise OSError("cut")
                 id_line = "" if "no-ids" in self.faults else f"id: {number}\n"
-                yield f"{id_line}data: piece-{number}\n\n".encode()
+                yield f"{id_line}data: piece-{number}{owner}\n\n".encode()
                 gevent.sleep(self.event_s)
+                self._wait_out_silence()
         finally:
             self.running -= 1
--- a/standins/usersplatform.py
+++ b/standins/usersplatform.py
@@ -1,5 +1,7 @@
 """Stand-in for the users' platform as one process: the store and backend servers."""
 
+import time
+
 import bottle
 import gevent
 
@@ -25,7 +27,11 @@
     /standin/crash-path`` with ``{"path": ...}``, the end of the paths that crash any.
     ``POST /standin/limit`` with ``{"per_s": ...}`` sets the limit that servers name,
     ``null`` for none, and returns the times at which requests have reached each server.
-    ``GET /standin/addresses`` returns the servers' addresses.
+    ``POST /standin/streams`` with ``{"events": ..., "event_s": ...}`` sets the number
+    of a stream's events and the time between two of them, and lets each event name its
+    request. ``POST /standin/silence`` with ``{"s": ...}`` lets the servers send nothing
+    for so many seconds, while the store goes on. ``GET /standin/addresses`` returns the
+    servers' addresses.
     """
 
     def __init__(self, address):
@@ -41,6 +47,8 @@
         self.store.app.route("/standin/crash-part", "POST", self._set_crash_part)
         self.store.app.route("/standin/limit", "POST", self._set_limit)
         self.store.app.route("/standin/crash-path", "POST", self._set_crash_path)
+        self.store.app.route("/standin/streams", "POST", self._set_streams)
+        self.store.app.route("/standin/silence", "POST", self._silence)
         self.store.app.route("/standin/addresses", "GET", self._addresses)
         for server in self.servers.values():
             server.start()
@@ -58,6 +66,17 @@
     def _addresses(self):
         return json_response([server.address for server in self.servers.values()])
 
+    def _set_streams(self):
+        body = bottle.request.json
+        for server in self.servers.values():
+            server.events, server.event_s = body["events"], body["event_s"]
+            server.names_request = True
+
+    def _silence(self):
+        silent_until = time.monotonic() + bottle.request.json["s"]
+        for server in self.servers.values():
+            server.silent_until = silent_until
+
     def _set_crash_part(self):
         for server in self.servers.values():
             server.crash_part = bottle.request.json["part"]
