Measure and log how late the event loop of a node runs

The logs of a stream that ended in a silence do not tell the silence of its server from the lateness of the node itself: `exchange interrupted` is written in both cases.

A timer of 50 ms measures its own lateness. `node.lateness.recent_s()` is the largest one of the last 3 s, and counts a timer that is due and has not fired: after a standstill the task that asks may run before the measuring one. `auburnwall_late_seconds` shows it, and a phase with a lateness above 0.1 s has a line at its start (`event loop late`) and at its end (`event loop in time`, with the largest lateness and the length), at most one line a second.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -64,5 +64,10 @@
         ),
         ("detours", "Requests that a peer serves.", node.placer.running_count),
         ("connections", "Connections opened.", lambda: channels.connections_opened),
+        (
+            "late_seconds",
+            "Largest lateness of the event loop in the last seconds.",
+            node.lateness.recent_s,
+        ),
     ):
         metrics.gauge(f"auburnwall_{name}", documentation, function)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -7,6 +7,7 @@
 
 from auburnwall.base import logs
 from auburnwall.base.clock import PauseDetector, SystemClock
+from auburnwall.base.lateness import LoopLateness
 from auburnwall.base.tasks import run_periodically, run_restarting
 from auburnwall.fleet.candidate_index import CandidateIndex
 from auburnwall.fleet.formation.controller import FormationController
@@ -121,6 +122,7 @@
         self.tasks = tasks
         self.clock = clock or SystemClock()
         self.rng = rng or random.Random()
+        self.lateness = LoopLateness(self.clock)
         self._platform = platform
         self._stack = stack
         self.identity = Identity(
@@ -181,6 +183,7 @@
                 run_restarting, self.clock, reader.run, f"table {reader.replica.table}"
             )
         spawn(run_restarting, self.clock, self.in_flight.watch, "progress watch")
+        spawn(run_restarting, self.clock, self.lateness.watch, "lateness watch")
         for delay_s, function, name in (
             (MAX_PAUSE_S / 4, self._check_for_pause, "pause watch"),
             (PEERS_INTERVAL_S, partial(self.peers.call_new_peers, self.tasks), "peers"),
