Let a waiting connection follow the idle timeout in force

What callers saw: after a configuration that raises `IdleTimeoutMs`, a request on a kept connection that already waited was lost: the node closed it by the older, shorter limit, while the caller reused it by the new one (up to four fifths of the limit in force).

Cause: `read_requestline` read the limit when the wait began. Now it is read again when the time is over, and the wait goes on for what is left of a longer one. A lowered limit has no effect on a wait that has begun, so no connection is closed before the limit that its caller may go by; the longer wait costs a socket. Nothing polls: an idle connection has one timer, as before.

The idle timeout ends with the first byte of a request; the rest of its line has the time of a head. Before, a line whose first byte came just before the end of the idle timeout was cut off in the middle.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -167,7 +167,7 @@
 class CallerHandler(make_handler(WRITE_STALL_S)):
     """One caller's connection, with the limits of the configuration."""
 
-    gateway = None
+    gateway = clock = None
 
     def __init__(self, sock, *args, **kwargs):
         for option in CALLER_SOCKET_OPTIONS:
@@ -179,10 +179,30 @@
         return self.gateway.limits().body_bytes
 
     def read_requestline(self):
-        """Wait for the next request within the idle timeout; raises ``OSError``."""
-        with gevent.Timeout(self.gateway.limits().idle_s, OSError("idle")):
+        """Wait for the next request within the idle timeout; raises ``OSError``.
+
+        Once its first byte is there, the rest of the line has the time of a head.
+        """
+        self._wait_for_request()
+        with gevent.Timeout(self.gateway.limits().header_s, OSError("slow line")):
             return super().read_requestline()
 
+    def _wait_for_request(self):
+        """Wait for the first byte of a request, or for the connection's end.
+
+        Raises ``OSError`` after the idle timeout. If that is raised during the wait,
+        the new one counts, since callers reuse connections by the one in force.
+        """
+        self.rfile.begin_message()
+        began_at = self.clock.monotonic()
+        idle_s = 0.0
+        while idle_s < (limit_s := self.gateway.limits().idle_s):
+            with gevent.Timeout(limit_s - idle_s, False):
+                self.rfile.peek(1)
+                return
+            idle_s = self.clock.monotonic() - began_at
+        raise OSError("idle")
+
     def read_request(self, raw_requestline):
         """Read the head of a request within its limits of time and size.
 
@@ -245,7 +265,8 @@
 
 def new_front_server(address, gateway, clock):
     """Return the HTTP server for callers at ``address``."""
-    handler = type("GatewayHandler", (CallerHandler,), {"gateway": gateway})
+    attributes = {"gateway": gateway, "clock": clock}
+    handler = type("GatewayHandler", (CallerHandler,), attributes)
     app = CountedApp(Front(gateway, clock), gateway)
     return new_server(address, app, handler_class=handler, backlog=LISTEN_BACKLOG)
 
