Read what lies in a caller's socket before a timeout closes it

What callers saw: at a node that ran late, requests on kept connections got no response and heads got 408, although they had arrived in time.

Cause: the timers of the idle and header timeouts fire late together with the sockets, and a timer closed the connection without a look at the socket. The event loop handles sockets before timers, but it learns of 64 sockets at first, and a head of several reads lets the timers run between them.

The idle timeout looks at the socket before it closes the connection. `ReadTimeout` puts the error off while bytes lie unread, in steps of 10 ms and at most 50 of them, so that a sender whose bytes are always there isn't waited for. The steps are counted rather than timed: a further standstill of the node uses up one of them.

--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -13,6 +13,10 @@
 # Largest number of bytes in a request for each byte of its body: a chunk with one byte
 # has five bytes of framing, and some callers add an extension.
 MAX_BYTES_PER_BODY_BYTE = 16
+# Interval at which a timeout that finds unread bytes looks again, in seconds, and how
+# often it does. A sender that always has bytes there is not waited for longer.
+UNREAD_RECHECK_S = 0.01
+MAX_UNREAD_RECHECKS = 50
 
 
 class CallerDisconnectedError(Exception):
@@ -51,6 +55,55 @@
         gevent.kill(request_task, CallerDisconnectedError("the caller disconnected"))
 
 
+def has_unread(sock):
+    """Return whether bytes, an end or an error lie unread in a socket; never waits."""
+    timeout_s = sock.gettimeout()
+    sock.settimeout(0.0)
+    try:
+        sock.recv(1, MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        sock.settimeout(timeout_s)
+    return True
+
+
+class ReadTimeout:
+    """Raises ``error`` in a task that still waits for bytes after ``seconds``.
+
+    A context manager. As long as bytes lie unread in ``sock`` the task may read them
+    first: its timers fire late if the node runs late, and the event loop learns of a
+    few dozen sockets at a time only.
+    """
+
+    def __init__(self, sock, seconds, error):
+        self._sock = sock
+        self._seconds = seconds
+        self._error = error
+        self._rechecks_left = MAX_UNREAD_RECHECKS
+
+    def __enter__(self):
+        # Of what happens at the same time, the event loop handles sockets first.
+        self._timer = gevent.get_hub().loop.timer(
+            self._seconds, UNREAD_RECHECK_S, priority=-1
+        )
+        self._timer.start(self._expire, gevent.getcurrent(), update=True)
+        return self
+
+    def __exit__(self, *exc_info):
+        self._timer.stop()
+        self._timer.close()
+
+    def _expire(self, task):
+        if self._rechecks_left and has_unread(self._sock):
+            self._rechecks_left -= 1
+            return
+        self._timer.stop()
+        task.throw(self._error)
+
+
 def make_handler(write_stall_s, max_body_bytes=0):
     """Return a request handler class for ``WSGIServer``.
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -17,6 +17,8 @@
 from ..callers import (
     CallerDisconnectedError,
     CallerStalledError,
+    ReadTimeout,
+    has_unread,
     make_handler,
     watch_disconnect,
 )
@@ -184,14 +186,16 @@
         Once its first byte is there, the rest of the line has the time of a head.
         """
         self._wait_for_request()
-        with gevent.Timeout(self.gateway.limits().header_s, OSError("slow line")):
+        header_s = self.gateway.limits().header_s
+        with ReadTimeout(self.socket, header_s, OSError("slow line")):
             return super().read_requestline()
 
     def _wait_for_request(self):
         """Wait for the first byte of a request, or for the connection's end.
 
-        Raises ``OSError`` after the idle timeout. If that is raised during the wait,
-        the new one counts, since callers reuse connections by the one in force.
+        Raises ``OSError`` after the idle timeout, unless bytes lie unread. If that is
+        raised during the wait, the new one counts, since callers reuse connections by
+        the one in force.
         """
         self.rfile.begin_message()
         began_at = self.clock.monotonic()
@@ -201,7 +205,8 @@
                 self.rfile.peek(1)
                 return
             idle_s = self.clock.monotonic() - began_at
-        raise OSError("idle")
+        if not has_unread(self.socket):
+            raise OSError("idle")
 
     def read_request(self, raw_requestline):
         """Read the head of a request within its limits of time and size.
@@ -211,7 +216,7 @@
         """
         limits = self.gateway.limits()
         try:
-            with gevent.Timeout(limits.header_s, RequestHeadError(408)):
+            with ReadTimeout(self.socket, limits.header_s, RequestHeadError(408)):
                 accepted = super().read_request(raw_requestline)
         except IncompleteMessageError as exc:
             raise RequestHeadError(400) from exc
