Begin nothing in a stop that can't end before the node's exit

What callers saw: in a planned stop in calm, requests that were taken late in the grace, or sent on to a second server, got neither an answer nor an error. The node ended with "stopping with requests running".

Cause: the stop bounded only how long new requests are taken, not what follows them. A request that was taken could wait for a slot, be sent to a second server because the first was silent, or simply take longer than was left; its deadline is the caller's, which may lie after the exit.

Fix: `StopTime` knows until when the node answers (0.85 of the grace) and when it exits (0.93). Otherwise the request is refused as not run, or gets 502 if a server may have run it. A silent server is given up only if another attempt still fits. Waits for slots, also at brokers, end when an attempt would no longer fit. What has not begun to answer at 0.85 of the grace gets 504, unknown, while the answer can still be written. Streams that have begun run on to the exit. Each decision is logged with the request and the time left.

Ruled out: a longer grace for the exit only moves the cut; taking nothing at all from the SIGTERM on would refuse callers that still hold the directory's answer.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -10,20 +10,18 @@
     prompt_parts_of,
     work_of,
 )
-from auburnwall.routing.exceptions import BadRequestError, OverloadedError, RequestError
+from auburnwall.routing.exceptions import BadRequestError, RequestError
 from auburnwall.routing.forwarded import FORWARDED_BY, max_servers_of
 from auburnwall.routing.retried_calls import RetriedCallDetector
 from auburnwall.routing.routes import ClientLimits, pick_target
 from auburnwall.routing.step_model import Work
+from auburnwall.routing.stop_time import stopping_error
 
 # Retry-After of a node that has no configuration yet, in seconds. A node takes about
 # this long to start.
 STARTING_RETRY_AFTER_S = 0.5
 # Largest deadline of a caller, in milliseconds; a route has a limit of its own.
 MAX_DEADLINE_MS = 10**9
-# Retry-After of a stopping node, in seconds. It is short, as the caller retries at
-# another node.
-STOPPING_RETRY_AFTER_S = 0.05
 # Rank of a request whose route and team have no priority; 0 is the most urgent.
 DEFAULT_RANK = 5
 
@@ -35,15 +33,26 @@
     counts it in ``running``.
     ``idle_since`` is the time at which a request last ended. Once ``stop_begun`` is
     true, connections are closed after the current response; once ``refusing`` is true,
-    new requests are refused.
+    new requests are refused. ``stop_time`` is what the stop leaves to requests.
     """
 
-    def __init__(self, source, forwarder, header_names, clock, rng, metrics, demand):
+    def __init__(
+        self,
+        source,
+        forwarder,
+        header_names,
+        clock,
+        rng,
+        metrics,
+        demand,
+        stop_time,
+    ):
         self.forwarder = forwarder
         self.running = 0
         self.idle_since = clock.monotonic()
         self.stop_begun = False
         self.refusing = False
+        self.stop_time = stop_time
         self._source = source
         self._header_names = header_names
         self._clock = clock
@@ -101,9 +110,7 @@
                 retry_after_s=STARTING_RETRY_AFTER_S,
             )
         if self.refusing:
-            raise OverloadedError(
-                "this node is stopping", STOPPING_RETRY_AFTER_S, step="stop"
-            )
+            raise stopping_error("this node is stopping")
         path = call.path.partition("?")[0]
         route = table.find(call.header("Host") or "", path)
         if route is None:
@@ -149,6 +156,7 @@
             fingerprint=fingerprint_of(call, team.name if team else ""),
             forwarded_by=forwarded_by,
         )
+        self.stop_time.check(request)
         if not forwarded_by:
             # Otherwise the node to which the caller sent it has recorded it.
             self._demand.record_request(request, engine)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -23,6 +23,7 @@
 from auburnwall.routing.forwarder import Forwarder, ForwarderDeps
 from auburnwall.routing.in_flight import InFlightRequests
 from auburnwall.routing.shared_retry_budget import SharedRetryBudget
+from auburnwall.routing.stop_time import StopTime
 from auburnwall.state.proposer import new_incarnation
 from auburnwall.state.table.replica import TableReplica
 from auburnwall.wire.client import PeerPool
@@ -327,7 +328,8 @@
         self.blocked_parts = BlockedParts(
             self.crash_evidence, self.fleet, self.writer, clock
         )
-        self.in_flight = InFlightRequests(clock, self.suspects.suspect)
+        self.stop_time = StopTime(clock)
+        self.in_flight = InFlightRequests(clock, self.suspects.suspect, self.stop_time)
         self.suspects.last_progress_at = self.in_flight.last_progress_at
         self.demand = DemandMeter(clock)
         self.time_to_start = TimeToStart()
@@ -346,6 +348,7 @@
         )
         self.placing = Placing(self, view_parts, self.in_flight, self._stack)
         self.placer = self.placing.placer
+        self.stop_time.expected_s = self.placing.expected_time_s
         header_names = self._platform.header_names
         deps = ForwarderDeps(
             self.placer,
@@ -369,6 +372,7 @@
             self.rng,
             self.metrics,
             self.demand,
+            self.stop_time,
         )
         self.shutdown = GracefulShutdown(
             self.gateway, self.writer, clock, cfg, self.tasks
--- a/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
@@ -72,7 +72,17 @@
             clock,
             rng,
         )
-        self._in_flight = in_flight
+        self._in_flight, self._view = in_flight, view
+
+    def expected_time_s(self, request):
+        """Return how long a server takes for such a request, 0 if it is not known.
+
+        A stream takes the time to its start, as measured, and the time for its events.
+        """
+        to_start_s = self._view.expected_time_to_start_s(request)
+        if not request.route.streams:
+            return to_start_s
+        return to_start_s + self._view.slot_usage(request).slot_time_s
 
     def slots_in_use(self):
         """Return the number of requests by group that this node accounts for.
--- a/packages/auburnwall-node/src/auburnwall/node/routed/shutdown.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/shutdown.py
@@ -21,6 +21,9 @@
 # accepted last finish in the rest: the longest streams under load take half of the
 # grace time.
 ACCEPT_SHARE = 0.36
+# Fraction of the grace time after which requests without a response get an error, so
+# that it can still be written.
+ANSWER_SHARE = 0.85
 # Fraction of the grace time after which the node exits although requests are running.
 END_SHARE = 0.93
 # Time without a running request after which no more are expected, in seconds.
@@ -53,12 +56,14 @@
         self._tasks.spawn(self._withdraw)
         accept_s = min(ENTRY_HOLDS * cfg.entry_hold_s, ACCEPT_SHARE * cfg.grace_s)
         end_at = began_at + END_SHARE * cfg.grace_s
+        gateway.stop_time.begin(began_at + ANSWER_SHARE * cfg.grace_s, end_at)
         while self._clock.monotonic() < end_at:
             now = self._clock.monotonic()
             gateway.refusing = now - began_at >= accept_s
             idle_s = now - max(gateway.idle_since, began_at)
             if not gateway.running and (gateway.refusing or idle_s >= IDLE_S):
                 break
+            gateway.stop_time.end_late_waits()
             self._clock.sleep(POLL_S)
         if gateway.running:
             warn("stopping with requests running", running=gateway.running)
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -249,7 +249,10 @@
         # Keeps urllib3 from adding headers that the caller did not send.
         for name in ("User-Agent", "Accept-Encoding"):
             headers.setdefault(name, SKIP_HEADER)
-        time_left_s = request.deadline - self._deps.clock.monotonic()
+        ends_at = self._deps.in_flight.stop_time.ends_at(
+            request, has_begun=request.route.streams
+        )
+        time_left_s = ends_at - self._deps.clock.monotonic()
         headers[header_names.deadline_ms] = str(max(1, int(time_left_s * 1000)))
         if self._last_id is not None:
             headers[header_names.last_event_id] = self._last_id
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -10,6 +10,8 @@
 from auburnwall.base.exceptions import AuburnwallError
 from auburnwall.base.logs import event
 
+from .stop_time import StopTime
+
 # Time between two checks for stalled exchanges.
 CHECK_INTERVAL_S = 0.05
 # A check that is late by more than this shows that this node was paused. The silence of
@@ -46,7 +48,8 @@
     sent to another server. After ``stall_timeout_s`` without progress the candidate
     becomes suspect. ``reads`` counts the pieces of a stream that have arrived, each of
     which may hold several events or a part of one. If ``is_lost`` is set, the candidate
-    may be silent as long as ``is_lost()`` is false, and is never suspect.
+    may be silent as long as ``is_lost()`` is false, and is never suspect. With
+    ``has_begun``, the caller has a part of the response.
     """
 
     def __init__(self, request, candidate, now):
@@ -58,6 +61,7 @@
         self.awaiting_server = False
         self.waits = 0
         self.may_reroute = False
+        self.has_begun = False
         self.is_lost = None
         self.stall_timeout_s = FIRST_EVENT_STALL_TIMEOUT_S
         self.task = gevent.getcurrent()
@@ -75,11 +79,13 @@
     ``slots_in_use`` holds the number of slots in use by candidate. ``take_slot`` and
     ``release`` count a slot from the placement of a request until its end. ``begin``
     and ``end`` track the exchange that uses it; ``len()`` is the number of exchanges.
-    ``make_suspect`` is called with the name of a stalled candidate.
+    ``make_suspect`` is called with the name of a stalled candidate. ``stop_time`` is
+    what a stop of the node leaves to its requests.
     """
 
-    def __init__(self, clock, make_suspect):
+    def __init__(self, clock, make_suspect, stop_time=None):
         self.slots_in_use = {}
+        self.stop_time = stop_time or StopTime(clock)
         self._clock = clock
         self.make_suspect = make_suspect
         self._exchanges = set()
@@ -168,13 +174,15 @@
         for exchange in list(self._exchanges):
             if not exchange.awaiting_server:
                 continue
-            if now >= exchange.request.deadline:
-                self._interrupt(
-                    exchange, DeadlineExceededError("out of time", step="wait")
-                )
+            if now >= self.stop_time.ends_at(
+                exchange.request, has_begun=exchange.has_begun
+            ):
+                is_late = now >= exchange.request.deadline
+                detail = "out of time" if is_late else "this node is stopping"
+                self._interrupt(exchange, DeadlineExceededError(detail, step="wait"))
                 continue
             if exchange.is_lost is not None:
-                if exchange.may_reroute and exchange.is_lost():
+                if exchange.is_lost() and self._may_reroute(exchange):
                     self._interrupt(exchange, StalledError("it is lost", step="wait"))
                 continue
             # A group that has lost a member stalls all its streams, so the progress of
@@ -184,12 +192,31 @@
             if silent_s > exchange.stall_timeout_s:
                 self.make_suspect(exchange.candidate.name)
             if (
-                exchange.may_reroute
-                and silent_s > exchange.stall_timeout_s + REROUTE_DELAY_S
+                silent_s > exchange.stall_timeout_s + REROUTE_DELAY_S
+                and self._may_reroute(exchange)
             ):
                 detail = f"no progress for {now - exchange.progress_at:.2f} s"
                 self._interrupt(exchange, StalledError(detail, step="wait"))
 
+    def _may_reroute(self, exchange):
+        """Return whether the request may be sent to another server now.
+
+        If that could not end before the node stops, the exchange goes on.
+        """
+        if not exchange.may_reroute:
+            return False
+        why = self.stop_time.refusal(exchange.request, has_begun=exchange.has_begun)
+        if why:
+            exchange.may_reroute = False
+            event(
+                "exchange goes on",
+                request=exchange.request.request_id,
+                peer=exchange.candidate.server,
+                step="stop",
+                why=why,
+            )
+        return not why
+
     def _interrupt(self, exchange, error):
         event(
             "exchange interrupted",
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -4,6 +4,8 @@
 sent, or if its route allows it to run more than once.
 """
 
+from functools import partial
+
 from auburnwall.base.logs import event
 
 from .attempt import Attempt
@@ -14,6 +16,7 @@
 from .exceptions import NOT_RUN, UNKNOWN, ExchangeError, OverloadedError, RequestError
 from .hop_by_hop import HOP_BY_HOP
 from .in_flight import DeadlineExceededError, StalledError
+from .stop_time import stopping_error
 
 # Attempts at one request, including those that the server refuses to run.
 MAX_ATTEMPTS = 4
@@ -58,6 +61,7 @@
 
     def keep_first_head(self, attempt):
         """Keep status and headers of the first server whose response is passed on."""
+        attempt.exchange.has_begun = True
         if self.first_headers is None:
             self.first_status = attempt.status
             self.first_headers = end_to_end_headers(attempt.headers)
@@ -229,8 +233,15 @@
     def _start_attempt(self, resume_at, resume_window_s):
         request, deps = self.request, self._deps
         self._check_crash_causes()
+        has_begun = resume_window_s is not None
+        refusal = partial(
+            deps.in_flight.stop_time.refusal, request, has_begun=has_begun
+        )
         try:
-            placement = deps.placer.place(request, self._avoid, resume_window_s)
+            if why := refusal():
+                raise stopping_error(why)
+            with deps.in_flight.stop_time.limit_wait(request.request_id, refusal):
+                placement = deps.placer.place(request, self._avoid, resume_window_s)
         except OverloadedError as exc:
             if self._possible_runs:
                 raise self._final_error(502, "No server left to go on at", exc) from exc
@@ -244,6 +255,7 @@
         servers_left = request.route.max_servers - self._possible_runs
         attempt_class = DetourAttempt if placement.is_detour else Attempt
         attempt = attempt_class(deps, request, placement, resume_at, servers_left)
+        attempt.exchange.has_begun = has_begun
         attempt.limit_silence(
             may_reroute=request.route.may_run_again and servers_left > 1
         )
--- a/standins/modelserver.py
+++ b/standins/modelserver.py
@@ -59,6 +59,8 @@
         self.copies = 0
         # Time after which a response is sent a second time.
         self.copy_s = 0.02
+        # Time until a response begins.
+        self.answer_s = 0.0
         # Interval between the events of a stream, and their number.
         self.event_s = 0.02
         self.events = 10
@@ -260,6 +262,7 @@
             resp.headers[SEAL_HEADER] = f"seal-of-{self.server}"
         if "stall" in self.faults:
             gevent.sleep(60)
+        gevent.sleep(self.answer_s)
         if "fail" in self.faults:
             resp.status = 500
             return b"failed"
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -31,6 +31,7 @@
 from auburnwall.routing.rate_limits import RateLimitGate
 from auburnwall.routing.routes import RouteTable
 from auburnwall.routing.shared_retry_budget import SharedRetryBudget
+from auburnwall.routing.stop_time import StopTime
 from auburnwall.routing.warmup import WarmupGate
 from auburnwall.state.table.replica import TableReplica
 from standins.modelserver import ModelServerStandin
@@ -155,7 +156,9 @@
         self.desks = self._servers(store, "desk", "")
         self.engines = self._servers(store, "assist", "d0")
         view = StandinView({"desk": self.desks, "assist": self.engines}, clock)
-        self.in_flight = InFlightRequests(clock, view.suspects.suspect)
+        self.time_to_start = TimeToStart()
+        stop_time = StopTime(clock, self._expected_time_s)
+        self.in_flight = InFlightRequests(clock, view.suspects.suspect, stop_time)
         view.in_flight = self.in_flight
         self.registry = view.registry
         self.notices = view.notices
@@ -182,7 +185,7 @@
             self.in_flight,
             HEADER_NAMES,
             clock,
-            TimeToStart(),
+            self.time_to_start,
             view.notices,
             self.crash_evidence,
             self.reach,
@@ -198,6 +201,7 @@
             random.Random(5),
             RoutedMetrics(),
             DemandMeter(clock),
+            stop_time,
         )
         server = new_front_server("127.0.0.1:0", self.gateway, clock)
         server.start()
@@ -217,6 +221,13 @@
             for n, peer in enumerate(self._peers)
         ]
 
+    def _expected_time_s(self, request):
+        """Return how long such a request takes: for a stream, with its events."""
+        to_start_s = self.time_to_start.mean_s(request.service, request.model)
+        if not request.route.streams or not to_start_s:
+            return to_start_s
+        return to_start_s + max(e.events * e.event_s for e in self.engines)
+
     def _servers(self, store, service, domain):
         servers = []
         for number in range(2):
--- a/tests/routed/test_shutdown.py
+++ b/tests/routed/test_shutdown.py
@@ -16,6 +16,7 @@
     END_SHARE,
     GracefulShutdown,
 )
+from auburnwall.routing.stop_time import StopTime  # noqa: E402
 from tests.state.test_table import FakeClock  # noqa: E402
 
 from .support import KEY, FrontWithServers, send_call, wait_until  # noqa: E402
@@ -39,7 +40,11 @@
     def setUp(self):
         self.clock = YieldingClock()
         self.gateway = SimpleNamespace(
-            running=0, idle_since=self.clock.now, stop_begun=False, refusing=False
+            running=0,
+            idle_since=self.clock.now,
+            stop_begun=False,
+            refusing=False,
+            stop_time=StopTime(self.clock),
         )
         self.withdrawn = []
         writer = SimpleNamespace(withdraw=lambda: self.withdrawn.append(True))
