Test what a stop does to queued, forwarded and streamed requests

Further variations of "begin nothing in a stop that can't end before the node's exit": bookings that wait for a slot, detours whose sender or whose peer stops, streams that have not begun, look-ups that began before the stop, and servers that take longer than was measured. A look-up sent 0.2 s before the stop, which its first server answers after 2 s, got 504, as it was sent on. Now none is left without an answer and that look-up gets 200. Begun streams got their events up to the exit before and do now.

--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -160,6 +160,7 @@
         stop_time = StopTime(clock, self._expected_time_s)
         self.in_flight = InFlightRequests(clock, view.suspects.suspect, stop_time)
         view.in_flight = self.in_flight
+        self.view = view
         self.registry = view.registry
         self.notices = view.notices
         gates = (
--- a/tests/routed/test_planned_stops.py
+++ b/tests/routed/test_planned_stops.py
@@ -4,9 +4,11 @@
 
 gevent.monkey.patch_all()
 
+import itertools  # noqa: E402
 import time  # noqa: E402
 import unittest  # noqa: E402
-from http.client import HTTPException  # noqa: E402
+from contextlib import closing  # noqa: E402
+from http.client import HTTPConnection, HTTPException  # noqa: E402
 from types import SimpleNamespace  # noqa: E402
 from typing import NamedTuple  # noqa: E402
 
@@ -15,8 +17,9 @@
 from auburnwall.base.clock import SystemClock  # noqa: E402
 from auburnwall.node.routed.settings import RoutedSettings  # noqa: E402
 from auburnwall.node.routed.shutdown import GracefulShutdown  # noqa: E402
+from auburnwall.node.routed.views import SlotUsage  # noqa: E402
 
-from .support import FrontWithServers, config, send_call  # noqa: E402
+from .support import KEY, FrontWithServers, config, send_call, wait_until  # noqa: E402
 
 # Statuses that promise that a request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -36,7 +39,7 @@
     """Sends calls to a front while it stops."""
 
     def setUp(self):
-        self.front = self.enterContext(FrontWithServers(config()))
+        self.front = self.entry = self.enterContext(FrontWithServers())
         self.calls, self.sent, self.outcomes = [], set(), []
         self.began_at = time.monotonic()
 
@@ -53,7 +56,7 @@
             self.sent.add(request_id)
             try:
                 status, _, body = send_call(
-                    self.front.address, method, path, request_id, **headers
+                    self.entry.address, method, path, request_id, **headers
                 )
             except (OSError, HTTPException):
                 status = 0
@@ -133,3 +136,133 @@
     def test_bookings_in_a_short_grace(self):
         """Guards against bookings that run and are cut at the exit."""
         self.check_calls_in_grace("POST", "/book/x", 3.0, answer_s=2.0)
+
+    def test_look_ups_begun_before_the_stop(self):
+        """Guards against a second attempt that can't end, for one that would."""
+        for server in self.front.desks:
+            server.answer_s = 2.0
+        self.send("GET", "/look/x")
+        gevent.sleep(0.2)
+        shutdown = self.stop(3.0)
+        self.assertEqual(self.cut_off(shutdown), [])
+        self.assertEqual([outcome.status for outcome in self.outcomes], [200])
+
+    def test_look_ups_at_servers_slower_than_before(self):
+        """Guards against an exit before those that take longer than expected."""
+        self.front.time_to_start.record("desk", "", 0.5)
+        for server in self.front.desks:
+            server.answer_s = 4.0
+        for number in range(8):
+            self.send("GET", "/look/x", 0.1 * number)
+        shutdown = self.stop(3.0)
+        self.assertEqual(self.cut_off(shutdown), [])
+        self.assertLessEqual({o.status for o in self.outcomes}, {502, 504})
+
+
+class QueuedTests(PlannedStopTestCase):
+    """All slots are in use by bookings when the stop begins."""
+
+    def test_bookings_that_wait_for_a_slot(self):
+        """Guards against slots that come too late for an answer."""
+        self.front.view.slot_usage = lambda request: SlotUsage(18, 0, 1.3)
+        self.front.time_to_start.record("desk", "", 1.3)
+        for server in self.front.desks:
+            server.answer_s = 1.6
+        for _ in range(18):
+            self.send("POST", "/book/x")
+        wait_until(lambda: len(self.seen()) == 18)
+        gevent.sleep(0.02)
+        for server in self.front.desks:
+            server.answer_s = 1.3
+        for delay_s in (0.4, 0.9, 1.0):
+            self.send("POST", "/book/x", delay_s)
+        shutdown = self.stop(3.0)
+        self.assertEqual(self.cut_off(shutdown), [])
+        self.check_promises()
+        queued = [outcome for outcome in self.outcomes if outcome.sent_s > 0.2]
+        self.assertEqual({outcome.status for outcome in queued}, {503})
+        self.assertLess(max(o.ended_s - o.sent_s for o in queued), 0.5)
+
+
+class DetourTests(PlannedStopTestCase):
+    """A node that reaches no servers has its requests served by a peer."""
+
+    def check_calls(self, stopping, server_front):
+        for front in {stopping, server_front}:
+            front.time_to_start.record("desk", "", 0.5)
+        for server in server_front.desks:
+            server.answer_s = 2.0
+        for number in range(12):
+            path = ("/look/x", "/book/x")[number % 2]
+            self.send("POST", path, 0.1 * number)
+        self.front = stopping
+        shutdown = self.stop(3.0)
+        self.assertEqual(self.cut_off(shutdown), [])
+        self.front = server_front
+        self.check_promises()
+
+    def test_sender_stops(self):
+        """Guards against detours that the exit of their sender cuts off."""
+        self.entry = self.enterContext(FrontWithServers(peers=[self.front]))
+        self.entry.reach.cut_off = True
+        self.check_calls(self.entry, self.front)
+
+    def test_peer_stops(self):
+        """Guards against detours that the exit of the peer cuts off."""
+        self.entry = self.enterContext(FrontWithServers(peers=[self.front]))
+        self.entry.reach.cut_off = True
+        self.check_calls(self.front, self.front)
+
+
+class StreamTests(PlannedStopTestCase):
+    """Streams may last longer than the grace."""
+
+    def setUp(self):
+        super().setUp()
+        body = config()
+        for item in body["Routes"]:
+            item["TimeoutMs"] = 8_000
+        self.front = self.entry = self.enterContext(FrontWithServers(body))
+
+    def test_begun_stream_runs_on_to_the_exit(self):
+        """Guards against streams that break off as if they had not begun."""
+        for engine in self.front.engines:
+            engine.event_s, engine.events = 0.1, 100
+        with closing(HTTPConnection(self.front.address, timeout=6.0)) as conn:
+            headers = {
+                "Host": "shop.example",
+                "X-Attempt-Id": "r-0",
+                "Authorization": f"Bearer {KEY}",
+            }
+            conn.request("POST", "/ask/x", headers=headers)
+            resp = conn.getresponse()
+            gevent.sleep(0.2)
+            shutdown = self.stop(3.0)
+            while not shutdown.finished.is_set():
+                self.assertTrue(resp.read1(1_000))
+                last_s = self.since_stop()
+        self.assertGreater(last_s, 2.6)
+
+    def test_stream_that_has_not_begun(self):
+        """Guards against an exit without an answer to it."""
+        for engine in self.front.engines:
+            engine.answer_s = 4.0
+        self.front.time_to_start.record("assist", "", 0.2)
+        for path, delay_s in itertools.product(("/ask/x", "/once/x"), (0.0, 0.4)):
+            self.send("POST", path, delay_s)
+        shutdown = self.stop(3.0)
+        self.assertEqual(self.cut_off(shutdown), [])
+        self.check_promises("engines")
+
+    def test_long_streams_late_in_the_grace(self):
+        """Guards against streams that are begun although they can't end."""
+        for engine in self.front.engines:
+            engine.event_s, engine.events = 0.15, 10
+        self.warm_up("POST", "/ask/x")
+        for number in range(10):
+            self.send("POST", "/ask/x", 0.1 * number)
+        shutdown = self.stop(3.0)
+        self.assertEqual(self.cut_off(shutdown), [])
+        self.check_promises("engines")
+        whole = [o for o in self.outcomes if o.body.count(b"data: piece-") == 10]
+        self.assertGreater(len(whole), 0)
