Refuse a request whose body does not come before the exit of a stop

What callers saw: a request whose head had arrived, but not its whole body, was still being read when a stopping node exited; its connection ended without an answer.

Cause: the body is read before anything is decided on the request, and nothing bounded that during a stop.

A body that is complete earlier is refused at once when the node takes no more requests, as before.

Evidence: a body that never comes, grace of 3 s: no answer at the exit before, 503 before it now. A body that is complete 2 s after SIGTERM: 503 within 0.2 s, no server got the request, before and after.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -74,9 +74,10 @@
 
     def _read_call(self, environ):
         handler, limits = environ[HANDLER_KEY], self._gateway.limits()
-        body = read_body(
-            environ["wsgi.input"], handler.content_length or 0, limits.body_bytes
-        )
+        with self._gateway.stop_time.limit_body():
+            body = read_body(
+                environ["wsgi.input"], handler.content_length or 0, limits.body_bytes
+            )
         headers = tuple(handler.headers.items())
         return Call(
             handler.command, handler.path, headers, body, self._clock.monotonic()
--- a/tests/routed/test_planned_stops.py
+++ b/tests/routed/test_planned_stops.py
@@ -5,6 +5,7 @@
 gevent.monkey.patch_all()
 
 import itertools  # noqa: E402
+import socket  # noqa: E402
 import time  # noqa: E402
 import unittest  # noqa: E402
 from contextlib import closing  # noqa: E402
@@ -266,3 +267,44 @@
         self.check_promises("engines")
         whole = [o for o in self.outcomes if o.body.count(b"data: piece-") == 10]
         self.assertGreater(len(whole), 0)
+
+
+class ConnectionTests(PlannedStopTestCase):
+    """What callers send on connections that the stop will close."""
+
+    HEAD = (
+        "POST /book/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: r-0\r\n"
+        f"Authorization: Bearer {KEY}\r\nContent-Length: 8\r\n\r\n"
+    ).encode()
+
+    def connect(self):
+        sock = socket.create_connection(("127.0.0.1", self.front.server.server_port))
+        self.addCleanup(sock.close)
+        sock.settimeout(5.0)
+        return sock
+
+    def test_body_that_never_comes(self):
+        """Guards against an exit without an answer to its request."""
+        sock = self.connect()
+        sock.sendall(self.HEAD + b"1234")
+        gevent.sleep(0.2)
+        shutdown = self.stop(3.0)
+        answer = gevent.spawn(sock.recv, 65_536)
+        shutdown.finished.wait()
+        gevent.sleep(0.02)
+        self.assertTrue(answer.ready())
+        self.assertTrue(answer.get().startswith(b"HTTP/1.1 503 "))
+
+    def test_body_that_comes_late(self):
+        """It is refused at once, and the connection closed after the answer."""
+        sock = self.connect()
+        sock.sendall(self.HEAD + b"1234")
+        gevent.sleep(0.2)
+        self.stop(3.0)
+        gevent.sleep(2.0)
+        sock.sendall(b"5678")
+        head = sock.recv(65_536)
+        self.assertTrue(head.startswith(b"HTTP/1.1 503 "))
+        self.assertIn(b"Connection: close", head)
+        self.assertLess(self.since_stop(), 2.2)
+        self.assertEqual(self.seen(), [])
