Take no request once a stop has finished

What callers saw: a node that stops idle finishes 1.5 s after SIGTERM. A request that arrived between that moment and the end of the process was taken and passed on, and could then be cut off with the process.

Cause: the stop ended early without refusing new requests first.

Fix: the node refuses before it reports the end of the stop; such a request gets 503, not run.

Evidence: a booking sent right after the end of an idle stop ran and got 200 before; now it gets 503 and no server has seen it.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/shutdown.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/shutdown.py
@@ -65,6 +65,7 @@
                 break
             gateway.stop_time.end_late_waits()
             self._clock.sleep(POLL_S)
+        gateway.refusing = True
         if gateway.running:
             warn("stopping with requests running", running=gateway.running)
         event("stop finished", running=gateway.running)
--- a/tests/routed/test_planned_stops.py
+++ b/tests/routed/test_planned_stops.py
@@ -308,3 +308,12 @@
         self.assertIn(b"Connection: close", head)
         self.assertLess(self.since_stop(), 2.2)
         self.assertEqual(self.seen(), [])
+
+    def test_request_that_crosses_the_exit(self):
+        """Guards against one that is run by a node that has finished its stop."""
+        shutdown = self.stop(8.0)
+        shutdown.finished.wait()
+        sock = self.connect()
+        sock.sendall(self.HEAD + b"12345678")
+        self.assertTrue(sock.recv(65_536).startswith(b"HTTP/1.1 503 "))
+        self.assertEqual(self.seen(), [])
