Pass on a server's error when a stop leaves no time for another attempt

What callers saw: an error of the node's own, 502, in place of the server's 500, if the repeat at another server no longer fitted what was left of the grace.

Cause: the server's response was given up before it was known that no further attempt may begin.

Fix: such a response is given up only if an attempt may still begin.

Evidence: a look-up that its server answers with 500 after 1 s, 1.04 s before the end, where such requests take 1.2 s: 502 before, the server's 500 and body now.

--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -292,6 +292,9 @@
         route = self.request.route
         if attempt.status < 500 or not route.repeatable or attempt.is_detour:
             return False
+        if self._deps.in_flight.stop_time.refusal(self.request):
+            # The server's response is worth more than an error of this node.
+            return False
         if self._possible_runs + 1 >= route.max_servers or not self._budget.take():
             return False
         self._possible_runs += 1
--- a/tests/routed/test_planned_stops.py
+++ b/tests/routed/test_planned_stops.py
@@ -159,6 +159,17 @@
         self.assertEqual(self.cut_off(shutdown), [])
         self.assertLessEqual({o.status for o in self.outcomes}, {502, 504})
 
+    def test_failure_of_a_server_is_passed_on(self):
+        """Guards against an error of the node in place of the server's response."""
+        self.front.time_to_start.record("desk", "", 1.2)
+        for server in self.front.desks:
+            server.answer_s, server.faults = 1.0, {"fail"}
+        self.send("GET", "/look/x", 0.5)
+        shutdown = self.stop(3.0)
+        self.assertEqual(self.cut_off(shutdown), [])
+        (outcome,) = self.outcomes
+        self.assertEqual((outcome.status, outcome.body), (500, b"failed"))
+
 
 class QueuedTests(PlannedStopTestCase):
     """All slots are in use by bookings when the stop begins."""
