--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -156,6 +156,10 @@
         """
         return self._post("/standin/limit", {"per_s": per_s}).json()
 
+    def set_answer_time(self, answer_s):
+        """Set how long plain servers take for a response, in seconds."""
+        self._post("/standin/answer-time", {"answer_s": answer_s})
+
     def send_request(self, node, request_id, path="/ask/x", key=KEY, prompt=""):
         """Send a request to a node and return the status and body of the response.
 
--- a/standins/usersplatform.py
+++ b/standins/usersplatform.py
@@ -25,7 +25,8 @@
     /standin/crash-path`` with ``{"path": ...}``, the end of the paths that crash any.
     ``POST /standin/limit`` with ``{"per_s": ...}`` sets the limit that servers name,
     ``null`` for none, and returns the times at which requests have reached each server.
-    ``GET /standin/addresses`` returns the servers' addresses.
+    ``POST /standin/answer-time`` with ``{"answer_s": ...}`` sets how long plain servers
+    take for a response. ``GET /standin/addresses`` returns the servers' addresses.
     """
 
     def __init__(self, address):
@@ -41,6 +42,7 @@
         self.store.app.route("/standin/crash-part", "POST", self._set_crash_part)
         self.store.app.route("/standin/limit", "POST", self._set_limit)
         self.store.app.route("/standin/crash-path", "POST", self._set_crash_path)
+        self.store.app.route("/standin/answer-time", "POST", self._set_answer_time)
         self.store.app.route("/standin/addresses", "GET", self._addresses)
         for server in self.servers.values():
             server.start()
@@ -55,6 +57,11 @@
         self.servers.pop(name).stop()
         gevent.spawn_later(REGISTRATION_EXPIRY_S, self.store.put, TOPIC, name, None)
 
+    def _set_answer_time(self):
+        for name, server in self.servers.items():
+            if name.startswith("i-desk-"):
+                server.answer_s = bottle.request.json["answer_s"]
+
     def _addresses(self):
         return json_response([server.address for server in self.servers.values()])
 
