--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -12,6 +12,7 @@
 from auburnwall.base.logs import event
 
 from .exceptions import RequestError
+from .stop_time import StopTime
 
 # Time between two checks for stalled exchanges.
 CHECK_INTERVAL_S = 0.05
@@ -61,7 +62,8 @@
     sent to another server. After ``stall_timeout_s`` without progress the candidate
     becomes suspect. ``reads`` counts the pieces of a stream that have arrived, each of
     which may hold several events or a part of one. If ``is_lost`` is set, the candidate
-    may be silent as long as ``is_lost()`` is false, and is never suspect.
+    may be silent as long as ``is_lost()`` is false, and is never suspect. With
+    ``has_begun``, the caller has a part of the response.
 
     ``has_unread()`` returns whether bytes of the candidate have arrived that its task
     has not read yet. ``place_elsewhere()`` returns a ``Placement`` for the request at
@@ -78,6 +80,7 @@
         self.awaiting_server = False
         self.waits = 0
         self.may_reroute = False
+        self.has_begun = False
         self.is_lost = None
         self.has_unread = bool
         self.place_elsewhere = None
@@ -100,11 +103,13 @@
     ``slots_in_use`` holds the number of slots in use by candidate. ``take_slot`` and
     ``release`` count a slot from the placement of a request until its end. ``begin``
     and ``end`` track the exchange that uses it; ``len()`` is the number of exchanges.
-    ``make_suspect`` is called with the name of a stalled candidate.
+    ``make_suspect`` is called with the name of a stalled candidate. ``stop_time`` is
+    what a stop of the node leaves to its requests.
     """
 
-    def __init__(self, clock, make_suspect):
+    def __init__(self, clock, make_suspect, stop_time=None):
         self.slots_in_use = {}
+        self.stop_time = stop_time or StopTime(clock)
         self._clock = clock
         self.make_suspect = make_suspect
         self._exchanges = set()
@@ -199,11 +204,12 @@
         for exchange in list(self._exchanges):
             if not exchange.awaiting_server:
                 continue
-            if now >= exchange.request.deadline:
+            request, has_begun = exchange.request, exchange.has_begun
+            if now >= self.stop_time.ends_at(request, has_begun=has_begun):
                 if not exchange.has_unread():
-                    self._interrupt(
-                        exchange, DeadlineExceededError("out of time", step="wait")
-                    )
+                    is_late = now >= request.deadline
+                    why = "out of time" if is_late else "this node is stopping"
+                    self._interrupt(exchange, DeadlineExceededError(why, step="wait"))
                 continue
             if exchange.is_lost is not None:
                 if exchange.may_reroute and exchange.is_lost():
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -16,6 +16,7 @@
 from .exceptions import NOT_RUN, UNKNOWN, ExchangeError, OverloadedError, RequestError
 from .hop_by_hop import HOP_BY_HOP
 from .in_flight import DeadlineExceededError, StalledError
+from .stop_time import stopping_error
 
 # Attempts at one request, including those that the server refuses to run.
 MAX_ATTEMPTS = 4
@@ -65,6 +66,7 @@
 
     def keep_first_head(self, attempt):
         """Keep status and headers of the first server whose response is passed on."""
+        attempt.exchange.has_begun = True
         if self.first_headers is None:
             self.first_status = attempt.status
             self.first_headers = end_to_end_headers(attempt.headers)
@@ -147,8 +149,7 @@
             raise self.unresumable_error()
         if self._attempt_count >= MAX_ATTEMPTS or not self._budget.may_take():
             raise self._no_retry_error()
-        placement = placer.place(
-            self.request,
+        placement = self._place(
             self._avoid | {attempt.candidate.server},
             RESUME_WINDOW_S if has_begun else None,
         )
@@ -266,9 +267,10 @@
 
     def _start_attempt(self, resume_at, resume_window_s):
         request, deps = self.request, self._deps
+        has_begun = resume_window_s is not None
         placement, self._next_placement = self._next_placement, None
         if placement is None:
-            placement = self._place(resume_window_s)
+            placement = self._place_or_fail(resume_window_s)
         try:
             self._check_placed()
         except RequestError:
@@ -278,6 +280,7 @@
         servers_left = request.route.max_servers - self._possible_runs
         attempt_class = DetourAttempt if placement.is_detour else Attempt
         attempt = attempt_class(deps, request, placement, resume_at, servers_left)
+        attempt.exchange.has_begun = has_begun
         attempt.limit_silence(
             may_reroute=request.route.may_run_again and servers_left > 1
         )
@@ -296,15 +299,30 @@
         )
         return attempt
 
-    def _place(self, resume_window_s):
+    def _place_or_fail(self, resume_window_s):
         self._check_crash_causes()
         try:
-            return self._deps.placer.place(self.request, self._avoid, resume_window_s)
+            if resume_window_s is not None:
+                # A stream that has begun goes on until the node exits.
+                return self._deps.placer.place(
+                    self.request, self._avoid, resume_window_s
+                )
+            return self._place(self._avoid, None)
         except OverloadedError as exc:
             if self._possible_runs:
                 raise self._final_error(502, "No server left to go on at", exc) from exc
             raise
 
+    def _place(self, avoid, resume_window_s):
+        """Return a placement, for which a stop of this node leaves time."""
+        request, stop_time = self.request, self._deps.in_flight.stop_time
+        has_begun = resume_window_s is not None
+        refusal = partial(stop_time.refusal, request, has_begun=has_begun)
+        if why := refusal():
+            raise stopping_error(why)
+        with stop_time.limit_wait(request.request_id, refusal):
+            return self._deps.placer.place(request, avoid, resume_window_s)
+
     def _check_placed(self):
         """Raise ``RequestError`` if a request that has a slot must not be sent now."""
         # The request may have been blocked while it waited.
--- a/standins/usersplatform.py
+++ b/standins/usersplatform.py
@@ -30,8 +30,9 @@
     ``POST /standin/streams`` with ``{"events": ..., "event_s": ...}`` sets the number
     of a stream's events and the time between two of them, and lets each event name its
     request. ``POST /standin/silence`` with ``{"s": ...}`` lets the servers send nothing
-    for so many seconds, while the store goes on. ``GET /standin/addresses`` returns the
-    servers' addresses.
+    for so many seconds, while the store goes on. ``POST /standin/answer-time`` with
+    ``{"answer_s": ...}`` sets how long plain servers take for a response. ``GET
+    /standin/addresses`` returns the servers' addresses.
     """
 
     def __init__(self, address):
@@ -49,6 +50,7 @@
         self.store.app.route("/standin/crash-path", "POST", self._set_crash_path)
         self.store.app.route("/standin/streams", "POST", self._set_streams)
         self.store.app.route("/standin/silence", "POST", self._silence)
+        self.store.app.route("/standin/answer-time", "POST", self._set_answer_time)
         self.store.app.route("/standin/addresses", "GET", self._addresses)
         for server in self.servers.values():
             server.start()
@@ -63,6 +65,11 @@
         self.servers.pop(name).stop()
         gevent.spawn_later(REGISTRATION_EXPIRY_S, self.store.put, TOPIC, name, None)
 
+    def _set_answer_time(self):
+        for name, server in self.servers.items():
+            if name.startswith("i-desk-"):
+                server.answer_s = bottle.request.json["answer_s"]
+
     def _addresses(self):
         return json_response([server.address for server in self.servers.values()])
 
