Measure the lateness of the event loop with the timer that is there

The check of the exchanges in flight has a timer each 50 ms already; a second one would double these wake-ups. 'exchange interrupted' tells the lateness of the last seconds.

--- a/packages/auburnwall-base/src/auburnwall/base/lateness.py
+++ b/packages/auburnwall-base/src/auburnwall/base/lateness.py
@@ -4,8 +4,6 @@
 
 from .logs import event, warn
 
-# Interval of the measuring timer, in seconds.
-CHECK_INTERVAL_S = 0.05
 # How long a lateness counts as recent, in seconds.
 RECENT_S = 3.0
 # Lateness above which the event loop counts as late, in seconds.
@@ -20,8 +18,9 @@
     """The lateness of the event loop: how long after its time a timer fires.
 
     While the loop is late, bytes that have arrived lie unread and other timers fire
-    late as well. One task runs ``watch``. Begin and end of a phase in which a lateness
-    exceeds ``LATE_S`` are logged; of a short phase soon after another, only the end.
+    late as well. A task with a regular timer calls ``expect`` and ``record``. Begin and
+    end of a phase in which a lateness exceeds ``LATE_S`` are logged; of a short phase
+    soon after another, only the end.
     """
 
     def __init__(self, clock):
@@ -45,13 +44,9 @@
         self._forget_before(now - RECENT_S)
         return max(overdue_s, self._peaks[0][1]) if self._peaks else overdue_s
 
-    def watch(self):
-        """Measure the lateness again and again; never returns."""
-        while True:
-            self._due_at = self._clock.monotonic() + CHECK_INTERVAL_S
-            self._clock.sleep(CHECK_INTERVAL_S)
-            now = self._clock.monotonic()
-            self.record(now - self._due_at, now)
+    def expect(self, due_at):
+        """Record that the timer is due at the time ``due_at``."""
+        self._due_at = due_at
 
     def record(self, late_s, now):
         """Record that the timer fired ``late_s`` seconds late at the time ``now``."""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -184,7 +184,6 @@
                 run_restarting, self.clock, reader.run, f"table {reader.replica.table}"
             )
         spawn(run_restarting, self.clock, self.in_flight.watch, "progress watch")
-        spawn(run_restarting, self.clock, self.lateness.watch, "lateness watch")
         for delay_s, function, name in (
             (MAX_PAUSE_S / 4, self._check_for_pause, "pause watch"),
             (PEERS_INTERVAL_S, partial(self.peers.call_new_peers, self.tasks), "peers"),
@@ -334,7 +333,9 @@
             self.crash_evidence, self.fleet, self.writer, clock
         )
         self.stop_time = StopTime(clock)
-        self.in_flight = InFlightRequests(clock, self.suspects.suspect, self.stop_time)
+        self.in_flight = InFlightRequests(
+            clock, self.suspects.suspect, self.stop_time, self.lateness
+        )
         self.suspects.last_progress_at = self.in_flight.last_progress_at
         self.demand = DemandMeter(clock)
         self.time_to_start = TimeToStart()
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -9,6 +9,7 @@
 import gevent
 
 from auburnwall.base.exceptions import AuburnwallError
+from auburnwall.base.lateness import LoopLateness
 from auburnwall.base.logs import event
 
 from .exceptions import RequestError
@@ -104,18 +105,18 @@
     ``release`` count a slot from the placement of a request until its end. ``begin``
     and ``end`` track the exchange that uses it; ``len()`` is the number of exchanges.
     ``make_suspect`` is called with the name of a stalled candidate. ``stop_time`` is
-    what a stop of the node leaves to its requests.
+    what a stop of the node leaves to its requests. ``lateness`` is the ``LoopLateness``
+    that ``watch`` feeds.
     """
 
-    def __init__(self, clock, make_suspect, stop_time=None):
+    def __init__(self, clock, make_suspect, stop_time=None, lateness=None):
         self.slots_in_use = {}
         self.stop_time = stop_time or StopTime(clock)
+        self._lateness = lateness or LoopLateness(clock)
         self._clock = clock
         self.make_suspect = make_suspect
         self._exchanges = set()
         self._progress_by_candidate = {}
-        # How late the last check was, in seconds.
-        self._check_late_s = 0.0
 
     def count(self, name):
         """Return the number of slots that this node uses at a candidate."""
@@ -170,10 +171,12 @@
         """Check regularly for stalled and expired exchanges; never returns."""
         expected_at = self._clock.monotonic() + CHECK_INTERVAL_S
         while True:
+            self._lateness.expect(expected_at)
             self._clock.sleep(CHECK_INTERVAL_S)
             now = self._clock.monotonic()
-            self._check_late_s = max(0.0, now - expected_at)
-            if self._check_late_s > MAX_CHECK_DELAY_S:
+            late_s = now - expected_at
+            self._lateness.record(late_s, now)
+            if late_s > MAX_CHECK_DELAY_S:
                 self.restart_stall_timers()
             expected_at = now + CHECK_INTERVAL_S
             self.check_progress(now)
@@ -297,7 +300,7 @@
             group=exchange.candidate.name,
             events=exchange.reads,
             age_s=round(now - exchange.started_at, 2),
-            check_late_s=round(self._check_late_s, 3),
+            late_s=round(self._lateness.recent_s(), 3),
             silent=silent,
             awaited=awaited,
             why=error.detail,
--- a/tests/base/test_lateness.py
+++ b/tests/base/test_lateness.py
@@ -8,7 +8,8 @@
 
 from auburnwall.base import lateness
 from auburnwall.base.clock import SystemClock
-from auburnwall.base.lateness import CHECK_INTERVAL_S, LATE_S, RECENT_S, LoopLateness
+from auburnwall.base.lateness import LATE_S, RECENT_S, LoopLateness
+from auburnwall.routing.in_flight import CHECK_INTERVAL_S, InFlightRequests
 from tests.state.test_table import FakeClock
 
 
@@ -52,7 +53,9 @@
 
     def test_timer_that_has_not_fired_yet_counts(self):
         """The task that asks may be the first one that runs after a standstill."""
-        task = gevent.spawn(LoopLateness.watch, real := LoopLateness(SystemClock()))
+        clock = SystemClock()
+        real = LoopLateness(clock)
+        task = gevent.spawn(InFlightRequests(clock, None, lateness=real).watch)
         self.addCleanup(task.kill)
         gevent.sleep(0.01)
         self.assertLess(real.recent_s(), LATE_S)
--- a/tests/routing/test_in_flight.py
+++ b/tests/routing/test_in_flight.py
@@ -77,7 +77,7 @@
             if record.msg == "exchange interrupted"
         ]
         self.assertEqual((fields["silent"], fields["awaited"]), (2, 3))
-        self.assertEqual(fields["check_late_s"], 0.0)
+        self.assertEqual(fields["late_s"], 0.0)
 
     def test_stalled_exchange_is_kept_until_its_request_has_a_slot_elsewhere(self):
         exchange, slot = self.exchange(), AsyncResult()
