Log who ended an unfinished request, and what a stop cuts off

The logs of a request that ended without a whole answer did not tell which end had closed first: a caller that disconnected in the middle of a stream, or reset its connection or stopped reading while a body was written, left no line at all. Of the requests that still ran at the end of a planned stop they told a number only; the processes' exit closes their connections, and no handler gets to write a line.

`caller connection closed` is new for the ends that had no line. `caller disconnected`, `stream broken off` and `request handler failed` keep their names and have more fields: who ended it (`by`), what the request was at, bytes given to the connection, and age. The last one now has the request's id.

A request whose body is cut off gets its 400 as before, with its id in the line and the response: the id was read after the body and was missing there.

Connections without a request are counted by the reason of their end, in `auburnwall_caller_connections_closed`; `auburnwall_caller_connections` are open.

The step is that of the handler, set by the front, by the writes and by a wrapper of the placer; nothing is looked up while requests run.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -23,6 +23,16 @@
     watch_disconnect,
 )
 from ..webserver import PROBLEM_TYPE, CountedApp, new_server, read_body
+from .connections import (
+    AWAIT_SERVER,
+    BAD_HEAD,
+    CALLER_CLOSED,
+    IDLE_TIMEOUT,
+    LAST_RESPONSE,
+    STOPPING,
+    UNFINISHED,
+    WRITE,
+)
 
 HANDLER_KEY = "auburnwall.call"
 # Time after which a blocked write to a caller ends its connection, in seconds. It is
@@ -46,11 +56,13 @@
 
     def __call__(self, environ, start_response):
         """Serve one request."""
-        request_id = ""
+        running = environ[HANDLER_KEY].running
+        call = self._read_head(environ)
+        request_id = running.request_id = self._gateway.request_id(call)
         with ExitStack() as stack:
             try:
-                call = self._read_call(environ)
-                request_id = self._gateway.request_id(call)
+                call = self._read_body(environ, call)
+                running.step = AWAIT_SERVER
                 stack.enter_context(watch_disconnect(environ))
                 request = self._gateway.resolve(call)
                 reply = self._gateway.forwarder.serve(request)
@@ -58,7 +70,12 @@
                 return self._respond_with_problem(start_response, exc, request_id)
             except CallerDisconnectedError:
                 event(
-                    "caller disconnected", request=request_id, step="before the answer"
+                    "caller disconnected",
+                    request=request_id,
+                    step="before the answer",
+                    at=running.step,
+                    by="caller",
+                    **running.fields(),
                 )
                 raise
             except Exception as exc:
@@ -72,19 +89,22 @@
                     500, "Internal error", repr(exc), ran=UNKNOWN, step="serve"
                 )
                 return self._respond_with_problem(start_response, error, request_id)
-            return self._respond(start_response, reply, request, stack)
+            return self._respond(start_response, reply, request, running, stack)
 
-    def _read_call(self, environ):
+    def _read_head(self, environ):
+        handler = environ[HANDLER_KEY]
+        headers = tuple(handler.headers.items())
+        now = self._clock.monotonic()
+        return Call(handler.command, handler.path, headers, b"", now)
+
+    def _read_body(self, environ, call):
         handler, limits = environ[HANDLER_KEY], self._gateway.limits()
         body = read_body(
             environ["wsgi.input"], handler.content_length or 0, limits.body_bytes
         )
-        headers = tuple(handler.headers.items())
-        return Call(
-            handler.command, handler.path, headers, body, self._clock.monotonic()
-        )
+        return call._replace(body=body, arrived_at=self._clock.monotonic())
 
-    def _respond(self, start_response, reply, request, stack):
+    def _respond(self, start_response, reply, request, running, stack):
         headers = reply.headers + self._connection_headers()
         complete = isinstance(reply.body, bytes)
         if complete:
@@ -93,7 +113,7 @@
         if complete:
             self._gateway.record_response(request, reply.status)
             return [reply.body]
-        body = _StreamBody(reply.body, request, self._gateway, stack.pop_all())
+        body = _StreamBody(reply.body, request, running, self._gateway, stack.pop_all())
         body.status = reply.status
         return body
 
@@ -130,10 +150,11 @@
 class _StreamBody:
     """Body of a streamed response; keeps the request's resources until its end."""
 
-    def __init__(self, events, request, gateway, stack):
+    def __init__(self, events, request, running, gateway, stack):
         self.status = 200
         self._events = events
         self._request = request
+        self._running = running
         self._gateway = gateway
         self._stack = stack
 
@@ -147,6 +168,8 @@
                 step=exc.step,
                 peer=exc.peer,
                 why=exc.detail,
+                by="node",
+                **self._running.fields(),
             )
             self._gateway.record_problem(exc)
             raise
@@ -167,15 +190,25 @@
 
 
 class CallerHandler(make_handler(WRITE_STALL_S)):
-    """One caller's connection, with the limits of the configuration."""
+    """One caller's connection, with the limits of the configuration.
+
+    ``running`` is the ``RunningRequest`` on it, ``close_reason`` why it is closed if
+    that happens now.
+    """
 
-    gateway = clock = None
+    gateway = clock = connections = running = None
+    close_reason = CALLER_CLOSED
 
     def __init__(self, sock, *args, **kwargs):
         for option in CALLER_SOCKET_OPTIONS:
             sock.setsockopt(*option)
         super().__init__(sock, *args, **kwargs)
 
+    def handle(self):
+        """Serve the requests of the connection until it is closed."""
+        with self.connections.connection(self):
+            super().handle()
+
     def max_body_bytes(self):
         """Return the size of the largest body that is read, in bytes."""
         return self.gateway.limits().body_bytes
@@ -185,10 +218,14 @@
 
         Once its first byte is there, the rest of the line has the time of a head.
         """
+        self.close_reason = CALLER_CLOSED
         self._wait_for_request()
         header_s = self.gateway.limits().header_s
         with ReadTimeout(self.socket, header_s, OSError("slow line")):
-            return super().read_requestline()
+            line = super().read_requestline()
+        if line:
+            self.close_reason = BAD_HEAD
+        return line
 
     def _wait_for_request(self):
         """Wait for the first byte of a request, or for the connection's end.
@@ -206,6 +243,7 @@
                 return
             idle_s = self.clock.monotonic() - began_at
         if not has_unread(self.socket):
+            self.close_reason = IDLE_TIMEOUT
             raise OSError("idle")
 
     def read_request(self, raw_requestline):
@@ -237,13 +275,65 @@
         environ[HANDLER_KEY] = self
         return environ
 
+    def handle_one_response(self):
+        """Serve one request whose head has been read."""
+        with self.connections.request(self) as self.running:
+            super().handle_one_response()
+        self.running = None
+
+    def run_application(self):
+        """Serve one request; log that the caller's connection ends before its end."""
+        self.close_reason = UNFINISHED
+        try:
+            super().run_application()
+        except BaseException as exc:
+            self._log_unfinished(exc)
+            raise
+        self.close_reason = STOPPING if self.gateway.stopping() else LAST_RESPONSE
+
+    def _log_unfinished(self, exc):
+        """Log an error that ends the response, unless it has a line of its own."""
+        is_disconnected = isinstance(exc, CallerDisconnectedError)
+        if is_disconnected:
+            has_line = self.status is None
+        elif isinstance(exc, CallerStalledError):
+            has_line = False
+        else:
+            is_ignored = exc.args and exc.args[0] in self.ignored_socket_errors
+            has_line = not (isinstance(exc, OSError) and is_ignored)
+        if has_line:
+            return
+        is_caller = is_disconnected or self.running.step == WRITE
+        event(
+            "caller connection closed",
+            request=self.running.request_id,
+            step=self.running.step,
+            by="caller" if is_caller else "node",
+            why=str(exc),
+            **self.running.fields(),
+        )
+
+    def _sendall(self, data):
+        self.running.step = WRITE
+        super()._sendall(data)
+        # After an error the step stays, as it tells where that happened.
+        self.running.step = AWAIT_SERVER
+
     def handle_error(self, kind, value, traceback):
         """Close the connection, so that a truncated response cannot look complete."""
         if issubclass(kind, RequestError):
             self.close_connection = True
             return
         if not issubclass(kind, (CallerDisconnectedError, CallerStalledError)):
-            event("request handler failed", why=repr(value), step="answer")
+            event(
+                "request handler failed",
+                request=self.running.request_id,
+                why=repr(value),
+                step="answer",
+                at=self.running.step,
+                by="node",
+                **self.running.fields(),
+            )
         super().handle_error(kind, value, traceback)
 
     def _handle_client_error(self, exc):
@@ -268,9 +358,12 @@
             raise ValueError("ambiguous Content-Length or Transfer-Encoding headers")
 
 
-def new_front_server(address, gateway, clock):
-    """Return the HTTP server for callers at ``address``."""
-    attributes = {"gateway": gateway, "clock": clock}
+def new_front_server(address, gateway, clock, connections):
+    """Return the HTTP server for callers at ``address``.
+
+    ``connections`` are the ``CallerConnections`` that it counts its own in.
+    """
+    attributes = {"gateway": gateway, "clock": clock, "connections": connections}
     handler = type("GatewayHandler", (CallerHandler,), attributes)
     app = CountedApp(Front(gateway, clock), gateway)
     return new_server(address, app, handler_class=handler, backlog=LISTEN_BACKLOG)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -22,6 +22,12 @@
             ["status", "step"],
             registry=self.registry,
         )
+        self._connections_closed = Counter(
+            "auburnwall_caller_connections_closed",
+            "Connections of callers that were closed, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self._durations = DurationHistograms(
             "auburnwall_answer_seconds", "Time to the end of the answer.", ["route"]
         )
@@ -36,6 +42,10 @@
         """Record an error response of this node."""
         self._refusals.labels(str(status), step).inc()
 
+    def record_connection_closed(self, reason):
+        """Record that the connection to a caller was closed."""
+        self._connections_closed.labels(reason).inc()
+
 
 def add_gauges(metrics, node):
     """Add the gauges of a ``RoutedNode``."""
@@ -64,6 +74,11 @@
         ),
         ("detours", "Requests that a peer serves.", node.placer.running_count),
         ("connections", "Connections opened.", lambda: channels.connections_opened),
+        (
+            "caller_connections",
+            "Open connections of callers.",
+            lambda: node.connections.open_count,
+        ),
         (
             "late_seconds",
             "Largest lateness of the event loop in the last seconds.",
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -35,6 +35,7 @@
 from ..webserver import new_server
 from .announcement import Announcement
 from .blocked_parts import BlockedParts
+from .connections import CallerConnections, StepTrackingPlacer
 from .demand import DemandMeter
 from .entry import EntryPoints, new_directory_app, new_ready_app
 from .fleet_load import limits_to_wire
@@ -348,7 +349,9 @@
             self.notices,
         )
         self.placing = Placing(self, view_parts, self.in_flight, self._stack)
-        self.placer = self.placing.placer
+        self.metrics = RoutedMetrics()
+        self.connections = CallerConnections(clock, self.metrics)
+        self.placer = StepTrackingPlacer(self.placing.placer, self.connections)
         header_names = self._platform.header_names
         deps = ForwarderDeps(
             self.placer,
@@ -363,7 +366,6 @@
             cfg.node,
         )
         self._retry_budgets = {}
-        self.metrics = RoutedMetrics()
         self.gateway = Gateway(
             self.source,
             Forwarder(deps, self._retry_budget, self._record_stream),
@@ -376,6 +378,7 @@
         self.shutdown = GracefulShutdown(
             self.gateway, self.writer, clock, cfg, self.tasks
         )
+        self.shutdown.log_cut_off = self.connections.log_cut_off
         self.settings.listeners.append(self._apply_settings)
         add_gauges(self.metrics, self)
 
@@ -400,7 +403,9 @@
                 cfg.directory_address,
                 new_directory_app(platform.directory, entry_points),
             ),
-            new_front_server(cfg.front_address, self.gateway, self.clock),
+            new_front_server(
+                cfg.front_address, self.gateway, self.clock, self.connections
+            ),
         )
 
     def _registry_pause_s(self):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/shutdown.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/shutdown.py
@@ -28,10 +28,14 @@
 
 
 class GracefulShutdown:
-    """The graceful shutdown of a node; ``finished`` is set at its end."""
+    """The graceful shutdown of a node; ``finished`` is set at its end.
+
+    ``log_cut_off()`` logs the requests that still run then.
+    """
 
     def __init__(self, gateway, writer, clock, cfg, tasks):
         self.finished = Event()
+        self.log_cut_off = lambda: None
         self._gateway = gateway
         self._writer = writer
         self._clock = clock
@@ -62,6 +66,7 @@
             self._clock.sleep(POLL_S)
         if gateway.running:
             warn("stopping with requests running", running=gateway.running)
+            self.log_cut_off()
         event("stop finished", running=gateway.running)
         self.finished.set()
 
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -14,6 +14,7 @@
 from auburnwall.fleet.formation.records import NodeRecord
 from auburnwall.fleet.registrations import Registry
 from auburnwall.fleet.server_notices import ServerNotices
+from auburnwall.node.routed.connections import CallerConnections, StepTrackingPlacer
 from auburnwall.node.routed.demand import DemandMeter
 from auburnwall.node.routed.front import new_front_server
 from auburnwall.node.routed.gateway import Gateway
@@ -176,8 +177,10 @@
             clock,
             random.Random(6),
         )
+        self.metrics = RoutedMetrics()
+        self.connections = CallerConnections(clock, self.metrics)
         deps = ForwarderDeps(
-            self.detours,
+            StepTrackingPlacer(self.detours, self.connections),
             self.channels,
             self.in_flight,
             HEADER_NAMES,
@@ -196,10 +199,10 @@
             HEADER_NAMES,
             clock,
             random.Random(5),
-            RoutedMetrics(),
+            self.metrics,
             DemandMeter(clock),
         )
-        server = new_front_server("127.0.0.1:0", self.gateway, clock)
+        server = new_front_server("127.0.0.1:0", self.gateway, clock, self.connections)
         server.start()
         self._stack.callback(server.stop, 0.2)
         self.server = server
--- a/tests/routed/test_shutdown.py
+++ b/tests/routed/test_shutdown.py
@@ -86,6 +86,22 @@
             gevent.sleep(0)
         self.assertLess(self.clock.now - began_at, 8.0)
 
+    def test_requests_that_the_exit_cuts_off_are_logged_at_its_end(self):
+        logged_at = []
+        self.shutdown.log_cut_off = lambda: logged_at.append(self.clock.now)
+        began_at = self.clock.now
+        self.run_until_refusing(running=1)
+        self.shutdown.finished.wait()
+        (at,) = logged_at
+        self.assertAlmostEqual(at - began_at, END_SHARE * 8.0, delta=0.1)
+
+    def test_idle_node_logs_no_requests_at_its_end(self):
+        logged_at = []
+        self.shutdown.log_cut_off = lambda: logged_at.append(self.clock.now)
+        self.shutdown.begin()
+        self.shutdown.finished.wait()
+        self.assertEqual(logged_at, [])
+
 
 class SlowReaderTests(unittest.TestCase):
     """Guards against a stop that cuts off answers that are still being written."""
