--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -35,6 +35,10 @@
 # Silence before the first event after which a group is suspect, in addition to the
 # time for reading the prompt.
 FIRST_EVENT_STALL_TIMEOUT_S = 0.6
+# Time past its deadline or its stall for which an exchange with unread bytes is left
+# alone, in seconds. A node that is later than ``MAX_CHECK_DELAY_S`` measures anew, and
+# a server that always has bytes there is not waited for.
+MAX_UNREAD_S = 0.25
 # How long the last progress of a candidate is remembered: longer than any candidate
 # stays suspect.
 PROGRESS_RETENTION_S = 30.0
@@ -196,8 +200,9 @@
         The former are interrupted. A stalled candidate becomes suspect. Its exchanges
         go on ``REROUTE_DELAY_S`` later if they may be sent to another server and as
         soon as one has a slot for them; until then they keep what they have. Exchanges
-        that do not await their server, or have bytes to read, are left alone, also past
-        their deadline. Progress older than ``PROGRESS_RETENTION_S`` is removed.
+        that do not await their server are left alone, also past their deadline, and for
+        ``MAX_UNREAD_S`` those that have bytes to read. Progress older than
+        ``PROGRESS_RETENTION_S`` is removed.
         """
         self._progress_by_candidate = {
             name: at
@@ -208,8 +213,9 @@
             if not exchange.awaiting_server:
                 continue
             request, has_begun = exchange.request, exchange.has_begun
-            if now >= self.stop_time.ends_at(request, has_begun=has_begun):
-                if not exchange.has_unread():
+            ends_at = self.stop_time.ends_at(request, has_begun=has_begun)
+            if now >= ends_at:
+                if not _has_unread(exchange, now - ends_at):
                     is_late = now >= request.deadline
                     why = "out of time" if is_late else "this node is stopping"
                     self._interrupt(exchange, DeadlineExceededError(why, step="wait"))
@@ -225,10 +231,10 @@
         # of them shows that the group works.
         name = exchange.candidate.name
         silent_s = now - max(exchange.progress_at, self.last_progress_at(name))
-        if silent_s <= exchange.stall_timeout_s or exchange.has_unread():
+        over_s = silent_s - exchange.stall_timeout_s
+        if over_s <= 0 or _has_unread(exchange, over_s):
             return
         self.make_suspect(name)
-        over_s = silent_s - exchange.stall_timeout_s
         if not exchange.may_reroute or over_s <= REROUTE_DELAY_S:
             return
         if over_s <= COMMON_REROUTE_DELAY_S:
@@ -258,8 +264,7 @@
         finally:
             exchange.search = None
             exchange.next_search_at = self._clock.monotonic() + SEARCH_RETRY_S
-        goes_on = exchange.progress_at > progress_at or not exchange.awaiting_server
-        if goes_on or exchange.has_unread():
+        if exchange.progress_at > progress_at or not exchange.awaiting_server:
             exchange.release_slot(placement)
             self._log_kept(exchange, why, "it goes on")
             return
@@ -310,6 +315,11 @@
         )
 
 
+def _has_unread(exchange, over_s):
+    """Return whether an exchange that is ``over_s`` past a limit may yet be read."""
+    return over_s <= MAX_UNREAD_S and exchange.has_unread()
+
+
 def _raise_if_awaiting(exchange, wait, error):
     """Raise an error in an exchange's task if that still awaits its server.
 
