Refuse a head that is made of the parts of two

What callers saw: a server breaks off an answer in its head and goes on with another one on the same connection. Clients got a 200 with the server's seal for a request that the server had answered with 500 or 503, a 500 for one that it had answered with 200, or a body that was cut short or had more behind it.

Cause: the parser takes the status line of the second answer for the reason of the first or for the value of a field, so that the status is of one answer and the fields are of the other. Behind a line that is no field, or a CR by itself, it leaves out all further fields without an error: the length among them, and the body then ends with the connection.

Ruled out: answers that break off and end their connection.

Why it works: responses are refused if the parser met a line that is no field, if a line holds a CR by itself, or if the reason or a field holds a status line. A part that ends before the status of its own status line spoils that line.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -29,6 +29,8 @@
 # takes signs, prefixes and underscores for parts of a number.
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;[^\r\n]*)?\r?\n")
 _CHUNK_END = b"\r\n"
+# The begin of a response, where a field or a reason is due.
+_STATUS_LINE = re.compile(r"HTTP/\d\.\d +\d{3}")
 # The methods that are called for each line and each piece of data.
 _readline, _read = io.BufferedReader.readline, io.BufferedReader.read
 
@@ -179,16 +181,49 @@
         super().close()
 
 
+def _check_head(headers, reason):
+    """Raise ``FramingError`` unless a head that has been read is one sound head.
+
+    ``headers`` and ``reason`` are the parsed ones. The parser leaves out all fields
+    behind a line that is none. If a head breaks off and another one follows, both are
+    taken for one.
+    """
+    if headers.defects:
+        raise FramingError(f"bad head: {headers.defects}")
+    for text in (reason, *headers.values()):
+        if _STATUS_LINE.search(text):
+            raise FramingError(f"a head within a head: {text[-64:]!r}")
+
+
+class _ResponseReader(MessageReader):
+    """A ``MessageReader`` of responses, whose lines end with LF or CR and LF."""
+
+    def readline(self, size=-1):
+        """Return the next line; raises ``FramingError`` if it holds a CR by itself.
+
+        The parser of fields takes it for the end of a line.
+        """
+        line = super().readline(size)
+        if b"\r" in line.removesuffix(b"\n").removesuffix(b"\r"):
+            raise FramingError(f"a CR within a line: {line[-64:]!r}")
+        return line
+
+
 class _Response(HTTPResponse):
     """The response below ``urllib3``'s, read by a ``MessageReader``."""
 
     def __init__(self, sock, *args, **kwargs):
         super().__init__(sock, *args, **kwargs)
-        self.fp = MessageReader(sock, self.fp)
+        self.fp = _ResponseReader(sock, self.fp)
 
     def begin(self):
-        """Read the head; raises ``FramingError`` if the body has no clear length."""
+        """Read the head.
+
+        Raises ``FramingError`` if it is not one sound head, or if the body has no clear
+        length.
+        """
         super().begin()
+        _check_head(self.headers, self.reason)
         lengths = self.headers.get_all("Content-Length", [])
         codings = self.headers.get_all("Transfer-Encoding", [])
         if codings and (lengths or [c.strip().lower() for c in codings] != ["chunked"]):
