Read past late copies of earlier answers on a connection

What callers saw: a server writes an earlier answer once more, late, on a kept connection. The booking that is in flight there by then got 502, although the server's right answer stood right behind the copy.

Cause: a response with another id than that of the request ends the exchange. This is right as long as nothing is known of the id. But the ids that were answered in full on a connection are known, and a response with one of them is a copy.

Why it is sound: what is read past bears the id of a request that was answered in full on this very connection, has a sound framing and no status line in its body, is at most 1 MB, ends within 0.5 s, and there are at most two. The response behind it is checked as before. It is one parser and one reader for all of them, so no byte that has been buffered is lost. A connection is closed after an exchange with a copy, and not used for an id that it has answered already: a copy of that answer could not be told from the one to come.

Ruled out: copies of refusals, and of answers that were not read to their end. The connections of these are closed, so none of their ids is known there.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -8,6 +8,7 @@
 
 import io
 import re
+from collections import deque
 from http.client import HTTPException, HTTPResponse
 
 import gevent
@@ -25,6 +26,14 @@
 # Largest total size of lines that follow each other without data, in bytes: those of a
 # head with its interim responses, or those between two pieces of a body.
 MAX_LINES_BYTES = 256 * 1024
+# Responses to earlier requests that are read past before the one that is due.
+MAX_STALE_RESPONSES = 2
+# Largest body of such a response, in bytes, and the longest time to read it, in
+# seconds: it was written before the response that is due, and that one is waited for.
+MAX_STALE_BYTES = 1024 * 1024
+MAX_STALE_S = 0.5
+# Requests of a connection whose responses are told from the one that is due.
+MAX_ANSWERED_IDS = 64
 # The line before a chunk: its size, and extensions that mean nothing here. ``int`` also
 # takes signs, prefixes and underscores for parts of a number.
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;[^\r\n]*)?\r?\n")
@@ -209,19 +218,60 @@
         return line
 
 
+class _BorrowedReader:
+    """Reads from a ``MessageReader`` for a parser that closes its file at the end."""
+
+    def __init__(self, reader):
+        self.read, self._readline = reader.read, reader.readline
+
+    def readline(self, size=-1):
+        """Return the next line; raises ``FramingError`` if a response begins there.
+
+        Behind the last chunk the parser takes it for one of the fields of a trailer.
+        """
+        line = self._readline(size)
+        if line.startswith(b"HTTP/"):
+            raise FramingError("a stale response is cut short")
+        return line
+
+    def close(self):
+        """Do nothing: the next response is read from the same reader."""
+
+
 class _Response(HTTPResponse):
-    """The response below ``urllib3``'s, read by a ``MessageReader``."""
+    """The response below ``urllib3``'s, read by a ``MessageReader``.
 
-    def __init__(self, sock, *args, **kwargs):
+    ``is_stale(headers)`` is whether a response is to an earlier request. Such responses
+    are read past; ``stale_heads`` are their headers.
+    """
+
+    def __init__(self, sock, *args, is_stale, **kwargs):
         super().__init__(sock, *args, **kwargs)
         self.fp = _ResponseReader(sock, self.fp)
+        self.stale_heads = []
+        self._is_stale = is_stale
 
     def begin(self):
-        """Read the head.
+        """Read the head of the response that is due.
 
         Raises ``FramingError`` if it is not one sound head, or if the body has no clear
-        length.
+        length. A stale response whose length is not stated is taken for the one that is
+        due, since no other can follow it.
         """
+        self._begin_next()
+        while (
+            len(self.stale_heads) < MAX_STALE_RESPONSES
+            and not self.will_close
+            and self._is_stale(self.headers)
+        ):
+            self.stale_heads.append(self.headers)
+            too_slow = FramingError("a stale response does not end")
+            with gevent.Timeout(MAX_STALE_S, too_slow):
+                self._skip_body()
+            self._begin_next()
+
+    def _begin_next(self):
+        self.headers = None
         super().begin()
         _check_head(self.headers, self.reason)
         lengths = self.headers.get_all("Content-Length", [])
@@ -233,21 +283,46 @@
         if self.chunked:
             self.fp.begin_chunks()
 
+    def _skip_body(self):
+        reader, self.fp = self.fp, _BorrowedReader(self.fp)
+        try:
+            body = self.read(MAX_STALE_BYTES)
+            is_whole = self.fp is None
+        finally:
+            self.fp = reader
+        if not is_whole or _STATUS_LINE.search(body.decode("latin-1")):
+            raise FramingError("a stale response is cut short or too long")
+
 
 class Connection(HTTPConnection):
     """A connection of ``urllib3`` whose responses a ``MessageReader`` reads.
 
     It counts as closed, and is not reused, if the peer has sent more than a response.
+    A response whose header ``id_header`` names one of the ``answered_ids`` is a late
+    copy: it is read past. The ids are those of requests that were answered in full on
+    this connection, and never that of the request in flight. ``stale_heads`` are the
+    headers of what was read past before the last response.
     """
 
+    id_header = ""
+    stale_heads = ()
     _last_reader = None
 
-    def response_class(self, *args, **kwargs):
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.answered_ids = deque(maxlen=MAX_ANSWERED_IDS)
+
+    def response_class(self, *args, method=None, **kwargs):
         """Return the response that is read next; the base class calls this."""
-        resp = _Response(*args, **kwargs)
-        self._last_reader = resp.fp
+        # The parser takes each response to HEAD for one without a body.
+        is_stale = _is_none_stale if method == "HEAD" else self._is_stale
+        resp = _Response(*args, method=method, is_stale=is_stale, **kwargs)
+        self._last_reader, self.stale_heads = resp.fp, resp.stale_heads
         return resp
 
+    def _is_stale(self, headers):
+        return headers.get(self.id_header) in self.answered_ids
+
     @property
     def is_connected(self):
         """Return whether the connection is open and nothing is left to read."""
@@ -257,9 +332,14 @@
     def close(self):
         """Close the connection; a new one may be opened."""
         self._last_reader = None
+        self.answered_ids.clear()
         super().close()
 
 
+def _is_none_stale(headers):
+    return False
+
+
 class _ConnectionPool(HTTPConnectionPool):
     ConnectionCls = Connection
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -74,10 +74,11 @@
         Raises ``ExchangeError`` if the server fails or the response is not valid.
         """
         self._connect()
-        call = self._request.call
+        call, connection = self._request.call, self._channel.connection
+        connection.id_header = self._deps.header_names.request_id
         try:
             with self._awaiting_server():
-                self._channel.connection.request(
+                connection.request(
                     call.method,
                     call.path,
                     body=call.body or None,
@@ -85,9 +86,11 @@
                     preload_content=False,
                     decode_content=False,
                 )
-                self._resp = self._channel.connection.getresponse()
+                self._resp = connection.getresponse()
         except EXCHANGE_FAILURES as exc:
             raise self._failure(exc, "send") from exc
+        finally:
+            self._log_stale_answers(connection.stale_heads)
         self.status, self.headers = self._resp.status, self._resp.headers
         self._check_id()
         self._note_notices()
@@ -188,7 +191,10 @@
         channel, self._channel = self._channel, None
         if channel is None:
             return
-        if self._complete:
+        connection = channel.connection
+        if self._complete and not connection.stale_heads:
+            if self._request.call.method != "HEAD":
+                connection.answered_ids.append(self._request.request_id)
             pool = self._deps.channels
             pool.release(channel, self.candidate.address, self.headers, self.max_idle_s)
         else:
@@ -200,6 +206,10 @@
         candidate, channels = self.candidate, self._deps.channels
         try:
             channel, reused = channels.take(candidate.server, candidate.address)
+            while self._request.request_id in channel.connection.answered_ids:
+                # A late copy of that answer could not be told from the one to come.
+                channel.close()
+                channel, reused = channels.take(candidate.server, candidate.address)
             self._channel = channel
             if not reused:
                 channel.connect()
@@ -255,6 +265,15 @@
             headers[header_names.last_event_id] = self._last_id
         return headers
 
+    def _log_stale_answers(self, heads):
+        for headers in heads:
+            event(
+                "stale answer skipped",
+                request=self._request.request_id,
+                peer=self.candidate.server,
+                answered=headers.get(self._deps.header_names.request_id),
+            )
+
     def _note_notices(self):
         """Record what the head of the response says of the server."""
         header_names = self._deps.header_names
