Refuse a body that holds another answer

What callers saw: a server that writes a copy of an earlier answer while it writes the next one. Its caller got the copy, head and all, as a part of its own answer with 200 and the server's seal.

Cause: a body with a length, or one that ends with its connection, is whatever stands there. Nothing looked into it, nor at the end of the own body that a copy pushes out of a body with a length.

Evidence: copies written at each position of a body.

Why it works: a status line with a field of the request's id behind it is the head of an answer; such a body or event is refused. Where more bytes came in one piece with a body, a status line in it is enough, also one that begins there and goes on behind it. A connection that is closed keeps what was left unread, until it is opened again.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -26,6 +26,8 @@
 # Largest total size of lines that follow each other without data, in bytes: those of a
 # head with its interim responses, or those between two pieces of a body.
 MAX_LINES_BYTES = 256 * 1024
+# Bytes behind a response that are kept, to see whether a response begins there.
+MAX_UNREAD_BYTES = 64
 # Responses to earlier requests that are read past before the one that is due.
 MAX_STALE_RESPONSES = 2
 # Largest body of such a response, in bytes, and the longest time to read it, in
@@ -111,13 +113,13 @@
 
     ``buffered`` is the file object that ``sock.makefile("rb")`` has returned, from
     which nothing has been read yet; it is not usable afterwards. Once closed,
-    ``has_unread`` is whether more had arrived than was read.
+    ``unread`` are the first bytes that had arrived and were not read.
     """
 
     def __init__(self, sock, buffered):
         self._socket_reader = _TurnTakingReader(sock, buffered.detach())
         super().__init__(self._socket_reader)
-        self.has_unread = False
+        self.unread = b""
         self._lines_bytes = 0
         self._begun = False
         self._chunk_left = None
@@ -186,7 +188,7 @@
         """Close the reader, and the socket's file object below it."""
         if not self.closed:
             self._socket_reader.is_at_end = True
-            self.has_unread = bool(self.peek(1))
+            self.unread = self.peek(1)[:MAX_UNREAD_BYTES]
         super().close()
 
 
@@ -327,13 +329,18 @@
     def is_connected(self):
         """Return whether the connection is open and nothing is left to read."""
         reader = self._last_reader
-        return (reader is None or not reader.has_unread) and super().is_connected
+        return (reader is None or not reader.unread) and super().is_connected
 
-    def close(self):
-        """Close the connection; a new one may be opened."""
+    @property
+    def unread(self):
+        """Return the first bytes that arrived in one piece with the last response."""
+        return self._last_reader.unread if self._last_reader else b""
+
+    def connect(self):
+        """Open a new connection, on which nothing has been read or answered."""
         self._last_reader = None
         self.answered_ids.clear()
-        super().close()
+        super().connect()
 
 
 def _is_none_stale(headers):
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -1,5 +1,6 @@
 """One attempt to have a request served by one server."""
 
+import re
 from http.client import HTTPException
 
 from urllib3 import HTTPHeaderDict
@@ -35,6 +36,9 @@
 MAX_LATE_S = 0.25
 # Statuses that promise a caller that its request has not run and will not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# The first line of a response, and the longest part of one that can end a body.
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+_STATUS_LINE_BYTES = len(b"HTTP/1.1 200")
 # Socket read timeout; stalled exchanges are interrupted long before.
 READ_TIMEOUT_S = 60.0
 
@@ -149,7 +153,10 @@
             size += len(data)
             if size > MAX_ANSWER_BYTES:
                 raise self._error("the answer is too large", "read answer")
-        return b"".join(chunks)
+        body = b"".join(chunks)
+        if self._holds_answer(body) or self._begins_answer(body):
+            raise self._error("another answer is within this one", "read answer")
+        return body
 
     def events(self):
         """Yield bytes of one or more complete events as they arrive.
@@ -167,6 +174,9 @@
                     late_since = late_since or exchange.progress_at
                     if exchange.progress_at - late_since > MAX_LATE_S:
                         raise DeadlineExceededError("out of time", step="read stream")
+                if self._holds_answer(events):
+                    detail = "another answer is within the stream"
+                    raise self._error(detail, "read stream")
                 yield events
             elif self.splitter.pending_bytes > MAX_EVENT_BYTES:
                 raise self._error("an event is too large", "read stream")
@@ -362,6 +372,28 @@
             raise self._error("the answer is cut short", "read answer")
         self._complete = chunked or "Content-Length" in self.headers
 
+    def _holds_answer(self, data):
+        """Return whether data of a body holds the head of an answer, with its id.
+
+        A faulty server may write a copy of an answer at any moment.
+        """
+        match = _STATUS_LINE.search(data)
+        if not match:
+            return False
+        field = f"\n{self._deps.header_names.request_id}:".lower().encode()
+        return field in data[match.end() :].lower()
+
+    def _begins_answer(self, body):
+        """Return whether a status line begins in a body that more bytes follow.
+
+        If a copy has pushed the end of the body out of it, that end follows.
+        """
+        unread = self._channel.connection.unread
+        if not unread:
+            return False
+        match = _STATUS_LINE.search(body + unread[: _STATUS_LINE_BYTES - 1])
+        return match is not None and match.start() < len(body)
+
     def _unchunked(self):
         while data := self._resp.read1(READ_BYTES):
             yield data
--- a/tests/routed/test_stale_answers.py
+++ b/tests/routed/test_stale_answers.py
@@ -4,6 +4,7 @@
 
 gevent.monkey.patch_all()
 
+import http.client  # noqa: E402
 import itertools  # noqa: E402
 import socket  # noqa: E402
 import time  # noqa: E402
@@ -36,13 +37,15 @@
     """Writes ``pieces``, with pauses, in place of the second answer of a connection.
 
     ``%s`` in them stands for the id of the request. ``runs`` are the ids of all
-    requests, ``kept`` of those that came on a connection in use.
+    requests, ``kept`` of those that came on a connection in use. With
+    ``ends_connection`` the connection ends behind them.
     """
 
     def __init__(self):
         self.server = "desk-0"
         self.first = response("sized", OLD)
         self.pieces, self.pause_s = [], 0.0
+        self.ends_connection = False
         self.runs, self.kept = [], []
         super().__init__()
 
@@ -60,6 +63,8 @@
             for piece in self.pieces:
                 sock.sendall(piece.replace(b"%s", request_id))
                 gevent.sleep(self.pause_s)
+            if self.ends_connection:
+                return
 
 
 class StaleAnswerTests(unittest.TestCase):
@@ -239,5 +244,72 @@
                 self.check(front, None, path)
 
 
+class CopyWithinAnswerTests(unittest.TestCase):
+    """Guards against a caller that gets a copy as a part of its answer."""
+
+    def call(self, front, server, path, pieces):
+        """Return status, body and whether the response looks complete."""
+        front.channels.close_idle()
+        server.pieces = [b"".join(pieces)]
+        status, _, _ = send_call(front.address, "POST", path, "r-0")
+        self.assertEqual(status, 200)
+        try:
+            status, _, body = send_call(front.address, "POST", path, "r-1")
+        except http.client.IncompleteRead as exc:
+            return 200, exc.partial, False
+        return status, body, True
+
+    def check(self, front, servers, path, body, framings, copies):
+        server = CopyingServer()
+        self.addCleanup(server.stop)
+        only(servers, server)
+        server.first = response("chunked", body)
+        server.ends_connection = True
+        mixed, count = [], 0
+        for framing, fields, (name, copy) in itertools.product(
+            framings, (b"", b"Connection: close\r\n"), copies.items()
+        ):
+            own = response(framing, body, fields=fields).replace(b"%s", b"r-1")
+            for at in range(own.index(END) + len(END) + 1, len(own)):
+                count += 1
+                status, got, complete = self.call(
+                    front, server, path, (own[:at], copy, own[at:])
+                )
+                is_sound = status == 502 or got == body
+                if not complete:
+                    is_sound = body.startswith(got)
+                if not is_sound:
+                    mixed.append((framing, name, own[:at][-12:], got[-60:]))
+        self.assertEqual(mixed, [], f"{len(mixed)} of {count}")
+
+    def test_copies(self):
+        body = b"a body of some bytes"
+        whole = {f: copy_of(f, body) for f in FRAMINGS}
+        with FrontWithServers() as front:
+            self.check(front, front.desks, "/book/x", body, FRAMINGS, whole)
+
+    def test_parts_of_copies(self):
+        """A part is told if it has its status line and the own length is stated."""
+        body = b"a body of some bytes"
+        whole = copy_of("sized", body)
+        parts = {n: whole[:n] for n in range(len("HTTP/1.1 200"), len(whole), 14)}
+        with FrontWithServers() as front:
+            self.check(front, front.desks, "/book/x", body, FRAMINGS, parts)
+
+    def test_copies_within_streams(self):
+        whole = {f: copy_of(f, EVENTS) for f in FRAMINGS}
+        with FrontWithServers() as front:
+            self.check(front, front.engines, "/once/x", EVENTS, FRAMINGS, whole)
+
+    def test_copies_in_answers_without_a_length(self):
+        with FrontWithServers() as front:
+            for servers, path, body in (
+                (front.desks, "/book/x", b"a body of some bytes"),
+                (front.engines, "/once/x", EVENTS),
+            ):
+                whole = {f: copy_of(f, body) for f in FRAMINGS}
+                self.check(front, servers, path, body, ("none",), whole)
+
+
 if __name__ == "__main__":
     unittest.main()
