Answer the requests that still run when the product's own stop ends

What callers saw at the product's own interface: a request that still had no answer when `--drain-limit-s` was over, or whose body had not come, ended with its connection. A caller's deadline may be 600 s, the limit is 300 s.

Cause: as at the routed interface, the stop only waited, and then the node exited.

Fix: the last second of the limit, or a fifth of a short one, is kept for answers. What has no response by then gets 504, unknown; a request whose body is not complete gets 503, not run. Streams that have begun run on.

Evidence: a stop with a limit of 1.5 s while a completion, a stream that has not begun and a booking wait for servers that take 30 s: none of the three had an answer at the exit before; each gets 504 before it now. A body that never comes: no answer before, 503 now.

--- a/packages/auburnwall-node/src/auburnwall/node/drain.py
+++ b/packages/auburnwall-node/src/auburnwall/node/drain.py
@@ -3,21 +3,26 @@
 When the shutdown starts, the node is no longer named as an entry point. It still
 accepts requests until the lists of entry points that callers hold have expired. Then it
 refuses new requests and leaves the membership. It stops when no request is running, or
-after ``drain_limit_s``.
+after ``drain_limit_s``. Requests without an answer by then get one just before.
 """
 
 from gevent.event import Event
 
 from auburnwall.base.logs import event, warn
+from auburnwall.routing.stop_time import StopTime
 
 # Interval at which the running requests are checked, in seconds.
 POLL_INTERVAL_S = 0.1
+# Time before the end in which the last answers are written: in seconds, and at most
+# this fraction of ``drain_limit_s``.
+MAX_ANSWER_S, MAX_ANSWER_FRACTION = 1.0, 0.2
 
 
 class NodeDrain:
     """The graceful shutdown of this node.
 
     ``refusing`` is true once new requests are refused; ``finished`` is set at the end.
+    ``stop_time`` is what the shutdown leaves to requests.
     """
 
     def __init__(self, components):
@@ -25,6 +30,7 @@
         self._started = False
         self.refusing = False
         self.finished = Event()
+        self.stop_time = StopTime(components.clock)
 
     def begin(self):
         """Start the shutdown in a new task; further calls have no effect."""
@@ -51,8 +57,12 @@
 
     def _wait_for_running(self):
         components = self._components
-        deadline = components.clock.monotonic() + components.cfg.drain_limit_s
+        limit_s = components.cfg.drain_limit_s
+        deadline = components.clock.monotonic() + limit_s
+        answer_s = min(MAX_ANSWER_S, MAX_ANSWER_FRACTION * limit_s)
+        self.stop_time.begin(deadline - answer_s, deadline)
         while components.gateway.running():
+            self.stop_time.end_late_waits()
             if components.clock.monotonic() >= deadline:
                 warn(
                     "stopping with requests running",
--- a/packages/auburnwall-node/src/auburnwall/node/http.py
+++ b/packages/auburnwall-node/src/auburnwall/node/http.py
@@ -109,7 +109,8 @@
     def completion(self):
         """Serve a chat or text completion, as a stream or as one response."""
         try:
-            return self._complete()
+            with self._limit_answer():
+                return self._complete()
         except RequestError as exc:
             return self._problem(exc)
         except CallerDisconnectedError:
@@ -117,27 +118,33 @@
 
     def service(self, name, path):
         """Serve a call to a plain service."""
-        components = self._components
         try:
-            idempotency_key = bottle.request.headers.get("Idempotency-Key", "")
-            components.gateway.require_accepting(idempotency_key)
-            service = components.gateway.service(name)
-            query = bottle.request.query_string
-            request = self._read_request(
-                name, f"/{path}" + (f"?{query}" if query else "")
-            )
-            with components.burn.track(request, components.cfg.data_center) as outcome:
-                answer = components.service_calls.serve(
-                    request,
-                    service,
-                    components.gateway.service_dispatcher(name),
-                    idempotency_key,
-                )
-                outcome.record_complete()
-            return _respond(request, answer)
+            with self._limit_answer():
+                return self._call_service(name, path)
         except RequestError as exc:
             return self._problem(exc)
 
+    def _call_service(self, name, path):
+        components = self._components
+        idempotency_key = bottle.request.headers.get("Idempotency-Key", "")
+        components.gateway.require_accepting(idempotency_key)
+        service = components.gateway.service(name)
+        query = bottle.request.query_string
+        request = self._read_request(name, f"/{path}" + (f"?{query}" if query else ""))
+        with components.burn.track(request, components.cfg.data_center) as outcome:
+            answer = components.service_calls.serve(
+                request,
+                service,
+                components.gateway.service_dispatcher(name),
+                idempotency_key,
+            )
+            outcome.record_complete()
+        return _respond(request, answer)
+
+    def _limit_answer(self):
+        """Return a context that a stop of the node ends while it can still answer."""
+        return self._components.drain.stop_time.limit_answer(_current_request_id())
+
     def _complete(self):
         components = self._components
         body = self._read_body()
@@ -171,7 +178,8 @@
 
     def _read_body(self):
         req, max_bytes = bottle.request, self._components.cfg.most_body_bytes
-        return read_body(req.body, req.content_length, max_bytes)
+        with self._components.drain.stop_time.limit_body():
+            return read_body(req.body, req.content_length, max_bytes)
 
     def _problem(self, exc):
         gateway = self._components.gateway
--- a/packages/auburnwall-routing/src/auburnwall/routing/stop_time.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/stop_time.py
@@ -8,12 +8,13 @@
 
 import math
 from contextlib import contextmanager
+from typing import NamedTuple
 
 import gevent
 
 from auburnwall.base.logs import event
 
-from .exceptions import OverloadedError
+from .exceptions import UNKNOWN, OverloadedError, RequestError
 
 # Time that a request may take, as a multiple of the mean of such requests.
 EXPECTED_TIME_MARGIN = 1.5
@@ -22,6 +23,23 @@
 STOPPING_RETRY_AFTER_S = 0.05
 
 
+def stopping_error(why):
+    """Return the error for a request that a stopping node does not begin."""
+    return OverloadedError(why, STOPPING_RETRY_AFTER_S, step="stop")
+
+
+def _unknown_error(why):
+    return RequestError(504, "Out of time", why, ran=UNKNOWN, step="stop")
+
+
+class _Wait(NamedTuple):
+    """A block that ends with ``error(refusal())`` once ``refusal()`` is not empty."""
+
+    request_id: str
+    refusal: object
+    error: object
+
+
 def can_end(left_s, limit_s, expected_s):
     """Return whether a request that begins now is expected to end within ``left_s``.
 
@@ -77,39 +95,46 @@
             raise stopping_error(why)
 
     @contextmanager
-    def limit_wait(self, request_id, refusal):
-        """Raise ``OverloadedError`` in the block once ``refusal()`` is not empty.
+    def limit_wait(self, request_id, refusal, error=stopping_error):
+        """Raise ``error(refusal())`` in the block once ``refusal()`` is not empty.
 
-        That is checked while the stop goes on.
+        That is checked while the stop goes on. Of nested blocks, the inner one counts.
         """
         task = gevent.getcurrent()
-        self._waits[task] = request_id, refusal
+        outer = self._waits.get(task)
+        self._waits[task] = _Wait(request_id, refusal, error)
         try:
             yield
         finally:
             self._waits.pop(task, None)
+            if outer is not None:
+                self._waits[task] = outer
 
     def limit_body(self):
         """Raise ``OverloadedError`` in the block when its time for an answer is up."""
         return self.limit_wait("", self._late_body)
 
+    def limit_answer(self, request_id):
+        """Raise a 504 in the block when the time for an answer is up."""
+        return self.limit_wait(request_id, self._late_answer, _unknown_error)
+
     def end_late_waits(self):
         """End the waits that last too long; called regularly during the stop."""
-        for task, (request_id, refusal) in list(self._waits.items()):
-            if why := refusal():
-                event("wait ended", request=request_id, step="stop", why=why)
-                gevent.get_hub().loop.run_callback(self._raise_in, task, why)
+        for task, wait in list(self._waits.items()):
+            if why := wait.refusal():
+                event("wait ended", request=wait.request_id, step="stop", why=why)
+                gevent.get_hub().loop.run_callback(self._raise_in, task, wait, why)
 
-    def _raise_in(self, task, why):
+    def _raise_in(self, task, wait, why):
         """Raise the error if the task still waits; called by the event loop."""
-        if self._waits.pop(task, None) is not None:
-            task.throw(stopping_error(why))
+        if self._waits.get(task) is wait:
+            task.throw(wait.error(why))
 
     def _late_body(self):
-        is_late = self._clock.monotonic() >= self.answer_by
-        return "this node is stopping: the body is not complete" if is_late else ""
+        return f"{self._late_answer()}: the body is not complete" * self._is_late()
 
+    def _late_answer(self):
+        return "this node is stopping" * self._is_late()
 
-def stopping_error(why):
-    """Return the error for a request that a stopping node does not begin."""
-    return OverloadedError(why, STOPPING_RETRY_AFTER_S, step="stop")
+    def _is_late(self):
+        return self._clock.monotonic() >= self.answer_by
