Name the requests that the exit of a stopping node cuts off

The log had their number alone, so the users' record and the node's log could not be brought together. Each of them now has a line `request cut off` with its id. The test of a stream that runs on to the exit found no such line before.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -49,6 +49,7 @@
             try:
                 call = self._read_call(environ)
                 request_id = self._gateway.request_id(call)
+                stack.enter_context(self._gateway.serving(request_id))
                 stack.enter_context(watch_disconnect(environ))
                 request = self._gateway.resolve(call)
                 reply = self._gateway.forwarder.serve(request)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -1,5 +1,6 @@
 """Turn a caller's call into a routed request with route, team, deadline and model."""
 
+from contextlib import contextmanager
 from uuid import uuid4
 
 from auburnwall.base.digits import parse_digits
@@ -34,6 +35,7 @@
     ``idle_since`` is the time at which a request last ended. Once ``stop_begun`` is
     true, connections are closed after the current response; once ``refusing`` is true,
     new requests are refused. ``stop_time`` is what the stop leaves to requests.
+    ``serving_ids`` holds the IDs of the requests that have no complete response yet.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         self.stop_begun = False
         self.refusing = False
         self.stop_time = stop_time
+        self.serving_ids = set()
         self._source = source
         self._header_names = header_names
         self._clock = clock
@@ -69,6 +72,15 @@
         self.running -= 1
         self.idle_since = self._clock.monotonic()
 
+    @contextmanager
+    def serving(self, request_id):
+        """Keep the ID of a request among ``serving_ids`` within the block."""
+        self.serving_ids.add(request_id)
+        try:
+            yield
+        finally:
+            self.serving_ids.discard(request_id)
+
     def limits(self):
         """Return the ``ClientLimits`` in force."""
         table = self._source.table
--- a/packages/auburnwall-node/src/auburnwall/node/routed/shutdown.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/shutdown.py
@@ -68,6 +68,8 @@
         gateway.refusing = True
         if gateway.running:
             warn("stopping with requests running", running=gateway.running)
+        for request_id in gateway.serving_ids:
+            event("request cut off", request=request_id, step="stop")
         event("stop finished", running=gateway.running)
         self.finished.set()
 
--- a/tests/routed/test_planned_stops.py
+++ b/tests/routed/test_planned_stops.py
@@ -12,6 +12,7 @@
 from http.client import HTTPConnection, HTTPException  # noqa: E402
 from types import SimpleNamespace  # noqa: E402
 from typing import NamedTuple  # noqa: E402
+from unittest import mock  # noqa: E402
 
 import gevent  # noqa: E402
 
@@ -42,6 +43,9 @@
     def setUp(self):
         self.front = self.entry = self.enterContext(FrontWithServers())
         self.calls, self.sent, self.outcomes = [], set(), []
+        self.log = self.enterContext(
+            mock.patch("auburnwall.node.routed.shutdown.event")
+        )
         self.began_at = time.monotonic()
 
     def since_stop(self):
@@ -89,6 +93,14 @@
         answered = {outcome.request_id for outcome in self.outcomes if outcome.status}
         return sorted(sent - answered)
 
+    def logged(self, name):
+        """Return the ids of the requests in log lines of this name."""
+        return {
+            call.kwargs["request"]
+            for call in self.log.call_args_list
+            if call.args[0] == name
+        }
+
     def warm_up(self, method, path):
         """Let the front learn how long such calls take; return the status."""
         return send_call(self.front.address, method, path, "warm")[0]
@@ -253,7 +265,9 @@
             while not shutdown.finished.is_set():
                 self.assertTrue(resp.read1(1_000))
                 last_s = self.since_stop()
+            cut_off = self.logged("request cut off")
         self.assertGreater(last_s, 2.6)
+        self.assertEqual(cut_off, {"r-0"})
 
     def test_stream_that_has_not_begun(self):
         """Guards against an exit without an answer to it."""
--- a/tests/routed/test_shutdown.py
+++ b/tests/routed/test_shutdown.py
@@ -45,6 +45,7 @@
             stop_begun=False,
             refusing=False,
             stop_time=StopTime(self.clock),
+            serving_ids=(),
         )
         self.withdrawn = []
         writer = SimpleNamespace(withdraw=lambda: self.withdrawn.append(True))
