Test kept connections, brokers' waits and deadlines in a stop

Guards for what the changes to the stop rely on: requests on a kept connection get an answer before and after the node refuses; a wait at a broker that the stop ends, also at the node's own broker, holds no slot; bookings of 2 s all end in a grace of 8 s; servers are told the end of the stop as the deadline if it comes first, never a later one than the caller's, and those of streams their own.

--- a/tests/routed/test_planned_stops.py
+++ b/tests/routed/test_planned_stops.py
@@ -150,6 +150,11 @@
         """Guards against bookings that run and are cut at the exit."""
         self.check_calls_in_grace("POST", "/book/x", 3.0, answer_s=2.0)
 
+    def test_bookings_in_a_long_grace(self):
+        """Guards against refusals of what ends long before the exit."""
+        self.check_calls_in_grace("POST", "/book/x", 8.0, answer_s=2.0)
+        self.assertEqual({outcome.status for outcome in self.outcomes}, {200})
+
     def test_look_ups_begun_before_the_stop(self):
         """Guards against a second attempt that can't end, for one that would."""
         for server in self.front.desks:
@@ -182,6 +187,24 @@
         (outcome,) = self.outcomes
         self.assertEqual((outcome.status, outcome.body), (500, b"failed"))
 
+    def test_server_is_told_when_the_stop_ends(self):
+        """Guards against work that goes on when nobody can pass on its result."""
+        for service in ("desk", "assist"):
+            self.front.time_to_start.record(service, "", 0.2)
+        shutdown = self.stop(3.0)
+        self.send("GET", "/look/x")
+        self.send("GET", "/look/x", **{"X-Deadline-Ms": "900"})
+        self.send("POST", "/ask/x")
+        self.assertEqual(self.cut_off(shutdown), [])
+        left_ms = {
+            request["headers"]["X-Attempt-Id"]: int(request["headers"]["X-Deadline-Ms"])
+            for server in (*self.front.desks, *self.front.engines)
+            for request in server.seen
+        }
+        self.assertTrue(2_000 < left_ms["r-0"] <= 2_550, left_ms)
+        self.assertTrue(500 < left_ms["r-1"] <= 900, left_ms)
+        self.assertTrue(2_700 < left_ms["r-2"] <= 3_000, left_ms)
+
 
 class QueuedTests(PlannedStopTestCase):
     """All slots are in use by bookings when the stop begins."""
@@ -334,6 +357,39 @@
         self.assertLess(self.since_stop(), 2.2)
         self.assertEqual(self.seen(), [])
 
+    def test_requests_on_a_kept_connection(self):
+        """Each gets an answer; the first one in the stop closes the connection."""
+        sock = self.connect()
+        for stops in (False, True):
+            if stops:
+                self.stop(3.0)
+            sock.sendall(self.HEAD + b"12345678")
+            head = sock.recv(65_536)
+            self.assertTrue(head.startswith(b"HTTP/1.1 200 "))
+            self.assertEqual(b"Connection: close" in head, stops)
+        self.assertEqual(sock.recv(65_536), b"")
+
+    def test_request_on_a_kept_connection_that_crosses_the_refusal(self):
+        """Guards against a request that is passed on late or gets no answer."""
+        sock = self.connect()
+        sock.sendall(self.HEAD + b"12345678")
+        self.assertTrue(sock.recv(65_536).startswith(b"HTTP/1.1 200 "))
+        self.hold_stop_open()
+        self.stop(3.0)
+        gevent.sleep(1.5)
+        sock.sendall(self.HEAD + b"12345678")
+        head = sock.recv(65_536)
+        self.assertTrue(head.startswith(b"HTTP/1.1 503 "))
+        self.assertIn(b"Connection: close", head)
+        self.assertEqual(sorted(self.seen()), ["held", "r-0"])
+
+    def hold_stop_open(self):
+        """Let a booking run that keeps the stop from an early end."""
+        for server in self.front.desks:
+            server.answer_s = 2.5
+        gevent.spawn(send_call, self.front.address, "POST", "/book/x", "held")
+        wait_until(lambda: "held" in self.seen())
+
     def test_request_that_crosses_the_exit(self):
         """Guards against one that is run by a node that has finished its stop."""
         shutdown = self.stop(8.0)
--- a/tests/routing/test_brokers.py
+++ b/tests/routing/test_brokers.py
@@ -18,6 +18,7 @@
 from auburnwall.routing.rate_limits import RateLimitGate
 from auburnwall.routing.slot_broker import SlotBroker
 from auburnwall.routing.step_model import Work
+from auburnwall.routing.stop_time import StopTime
 from auburnwall.routing.warmup import WarmupGate
 from auburnwall.wire.exceptions import PeerUnavailableError
 from benchmarks.stale_loads import FLEETS, overfilled_fraction
@@ -226,6 +227,37 @@
         gevent.sleep(0.05)
         self.assertEqual(self.load(), {})
 
+    def test_wait_that_a_stop_of_the_node_ends_holds_no_slot(self):
+        """Guards against a slot that goes to a node that can no longer use it."""
+        placements = self.fill(2 * GROUPS_PER_DATA_CENTER * SLOTS)
+        stop_time, whys, ended = StopTime(self.network.clock), [""], []
+
+        def wait(node):
+            with (
+                self.assertRaises(OverloadedError) as caught,
+                stop_time.limit_wait("r", lambda: whys[0]),
+            ):
+                node.place(50, objective_s=2.0)
+            ended.append(caught.exception.detail)
+
+        # One of the nodes is the broker itself.
+        for node in (self.one, self.two):
+            gevent.spawn(wait, node)
+        gevent.sleep(0.05)
+        stop_time.end_late_waits()
+        gevent.sleep(0.05)
+        self.assertEqual(ended, [])
+        whys[0] = "stopping"
+        stop_time.end_late_waits()
+        gevent.sleep(0.05)
+        self.assertEqual(ended, ["stopping"] * 2)
+        for placement in placements:
+            for node in self.network.nodes.values():
+                if placement.grant.id in node.placer._grants:
+                    node.placer.release_slot(placement)
+        gevent.sleep(0.05)
+        self.assertEqual(self.load(), {})
+
     def test_node_s_own_suspicions_are_kept(self):
         self.one.view.avoided.add("norte-0")
         for number in range(SLOTS):
