--- a/packages/auburnwall-routing/src/auburnwall/routing/stop_time.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/stop_time.py
@@ -130,11 +130,10 @@
         if self._waits.get(task) is wait:
             task.throw(wait.error(why))
 
-    def _late_body(self):
-        return f"{self._late_answer()}: the body is not complete" * self._is_late()
-
     def _late_answer(self):
-        return "this node is stopping" * self._is_late()
+        is_late = self._clock.monotonic() >= self.answer_by
+        return "this node is stopping" if is_late else ""
 
-    def _is_late(self):
-        return self._clock.monotonic() >= self.answer_by
+    def _late_body(self):
+        why = self._late_answer()
+        return f"{why}, and the body is not complete" if why else ""
