Test a planned stop of a process with a shorter grace

The grace is changed to 3 s in the running node's settings. The test also checks that the process ends within its grace.

--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -8,8 +8,8 @@
 
 from .support import PlatformClusterTestCase
 
-# Time for which callers go on to send, in seconds: the grace time of the nodes.
-SEND_S = 4.0
+# Grace time that the nodes are started with, in seconds.
+GRACE_S = 4
 SEND_INTERVAL_S = 0.1
 PATHS = ("/look/x", "/book/x", "/ask/x")
 EVENTS_PER_STREAM = 10
@@ -46,19 +46,34 @@
                 number += 1
                 time.sleep(SEND_INTERVAL_S)
 
-    def check_stop(self, answer_s):
+    def set_grace(self, node, grace_s):
+        """Change the grace time of a running node."""
+        path, line = self.cluster.settings_path(node), f"GraceS={GRACE_S}\n"
+        text = path.read_text("utf-8")
+        self.assertIn(line, text)
+        path.write_text(text.replace(line, f"GraceS={grace_s}\n"), "utf-8")
+        self.cluster.signal(node, signal.SIGHUP)
+        self.cluster.wait(
+            lambda: "settings changed" in self.cluster.log_text(node), "new settings"
+        )
+
+    def check_stop(self, answer_s, grace_s=GRACE_S):
         """Stop a node while callers send; all that it passed on is answered."""
         self.cluster.set_answer_time(answer_s)
         node = self.names[0]
+        if grace_s != GRACE_S:
+            self.set_grace(node, grace_s)
         for path in PATHS:
             self.send_request(node, path)
-        ends_at = time.monotonic() + 1.0 + SEND_S
+        ends_at = time.monotonic() + 1.0 + grace_s
         with ThreadPoolExecutor(len(PATHS)) as pool:
             for path in PATHS:
                 pool.submit(self.send_until, path, ends_at)
             time.sleep(1.0)
             self.cluster.signal(node, signal.SIGTERM)
-        self.cluster.wait(lambda: self.cluster.exit_code(node) is not None, "end")
+            self.cluster.wait(
+                lambda: self.cluster.exit_code(node) is not None, "end", grace_s
+            )
         events = self.cluster.log_events(node)
         passed_on = {e["request"] for e in events if e["event"] == "request placed"}
         without_answer = sorted(r for r in passed_on if not self.ended.get(r, 1))
@@ -72,6 +87,10 @@
         """Guards against those that are sent on again and cut at the exit."""
         self.check_stop(answer_s=2.0)
 
+    def test_requests_that_take_most_of_a_shorter_grace(self):
+        """Guards against limits that hold for one grace time only."""
+        self.check_stop(answer_s=2.0, grace_s=3)
+
     def test_requests_that_are_answered_soon(self):
         """Guards against a stop that serves nobody, by which callers lose time."""
         passed_on = self.check_stop(answer_s=0.02)
