Refuse callers' heads with lines that are no fields

What callers saw: a request whose head has a line that is no field runs without its body, and the body, if it looks like a request, runs as one that nobody sent (UNASKED).

Cause: behind a line without a colon, or a CR by itself, the parser leaves out all further fields and only notes a defect. With the length gone, the body is read as the next request on the connection.

Why it works: a line with a CR by itself is refused where all lines are read, and a head with a defect once it is parsed, at both interfaces. Callers get 400 and their connection is closed, so that nothing behind the head is read. FramingError is an OSError too, as the other errors of that module are; a body with a bad line thus remains a bad request.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -54,8 +54,8 @@
     """The connection ended within a message."""
 
 
-class FramingError(HTTPException):
-    """A message does not say clearly where it ends."""
+class FramingError(HTTPException, OSError):
+    """A message does not say clearly where it, its head or its lines end."""
 
 
 class _TurnTakingReader(io.RawIOBase):
@@ -146,7 +146,8 @@
 
         The line is empty if the connection has ended and no message has begun. Raises
         ``IncompleteMessageError`` if the connection ends anywhere else, and
-        ``MessageTooLongError`` beyond the limit.
+        ``MessageTooLongError`` beyond the limit. Raises ``FramingError`` if the line
+        holds a CR by itself, which the parser of fields takes for the end of a line.
         """
         max_bytes = MAX_LINES_BYTES - self._lines_bytes + 1
         if 0 <= size < max_bytes:
@@ -162,6 +163,8 @@
         self._lines_bytes += len(line)
         if self._lines_bytes > MAX_LINES_BYTES:
             raise MessageTooLongError(f"over {MAX_LINES_BYTES} bytes without data")
+        if b"\r" in line.removesuffix(b"\n").removesuffix(b"\r"):
+            raise FramingError(f"a CR within a line: {line[-64:]!r}")
         if self._chunk_left is not None:
             self._begin_chunk(line)
         return line
@@ -192,32 +195,24 @@
         super().close()
 
 
-def _check_head(headers, reason):
-    """Raise ``FramingError`` unless a head that has been read is one sound head.
+def check_fields(headers):
+    """Raise ``FramingError`` if the head of a message has a line that is no field.
 
-    ``headers`` and ``reason`` are the parsed ones. The parser leaves out all fields
-    behind a line that is none. If a head breaks off and another one follows, both are
-    taken for one.
+    The parser leaves out all fields behind it, such as the length.
     """
     if headers.defects:
         raise FramingError(f"bad head: {headers.defects}")
-    for text in (reason, *headers.values()):
-        if _STATUS_LINE.search(text):
-            raise FramingError(f"a head within a head: {text[-64:]!r}")
-
 
-class _ResponseReader(MessageReader):
-    """A ``MessageReader`` of responses, whose lines end with LF or CR and LF."""
 
-    def readline(self, size=-1):
-        """Return the next line; raises ``FramingError`` if it holds a CR by itself.
+def _check_head(headers, reason):
+    """Raise ``FramingError`` unless the head of a response is one sound head.
 
-        The parser of fields takes it for the end of a line.
-        """
-        line = super().readline(size)
-        if b"\r" in line.removesuffix(b"\n").removesuffix(b"\r"):
-            raise FramingError(f"a CR within a line: {line[-64:]!r}")
-        return line
+    If a head breaks off and another one follows, the parser takes both for one.
+    """
+    check_fields(headers)
+    for text in (reason, *headers.values()):
+        if _STATUS_LINE.search(text):
+            raise FramingError(f"a head within a head: {text[-64:]!r}")
 
 
 class _BorrowedReader:
@@ -249,7 +244,7 @@
 
     def __init__(self, sock, *args, is_stale, **kwargs):
         super().__init__(sock, *args, **kwargs)
-        self.fp = _ResponseReader(sock, self.fp)
+        self.fp = MessageReader(sock, self.fp)
         self.stale_heads = []
         self._is_stale = is_stale
 
@@ -280,7 +275,9 @@
         codings = self.headers.get_all("Transfer-Encoding", [])
         if codings and (lengths or [c.strip().lower() for c in codings] != ["chunked"]):
             raise FramingError(f"lengths {lengths} and codings {codings}")
-        if len(lengths) > 1 or any(parse_digits(n.strip(), 1) is None for n in lengths):
+        if len(lengths) > 1 or any(
+            parse_digits(length.strip(), 1) is None for length in lengths
+        ):
             raise FramingError(f"lengths {lengths}")
         if self.chunked:
             self.fp.begin_chunks()
--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -7,7 +7,7 @@
 from gevent.pywsgi import WSGIHandler
 from gevent.socket import wait_read
 
-from auburnwall.base.http_reader import MAX_LINES_BYTES, MessageReader
+from auburnwall.base.http_reader import MAX_LINES_BYTES, MessageReader, check_fields
 
 SOCKET_KEY = "auburnwall.socket"
 # Largest number of bytes in a request for each byte of its body: a chunk with one byte
@@ -77,6 +77,12 @@
             self.rfile.begin_message(MAX_LINES_BYTES + framed_bytes)
             return super().read_requestline()
 
+        def read_request(self, raw_requestline):
+            """Read the head of a request; raises ``FramingError`` for a bad one."""
+            accepted = super().read_request(raw_requestline)
+            check_fields(self.headers)
+            return accepted
+
         def get_environ(self):
             """Add the caller's socket for ``watch_disconnect``."""
             environ = super().get_environ()
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from auburnwall.base.http import keepalive_options
-from auburnwall.base.http_reader import IncompleteMessageError
+from auburnwall.base.http_reader import FramingError, IncompleteMessageError
 from auburnwall.base.logs import event
 from auburnwall.routing.call import Call
 from auburnwall.routing.exceptions import UNKNOWN, RequestError
@@ -193,7 +193,7 @@
         try:
             with gevent.Timeout(limits.header_s, RequestHeadError(408)):
                 accepted = super().read_request(raw_requestline)
-        except IncompleteMessageError as exc:
+        except (FramingError, IncompleteMessageError) as exc:
             raise RequestHeadError(400) from exc
         except HTTPException as exc:
             raise RequestHeadError(431) from exc
