Take only digits, spaces and tabs for a response's length

What callers saw: nothing wrong yet; a length with a vertical tab or a form feed beside the number was taken for sound, so that two readers of one response could differ on where its body ends.

Cause: the check of lengths and codings stripped all that Python takes for space.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -273,10 +273,12 @@
         _check_head(self.headers, self.reason)
         lengths = self.headers.get_all("Content-Length", [])
         codings = self.headers.get_all("Transfer-Encoding", [])
-        if codings and (lengths or [c.strip().lower() for c in codings] != ["chunked"]):
+        if codings and (
+            lengths or [c.strip(" \t").lower() for c in codings] != ["chunked"]
+        ):
             raise FramingError(f"lengths {lengths} and codings {codings}")
         if len(lengths) > 1 or any(
-            parse_digits(length.strip(), 1) is None for length in lengths
+            parse_digits(length.strip(" \t"), 1) is None for length in lengths
         ):
             raise FramingError(f"lengths {lengths}")
         if self.chunked:
--- a/tests/routed/test_broken_heads.py
+++ b/tests/routed/test_broken_heads.py
@@ -243,7 +243,8 @@
         with FrontWithServers() as front:
             only(front.desks, server)
             for line in (
-                b"no field", b": x", b"a b: c", b"a : c", b"x: a\rb: c", b"\x00", b"\r",
+                b"no field", b": x", b"a b: c", b"a : c", b"x: a\rb: c",
+                b"x: a\r\n b: c", b"\x00", b"\r",
                 b"HTTP/1.1 200 OK",
             ):  # fmt: skip
                 for body in (b"body", b"bo", b"body and more"):
--- a/tests/routed/test_truncated_messages.py
+++ b/tests/routed/test_truncated_messages.py
@@ -50,7 +50,18 @@
     SEALED_HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nok",
     *(
         SEALED_HEAD + b"Content-Length: " + length + b"\r\n\r\nok"
-        for length in (b"-2", b"+2", b"2, 2", b"0x2", b"two", b"", b"2_0", b"\xb2")
+        for length in (
+            b"-2",
+            b"+2",
+            b"2, 2",
+            b"0x2",
+            b"two",
+            b"",
+            b"2_0",
+            b"\xb2",
+            b"\v2",
+            b"2\f",
+        )
     ),
 )
 SOUND = (
