Refuse callers' fields that go on in the next line

What callers saw: 500 for a request that had run, if its id stood in the line after its name.

Cause: the parser keeps the line end in the value. The server echoes the id, and the web server refuses to write a response with a line end in a field.

Found by the fuzz test of framing. test_id_that_goes_on_in_the_next_line: on the code before, the request reaches the server; after it the caller gets 400 and nothing is sent. Ruled out: servers' responses with such fields, which reach callers as they are.

--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -7,7 +7,12 @@
 from gevent.pywsgi import WSGIHandler
 from gevent.socket import wait_read
 
-from auburnwall.base.http_reader import MAX_LINES_BYTES, MessageReader, check_fields
+from auburnwall.base.http_reader import (
+    MAX_LINES_BYTES,
+    FramingError,
+    MessageReader,
+    check_fields,
+)
 
 SOCKET_KEY = "auburnwall.socket"
 # Largest number of bytes in a request for each byte of its body: a chunk with one byte
@@ -81,6 +86,9 @@
             """Read the head of a request; raises ``FramingError`` for a bad one."""
             accepted = super().read_request(raw_requestline)
             check_fields(self.headers)
+            if any("\n" in value for value in self.headers.values()):
+                # Its value could not be echoed in a response.
+                raise FramingError("a field goes on in the next line")
             return accepted
 
         def get_environ(self):
--- a/tests/routed/test_framing_fuzz.py
+++ b/tests/routed/test_framing_fuzz.py
@@ -253,6 +253,13 @@
             with self.subTest(line=line, end=end[:30]):
                 self.check(self.BEGIN + b"\r\n" + line + end)
 
+    def test_id_that_goes_on_in_the_next_line(self):
+        """It was echoed in an answer that could then not be written."""
+        begin = self.BEGIN.replace(b"-Id: r", b"-Id:\r\n r")
+        for end in (self.SIZED, self.CHUNKED):
+            self.check(begin + end)
+            self.assertEqual(self.server.requests, [])
+
     def test_requests_that_are_cut(self):
         for end in (self.SIZED, self.CHUNKED):
             for cut in range(1, len(end), 5):
