--- a/tests/routed/test_views.py
+++ b/tests/routed/test_views.py
@@ -5,6 +5,7 @@
 
 from auburnwall.node.routed.fleet_load import load_of_pulse, sum_loads
 from auburnwall.node.routed.views import (
+    MIN_REPORT_S,
     SUSPECT_S,
     PlanningView,
     RoutingView,
@@ -101,6 +102,24 @@
         clock.now += SUSPECT_S + 0.1
         self.assertNotIn("g1", suspects)
 
+    def test_suspicion_ends_with_the_progress_that_refutes_it(self):
+        """Otherwise a node refuses requests for seconds after a pause of servers."""
+        clock, progress_at = FakeClock(), {}
+        suspects = SuspectCandidates(
+            clock, FixedReach(), str, lambda g: progress_at.get(g, 0.0)
+        )
+        for _ in range(20):
+            suspects.suspect("g1")
+            clock.now += 0.05
+        self.assertEqual(suspects.own_suspects(), ["g1"])
+        progress_at["g1"] = clock.now
+        self.assertNotIn("g1", suspects)
+        self.assertEqual(suspects.own_suspects(), [])
+        clock.now += 0.5
+        suspects.suspect("g1")
+        self.assertEqual(suspects.own_suspects(), ["g1"])
+        self.assertIn("g1", suspects)
+
     def test_group_on_probation_gets_one_request_of_a_node_at_a_time(self):
         clock, count = FakeClock(), {"g1": 0}
         suspects = SuspectCandidates(clock, FixedReach(), str)
@@ -134,6 +153,21 @@
         self.assertNotIn("g1", suspects)
         self.assertIn("g2", suspects)
 
+    def test_report_of_a_peer_ends_soon_after_the_peer_no_longer_repeats_it(self):
+        """Otherwise nodes refuse requests twice as long as the one that saw a stall."""
+        for settle_s, counts_s in ((0.36, MIN_REPORT_S), (1.6, 1.6)):
+            clock = FakeClock()
+            suspects = SuspectCandidates(
+                clock, FixedReach(), str, settle_s=lambda s=settle_s: s
+            )
+            for _ in range(20):
+                suspects.suspect_for_peer("g1", "n2")
+                clock.now += 0.1
+            clock.now += counts_s - 0.2
+            self.assertIn("g1", suspects)
+            clock.now += 0.2
+            self.assertNotIn("g1", suspects)
+
     def test_suspicions_end_although_nodes_report_them_to_each_other(self):
         clock = FakeClock()
         one, two = (
