--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -17,6 +17,8 @@
 from ..callers import (
     CallerDisconnectedError,
     CallerStalledError,
+    ReadTimeout,
+    has_unread,
     make_handler,
     watch_disconnect,
 )
@@ -74,9 +76,10 @@
 
     def _read_call(self, environ):
         handler, limits = environ[HANDLER_KEY], self._gateway.limits()
-        body = read_body(
-            environ["wsgi.input"], handler.content_length or 0, limits.body_bytes
-        )
+        with self._gateway.stop_time.limit_body():
+            body = read_body(
+                environ["wsgi.input"], handler.content_length or 0, limits.body_bytes
+            )
         headers = tuple(handler.headers.items())
         return Call(
             handler.command, handler.path, headers, body, self._clock.monotonic()
@@ -167,7 +170,7 @@
 class CallerHandler(make_handler(WRITE_STALL_S)):
     """One caller's connection, with the limits of the configuration."""
 
-    gateway = None
+    gateway = clock = None
 
     def __init__(self, sock, *args, **kwargs):
         for option in CALLER_SOCKET_OPTIONS:
@@ -179,10 +182,33 @@
         return self.gateway.limits().body_bytes
 
     def read_requestline(self):
-        """Wait for the next request within the idle timeout; raises ``OSError``."""
-        with gevent.Timeout(self.gateway.limits().idle_s, OSError("idle")):
+        """Wait for the next request within the idle timeout; raises ``OSError``.
+
+        Once its first byte is there, the rest of the line has the time of a head.
+        """
+        self._wait_for_request()
+        header_s = self.gateway.limits().header_s
+        with ReadTimeout(self.socket, header_s, OSError("slow line")):
             return super().read_requestline()
 
+    def _wait_for_request(self):
+        """Wait for the first byte of a request, or for the connection's end.
+
+        Raises ``OSError`` after the idle timeout, unless bytes lie unread. If that is
+        raised during the wait, the new one counts, since callers reuse connections by
+        the one in force.
+        """
+        self.rfile.begin_message()
+        began_at = self.clock.monotonic()
+        idle_s = 0.0
+        while idle_s < (limit_s := self.gateway.limits().idle_s):
+            with gevent.Timeout(limit_s - idle_s, False):
+                self.rfile.peek(1)
+                return
+            idle_s = self.clock.monotonic() - began_at
+        if not has_unread(self.socket):
+            raise OSError("idle")
+
     def read_request(self, raw_requestline):
         """Read the head of a request within its limits of time and size.
 
@@ -191,7 +217,7 @@
         """
         limits = self.gateway.limits()
         try:
-            with gevent.Timeout(limits.header_s, RequestHeadError(408)):
+            with ReadTimeout(self.socket, limits.header_s, RequestHeadError(408)):
                 accepted = super().read_request(raw_requestline)
         except IncompleteMessageError as exc:
             raise RequestHeadError(400) from exc
@@ -245,7 +271,8 @@
 
 def new_front_server(address, gateway, clock):
     """Return the HTTP server for callers at ``address``."""
-    handler = type("GatewayHandler", (CallerHandler,), {"gateway": gateway})
+    attributes = {"gateway": gateway, "clock": clock}
+    handler = type("GatewayHandler", (CallerHandler,), attributes)
     app = CountedApp(Front(gateway, clock), gateway)
     return new_server(address, app, handler_class=handler, backlog=LISTEN_BACKLOG)
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -7,6 +7,7 @@
 
 from auburnwall.base import logs
 from auburnwall.base.clock import PauseDetector, SystemClock
+from auburnwall.base.lateness import LoopLateness
 from auburnwall.base.tasks import run_periodically, run_restarting
 from auburnwall.fleet.candidate_index import CandidateIndex
 from auburnwall.fleet.formation.controller import FormationController
@@ -23,6 +24,7 @@
 from auburnwall.routing.forwarder import Forwarder, ForwarderDeps
 from auburnwall.routing.in_flight import InFlightRequests
 from auburnwall.routing.shared_retry_budget import SharedRetryBudget
+from auburnwall.routing.stop_time import StopTime
 from auburnwall.state.proposer import new_incarnation
 from auburnwall.state.table.replica import TableReplica
 from auburnwall.wire.client import PeerPool
@@ -121,6 +123,7 @@
         self.tasks = tasks
         self.clock = clock or SystemClock()
         self.rng = rng or random.Random()
+        self.lateness = LoopLateness(self.clock)
         self._platform = platform
         self._stack = stack
         self.identity = Identity(
@@ -329,7 +332,10 @@
         self.blocked_parts = BlockedParts(
             self.crash_evidence, self.fleet, self.writer, clock
         )
-        self.in_flight = InFlightRequests(clock, self.suspects.suspect)
+        self.stop_time = StopTime(clock)
+        self.in_flight = InFlightRequests(
+            clock, self.suspects.suspect, self.stop_time, self.lateness
+        )
         self.suspects.last_progress_at = self.in_flight.last_progress_at
         self.demand = DemandMeter(clock)
         self.time_to_start = TimeToStart()
@@ -348,6 +354,7 @@
         )
         self.placing = Placing(self, view_parts, self.in_flight, self._stack)
         self.placer = self.placing.placer
+        self.stop_time.expected_s = self.placing.expected_time_s
         header_names = self._platform.header_names
         deps = ForwarderDeps(
             self.placer,
@@ -371,6 +378,7 @@
             self.rng,
             self.metrics,
             self.demand,
+            self.stop_time,
         )
         self.shutdown = GracefulShutdown(
             self.gateway, self.writer, clock, cfg, self.tasks
