Show how a broker without streams of its own refuses after a silence

What callers see on, in a fleet with brokers: no stream is cut by a silence of the servers of 1.1 s, but new ones are refused long after it.

Cause, from the logs of the larger runs: after a suspicion the broker has a group on probation, so that it grants one slot of it at a time until its own exchanges with the group make progress. The streams that it grants run at other nodes, so only the end of SUSPICION_MEMORY_S, 30 s, or a stream of its own callers ends it.

Ruled out: estimates of the wait (classes late and in time are refused while the group has 8 free slots), reports of peers (the last `group doubted` at the broker is 2 s after the first, at the latest 3 s) and slots that were counted as taken.

--- a/tests/processes/kept_callers.py
+++ b/tests/processes/kept_callers.py
@@ -49,13 +49,15 @@
     """Threads that send requests one after another, each on its own connection.
 
     ``paths`` has the path prefix of each caller; a stream's has ``stream_prefix``, and
-    ``events`` events. A caller leaves a node that closes its connection or refuses it.
+    ``events`` events. ``nodes`` are the names of the nodes that they use, all if
+    ``None``. A caller leaves a node that closes its connection or refuses it.
     Leaving the context ends the callers after their request. ``ended`` holds the
     requests that have ended.
     """
 
-    def __init__(self, cluster, paths, events, stream_prefix="/ask/"):
-        self._nodes = {name: node["front"] for name, node in cluster.nodes.items()}
+    def __init__(self, cluster, paths, events, nodes=None, stream_prefix="/ask/"):
+        names = cluster.nodes if nodes is None else nodes
+        self._nodes = {name: cluster.nodes[name]["front"] for name in names}
         self._events = events
         self._stream_prefix = stream_prefix
         self._numbers = itertools.count()
--- a/tests/processes/silence_run.py
+++ b/tests/processes/silence_run.py
@@ -206,7 +206,7 @@
                 entry.get("group") or entry.get("peer") or entry.get("why"),
             ] += 1
     for key, count in sorted(told.items(), key=lambda pair: str(pair[0])):
-        print(f"{count} nodes:", *key)
+        print(f"{count} lines:", *key)
 
 
 def merged(logs, back_at):
--- a/tests/processes/test_silent_servers.py
+++ b/tests/processes/test_silent_servers.py
@@ -71,9 +71,12 @@
         self.cluster.silence_servers(SILENCE_S)
         time.sleep(SILENCE_S)
 
-    def run_beside_load(self, silence):
-        """Call ``silence``, which returns when the servers are back, under load."""
-        with KeptCallers(self.cluster, PATHS, EVENTS) as callers:
+    def run_beside_load(self, silence, nodes=None):
+        """Call ``silence``, which returns when the servers are back, under load.
+
+        ``nodes`` are the nodes that have callers, all if ``None``.
+        """
+        with KeptCallers(self.cluster, PATHS, EVENTS, nodes) as callers:
             time.sleep(BEFORE_S)
             silent_at = time.time()
             silence()
@@ -144,3 +147,15 @@
 
     NODES = 5
     NODE_ENV = {"AUBURNWALL_MAX_MESH_NODES": "2"}
+
+    def test_broker_without_streams_of_its_own(self):
+        """It learns only from its peers that the groups go on."""
+        grants = [
+            (entry["time"], name)
+            for name in self.names
+            for entry in self.cluster.log_events(name)
+            if entry["event"] == "slot granted"
+        ]
+        broker = max(grants)[1]
+        others = [name for name in self.names if name != broker]
+        self.run_beside_load(self.silence_all, others)
