--- a/tests/processes/kept_callers.py
+++ b/tests/processes/kept_callers.py
@@ -186,16 +186,21 @@
 
 
 def longest_refusal_s(streams, since):
-    """Return the longest time from ``since`` on in which nearly all are refused."""
+    """Return the longest time from ``since`` on in which nearly all are refused.
+
+    A time in which none is sent does not end it.
+    """
     whole, sent = Counter(), Counter()
     for stream in streams:
         if stream.sent_at >= since:
             number = int((stream.sent_at - since) / BIN_S)
             sent[number] += 1
             whole[number] += stream.outcome == WHOLE
-    longest = current = 0
-    for number in range(max(sent, default=-1) + 1):
-        refused = whole[number] < SERVED_FRACTION * sent[number] or not sent[number]
-        current = current + 1 if refused else 0
-        longest = max(longest, current)
+    longest, first = 0, None
+    for number in sorted(sent):
+        if whole[number] >= SERVED_FRACTION * sent[number]:
+            first = None
+            continue
+        first = number if first is None else first
+        longest = max(longest, number + 1 - first)
     return longest * BIN_S
