Look for unread bytes without letting their reader run

The look for unread bytes went through select, which gevent has patched: also with a timeout of 0 other tasks ran during it. The task of the exchange read its bytes, the look found none, and the check went on with the times taken before. Callers' connections had a look that peeks without waiting; both use it now.

--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -13,6 +13,7 @@
     MessageReader,
     check_fields,
 )
+from auburnwall.base.sockets import has_unread
 
 SOCKET_KEY = "auburnwall.socket"
 # Largest number of bytes in a request for each byte of its body: a chunk with one byte
@@ -60,21 +61,6 @@
         gevent.kill(request_task, CallerDisconnectedError("the caller disconnected"))
 
 
-def has_unread(sock):
-    """Return whether bytes, an end or an error lie unread in a socket; never waits."""
-    timeout_s = sock.gettimeout()
-    sock.settimeout(0.0)
-    try:
-        sock.recv(1, MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    finally:
-        sock.settimeout(timeout_s)
-    return True
-
-
 class ReadTimeout:
     """Raises ``error`` in a task that still waits for bytes after ``seconds``.
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -10,6 +10,7 @@
 from auburnwall.base.http import keepalive_options
 from auburnwall.base.http_reader import FramingError, IncompleteMessageError
 from auburnwall.base.logs import event
+from auburnwall.base.sockets import has_unread
 from auburnwall.routing.call import Call
 from auburnwall.routing.exceptions import UNKNOWN, RequestError
 from auburnwall.routing.problem import problem_of
@@ -18,7 +19,6 @@
     CallerDisconnectedError,
     CallerStalledError,
     ReadTimeout,
-    has_unread,
     make_handler,
     watch_disconnect,
 )
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -6,10 +6,10 @@
 from urllib3 import HTTPHeaderDict
 from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
-from urllib3.util.wait import wait_for_read
 
 from auburnwall.base.http import READ_BYTES
 from auburnwall.base.logs import event
+from auburnwall.base.sockets import has_unread
 from auburnwall.fleet.server_notices import (
     LEAVING,
     limit_from_header,
@@ -410,7 +410,7 @@
         that ends with its connection; then this is false.
         """
         sock = self._channel.connection.sock if self._channel else None
-        return sock is not None and wait_for_read(sock, timeout=0.0)
+        return sock is not None and has_unread(sock)
 
     def _awaiting_server(self):
         """Return a context in which ``in_flight`` may interrupt the exchange."""
