End a peer's reports and a probation with the evidence against them

What callers saw, in a fleet with brokers: no stream is cut by a silence of 1.1 s, but from 1 s to 3 s after it 2 of 113 to 2 of 136 new streams were served.

Cause: a broker that has taken its peers' word for a stalled group grants one slot of it at a time until its own exchanges there make progress. The streams that it grants run at other nodes, so it has none; only 30 s ended the probation.

A node suspects a group for as long as its requests there stand still, and for 2 s at least unless they go on. So reports that end before their time, or that end while there are requests, show that the group goes on: 'group no longer doubted'. Reports that end in their time, with no request left, prove nothing. An own suspicion is not ended by a peer's word. Nothing on the wire has changed.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -326,6 +326,7 @@
         )
         self.suspects.listeners.append(self.member_monitor.suspect_group)
         self.peers.on_suspects = self._suspect_for_peer
+        self.peers.on_sound = self.suspects.end_reports
         self.peers.on_leaving = self.notices.note_peer_leaving
         self.peers.on_limits = self.notices.note_peer_limits
         self.crash_evidence = CrashEvidence(clock, self.peers.settle_s)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -5,6 +5,8 @@
 relay's heartbeat also covers the nodes that report to it.
 """
 
+from typing import NamedTuple
+
 from auburnwall.base.logs import event
 from auburnwall.wire.exceptions import PeerUnavailableError
 from auburnwall.wire.peer.ttypes import FleetDigest
@@ -18,6 +20,7 @@
     to_wire,
 )
 from .topology import Topology, relay_rank
+from .views import SUSPECT_S
 
 # Maximum rate of heartbeat calls that a node starts, per second.
 MAX_HEARTBEATS_PER_S = 50.0
@@ -47,27 +50,43 @@
 # In a fleet with relays, a group is suspect if it is for this number of nodes at least,
 # and for this fraction of its requests in flight.
 MIN_SUSPECTING_NODES, MIN_SUSPECTING_FRACTION = 2, 0.25
+# A suspicion that is heard of for a shorter time has ended before its time, in seconds.
+# What is heard is up to two reports old.
+EARLY_END_S = SUSPECT_S - 2 * REPORT_PERIOD_S
 # A node that has been unreachable for this long is removed from the fleet table, in
 # seconds.
 REMOVE_AFTER_S = 30.0
 
 
+class _SuspectReport(NamedTuple):
+    """A group that ``count`` nodes suspect, the first of them since ``since``.
+
+    ``ended_early`` is whether one has ended its suspicion before its time.
+    """
+
+    since: float
+    count: int
+    ended_early: bool
+
+
 class Peers:
     """Exchange heartbeats with the other nodes of the fleet table.
 
     ``own_pulse()`` returns this node's heartbeat without the nodes that report to it.
     Fleets of up to ``max_mesh_nodes`` nodes have no relays; ``is_mesh`` is whether this
     is one. ``on_suspects(names, node)`` is called with the groups that a peer, or a
-    node behind it, suspects, ``on_leaving(servers, node)`` with the servers that told
-    it that they leave, ``on_limits(limits, node)`` with the limits that servers told
-    it, and ``on_crashes(crashes, sound_parts, node)`` with the crashes that it has seen
-    and the parts of prompts that it knows to be sound.
+    node behind it, suspects, ``on_sound(names, node)`` with those that it no longer
+    suspects while it has requests there, ``on_leaving(servers, node)`` with the servers
+    that told it that they leave, ``on_limits(limits, node)`` with the limits that
+    servers told it, and ``on_crashes(crashes, sound_parts, node)`` with the crashes
+    that it has seen and the parts of prompts that it knows to be sound.
     """
 
     def __init__(
         self, identity, state, pool, own_pulse, clock, period_s, max_mesh_nodes
     ):
         self.on_suspects = lambda names, node: None
+        self.on_sound = lambda names, node: None
         self.on_leaving = lambda servers, node: None
         self.on_limits = lambda limits, node: None
         self.on_crashes = lambda crashes, sound_parts, node: None
@@ -79,6 +98,7 @@
         self._period_s = period_s
         self._heartbeats = {}
         self._statuses = {}
+        self._suspected_by = {}
         self._digest = None
         self._digest_nodes = {}
         self._published = PublishedStatuses()
@@ -105,7 +125,7 @@
         for name in self._links.partners - self._called_nodes:
             self._called_nodes.add(name)
             tasks.spawn(self._call_loop, name)
-        for known in (self._heartbeats, self._statuses):
+        for known in (self._heartbeats, self._statuses, self._suspected_by):
             for name in [name for name in known if name not in self._state.nodes]:
                 del known[name]
 
@@ -431,6 +451,9 @@
         ]
         if suspects:
             self.on_suspects(sorted(suspects), node)
+        sound = self._groups_that_go_on(load, node) - set(suspects)
+        if sound:
+            self.on_sound(sorted(sound), node)
         if load.leaving:
             self.on_leaving(load.leaving, node)
         if load.limits:
@@ -438,6 +461,30 @@
         if load.crashes or load.sound_parts:
             self.on_crashes(load.crashes or {}, load.sound_parts or (), node)
 
+    def _groups_that_go_on(self, load, node):
+        """Return the groups of which the nodes' suspicions turn out to be refuted.
+
+        A node suspects a group for as long as its requests there stand still, and for
+        ``SUSPECT_S`` at least unless they go on. So they go on if a suspicion has ended
+        early, or if none is left while there are requests. ``load`` is the newest of
+        ``node``; a group is returned when fewer nodes suspect it than in the last.
+        """
+        now, known = self._clock.monotonic(), self._suspected_by.get(node, {})
+        reports, refuted = {}, set()
+        for name in known.keys() | load.suspects.keys():
+            before = known.get(name, _SuspectReport(now, 0, False))
+            count = load.suspects.get(name, 0)
+            has_fewer = count < before.count
+            ended_early = before.ended_early or (
+                has_fewer and now - before.since < EARLY_END_S
+            )
+            if count:
+                reports[name] = _SuspectReport(before.since, count, ended_early)
+            if has_fewer and (ended_early or (not count and load.running.get(name))):
+                refuted.add(name)
+        self._suspected_by[node] = reports
+        return refuted
+
     def _update_topology(self):
         """Choose anew whom this node exchanges heartbeats with, if needed."""
         topology = self._topology
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -78,6 +78,7 @@
         self._own_until = {}
         self._reported_until = {}
         self._suspicions = {}
+        self._sound_at = {}
 
     def suspect(self, name):
         """Suspect a candidate because of this node's own exchanges with it."""
@@ -102,6 +103,18 @@
         report_s = max(MIN_REPORT_S, self._settle_s())
         self._suspect(self._reported_until, name, node, report_s)
 
+    def end_reports(self, names, node):
+        """Believe a peer that its requests at these candidates go on.
+
+        That ends reports and probation. A broker has no requests of its own at a group
+        whose slots it grants, so nothing else ends a probation there.
+        """
+        for name in names:
+            if name in self._suspicions:
+                self._sound_at[name] = self._clock.monotonic()
+                self._reported_until.pop(name, None)
+                event("group no longer doubted", group=name, source=node)
+
     def __contains__(self, name):
         now = self._clock.monotonic()
         until = max(self._own_until.get(name, 0.0), self._reported_until.get(name, 0.0))
@@ -109,7 +122,12 @@
 
     def on_probation(self, name):
         """Return whether a candidate was suspected and has made no progress since."""
-        return name in self._suspicions and not self._is_refuted(name)
+        suspicion = self._suspicions.get(name)
+        return (
+            suspicion is not None
+            and not self._is_refuted(name)
+            and self._sound_at.get(name, 0.0) <= suspicion.at
+        )
 
     def own_suspects(self):
         """Return the candidates that this node reports to its peers as suspect.
@@ -132,6 +150,9 @@
             for name, suspicion in self._suspicions.items()
             if now - suspicion.at < SUSPICION_MEMORY_S
         }
+        self._sound_at = {
+            name: at for name, at in self._sound_at.items() if name in self._suspicions
+        }
         self._own_since = {name: self._own_since[name] for name in self._own_until}
         return list(filter(self._may_report, self._own_until))
 
--- a/tests/routed/test_peers.py
+++ b/tests/routed/test_peers.py
@@ -102,6 +102,8 @@
             max_mesh_nodes,
         )
         self.peers.on_suspects = lambda names, node: self.heard_suspects.extend(names)
+        self.heard_sound = []
+        self.peers.on_sound = lambda names, node: self.heard_sound.extend(names)
         self.evidence = CrashEvidence(network.clock, self.peers.settle_s)
         self.peers.on_crashes = self.evidence.note_peers
         self.notices = ServerNotices(network.registry, network.clock)
@@ -378,6 +380,40 @@
         for node in self.nodes.values():
             self.assertIn("g1", node.heard_suspects)
 
+    def suspect_for(self, seconds, running):
+        """Let three nodes of a relay suspect a group; return who hears that it goes on.
+
+        It has ``running`` requests of each of them at the end.
+        """
+        relay = self.nodes["n30"].peers.parent()
+        reporting = [
+            node for node in self.nodes.values() if node.peers.parent() == relay
+        ][:3]
+        for node in reporting:
+            node.suspected.append("g1")
+            node.running["g1"] = 2
+        self.network.run(seconds)
+        for node in reporting:
+            node.suspected.clear()
+            node.running["g1"] = running
+        self.network.run(3.0)
+        heard = {name for name, node in self.nodes.items() if "g1" in node.heard_sound}
+        return relay, heard
+
+    def test_group_whose_streams_go_on_is_sound_at_all_nodes(self):
+        """Otherwise a broker without requests there grants one slot at a time."""
+        _, heard = self.suspect_for(4.0, running=2)
+        self.assertEqual(heard, set(self.nodes))
+
+    def test_suspicion_that_ends_early_has_been_refuted(self):
+        """The streams of a short silence may have ended when that is heard of."""
+        relay, heard = self.suspect_for(0.9, running=0)
+        self.assertIn(relay, heard)
+
+    def test_suspicion_that_ends_in_its_time_proves_nothing(self):
+        _, heard = self.suspect_for(4.0, running=0)
+        self.assertEqual(heard, set())
+
     def test_group_at_which_most_requests_make_progress_is_not_suspect(self):
         for name in ("n33", "n44"):
             self.nodes[name].suspected.append("g1")
--- a/tests/routed/test_views.py
+++ b/tests/routed/test_views.py
@@ -168,6 +168,28 @@
             clock.now += 0.2
             self.assertNotIn("g1", suspects)
 
+    def test_probation_ends_when_a_peer_s_requests_go_on(self):
+        """A broker grants slots to others and has no requests of its own there."""
+        clock = FakeClock()
+        suspects = SuspectCandidates(clock, FixedReach(), str)
+        suspects.suspect_for_peer("g1", "n2")
+        clock.now += 0.3
+        suspects.end_reports(["g1", "unknown"], "n2")
+        self.assertNotIn("g1", suspects)
+        self.assertFalse(suspects.on_probation("g1"))
+        clock.now += 0.1
+        suspects.suspect_for_peer("g1", "n3")
+        self.assertIn("g1", suspects)
+        self.assertTrue(suspects.on_probation("g1"))
+
+    def test_word_of_a_peer_does_not_end_an_own_suspicion(self):
+        clock = FakeClock()
+        suspects = SuspectCandidates(clock, FixedReach(), str)
+        suspects.suspect("g1")
+        clock.now += 0.3
+        suspects.end_reports(["g1"], "n2")
+        self.assertIn("g1", suspects)
+
     def test_suspicions_end_although_nodes_report_them_to_each_other(self):
         clock = FakeClock()
         one, two = (
