--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -6,6 +6,8 @@
 for a slot that its request already has elsewhere.
 """
 
+from collections import defaultdict
+
 import gevent
 
 from auburnwall.base.exceptions import AuburnwallError
@@ -121,6 +123,7 @@
         self.make_suspect = make_suspect
         self._exchanges = set()
         self._progress_by_candidate = {}
+        self._silences_at, self._silences = None, {}
 
     def count(self, name):
         """Return the number of slots that this node uses at a candidate."""
@@ -283,17 +286,22 @@
     def _silence_of_service(self, service, now):
         """Return the number of a service's silent candidates and of all awaited ones.
 
-        Awaited are the candidates from which an exchange of this node awaits bytes.
+        Awaited are the candidates from which an exchange of this node awaits bytes. One
+        count serves all stalled exchanges of a check.
         """
-        awaited = {
-            exchange.candidate.name: max(
-                exchange.progress_at, self.last_progress_at(exchange.candidate.name)
-            )
-            for exchange in self._exchanges
-            if exchange.awaiting_server and exchange.request.service == service
-        }
-        silent = sum(now - at > STALL_TIMEOUT_S for at in awaited.values())
-        return silent, len(awaited)
+        if self._silences_at != now:
+            self._silences_at, self._silences = now, {}
+        if service not in self._silences:
+            awaited = defaultdict(float)
+            for exchange in self._exchanges:
+                if exchange.awaiting_server and exchange.request.service == service:
+                    name = exchange.candidate.name
+                    awaited[name] = max(
+                        awaited[name], exchange.progress_at, self.last_progress_at(name)
+                    )
+            silent = sum(now - at > STALL_TIMEOUT_S for at in awaited.values())
+            self._silences[service] = silent, len(awaited)
+        return self._silences[service]
 
     def _interrupt(self, exchange, error):
         now = self._clock.monotonic()
