Take no loss of reports and no unmade attempt for what it is not

- A group counted as sound if a node that had suspected it was removed, or its relay cut off, since fewer nodes suspected it then.
A load of fewer nodes than the last, and one without a last, now prove nothing (test_loss_of_a_node_that_suspects_a_group_proves_nothing, failed before).
- A running attempt was given up for a slot that its request, blocked meanwhile for a part that crashes servers, must not use: 502.
The block is looked at before the slot counts (test_stream_is_kept_if_its_prompt_is_blocked_meanwhile).
- A search took a retry from the budget also if its attempt was not made: 4 retries for 4 searches without an interrupt.
It is given back (test_search_for_another_place_takes_no_retry_if_the_stream_goes_on).
- A search that had lasted did not look again whether other streams of the group went on, or the peer of a detour was heard of again (test_slot_is_given_back_if_the_group_or_the_peer_goes_on_meanwhile).

--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -5,6 +5,7 @@
 relay's heartbeat also covers the nodes that report to it.
 """
 
+import math
 from typing import NamedTuple
 
 from auburnwall.base.logs import event
@@ -69,6 +70,13 @@
     ended_early: bool
 
 
+class _SuspectReports(NamedTuple):
+    """The ``_SuspectReport`` by group of a load, which is of ``node_count`` nodes."""
+
+    node_count: int
+    reports: dict
+
+
 class Peers:
     """Exchange heartbeats with the other nodes of the fleet table.
 
@@ -467,14 +475,19 @@
         A node suspects a group for as long as its requests there stand still, and for
         ``SUSPECT_S`` at least unless they go on. So they go on if a suspicion has ended
         early, or if none is left while there are requests. ``load`` is the newest of
-        ``node``; a group is returned when fewer nodes suspect it than in the last.
+        ``node``; a group is returned when fewer nodes suspect it than in the last. A
+        load that is of fewer nodes than the last, and one without a last, prove
+        nothing.
         """
-        now, known = self._clock.monotonic(), self._suspected_by.get(node, {})
+        now, known = self._clock.monotonic(), self._suspected_by.get(node)
+        began_at = -math.inf if known is None else now
+        earlier = known.reports if known else {}
+        is_smaller = known is not None and load.nodes_with_traffic < known.node_count
         reports, refuted = {}, set()
-        for name in known.keys() | load.suspects.keys():
-            before = known.get(name, _SuspectReport(now, 0, False))
+        for name in earlier.keys() | load.suspects.keys():
+            before = earlier.get(name, _SuspectReport(began_at, 0, False))
             count = load.suspects.get(name, 0)
-            has_fewer = count < before.count
+            has_fewer = count < before.count and not is_smaller
             ended_early = before.ended_early or (
                 has_fewer and now - before.since < EARLY_END_S
             )
@@ -482,7 +495,7 @@
                 reports[name] = _SuspectReport(before.since, count, ended_early)
             if has_fewer and (ended_early or (not count and load.running.get(name))):
                 refuted.add(name)
-        self._suspected_by[node] = reports
+        self._suspected_by[node] = _SuspectReports(load.nodes_with_traffic, reports)
         return refuted
 
     def _update_topology(self):
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -75,7 +75,7 @@
     ``has_unread()`` returns whether bytes of the candidate have arrived that its task
     has not read yet. ``place_elsewhere()`` returns a ``Placement`` for the request at
     another candidate, for which it may wait, or raises ``RequestError``.
-    ``release_slot(placement)`` gives it back. ``search`` is the task that calls them.
+    ``give_back(placement)`` undoes that. ``search`` is the task that calls them.
     """
 
     def __init__(self, request, candidate, now):
@@ -91,7 +91,7 @@
         self.is_lost = None
         self.has_unread = bool
         self.place_elsewhere = None
-        self.release_slot = None
+        self.give_back = None
         self.search = None
         self.next_search_at = 0.0
         self.stall_timeout_s = FIRST_EVENT_STALL_TIMEOUT_S
@@ -258,7 +258,7 @@
 
         If there is none, or if the exchange goes on meanwhile, it is kept.
         """
-        progress_at = exchange.progress_at
+        began_at = self._clock.monotonic()
         try:
             placement = exchange.place_elsewhere()
         except RequestError as exc:
@@ -267,8 +267,10 @@
         finally:
             exchange.search = None
             exchange.next_search_at = self._clock.monotonic() + SEARCH_RETRY_S
-        if exchange.progress_at > progress_at or not exchange.awaiting_server:
-            exchange.release_slot(placement)
+        progress_at = self.last_progress_at(exchange.candidate.name)
+        is_live = exchange.is_lost is not None and not exchange.is_lost()
+        if progress_at > began_at or is_live or not exchange.awaiting_server:
+            exchange.give_back(placement)
             self._log_kept(exchange, why, "it goes on")
             return
         self._interrupt(exchange, StalledError(why, step="wait", placement=placement))
@@ -338,4 +340,4 @@
         exchange.awaiting_server = False
         exchange.task.throw(error)
     elif getattr(error, "placement", None) is not None:
-        exchange.release_slot(error.placement)
+        exchange.give_back(error.placement)
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -142,22 +142,32 @@
 
         Waits for a free slot as any other attempt does. The retry is taken from the
         budget. Raises ``RequestError`` if there is no slot or no further attempt is
-        allowed; the running attempt is worth more then.
+        allowed; the running attempt is worth more then. ``give_back`` undoes it.
         """
         placer, has_begun = self._deps.placer, self._first_event_s is not None
         if has_begun and attempt.splitter.last_id is None:
             raise self.unresumable_error()
         if self._attempt_count >= MAX_ATTEMPTS or not self._budget.may_take():
             raise self._no_retry_error()
+        self._check_crash_causes()
         placement = self._place(
             self._avoid | {attempt.candidate.server},
             RESUME_WINDOW_S if has_begun else None,
         )
-        if not self._budget.take():
+        try:
+            self._check_placed()
+            if not self._budget.take():
+                raise self._no_retry_error()
+        except RequestError:
             placer.release_slot(placement)
-            raise self._no_retry_error()
+            raise
         return placement
 
+    def give_back(self, placement):
+        """Give back the slot and the retry of an attempt that is not made."""
+        self._deps.placer.release_slot(placement)
+        self._budget.give_back()
+
     def _no_retry_error(self):
         return RequestError(
             502, "No repeats left", "no repeats left", ran=UNKNOWN, step="place"
@@ -285,7 +295,7 @@
             may_reroute=request.route.may_run_again and servers_left > 1
         )
         attempt.exchange.place_elsewhere = partial(self.place_elsewhere, attempt)
-        attempt.exchange.release_slot = deps.placer.release_slot
+        attempt.exchange.give_back = self.give_back
         self._log(
             attempt,
             "request placed",
--- a/packages/auburnwall-routing/src/auburnwall/routing/shared_retry_budget.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/shared_retry_budget.py
@@ -38,6 +38,11 @@
         self._retries.append(self._clock.monotonic())
         return True
 
+    def give_back(self):
+        """Count a retry that was taken and not sent no longer."""
+        if self._retries:
+            self._retries.pop()
+
     def may_take(self):
         """Return whether one retry may be sent."""
         now = self._clock.monotonic()
--- a/tests/routed/test_late_checks.py
+++ b/tests/routed/test_late_checks.py
@@ -33,7 +33,7 @@
         exchange = in_flight.begin(request, Candidate("g1", "s1", 1, "", "norte", 9))
         exchange.awaiting_server = exchange.may_reroute = True
         exchange.place_elsewhere = lambda: searches.append(clock.now)
-        exchange.release_slot = lambda placement: None
+        exchange.give_back = lambda placement: None
         channel = SimpleNamespace(connection=SimpleNamespace(sock=ours))
         attempt = SimpleNamespace(_channel=channel)
         exchange.has_unread = lambda: Attempt._has_unread(attempt)
--- a/tests/routed/test_peers.py
+++ b/tests/routed/test_peers.py
@@ -414,6 +414,23 @@
         _, heard = self.suspect_for(4.0, running=0)
         self.assertEqual(heard, set())
 
+    def test_loss_of_a_node_that_suspects_a_group_proves_nothing(self):
+        relay = self.nodes["n30"].peers.parent()
+        reporting = [
+            name for name, node in self.nodes.items() if node.peers.parent() == relay
+        ][:3]
+        for name in reporting:
+            self.nodes[name].suspected.append("g1")
+            self.nodes[name].running["g1"] = 2
+        self.network.run(0.6)
+        self.network.down.update(reporting[1:])
+        for name in reporting[1:]:
+            del self.network.state.nodes[name]
+        self.network.state.change_count += 1
+        self.network.run(3.0)
+        heard = [name for name, node in self.nodes.items() if node.heard_sound]
+        self.assertEqual(heard, [])
+
     def test_group_at_which_most_requests_make_progress_is_not_suspect(self):
         for name in ("n33", "n44"):
             self.nodes[name].suspected.append("g1")
--- a/tests/routed/test_planned_stops.py
+++ b/tests/routed/test_planned_stops.py
@@ -44,7 +44,7 @@
         self.front = self.entry = self.enterContext(FrontWithServers())
         self.calls, self.sent, self.outcomes = [], set(), []
         self.log = self.enterContext(
-            mock.patch("auburnwall.node.routed.shutdown.event")
+            mock.patch("auburnwall.node.routed.connections.warn")
         )
         self.began_at = time.monotonic()
 
--- a/tests/routed/test_silent_servers.py
+++ b/tests/routed/test_silent_servers.py
@@ -86,6 +86,24 @@
         self.silence(self.front.engines)
         self.assertEqual(self.results(calls), [(200, 10)] * 2)
 
+    def test_search_for_another_place_takes_no_retry_if_the_stream_goes_on(self):
+        calls = self.start_calls("/ask/x", self.front.engines, 1)
+        attempts = [e.place_elsewhere.args[0] for e in self.front.in_flight._exchanges]
+        for attempt in attempts:
+            placement = attempt.exchange.place_elsewhere()
+            attempt.exchange.give_back(placement)
+        self.assertEqual(len(attempts), 1)
+        self.assertEqual(len(self.front.budget._retries), 0)
+        self.assertEqual(self.results(calls), [(200, 10)])
+
+    def test_stream_is_kept_if_its_prompt_is_blocked_meanwhile(self):
+        calls = self.start_calls("/ask/x", self.front.engines)
+        gevent.sleep(0.12)
+        cause = ("part-x", 9.0)
+        self.front.crash_evidence.blocked_cause = lambda causes: cause
+        self.silence(self.front.engines, 1.8)
+        self.assertEqual(self.results(calls), [(200, 10)] * 2)
+
     def test_stream_without_event_ids_is_kept(self):
         for engine in self.front.engines:
             engine.faults.add("no-ids")
--- a/tests/routing/test_in_flight.py
+++ b/tests/routing/test_in_flight.py
@@ -39,7 +39,7 @@
         exchange.task = unittest.mock.Mock()
         exchange.awaiting_server, exchange.may_reroute = True, may_reroute
         exchange.place_elsewhere = lambda: self.placement
-        exchange.release_slot = self.released.append
+        exchange.give_back = self.released.append
         self.in_flight.note_progress(exchange)
         return exchange
 
@@ -116,6 +116,24 @@
         self.assertIsNone(self.interruption(exchange))
         self.assertEqual(self.released, [self.placement])
 
+    def test_slot_is_given_back_if_the_group_or_the_peer_goes_on_meanwhile(self):
+        stalled, other, slot = self.exchange(), self.exchange(), AsyncResult()
+        stalled.place_elsewhere = other.place_elsewhere = slot.get
+        self.check_after(STALL_TIMEOUT_S + REROUTE_DELAY_S + 0.01)
+        gevent.sleep(0)
+        self.clock.now += 0.05
+        self.in_flight.note_progress(other)
+        detour = self.exchange("n2")
+        detour.is_lost = lambda: True
+        detour.place_elsewhere = slot.get
+        self.check_after(0.01)
+        gevent.sleep(0)
+        detour.is_lost = lambda: False
+        slot.set(self.placement)
+        self.assertIsNone(self.interruption(stalled))
+        self.assertIsNone(self.interruption(detour))
+        self.assertEqual(self.released, [self.placement] * 3)
+
     def test_slot_is_given_back_if_bytes_arrive_before_the_interrupt(self):
         exchange = self.exchange()
         self.check_after(STALL_TIMEOUT_S + REROUTE_DELAY_S + 0.01)
