--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -5,9 +5,6 @@
 relay's heartbeat also covers the nodes that report to it.
 """
 
-import math
-from typing import NamedTuple
-
 from auburnwall.base.logs import event
 from auburnwall.wire.exceptions import PeerUnavailableError
 from auburnwall.wire.peer.ttypes import FleetDigest
@@ -20,8 +17,8 @@
     status_of,
     to_wire,
 )
+from .suspect_reports import SuspectReports, is_suspected
 from .topology import Topology, relay_rank
-from .views import SUSPECT_S
 
 # Maximum rate of heartbeat calls that a node starts, per second.
 MAX_HEARTBEATS_PER_S = 50.0
@@ -48,35 +45,11 @@
 # Time for which sums over the peers are reused if no heartbeat has arrived, and in a
 # relay, where heartbeats arrive all the time, in any case. In seconds.
 SUMS_REUSED_S = 0.1
-# In a fleet with relays, a group is suspect if it is for this number of nodes at least,
-# and for this fraction of its requests in flight.
-MIN_SUSPECTING_NODES, MIN_SUSPECTING_FRACTION = 2, 0.25
-# A suspicion that is heard of for a shorter time has ended before its time, in seconds.
-# What is heard is up to two reports old.
-EARLY_END_S = SUSPECT_S - 2 * REPORT_PERIOD_S
 # A node that has been unreachable for this long is removed from the fleet table, in
 # seconds.
 REMOVE_AFTER_S = 30.0
 
 
-class _SuspectReport(NamedTuple):
-    """A group that ``count`` nodes suspect, the first of them since ``since``.
-
-    ``ended_early`` is whether one has ended its suspicion before its time.
-    """
-
-    since: float
-    count: int
-    ended_early: bool
-
-
-class _SuspectReports(NamedTuple):
-    """The ``_SuspectReport`` by group of a load, which is of ``node_count`` nodes."""
-
-    node_count: int
-    reports: dict
-
-
 class Peers:
     """Exchange heartbeats with the other nodes of the fleet table.
 
@@ -106,7 +79,9 @@
         self._period_s = period_s
         self._heartbeats = {}
         self._statuses = {}
-        self._suspected_by = {}
+        self._suspect_reports = SuspectReports(
+            clock, max_report_age_s=2 * REPORT_PERIOD_S
+        )
         self._digest = None
         self._digest_nodes = {}
         self._published = PublishedStatuses()
@@ -133,9 +108,10 @@
         for name in self._links.partners - self._called_nodes:
             self._called_nodes.add(name)
             tasks.spawn(self._call_loop, name)
-        for known in (self._heartbeats, self._statuses, self._suspected_by):
+        for known in (self._heartbeats, self._statuses):
             for name in [name for name in known if name not in self._state.nodes]:
                 del known[name]
+        self._suspect_reports.keep_only(self._state.nodes)
 
     def report(self):
         """Report to this node's relay, if it has one, and apply its digest."""
@@ -455,11 +431,11 @@
         suspects = [
             name
             for name, count in load.suspects.items()
-            if self.is_mesh or _is_suspected(count, load.running.get(name, 0))
+            if self.is_mesh or is_suspected(count, load.running.get(name, 0))
         ]
         if suspects:
             self.on_suspects(sorted(suspects), node)
-        sound = self._groups_that_go_on(load, node) - set(suspects)
+        sound = self._suspect_reports.update(node, load) - set(suspects)
         if sound:
             self.on_sound(sorted(sound), node)
         if load.leaving:
@@ -469,35 +445,6 @@
         if load.crashes or load.sound_parts:
             self.on_crashes(load.crashes or {}, load.sound_parts or (), node)
 
-    def _groups_that_go_on(self, load, node):
-        """Return the groups of which the nodes' suspicions turn out to be refuted.
-
-        A node suspects a group for as long as its requests there stand still, and for
-        ``SUSPECT_S`` at least unless they go on. So they go on if a suspicion has ended
-        early, or if none is left while there are requests. ``load`` is the newest of
-        ``node``; a group is returned when fewer nodes suspect it than in the last. A
-        load that is of fewer nodes than the last, and one without a last, prove
-        nothing.
-        """
-        now, known = self._clock.monotonic(), self._suspected_by.get(node)
-        began_at = -math.inf if known is None else now
-        earlier = known.reports if known else {}
-        is_smaller = known is not None and load.nodes_with_traffic < known.node_count
-        reports, refuted = {}, set()
-        for name in earlier.keys() | load.suspects.keys():
-            before = earlier.get(name, _SuspectReport(began_at, 0, False))
-            count = load.suspects.get(name, 0)
-            has_fewer = count < before.count and not is_smaller
-            ended_early = before.ended_early or (
-                has_fewer and now - before.since < EARLY_END_S
-            )
-            if count:
-                reports[name] = _SuspectReport(before.since, count, ended_early)
-            if has_fewer and (ended_early or (not count and load.running.get(name))):
-                refuted.add(name)
-        self._suspected_by[node] = _SuspectReports(load.nodes_with_traffic, reports)
-        return refuted
-
     def _update_topology(self):
         """Choose anew whom this node exchanges heartbeats with, if needed."""
         topology = self._topology
@@ -547,11 +494,6 @@
         return False
 
 
-def _is_suspected(node_count, running):
-    """Return whether a group is suspect at all nodes because it is at some of them."""
-    return node_count >= max(MIN_SUSPECTING_NODES, MIN_SUSPECTING_FRACTION * running)
-
-
 def _loads_in(heartbeats):
     """Return the loads of the senders and of the nodes that report to these."""
     loads = [load_of_pulse(heartbeat.pulse) for heartbeat in heartbeats]
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -50,10 +50,10 @@
     whose own streams from a group are not stalled ignores reports about it.
 
     A suspect candidate gets no requests for a time, or until this node's exchanges with
-    it make progress. If it is suspected again without
-    any progress since, the next time is twice as long, up to a limit. After such a time
-    it is on probation: each node sends it at most one request at a time, until it makes
-    progress or the suspicion no longer counts. ``last_progress_at(name)`` returns
+    it make progress. If it is suspected again without any progress since, the next time
+    is twice as long, up to a limit. After such a time it is on probation: each node
+    sends it at most one request at a time, until it makes progress, a peer's requests
+    there go on, or the suspicion no longer counts. ``last_progress_at(name)`` returns
     when the exchanges of this node with a candidate last made progress. ``reach`` is
     the node's ``ServerReach``, ``service_of(name)`` returns a candidate's service.
     ``settle_s()`` is how long a report takes to reach all nodes; for so long, or
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -9,11 +9,7 @@
 
 from .exceptions import ExchangeError
 from .in_flight import DeadlineExceededError, StalledError
-from .request_attempts import (
-    RESUME_WINDOW_S,
-    RequestAttempts,
-    end_to_end_headers,
-)
+from .request_attempts import RESUME_WINDOW_S, RequestAttempts, end_to_end_headers
 
 
 class Reply(NamedTuple):
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -221,7 +221,8 @@
                 if not _has_unread(exchange, now - ends_at):
                     is_late = now >= request.deadline
                     why = "out of time" if is_late else "this node is stopping"
-                    self._interrupt(exchange, DeadlineExceededError(why, step="wait"))
+                    error = DeadlineExceededError(why, step="wait")
+                    self._interrupt(exchange, error, now)
                 continue
             if exchange.is_lost is not None:
                 if exchange.may_reroute and exchange.is_lost():
@@ -262,7 +263,7 @@
         try:
             placement = exchange.place_elsewhere()
         except RequestError as exc:
-            self._log_kept(exchange, why, exc.detail)
+            _log(exchange, "exchange kept", why=f"{why}; {exc.detail}")
             return
         finally:
             exchange.search = None
@@ -271,25 +272,16 @@
         is_live = exchange.is_lost is not None and not exchange.is_lost()
         if progress_at > began_at or is_live or not exchange.awaiting_server:
             exchange.give_back(placement)
-            self._log_kept(exchange, why, "it goes on")
+            _log(exchange, "exchange kept", why=f"{why}; it goes on")
             return
-        self._interrupt(exchange, StalledError(why, step="wait", placement=placement))
-
-    def _log_kept(self, exchange, why, kept_since):
-        event(
-            "exchange kept",
-            request=exchange.request.request_id,
-            peer=exchange.candidate.server,
-            group=exchange.candidate.name,
-            events=exchange.reads,
-            why=f"{why}; {kept_since}",
-        )
+        error = StalledError(why, step="wait", placement=placement)
+        self._interrupt(exchange, error, self._clock.monotonic())
 
     def _silence_of_service(self, service, now):
         """Return the number of a service's silent candidates and of all awaited ones.
 
         Awaited are the candidates from which an exchange of this node awaits bytes. One
-        count serves all stalled exchanges of a check.
+        count serves all exchanges of a check.
         """
         if self._silences_at != now:
             self._silences_at, self._silences = now, {}
@@ -305,15 +297,11 @@
             self._silences[service] = silent, len(awaited)
         return self._silences[service]
 
-    def _interrupt(self, exchange, error):
-        now = self._clock.monotonic()
+    def _interrupt(self, exchange, error, now):
         silent, awaited = self._silence_of_service(exchange.request.service, now)
-        event(
+        _log(
+            exchange,
             "exchange interrupted",
-            request=exchange.request.request_id,
-            peer=exchange.candidate.server,
-            group=exchange.candidate.name,
-            events=exchange.reads,
             age_s=round(now - exchange.started_at, 2),
             late_s=round(self._lateness.recent_s(), 3),
             silent=silent,
@@ -325,6 +313,18 @@
         )
 
 
+def _log(exchange, name, **fields):
+    """Log an event of an exchange, with its request, server and group."""
+    event(
+        name,
+        request=exchange.request.request_id,
+        peer=exchange.candidate.server,
+        group=exchange.candidate.name,
+        events=exchange.reads,
+        **fields,
+    )
+
+
 def _has_unread(exchange, over_s):
     """Return whether an exchange that is ``over_s`` past a limit may yet be read."""
     return over_s <= MAX_UNREAD_S and exchange.has_unread()
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -16,7 +16,6 @@
 from .exceptions import NOT_RUN, UNKNOWN, ExchangeError, OverloadedError, RequestError
 from .hop_by_hop import HOP_BY_HOP
 from .in_flight import DeadlineExceededError, StalledError
-from .stop_time import stopping_error
 
 # Attempts at one request, including those that the server refuses to run.
 MAX_ATTEMPTS = 4
@@ -327,9 +326,8 @@
         """Return a placement, for which a stop of this node leaves time."""
         request, stop_time = self.request, self._deps.in_flight.stop_time
         has_begun = resume_window_s is not None
+        stop_time.check(request, has_begun=has_begun)
         refusal = partial(stop_time.refusal, request, has_begun=has_begun)
-        if why := refusal():
-            raise stopping_error(why)
         with stop_time.limit_wait(request.request_id, refusal):
             return self._deps.placer.place(request, avoid, resume_window_s)
 
--- a/tests/routed/test_scale_mechanisms.py
+++ b/tests/routed/test_scale_mechanisms.py
@@ -54,7 +54,7 @@
 
     def test_one_stalled_stream_takes_a_group_from_all_without_the_threshold(self):
         self.assertEqual(self.nodes_that_hear_of_one_stall(), 0)
-        with mock.patch.object(peers, "_is_suspected", lambda count, running: True):
+        with mock.patch.object(peers, "is_suspected", lambda count, running: True):
             self.assertGreater(self.nodes_that_hear_of_one_stall(), 50)
 
 
--- a/tests/routing/test_brokers.py
+++ b/tests/routing/test_brokers.py
@@ -214,17 +214,21 @@
             self.one.place(50, objective_s=0.1, deadline_s=0.2)
         self.assertGreater(caught.exception.retry_after_s, 0.0)
 
+    def release(self, placements):
+        """Let the node that got each slot release it."""
+        for placement in placements:
+            for node in self.network.nodes.values():
+                if placement.grant.id in node.placer._grants:
+                    node.placer.release_slot(placement)
+        gevent.sleep(0.05)
+
     def test_caller_that_leaves_while_it_waits_holds_no_slot(self):
         placements = self.fill(2 * GROUPS_PER_DATA_CENTER * SLOTS)
         waiting = gevent.spawn(self.one.place, 50, objective_s=2.0)
         gevent.sleep(0.05)
         waiting.kill()
         gevent.sleep(0.05)
-        for placement in placements:
-            for node in self.network.nodes.values():
-                if placement.grant.id in node.placer._grants:
-                    node.placer.release_slot(placement)
-        gevent.sleep(0.05)
+        self.release(placements)
         self.assertEqual(self.load(), {})
 
     def test_wait_that_a_stop_of_the_node_ends_holds_no_slot(self):
@@ -251,11 +255,7 @@
         stop_time.end_late_waits()
         gevent.sleep(0.05)
         self.assertEqual(ended, ["stopping"] * 2)
-        for placement in placements:
-            for node in self.network.nodes.values():
-                if placement.grant.id in node.placer._grants:
-                    node.placer.release_slot(placement)
-        gevent.sleep(0.05)
+        self.release(placements)
         self.assertEqual(self.load(), {})
 
     def test_node_s_own_suspicions_are_kept(self):
