End an exchange one check past its deadline, however much it has to read

Callers of a server that sends without end get their final answer later than they need to.

A server without end always has bytes there, so each such request used all of it.

A late node reads what has arrived before its next check, so one check is all that a ready answer needs. The bound of a stall stays as it was.

test_bytes_without_end_are_read_for_one_check_past_a_deadline failed before.

--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -37,9 +37,9 @@
 # Silence before the first event after which a group is suspect, in addition to the
 # time for reading the prompt.
 FIRST_EVENT_STALL_TIMEOUT_S = 0.6
-# Time past its deadline or its stall for which an exchange with unread bytes is left
-# alone, in seconds. A node that is later than ``MAX_CHECK_DELAY_S`` measures anew, and
-# a server that always has bytes there is not waited for.
+# Time past its stall for which an exchange with unread bytes is left alone, in
+# seconds. A node that is later than ``MAX_CHECK_DELAY_S`` measures anew, and a server
+# that always has bytes there is not waited for.
 MAX_UNREAD_S = 0.25
 # How long the last progress of a candidate is remembered: longer than any candidate
 # stays suspect.
@@ -76,6 +76,7 @@
     has not read yet. ``place_elsewhere()`` returns a ``Placement`` for the request at
     another candidate, for which it may wait, or raises ``RequestError``.
     ``give_back(placement)`` undoes that. ``search`` is the task that calls them.
+    ``is_past_end`` is set by the first check that finds it past its deadline.
     """
 
     def __init__(self, request, candidate, now):
@@ -88,6 +89,7 @@
         self.waits = 0
         self.may_reroute = False
         self.has_begun = False
+        self.is_past_end = False
         self.is_lost = None
         self.has_unread = bool
         self.place_elsewhere = None
@@ -203,8 +205,9 @@
         The former are interrupted. A stalled candidate becomes suspect. Its exchanges
         go on ``REROUTE_DELAY_S`` later if they may be sent to another server and as
         soon as one has a slot for them; until then they keep what they have. Exchanges
-        that do not await their server are left alone, also past their deadline, and for
-        ``MAX_UNREAD_S`` those that have bytes to read. Progress older than
+        that do not await their server are left alone, also past their deadline. Those
+        that have bytes to read are left alone for ``MAX_UNREAD_S`` past their stall,
+        and for one check past their deadline. Progress older than
         ``PROGRESS_RETENTION_S`` is removed.
         """
         self._progress_by_candidate = {
@@ -218,7 +221,9 @@
             request, has_begun = exchange.request, exchange.has_begun
             ends_at = self.stop_time.ends_at(request, has_begun=has_begun)
             if now >= ends_at:
-                if not _has_unread(exchange, now - ends_at):
+                is_spared = not exchange.is_past_end
+                exchange.is_past_end = True
+                if not (is_spared and _has_unread(exchange, now - ends_at)):
                     is_late = now >= request.deadline
                     why = "out of time" if is_late else "this node is stopping"
                     error = DeadlineExceededError(why, step="wait")
--- a/tests/routing/test_in_flight.py
+++ b/tests/routing/test_in_flight.py
@@ -12,6 +12,7 @@
 from auburnwall.routing.attempt import Attempt, _AwaitingServer
 from auburnwall.routing.exceptions import OverloadedError
 from auburnwall.routing.in_flight import (
+    CHECK_INTERVAL_S,
     COMMON_REROUTE_DELAY_S,
     MAX_UNREAD_S,
     REROUTE_DELAY_S,
@@ -191,6 +192,15 @@
         self.check_after(3.0 + MAX_UNREAD_S + 0.01)
         self.assertIsInstance(self.interruption(exchange), DeadlineExceededError)
 
+    def test_bytes_without_end_are_read_for_one_check_past_a_deadline(self):
+        exchange = self.exchange(deadline_s=3.0)
+        exchange.has_unread = lambda: True
+        exchange.stall_timeout_s = 9.0
+        self.check_after(3.0)
+        self.assertIsNone(self.interruption(exchange))
+        self.check_after(CHECK_INTERVAL_S)
+        self.assertIsInstance(self.interruption(exchange), DeadlineExceededError)
+
     def test_bytes_that_have_arrived_at_an_attempt_are_seen(self):
         ours, theirs = socket.socketpair()
         self.addCleanup(theirs.close)
