Keep the slots of nodes whose heartbeats a paused broker has not read

What callers see: after a broker was paused for more than 2.5 s (SIGSTOP, a pause of its VM, a standstill of its event loop), slots in use are granted a second time. Groups get more requests than they have slots, streams are late or lost, and new requests get 503 once the loads are known again.

Cause: SlotBroker.expire_grants frees the slots of nodes that are not live, and live is who was heard within 2.5 s. A pause counts as silence of all peers. Their heartbeats wait in the node's sockets, but overdue timers run before sockets are read.

Ruled out: grants freed as 'deadline passed' after a pause are right, since the asker's deadline has passed as well.

Change: Peers.not_lost() allows for the largest lateness of the event loop in the last 3 s, that of a timer that has not fired yet included; the broker asks that. A node that is gone loses its slots within 2.5 s and the pause. live() is unchanged: the directory of a node that was paused still names nobody whom it has not heard.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/fleet_load.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/fleet_load.py
@@ -20,6 +20,12 @@
     )
 
 
+def loads_in(heartbeats):
+    """Return the loads of the senders and of the nodes that report to these."""
+    loads = [load_of_pulse(heartbeat.pulse) for heartbeat in heartbeats]
+    return loads + [h.pulse.member_load for h in heartbeats if h.pulse.member_load]
+
+
 def sum_loads(loads):
     """Return the sum of ``Load`` objects.
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -246,6 +246,7 @@
             clock,
             cfg.pulse_s,
             cfg.max_mesh_nodes,
+            self.lateness,
         )
         self.fleet_reach = FleetReach(
             self.reach, self.peers, self.fleet, self.source, self.rng
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peer_status.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peer_status.py
@@ -73,6 +73,14 @@
         self._lost_at.update(dict.fromkeys(lost, self.version))
         self._content = content
 
+    def nodes_since(self, version):
+        """Return the ``NodeStatus`` of each node that changed after ``version``."""
+        return [
+            to_wire(name, status, 0)
+            for name, status in self._content.items()
+            if self.changed_at[name] > version
+        ]
+
     def lost_since(self, version):
         """Return the names of the nodes lost after ``version``."""
         return [name for name, at in self._lost_at.items() if at > version]
@@ -105,3 +113,18 @@
         status.cut_off,
         list(status.lost_services or ()),
     )
+
+
+def member_statuses(heartbeats, now):
+    """Return the ``NodeStatus`` of the senders and of the nodes that report to these.
+
+    Each has the age that it has at the time ``now``.
+    """
+    statuses = [to_wire(h.pulse.node, h.pulse, now - h.received_at) for h in heartbeats]
+    for heartbeat in heartbeats:
+        passed_ms = int(1000 * (now - heartbeat.received_at))
+        for member in heartbeat.pulse.members or ():
+            statuses.append(
+                to_wire(member.node, member, (member.age_ms + passed_ms) / 1000)
+            )
+    return statuses
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -5,17 +5,18 @@
 relay's heartbeat also covers the nodes that report to it.
 """
 
+from auburnwall.base.lateness import LoopLateness
 from auburnwall.base.logs import event
 from auburnwall.wire.exceptions import PeerUnavailableError
 from auburnwall.wire.peer.ttypes import FleetDigest
 
-from .fleet_load import load_of_pulse, subtract_running, sum_loads
+from .fleet_load import load_of_pulse, loads_in, subtract_running, sum_loads
 from .peer_status import (
     Heartbeat,
     PublishedStatuses,
     ReceivedDigest,
+    member_statuses,
     status_of,
-    to_wire,
 )
 from .suspect_reports import SuspectReports, is_suspected
 from .topology import Topology, relay_rank
@@ -60,11 +61,20 @@
     suspects while it has requests there, ``on_leaving(servers, node)`` with the servers
     that told it that they leave, ``on_limits(limits, node)`` with the limits that
     servers told it, and ``on_crashes(crashes, sound_parts, node)`` with the crashes
-    that it has seen and the parts of prompts that it knows to be sound.
+    that it has seen and the parts of prompts that it knows to be sound. ``lateness`` is
+    the node's ``LoopLateness``.
     """
 
     def __init__(
-        self, identity, state, pool, own_pulse, clock, period_s, max_mesh_nodes
+        self,
+        identity,
+        state,
+        pool,
+        own_pulse,
+        clock,
+        period_s,
+        max_mesh_nodes,
+        lateness=None,
     ):
         self.on_suspects = lambda names, node: None
         self.on_sound = lambda names, node: None
@@ -77,6 +87,7 @@
         self._own_pulse = own_pulse
         self._clock = clock
         self._period_s = period_s
+        self._lateness = lateness or LoopLateness(clock)
         self._heartbeats = {}
         self._statuses = {}
         self._suspect_reports = SuspectReports(
@@ -192,6 +203,15 @@
         """
         return self._cached("live", self._find_live)
 
+    def not_lost(self):
+        """Return ``live()`` and the peers that would be if this node had not paused.
+
+        Their heartbeats may lie unread. A peer that is gone is among these for as much
+        longer as the node was late of late.
+        """
+        late_s = self._lateness.recent_s()
+        return self._cached("not lost", lambda: self._find_live(late_s))
+
     def nodes_to_remove(self):
         """Return the sorted names of the nodes to be removed from the fleet table.
 
@@ -259,19 +279,15 @@
 
         The caller has the digest of incarnation ``digest_of`` up to ``version``.
         """
-        statuses = self._cached("published", self._publish)
+        published = self._cached("published", self._publish)
         own = self._identity.incarnation
         whole = digest_of != own
         return FleetDigest(
             own,
-            self._published.version,
+            published.version,
             whole,
-            [
-                to_wire(name, status, 0)
-                for name, status in statuses.items()
-                if whole or self._published.changed_at[name] > version
-            ],
-            [] if whole else self._published.lost_since(version),
+            published.nodes_since(-1 if whole else version),
+            [] if whole else published.lost_since(version),
             self.fleet_load(),
         )
 
@@ -310,8 +326,8 @@
     def _max_age_s(self):
         return max(MAX_HEARTBEAT_AGE_S, MAX_HEARTBEAT_AGE_PERIODS * self.period_s())
 
-    def _find_live(self):
-        oldest_at = self._clock.monotonic() - self._max_age_s()
+    def _find_live(self, paused_s=0.0):
+        oldest_at = self._clock.monotonic() - self._max_age_s() - paused_s
         return {
             name: status
             for name, status in self._known_statuses().items()
@@ -377,29 +393,19 @@
         return self._cached("heartbeats", self._add_up_heartbeats)
 
     def _add_up_heartbeats(self):
-        return sum_loads(_loads_in(self._recent_heartbeats()))
+        return sum_loads(loads_in(self._recent_heartbeats()))
 
     def _sum_members(self):
         """Return the statuses and the ``Load`` of the nodes that report to this one."""
         now = self._clock.monotonic()
         reports = [h for h in self._recent_heartbeats() if h.reports]
-        statuses = [
-            to_wire(h.pulse.node, h.pulse, now - h.received_at) for h in reports
-        ]
-        for heartbeat in reports:
-            passed_ms = int(1000 * (now - heartbeat.received_at))
-            for member in heartbeat.pulse.members or ():
-                statuses.append(
-                    to_wire(member.node, member, (member.age_ms + passed_ms) / 1000)
-                )
-        loads = _loads_in(reports)
-        return statuses, sum_loads(loads) if loads else None
+        loads = loads_in(reports)
+        return member_statuses(reports, now), sum_loads(loads) if loads else None
 
     def _publish(self):
         own = status_of(self._own_pulse(), self._clock.monotonic())
-        statuses = {**self.live(), self._identity.node: own}
-        self._published.update(statuses)
-        return statuses
+        self._published.update({**self.live(), self._identity.node: own})
+        return self._published
 
     def _apply_digest(self, relay, sent, reply):
         now = self._clock.monotonic()
@@ -492,9 +498,3 @@
         if failed_before:
             event("peer regained", peer=node.node)
         return False
-
-
-def _loads_in(heartbeats):
-    """Return the loads of the senders and of the nodes that report to these."""
-    loads = [load_of_pulse(heartbeat.pulse) for heartbeat in heartbeats]
-    return loads + [h.pulse.member_load for h in heartbeats if h.pulse.member_load]
--- a/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
@@ -44,7 +44,7 @@
         broker_view = DataCenterView(cfg.data_center, *view_parts)
         self.broker = SlotBroker(
             Placer(broker_view, in_flight, *broker_gates, clock, rng),
-            lambda name: name == cfg.node or name in node.peers.live(),
+            lambda name: name == cfg.node or name in node.peers.not_lost(),
             clock,
         )
         quick_pool, waiting_pool = (
--- a/packages/auburnwall-routing/src/auburnwall/routing/slot_broker.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/slot_broker.py
@@ -54,8 +54,9 @@
 class SlotBroker:
     """Grants slots through a ``Placer`` that knows the groups of one data centre.
 
-    ``is_live(node)`` returns whether a node is live. The slots of a node that is lost
-    are free, as are those of requests whose deadline has passed.
+    ``is_live(node)`` returns whether a node is live, or would be if this one had not
+    been paused. The slots of a node that is lost are free, as are those of requests
+    whose deadline has passed.
     """
 
     def __init__(self, placer, is_live, clock):
