Count a peer's response that lies unread when the timeout of its call ends

What callers see: a node that was stopped for a moment (SIGSTOP for more than 0.12 s) takes its broker for lost for a second and places requests by old loads meanwhile, so that groups are overfilled; after 0.8 s it also gives up its relay for 2 s and its copies of tables.

Cause: when a process goes on, epoll_wait ends with EINTR and tells no socket, but the loop runs the timers that are due. So the timeout of a call ends first, though the response lies in the socket.

Ruled out: a standstill of the loop by other tasks. There the loop looks at its sockets before it runs timeouts, which have a lower priority; a trial with standstills of 0.2 and 0.4 s around the call, and with five tasks that took 50 ms in turn, lost no response.

Change: a call whose timeout ends reads what lies in its socket. A silent peer is found in the same time as before.

Not tested: a connection that is being opened at that moment.

--- a/packages/auburnwall-wire/src/auburnwall/wire/client.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/client.py
@@ -2,7 +2,9 @@
 
 from thrift.Thrift import TException
 from thrift.transport.TSocket import TSocket
-from thrift.transport.TTransport import TFramedTransport
+from thrift.transport.TTransport import TFramedTransport, TTransportException
+
+from auburnwall.base.sockets import has_unread
 
 from .exceptions import PeerUnavailableError
 from .peer import Peer
@@ -13,6 +15,22 @@
 MAX_IDLE_CLIENTS = 8
 
 
+class _PeerSocket(TSocket):
+    """A socket on which bytes that have arrived count even after the timeout.
+
+    When this process goes on after a pause, timeouts end before sockets are looked at.
+    """
+
+    def read(self, sz):
+        """Return up to ``sz`` bytes; raises ``TTransportException``."""
+        try:
+            return super().read(sz)
+        except TTransportException as exc:
+            if exc.type != exc.TIMED_OUT or not has_unread(self.handle):
+                raise
+        return super().read(sz)
+
+
 class PeerClient:
     """Makes calls to one peer over one connection, one call at a time.
 
@@ -56,7 +74,7 @@
     def _connect(self):
         if self._client is None:
             host, _, port = self.address.rpartition(":")
-            socket = TSocket(host, int(port))
+            socket = _PeerSocket(host, int(port))
             socket.setTimeout(self._timeout_s * 1000)
             transport = TFramedTransport(socket)
             transport.open()
