Take a node's own lateness for no silence of its broker

What callers see: after a standstill of a node of more than 0.12 s, its requests are placed by old loads for a second and fill groups over, though the broker is sound.

Cause: a call that gets no response within 0.12 s puts its broker out for a second, however long the node itself, or the machine with both, stood still in that time.

Ruled out: responses that lie unread; they count since the last commit.

Change: the first silence of a broker does not count if the event loop was late by more than 0.1 s since the ask. Its request is placed by this node, the next one asks again, and a second silence counts in any case, so that a silent broker is found by the second ask at the latest, and by the first one if the node is in time. Asks that were under way in the same standstill are one silence. LoopLateness.recent_s takes the time since which lateness counts. A line 'broker asked late' says so.

Test: tests.routed.test_own_pause, 6 tests more; before, 4 of these 6 failed: the broker was out after the first silence. After: 10 of 10.

--- a/packages/auburnwall-base/src/auburnwall/base/lateness.py
+++ b/packages/auburnwall-base/src/auburnwall/base/lateness.py
@@ -34,15 +34,17 @@
         self._is_phase_logged = False
         self._logged_at = clock.monotonic() - LOG_INTERVAL_S
 
-    def recent_s(self):
+    def recent_s(self, since=0.0):
         """Return the largest lateness of the last ``RECENT_S`` seconds, in seconds.
 
-        It counts that of the measuring timer if its time has come but it has not fired.
+        It counts that of the measuring timer if its time has come but it has not fired,
+        and none of timers that fired before the time ``since``.
         """
         now = self._clock.monotonic()
         overdue_s = 0.0 if self._due_at is None else max(0.0, now - self._due_at)
         self._forget_before(now - RECENT_S)
-        return max(overdue_s, self._peaks[0][1]) if self._peaks else overdue_s
+        peak_s = next((late_s for at, late_s in self._peaks if at >= since), 0.0)
+        return max(overdue_s, peak_s)
 
     def expect(self, due_at):
         """Record that the timer is due at the time ``due_at``."""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
@@ -2,6 +2,7 @@
 
 from itertools import count
 
+from auburnwall.base.lateness import LATE_S, LoopLateness
 from auburnwall.base.logs import event
 from auburnwall.base.rendezvous import owner
 from auburnwall.fleet.candidate_index import Candidate
@@ -25,12 +26,45 @@
 CHOICE_REUSED_S = 0.25
 
 
+class LostBrokers:
+    """The brokers that did not respond, each for ``FAILED_BROKER_S``.
+
+    A broker's first silence does not count if this node was late meanwhile: what held
+    up the node may have held up the broker or the connection as well. ``lateness`` is
+    the node's ``LoopLateness``.
+    """
+
+    def __init__(self, clock, lateness):
+        self._clock = clock
+        self._lateness = lateness
+        self._lost_until = {}
+        self._excused_at = {}
+
+    def __contains__(self, broker):
+        return self._lost_until.get(broker, 0.0) > self._clock.monotonic()
+
+    def note_response(self, broker):
+        """Record that a broker has responded."""
+        self._excused_at.pop(broker, None)
+
+    def note_silence(self, broker, asked_at):
+        """Record that a broker did not respond to a call; return whether it is lost."""
+        now = self._clock.monotonic()
+        is_first = asked_at < self._excused_at.get(broker, now)
+        if is_first and self._lateness.recent_s(asked_at) > LATE_S:
+            self._excused_at.setdefault(broker, now)
+            return False
+        self._lost_until[broker] = now + FAILED_BROKER_S
+        return True
+
+
 class Brokers:
     """Choose the brokers and call them.
 
     ``broker`` is this node's own ``SlotBroker``. ``is_cut_off()`` returns whether this
     node does not reach the model servers. ``quick_pool`` and ``waiting_pool`` are pools
     of connections to peers for calls that do not wait for a slot and for those that do.
+    ``lateness`` is the node's ``LoopLateness``.
     """
 
     def __init__(
@@ -44,6 +78,7 @@
         waiting_pool,
         clock,
         tasks,
+        lateness=None,
     ):
         self._identity = identity
         self._is_cut_off = is_cut_off
@@ -55,7 +90,7 @@
         self._clock = clock
         self._tasks = tasks
         self._numbers = count(1)
-        self._failed_until = {}
+        self._lost = LostBrokers(clock, lateness or LoopLateness(clock))
         self._relays = {}
         self._relays_key = None
 
@@ -71,9 +106,7 @@
         """
         relays = self._live_relays().get(data_center, ())
         broker = owner(f"slots of {service}/{model}", relays)
-        if self._failed_until.get(broker, 0.0) > self._clock.monotonic():
-            return None
-        return broker
+        return None if broker in self._lost else broker
 
     def is_current(self, grant):
         """Return whether the broker that granted a slot is still live."""
@@ -179,12 +212,13 @@
         if broker == self._identity.node:
             return self.take_slot(slot_ask)
         pool = self._waiting_pool if slot_ask.wait else self._quick_pool
+        asked_at = self._clock.monotonic()
         try:
-            return pool.call(self._peers.address(broker), "take_slot", slot_ask)
+            reply = pool.call(self._peers.address(broker), "take_slot", slot_ask)
         except PeerUnavailableError as exc:
-            self._failed_until[broker] = self._clock.monotonic() + FAILED_BROKER_S
+            is_lost = self._lost.note_silence(broker, asked_at)
             event(
-                "broker lost",
+                "broker lost" if is_lost else "broker asked late",
                 request=slot_ask.request,
                 peer=broker,
                 step="take slot",
@@ -196,6 +230,8 @@
             # The caller has left; the broker must not keep a slot for it.
             self._release(broker, slot_ask.id)
             raise
+        self._lost.note_response(broker)
+        return reply
 
     def _release(self, broker, ask_id):
         if broker == self._identity.node:
--- a/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
@@ -61,6 +61,7 @@
             waiting_pool,
             clock,
             node.tasks,
+            node.lateness,
         )
         self._brokered = BrokeredPlacer(local, view, self.brokers)
         self.placer = DetourPlacer(
--- a/tests/routed/test_own_pause.py
+++ b/tests/routed/test_own_pause.py
@@ -10,11 +10,15 @@
 
 from auburnwall.base.tasks import TaskGroup
 from auburnwall.fleet.formation.records import NodeRecord
+from auburnwall.node.routed.brokers import ASK_TIMEOUT_S, FAILED_BROKER_S
 from auburnwall.node.routed.node import GRANT_CHECK_INTERVAL_S, Platform, RoutedNode
 from auburnwall.node.routed.peers import MAX_HEARTBEAT_AGE_S
 from auburnwall.node.routed.settings import RoutedSettings
+from auburnwall.routing.brokered_placer import BrokeredPlacer
 from auburnwall.routing.in_flight import CHECK_INTERVAL_S
-from auburnwall.wire.peer.ttypes import Pulse
+from auburnwall.routing.step_model import Work
+from auburnwall.wire.exceptions import PeerUnavailableError
+from auburnwall.wire.peer.ttypes import Pulse, SlotGrant
 from tests.state.test_table import FakeClock
 
 OWN, ASKER, OTHER = "n0", "n1", "n2"
@@ -131,5 +135,86 @@
         self.assertEqual(self.check_grants(), {OTHER})
 
 
+class SilentBrokerTests(PausedNodeCase):
+    """Guards against a sound broker that is not asked because its asker was late."""
+
+    def setUp(self):
+        super().setUp()
+        self.brokers = self.node.placing.brokers
+        self.brokers._quick_pool = SimpleNamespace(call=self.call)
+        self.late_s, self.replies = 0.0, False
+        self.model = next(
+            model
+            for model in map(str, range(100))
+            if self.brokers.broker_of("assist", model, "norte") != OWN
+        )
+
+    def call(self, address, method, *args):
+        """Respond or be silent, while the node stands still for ``late_s``."""
+        if method != "take_slot":
+            return None
+        if self.replies:
+            return SlotGrant(granted=False)
+        self.clock.now += ASK_TIMEOUT_S + self.late_s
+        if self.late_s:
+            self.node.lateness.record(self.late_s, self.clock.now)
+        self.node.lateness.expect(self.clock.now + CHECK_INTERVAL_S)
+        raise PeerUnavailableError("read timeout", step=method, peer=address)
+
+    def broker(self):
+        return self.brokers.broker_of("assist", self.model, "norte")
+
+    def ask(self, broker):
+        request = SimpleNamespace(
+            request_id="r",
+            service="assist",
+            model=self.model,
+            team="blue",
+            rank=1,
+            work=Work(100, 10),
+            deadline=self.clock.now + 2.0,
+            objective_at=self.clock.now + 0.3,
+            route=SimpleNamespace(objective_s=0.3),
+        )
+        return self.brokers.ask(broker, request, (), None, False)
+
+    def ask_late(self, late_s):
+        """Ask the broker; return whether it is asked by the next request."""
+        broker, self.late_s = self.broker(), late_s
+        self.assertIs(self.ask(broker), BrokeredPlacer.UNREACHABLE)
+        return self.broker() == broker
+
+    def test_broker_that_was_silent_during_a_pause_is_asked_again(self):
+        self.assertTrue(self.ask_late(0.4))
+
+    def test_broker_that_is_silent_to_a_node_in_time_is_lost_at_once(self):
+        self.assertFalse(self.ask_late(0.0))
+        self.run_node(FAILED_BROKER_S, (ASKER, OTHER))
+        self.assertNotEqual(self.broker(), None)
+
+    def test_earlier_lateness_does_not_count(self):
+        self.node.lateness.record(0.4, self.clock.now)
+        self.run_node(0.1, (ASKER, OTHER))
+        self.assertFalse(self.ask_late(0.0))
+
+    def test_broker_that_is_silent_twice_is_lost_however_late_the_node(self):
+        self.assertTrue(self.ask_late(0.4))
+        self.assertFalse(self.ask_late(0.4))
+
+    def test_broker_is_asked_again_after_each_pause_if_it_responds(self):
+        for _ in range(3):
+            self.assertTrue(self.ask_late(0.4))
+            self.replies = True
+            self.assertIsNone(self.ask(self.broker()))
+            self.replies = False
+
+    def test_asks_in_the_same_pause_are_one_silence(self):
+        broker, asked_at = self.broker(), self.clock.now
+        for _ in range(5):
+            self.clock.now = asked_at
+            self.assertTrue(self.ask_late(0.4))
+        self.assertEqual(self.broker(), broker)
+
+
 if __name__ == "__main__":
     unittest.main()
