Choose the same brokers after a pause of the node itself

What callers see: after a pause of a node of more than 2.5 s, the requests that waited in its sockets are placed beside those that the brokers have granted, so that groups are overfilled. The node also tells its peers of its slots as of slots of lost brokers, so that these count twice.

Cause: brokers were chosen among the peers that were heard within 2.5 s. After a pause these are none, until their heartbeats are read, so the node took itself for the broker of all groups, and the brokers of its slots for lost.

Change: Brokers asks Peers.not_lost(), as SlotBroker does. A broker that was lost during the pause does not respond and is found by the ask itself.

Test: tests.routed.test_own_pause, 3 tests more; before, 2 of them failed: of 20 models, 11 had another broker before the pause, and all were its own after it; a slot's broker counted as lost. After: 13 of 13. Run: test_own_pause and test_brokers, 29 passed; test_peers and test_scale_mechanisms, 38 passed. test_brokers' stand-in of the peers has not_lost in place of live, since that is what Brokers asks now; no check is changed.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
@@ -112,7 +112,7 @@
         """Return whether the broker that granted a slot is still live."""
         if grant.broker == self._identity.node:
             return grant.incarnation == self._identity.incarnation
-        status = self._peers.live().get(grant.broker)
+        status = self._peers.not_lost().get(grant.broker)
         return status is not None and status.incarnation == grant.incarnation
 
     def ask(self, broker, request, excluded_servers, resume_window_s, wait):
@@ -256,7 +256,7 @@
         key = self._state.change_count, int(now / CHOICE_REUSED_S), cut_off
         if key != self._relays_key:
             self._relays_key = key
-            live, nodes = self._peers.live(), self._state.nodes
+            live, nodes = self._peers.not_lost(), self._state.nodes
             names = [
                 name
                 for name, status in live.items()
--- a/tests/routed/test_own_pause.py
+++ b/tests/routed/test_own_pause.py
@@ -10,11 +10,15 @@
 
 from auburnwall.base.tasks import TaskGroup
 from auburnwall.fleet.formation.records import NodeRecord
-from auburnwall.node.routed.brokers import ASK_TIMEOUT_S, FAILED_BROKER_S
+from auburnwall.node.routed.brokers import (
+    ASK_TIMEOUT_S,
+    CHOICE_REUSED_S,
+    FAILED_BROKER_S,
+)
 from auburnwall.node.routed.node import GRANT_CHECK_INTERVAL_S, Platform, RoutedNode
 from auburnwall.node.routed.peers import MAX_HEARTBEAT_AGE_S
 from auburnwall.node.routed.settings import RoutedSettings
-from auburnwall.routing.brokered_placer import BrokeredPlacer
+from auburnwall.routing.brokered_placer import BrokeredPlacer, Grant
 from auburnwall.routing.in_flight import CHECK_INTERVAL_S
 from auburnwall.routing.step_model import Work
 from auburnwall.wire.exceptions import PeerUnavailableError
@@ -135,6 +139,38 @@
         self.assertEqual(self.check_grants(), {OTHER})
 
 
+class BrokerChoiceTests(PausedNodeCase):
+    """Guards against a node that takes itself for the broker of all groups."""
+
+    def choices(self):
+        """Return the broker of each of some models."""
+        broker_of = self.node.placing.brokers.broker_of
+        return [broker_of("assist", str(model), "norte") for model in range(20)]
+
+    def test_brokers_are_the_same_after_a_pause(self):
+        before = self.choices()
+        self.clock.now += PAUSE_S
+        self.assertEqual(self.choices(), before)
+        self.resume()
+        self.run_node(MAX_HEARTBEAT_AGE_S - HEARTBEAT_S)
+        self.assertEqual(self.choices(), before)
+
+    def test_lost_broker_is_replaced_soon_after_the_pause(self):
+        self.clock.now += PAUSE_S
+        self.resume()
+        self.run_node(MAX_HEARTBEAT_AGE_S + CHOICE_REUSED_S)
+        self.assertEqual(set(self.choices()), {OWN})
+
+    def test_slots_of_a_broker_count_once_after_a_pause(self):
+        """The broker counts them, so this node must not count them as well."""
+        grant = Grant("1", ASKER, f"{ASKER}-1", "g1")
+        self.clock.now += PAUSE_S
+        self.assertTrue(self.node.placing.brokers.is_current(grant))
+        self.resume()
+        self.run_node(MAX_HEARTBEAT_AGE_S + 0.1)
+        self.assertFalse(self.node.placing.brokers.is_current(grant))
+
+
 class SilentBrokerTests(PausedNodeCase):
     """Guards against a sound broker that is not asked because its asker was late."""
 
--- a/tests/routing/test_brokers.py
+++ b/tests/routing/test_brokers.py
@@ -95,7 +95,7 @@
         identity = SimpleNamespace(node=name, incarnation=f"{name}-1")
         peers = SimpleNamespace(
             is_mesh=False,
-            live=lambda: network.live(name),
+            not_lost=lambda: network.live(name),
             address=lambda node: node,
         )
         pool = SimpleNamespace(call=self.call)
