Take requests and answers with a body in several parts

What callers see: a request with a multipart body gets 400 and its connection is closed; a server's answer of such a type gets 502, although both are sound.

Cause: the parser of the standard library looks for the parts behind the head, finds none, and notes that among the defects. check_fields took each defect for a line that is no field.

Ruled out: the message types (rfc822, delivery-status, partial) leave no defect of their head.

Found by the random trials of framing (sound exchanges must pass).

Conclusion: the defects of a body are left out by their types, so that an unknown one still refuses the head.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -9,6 +9,7 @@
 import io
 import re
 from collections import deque
+from email import errors
 from http.client import HTTPException, HTTPResponse
 
 import gevent
@@ -42,6 +43,14 @@
 _CHUNK_END = b"\r\n"
 # The begin of a response, where a field or a reason is due.
 _STATUS_LINE = re.compile(r"HTTP/\d\.\d +\d{3}")
+# What the parser notes of a body in several parts, which it looks for behind the head.
+_BODY_DEFECTS = (
+    errors.CloseBoundaryNotFoundDefect,
+    errors.InvalidMultipartContentTransferEncodingDefect,
+    errors.MultipartInvariantViolationDefect,
+    errors.NoBoundaryInMultipartDefect,
+    errors.StartBoundaryNotFoundDefect,
+)
 # The methods that are called for each line and each piece of data.
 _readline, _read = io.BufferedReader.readline, io.BufferedReader.read
 
@@ -201,7 +210,9 @@
     The parser leaves out all fields behind it, such as the length.
     """
     if headers.defects:
-        raise FramingError(f"bad head: {headers.defects}")
+        bad = [d for d in headers.defects if not isinstance(d, _BODY_DEFECTS)]
+        if bad:
+            raise FramingError(f"bad head: {bad}")
 
 
 def _check_head(headers, reason):
--- a/tests/routed/test_truncated_messages.py
+++ b/tests/routed/test_truncated_messages.py
@@ -70,6 +70,8 @@
     CHUNKED + b"\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
     SEALED_HEAD + b"Content-Length: 2 \r\n\r\nok",
     SEALED_HEAD + b"\r\nok",
+    SEALED_HEAD + b"Content-Type: multipart/mixed; boundary=b\r\n"
+    b"Content-Length: 2\r\n\r\nok",
 )
 
 
