Read the body of a request that asks for another protocol to its end only

What callers see: a request with Connection: Upgrade or Upgrade: websocket and a body gets no answer before the caller closes its connection. At the product's own interface one whose caller leaves within its body runs with what had come (UNASKED), in chunks with their framing as its body.

Cause: gevent hands such a request the bare connection instead of its body, since the next protocol is read from there. No other protocol is spoken here.

Ruled out at the callers' front: a cut request that runs. The watch for callers that leave ends it first; no case of it ran there.

Conclusion: the application always gets the body as the request frames it.

--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -131,9 +131,15 @@
             return accepted
 
         def get_environ(self):
-            """Add the caller's socket for ``watch_disconnect``."""
+            """Add the caller's socket for ``watch_disconnect``.
+
+            Also the body of a request that asks for another protocol, which is not
+            spoken here, ends where the request says.
+            """
             environ = super().get_environ()
             environ[SOCKET_KEY] = self.socket
+            environ["wsgi.input"] = self.wsgi_input
+            environ["wsgi.input_terminated"] = True
             return environ
 
         def log_request(self):
--- a/tests/routed/test_request_framing.py
+++ b/tests/routed/test_request_framing.py
@@ -114,6 +114,21 @@
             with self.subTest(kind=kind):
                 self.assertEqual(self.play(data), [(200, [b"ab"])] * 2)
 
+    def test_request_that_asks_for_another_protocol(self):
+        """Its body ends where it says, not where the connection does."""
+        for ask in (b"Connection: Upgrade", b"Upgrade: websocket"):
+            sized = request(ask, b"Content-Length: 2", body=b"ab")
+            chunks = b"2\r\nab\r\n0\r\n\r\n"
+            chunked = request(ask, b"Transfer-Encoding: chunked", body=chunks)
+            for data in (sized, chunked):
+                with self.subTest(data=data, ends=True):
+                    self.assertEqual(self.play(data), [(200, [b"ab"])] * 2)
+            # On a connection that is open, a request is sent on without a wait.
+            self.play(request(b"Content-Length: 0"))
+            for data in (sized[:-1], chunked[:-7]):
+                with self.subTest(data=data, ends=False):
+                    self.assertEqual(self.play(data, leaves=True), [(0, [])] * 2)
+
 
 if __name__ == "__main__":
     unittest.main()
