Decode the chunks of a body once at the product's own interface

What callers see at the product's own interface: a completion whose body comes in chunks gets 400; a body that itself reads like chunks runs as what stands in them; a body that is cut off gets 500 with a traceback in the log.

Cause: gevent hands the application the decoded body, and bottle decodes chunks once more as it reads the field of the request. It also collected the whole body before its size was checked, and its errors were not those that are told as a bad request.

Ruled out: the callers' front, which reads the body from gevent itself.

Test (tests/node/test_callers.py, three new ones): 4 of 4 cases failed before, as 400, 200 for the body that nobody sent so, 500 and 500; after it 24 of 24 tests of the module pass.

Conclusion: both interfaces read the body by the same way, read_body.

--- a/packages/auburnwall-node/src/auburnwall/node/http.py
+++ b/packages/auburnwall-node/src/auburnwall/node/http.py
@@ -179,7 +179,8 @@
     def _read_body(self):
         req, max_bytes = bottle.request, self._components.cfg.most_body_bytes
         with self._components.drain.stop_time.limit_body():
-            return read_body(req.body, req.content_length, max_bytes)
+            # The framework decodes chunks once more, and reads on beyond the limit.
+            return read_body(req.environ["wsgi.input"], req.content_length, max_bytes)
 
     def _problem(self, exc):
         gateway = self._components.gateway
--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -136,6 +136,11 @@
         self.assertEqual(resp.status, 200)
         self.assertIn("booked", answer)
 
+    def test_body_in_chunks(self):
+        body = self.completion()
+        resp, fields = self.send("POST", PATH, iter([body[:9], body[9:]]))
+        self.assertEqual(resp.status, 200, fields)
+
     def test_metrics_are_exposed(self):
         self.send("POST", PATH, self.completion())
         resp = self.http.request("GET", f"http://{self.node.address}/metrics")
@@ -156,6 +161,29 @@
         self.assert_not_run_problem(resp, problem, 400, "read request")
         self.assertIn("not JSON", problem["detail"])
 
+    def test_body_that_reads_like_chunks(self):
+        body = self.completion()
+        resp, problem = self.send(
+            "POST", PATH, iter([b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)])
+        )
+        self.assert_not_run_problem(resp, problem, 400, "read request")
+
+    def test_body_that_is_cut_off(self):
+        body = self.completion()
+        head = f"POST {PATH} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
+        host, _, port = self.node.address.rpartition(":")
+        for framing in (
+            b"Content-Length: %d\r\n\r\n" % (len(body) + 1),
+            b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % (len(body) + 1),
+        ):
+            with (
+                self.subTest(framing=framing),
+                socket.create_connection((host, int(port)), timeout=5.0) as sock,
+            ):
+                sock.sendall(head.encode() + framing + body)
+                sock.shutdown(socket.SHUT_WR)
+                self.assertEqual(sock.recv(65536)[:12], b"HTTP/1.1 400")
+
     def test_body_that_is_not_an_object(self):
         resp, problem = self.send("POST", PATH, b"[1]")
         self.assert_not_run_problem(resp, problem, 400, "read request")
