Refuse requests whose length two readers may read differently

What callers see: a request runs whose length is '+2', '2_0' or has a vertical tab beside it, or that states a length and chunks as well. At the product's own interface one with two lengths runs with the first, and behind a coding such as 'gzip, chunked' or 'identity' the body runs as the next request (UNASKED).

Cause: gevent reads the length by int(), drops it where chunks are stated before anybody could look, takes the first of two, and a body of unknown coding for none. The front checked some of it and too late; the own interface nothing.

Ruled out: the responses of servers, whose check was complete; it is now the check of both directions, where the fields are parsed.

Conclusion: a length is stated once, in digits or by chunks, else the head is refused. 13 lines of the front are gone.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -205,14 +205,25 @@
 
 
 def check_fields(headers):
-    """Raise ``FramingError`` if the head of a message has a line that is no field.
+    """Raise ``FramingError`` if the fields of a head do not say where its body ends.
 
-    The parser leaves out all fields behind it, such as the length.
+    Behind a line that is no field, the parser leaves out all fields, such as the
+    length. The length must be stated once, in digits or by chunks.
     """
     if headers.defects:
         bad = [d for d in headers.defects if not isinstance(d, _BODY_DEFECTS)]
         if bad:
             raise FramingError(f"bad head: {bad}")
+    lengths = headers.get_all("Content-Length", [])
+    codings = headers.get_all("Transfer-Encoding", [])
+    if codings and (
+        lengths or [c.strip(" \t").lower() for c in codings] != ["chunked"]
+    ):
+        raise FramingError(f"lengths {lengths} and codings {codings}")
+    if len(lengths) > 1 or any(
+        parse_digits(length.strip(" \t"), 1) is None for length in lengths
+    ):
+        raise FramingError(f"lengths {lengths}")
 
 
 def _check_head(headers, reason):
@@ -282,16 +293,6 @@
         self.headers = None
         super().begin()
         _check_head(self.headers, self.reason)
-        lengths = self.headers.get_all("Content-Length", [])
-        codings = self.headers.get_all("Transfer-Encoding", [])
-        if codings and (
-            lengths or [c.strip(" \t").lower() for c in codings] != ["chunked"]
-        ):
-            raise FramingError(f"lengths {lengths} and codings {codings}")
-        if len(lengths) > 1 or any(
-            parse_digits(length.strip(" \t"), 1) is None for length in lengths
-        ):
-            raise FramingError(f"lengths {lengths}")
         if self.chunked:
             self.fp.begin_chunks()
 
--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -121,14 +121,17 @@
             self.rfile.begin_message(MAX_LINES_BYTES + framed_bytes)
             return super().read_requestline()
 
-        def read_request(self, raw_requestline):
-            """Read the head of a request; raises ``FramingError`` for a bad one."""
-            accepted = super().read_request(raw_requestline)
-            check_fields(self.headers)
-            if any("\n" in value for value in self.headers.values()):
+        def MessageClass(self, *args):  # noqa: N802
+            """Read the fields of a head; raises ``FramingError`` for bad ones.
+
+            The base class leaves out a length of the body if there is another one.
+            """
+            headers = super().MessageClass(*args)
+            check_fields(headers)
+            if any("\n" in value for value in headers.values()):
                 # Its value could not be echoed in a response.
                 raise FramingError("a field goes on in the next line")
-            return accepted
+            return headers
 
         def get_environ(self):
             """Add the caller's socket for ``watch_disconnect``.
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -250,8 +250,8 @@
     def read_request(self, raw_requestline):
         """Read the head of a request within its limits of time and size.
 
-        Raises ``RequestHeadError`` beyond a limit or if the head is cut off, and
-        ``ValueError`` if the length of the body is ambiguous.
+        Raises ``RequestHeadError`` beyond a limit, if the head is cut off, or if the
+        length of the body is ambiguous.
         """
         limits = self.gateway.limits()
         try:
@@ -267,7 +267,6 @@
         )
         if size > limits.header_bytes:
             raise RequestHeadError(431)
-        self._check_framing()
         return accepted
 
     def get_environ(self):
@@ -345,19 +344,6 @@
         head = f"HTTP/1.1 {_status_line(exc.status)}\r\nConnection: close\r\n"
         return str(exc.status), (head + "Content-Length: 0\r\n\r\n").encode()
 
-    def _check_framing(self):
-        """Reject a request whose length two parsers could read differently.
-
-        This prevents request smuggling. Raises ``ValueError``.
-        """
-        lengths = self.headers.get_all("content-length") or []
-        codings = self.headers.get_all("transfer-encoding") or []
-        if len(lengths) > 1 or [c.strip().lower() for c in codings] not in (
-            [],
-            ["chunked"],
-        ):
-            raise ValueError("ambiguous Content-Length or Transfer-Encoding headers")
-
 
 def new_front_server(address, gateway, clock, connections):
     """Return the HTTP server for callers at ``address``.
--- a/tests/routed/test_request_framing.py
+++ b/tests/routed/test_request_framing.py
@@ -129,6 +129,38 @@
                 with self.subTest(data=data, ends=False):
                     self.assertEqual(self.play(data, leaves=True), [(0, [])] * 2)
 
+    def test_lengths_that_two_readers_may_read_differently(self):
+        chunks = b"2\r\nab\r\n0\r\n\r\n"
+        digits = (
+            b"+2",
+            b"-2",
+            b"0x2",
+            b"2_0",
+            b"\x0b2",
+            b"2\x0c",
+            b"\xb2",
+            b"2, 2",
+            b"",
+        )
+        codings = (
+            b"\x0bchunked", b"chunked\xa0", b"gzip, chunked", b"chunked, chunked",
+            b"identity", b"",
+        )  # fmt: skip
+        for fields, body in (
+            *(([b"Content-Length: " + text], b"ab" * 10) for text in digits),
+            *(([b"Transfer-Encoding: " + text], chunks) for text in codings),
+            ([b"Content-Length: 2", b"Content-Length: 3"], b"abc"),
+            ([b"Content-Length: 2", b"content-length: 2"], b"ab"),
+            ([b"Content-Length: 2", b"Transfer-Encoding: chunked"], chunks),
+            ([b"Transfer-Encoding: chunked", b"Content-Length: 2"], chunks),
+            ([b"Transfer-Encoding: chunked", b"Transfer-Encoding: chunked"], chunks),
+            ([b"Transfer-Encoding: chunked", b"Transfer-Encoding: gzip"], chunks),
+        ):
+            with self.subTest(fields=fields):
+                # What is taken for the next request must not run either.
+                data = request(*fields, body=body + request(b"Content-Length: 0"))
+                self.assertEqual(self.play(data), [(400, [])] * 2)
+
 
 if __name__ == "__main__":
     unittest.main()
