Refuse first lines that are no request's, and log each refused head in one line

What callers see: a first line such as 'POST /x HTTP/1.1.1', with HTTP/+1.1 or HTTP/0.9, with a vertical tab for a space, or without a version runs. A path or a method that cannot be passed on to a server gets 502. HTTP/1 gets 400, and a traceback of gevent on the error output; so does each bad head at the product's own interface.

Cause: gevent splits the line at all that Python takes for space and reads the version's parts by int(); an IndexError on the way is an error of its own to it. The own interface left gevent to print what the front mapped to a status.

Ruled out: a second reading of the line. It is checked by one expression before gevent reads it; nothing else reads it.

Conclusion: the errors of a head and their statuses are the request handler's, for both interfaces. A head over its limit gets 431 at the own one too (400 before).

--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -1,6 +1,8 @@
 """Connections of callers: detect disconnected callers and stalled ones."""
 
+import re
 from contextlib import contextmanager
+from http.client import HTTPException, responses
 from socket import IPPROTO_TCP, MSG_PEEK, TCP_NODELAY
 
 import gevent
@@ -10,9 +12,11 @@
 from auburnwall.base.http_reader import (
     MAX_LINES_BYTES,
     FramingError,
+    IncompleteMessageError,
     MessageReader,
     check_fields,
 )
+from auburnwall.base.logs import event
 from auburnwall.base.sockets import has_unread
 
 SOCKET_KEY = "auburnwall.socket"
@@ -23,6 +27,11 @@
 # often it does. A sender that always has bytes there is not waited for longer.
 UNREAD_RECHECK_S = 0.01
 MAX_UNREAD_RECHECKS = 50
+# Characters of a reason that are logged.
+MAX_WHY_CHARS = 200
+# The first line of a request. ``gevent`` also takes other spaces, other versions and
+# characters that cannot be passed on.
+_REQUEST_LINE = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+ [!-~]+ HTTP/1\.\d\r?\n")
 
 
 class CallerDisconnectedError(Exception):
@@ -33,6 +42,14 @@
     """The caller stopped reading its response."""
 
 
+class RequestHeadError(ValueError):
+    """A request head is bad, cut off or too long; ``status`` is the response's."""
+
+    def __init__(self, status, why=""):
+        super().__init__(why or responses[status])
+        self.status = status
+
+
 @contextmanager
 def watch_disconnect(environ):
     """Raise ``CallerDisconnectedError`` in the current task if the caller disconnects.
@@ -121,6 +138,21 @@
             self.rfile.begin_message(MAX_LINES_BYTES + framed_bytes)
             return super().read_requestline()
 
+        def read_request(self, raw_requestline):
+            """Read the head of a request; raises ``RequestHeadError`` for a bad one."""
+            if not _REQUEST_LINE.fullmatch(raw_requestline):
+                raise RequestHeadError(400, f"bad first line: {raw_requestline[:64]!r}")
+            try:
+                return super().read_request(raw_requestline)
+            except RequestHeadError:
+                raise
+            except (FramingError, IncompleteMessageError) as exc:
+                raise RequestHeadError(400, str(exc)) from exc
+            except HTTPException as exc:
+                raise RequestHeadError(431, str(exc)) from exc
+            except (OSError, ValueError) as exc:
+                raise RequestHeadError(400, str(exc)) from exc
+
         def MessageClass(self, *args):  # noqa: N802
             """Read the fields of a head; raises ``FramingError`` for bad ones.
 
@@ -155,6 +187,15 @@
                 return
             super().handle_error(kind, value, traceback)
 
+        def _handle_client_error(self, exc):
+            """Return status and response for a request head that is not accepted."""
+            if not isinstance(exc, RequestHeadError):
+                return super()._handle_client_error(exc)
+            status = exc.status
+            event("request head refused", status=status, why=str(exc)[:MAX_WHY_CHARS])
+            head = f"HTTP/1.1 {status} {responses[status]}\r\nConnection: close\r\n"
+            return str(status), (head + "Content-Length: 0\r\n\r\n").encode()
+
         def _sendall(self, data):
             with gevent.Timeout(
                 write_stall_s, CallerStalledError("the caller stopped reading")
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -2,13 +2,12 @@
 
 import json
 from contextlib import ExitStack
-from http.client import HTTPException, responses
+from http.client import responses
 
 import gevent
 from absl import logging
 
 from auburnwall.base.http import keepalive_options
-from auburnwall.base.http_reader import FramingError, IncompleteMessageError
 from auburnwall.base.logs import event
 from auburnwall.base.sockets import has_unread
 from auburnwall.routing.call import Call
@@ -19,6 +18,7 @@
     CallerDisconnectedError,
     CallerStalledError,
     ReadTimeout,
+    RequestHeadError,
     make_handler,
     watch_disconnect,
 )
@@ -182,14 +182,6 @@
         self._stack.close()
 
 
-class RequestHeadError(ValueError):
-    """A request head is cut off or exceeds a limit; ``status`` is the response's."""
-
-    def __init__(self, status):
-        super().__init__(responses[status])
-        self.status = status
-
-
 class CallerHandler(make_handler(WRITE_STALL_S)):
     """One caller's connection, with the limits of the configuration.
 
@@ -250,17 +242,11 @@
     def read_request(self, raw_requestline):
         """Read the head of a request within its limits of time and size.
 
-        Raises ``RequestHeadError`` beyond a limit, if the head is cut off, or if the
-        length of the body is ambiguous.
+        Raises ``RequestHeadError`` beyond a limit and for a bad head.
         """
         limits = self.gateway.limits()
-        try:
-            with ReadTimeout(self.socket, limits.header_s, RequestHeadError(408)):
-                accepted = super().read_request(raw_requestline)
-        except (FramingError, IncompleteMessageError) as exc:
-            raise RequestHeadError(400) from exc
-        except HTTPException as exc:
-            raise RequestHeadError(431) from exc
+        with ReadTimeout(self.socket, limits.header_s, RequestHeadError(408)):
+            accepted = super().read_request(raw_requestline)
         size = len(raw_requestline) + sum(
             len(name) + len(value) + HEADER_OVERHEAD_BYTES
             for name, value in self.headers.items()
@@ -336,14 +322,6 @@
             )
         super().handle_error(kind, value, traceback)
 
-    def _handle_client_error(self, exc):
-        """Return status and response for a request head that is not accepted."""
-        if not isinstance(exc, RequestHeadError):
-            return super()._handle_client_error(exc)
-        event("request head refused", status=exc.status, why=str(exc))
-        head = f"HTTP/1.1 {_status_line(exc.status)}\r\nConnection: close\r\n"
-        return str(exc.status), (head + "Content-Length: 0\r\n\r\n").encode()
-
 
 def new_front_server(address, gateway, clock, connections):
     """Return the HTTP server for callers at ``address``.
--- a/tests/routed/test_request_framing.py
+++ b/tests/routed/test_request_framing.py
@@ -4,11 +4,14 @@
 
 gevent.monkey.patch_all()
 
+import contextlib  # noqa: E402
+import io  # noqa: E402
 import socket  # noqa: E402
 import unittest  # noqa: E402
 from contextlib import ExitStack  # noqa: E402
 
 import gevent  # noqa: E402
+from absl import logging  # noqa: E402
 
 from auburnwall.node.callers import make_handler  # noqa: E402
 from auburnwall.node.webserver import new_server, read_body  # noqa: E402
@@ -161,6 +164,56 @@
                 data = request(*fields, body=body + request(b"Content-Length: 0"))
                 self.assertEqual(self.play(data), [(400, [])] * 2)
 
+    def test_first_lines_that_are_none(self):
+        for line in (
+            b"POST /book/x HTTP/1",
+            b"POST /book/x HTTP/",
+            b"POST /book/x HTTP/1.",
+            b"POST /book/x HTTP/1.1.1",
+            b"POST /book/x HTTP/+1.1",
+            b"POST /book/x HTTP/1.-0",
+            b"POST /book/x HTTP/01.1",
+            b"POST /book/x HTTP/1.1_0",
+            b"POST /book/x HTTP/2.0",
+            b"POST /book/x HTTP/0.9",
+            b"POST /book/x http/1.1",
+            b"GET /look/x",
+            b"POST\x0b/book/x\x0cHTTP/1.1",
+            b"POST  /book/x HTTP/1.1",
+            b" POST /book/x HTTP/1.1",
+            b"POST /book/x HTTP/1.1 ",
+            b"POST /book/x\xa0HTTP/1.1",
+            b"POST /book/\x01 HTTP/1.1",
+            b"POST /book/\xff HTTP/1.1",
+            b"PO(ST /book/x HTTP/1.1",
+            b"\xff /book/x HTTP/1.1",
+        ):
+            with self.subTest(line=line):
+                data = request(b"Content-Length: 0", line=line)
+                self.check_refused(data)
+
+    def check_refused(self, data):
+        """Check that both interfaces answer 400 and log one line, without traceback."""
+        with (
+            contextlib.redirect_stderr(io.StringIO()) as errors,
+            self.assertLogs(logging.get_absl_logger()) as logs,
+        ):
+            self.assertEqual(self.play(data), [(400, [])] * 2)
+        self.assertEqual(errors.getvalue(), "")
+        lines = [(r.getMessage(), r.fields["status"]) for r in logs.records]
+        self.assertEqual(lines, [("request head refused", 400)] * 2)
+
+    def test_refused_heads_are_logged_in_one_line(self):
+        for fields in (
+            [b"no field"],
+            [b"a: b\rc"],
+            [b"a: b", b" c"],
+            [b"Content-Length: two"],
+            [b"Content-Length: 2", b"Transfer-Encoding: chunked"],
+        ):
+            with self.subTest(fields=fields):
+                self.check_refused(request(*fields))
+
 
 if __name__ == "__main__":
     unittest.main()
