Let a caller that resets its connection within a head leave no traceback

What operators see: a caller that resets its connection while its head is read, or before it has the response to a bad one, leaves a traceback of gevent on the error output, up to two for one connection.

Cause: what goes wrong before a request has been read is no error of a response to gevent. It prints the failed read, answers on the closed connection, and the error of that ends the task of the connection.

Ruled out: resets within a body and after it; the errors of responses are handled.

--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -1,7 +1,7 @@
 """Connections of callers: detect disconnected callers and stalled ones."""
 
 import re
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from http.client import HTTPException, responses
 from socket import IPPROTO_TCP, MSG_PEEK, TCP_NODELAY
 
@@ -128,6 +128,12 @@
             super().__init__(sock, *args, **kwargs)
             self.rfile = MessageReader(sock, self.rfile)
 
+        def handle(self):
+            """Serve the requests of the connection until it is closed."""
+            # A caller may be gone before it gets the response to a bad head.
+            with suppress(BrokenPipeError, ConnectionResetError):
+                super().handle()
+
         def max_body_bytes(self):
             """Return the size of the largest body that is read, in bytes."""
             return max_body_bytes
--- a/tests/routed/test_request_framing.py
+++ b/tests/routed/test_request_framing.py
@@ -18,7 +18,7 @@
 from auburnwall.routing.exceptions import BadRequestError  # noqa: E402
 
 from .support import KEY, FrontWithServers  # noqa: E402
-from .test_broken_heads import only  # noqa: E402
+from .test_broken_heads import RESET, only  # noqa: E402
 from .test_framing_fuzz import RecordingServer  # noqa: E402
 
 MAX_BODY_BYTES = 100_000
@@ -214,6 +214,20 @@
             with self.subTest(fields=fields):
                 self.check_refused(request(*fields))
 
+    def test_caller_that_resets_its_connection_leaves_no_traceback(self):
+        whole = request(b"Content-Length: 2", body=b"ab")
+        with contextlib.redirect_stderr(io.StringIO()) as errors:
+            for data in (whole[:9], whole[:40], b"bad\r\n" + whole):
+                for address in (self.front.address, self.own.address):
+                    host, _, port = address.rpartition(":")
+                    sock = socket.create_connection((host, int(port)))
+                    sock.sendall(data)
+                    gevent.sleep(0.01)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                    sock.close()
+                    gevent.sleep(0.01)
+        self.assertEqual(errors.getvalue(), "")
+
 
 if __name__ == "__main__":
     unittest.main()
