Answer 400 to a chunk without a size

What callers see: a body with an empty line, or one without a digit, where the size of a chunk is due gets 500, with a traceback, instead of 400. At the front the connection goes on behind it, and what follows runs as the next request.

Cause: gevent reads the size by int() of no digits at all; its ValueError is no error of a caller to anybody, and leaves the reader at an unknown place.

Test (test_request_framing.py): 3 of 7 bad bodies failed before (500, and at the front the next request ran); all hold after it.

Conclusion: the request handler's own reader of bodies turns it into an error of the framing, behind which nothing is read.

--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -6,7 +6,7 @@
 from socket import IPPROTO_TCP, MSG_PEEK, TCP_NODELAY
 
 import gevent
-from gevent.pywsgi import WSGIHandler
+from gevent.pywsgi import Input, WSGIHandler
 from gevent.socket import wait_read
 
 from auburnwall.base.http_reader import (
@@ -78,6 +78,23 @@
         gevent.kill(request_task, CallerDisconnectedError("the caller disconnected"))
 
 
+class _BodyReader(Input):
+    """Reads the body of a request, and nothing behind an error within it."""
+
+    __slots__ = ()
+
+    def read(self, length=None):
+        """Return up to ``length`` bytes; raises ``OSError`` for a bad body."""
+        try:
+            return super().read(length)
+        except (OSError, ValueError) as exc:
+            self._chunked_input_error = True
+            if isinstance(exc, OSError):
+                raise
+            # The base class takes a line without a digit for a chunk's size.
+            raise FramingError("a chunk without a size") from exc
+
+
 class ReadTimeout:
     """Raises ``error`` in a task that still waits for bytes after ``seconds``.
 
@@ -179,7 +196,10 @@
             """
             environ = super().get_environ()
             environ[SOCKET_KEY] = self.socket
-            environ["wsgi.input"] = self.wsgi_input
+            body = self.wsgi_input
+            self.wsgi_input = environ["wsgi.input"] = _BodyReader(
+                body.rfile, body.content_length, body.socket, body.chunked_input
+            )
             environ["wsgi.input_terminated"] = True
             return environ
 
--- a/tests/routed/test_request_framing.py
+++ b/tests/routed/test_request_framing.py
@@ -228,6 +228,25 @@
                     gevent.sleep(0.01)
         self.assertEqual(errors.getvalue(), "")
 
+    def test_chunks_that_are_none(self):
+        sound = b"2\r\nab\r\n0\r\n\r\n"
+        for chunks in (
+            b"\r\n" + sound,
+            b";a=b\r\n" + sound,
+            b"2\r\nab\r\n\r\n" + sound,
+            b"0x2\r\nab\r\n0\r\n\r\n",
+            b"-0\r\n\r\n",
+            b"2\r\nabXX" + sound,
+            b"2\r\nab\r\n0\r\na b: c\r\n\r\n",
+        ):
+            data = request(b"Transfer-Encoding: chunked", body=chunks)
+            with self.subTest(chunks=chunks):
+                # What is taken for the next request must not run either.
+                more = request(b"Content-Length: 0")
+                with contextlib.redirect_stderr(io.StringIO()) as errors:
+                    self.assertEqual(self.play(data + more), [(400, [])] * 2)
+                self.assertEqual(errors.getvalue(), "")
+
 
 if __name__ == "__main__":
     unittest.main()
