Log a caller's connection that ends within a request's head

An operator could not see these connections: the reset was caught without a line. The line is that of connections that end later, with the step 'read head'.

--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -1,7 +1,7 @@
 """Connections of callers: detect disconnected callers and stalled ones."""
 
 import re
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager
 from http.client import HTTPException, responses
 from socket import IPPROTO_TCP, MSG_PEEK, TCP_NODELAY
 
@@ -147,9 +147,16 @@
 
         def handle(self):
             """Serve the requests of the connection until it is closed."""
-            # A caller may be gone before it gets the response to a bad head.
-            with suppress(BrokenPipeError, ConnectionResetError):
+            try:
                 super().handle()
+            except (BrokenPipeError, ConnectionResetError) as exc:
+                # The caller left within a head, or before the response to a bad one.
+                event(
+                    "caller connection closed",
+                    step="read head",
+                    by="caller",
+                    why=str(exc),
+                )
 
         def max_body_bytes(self):
             """Return the size of the largest body that is read, in bytes."""
