Keep what is known of the peers' requests over a pause of the node itself

What callers see: a node that goes on after a pause of more than 2 s finds all groups free, and sends them the requests that waited in its sockets, also where peers fill every slot: groups are overfilled, streams late or lost.

Cause: loads older than 2 s do not count, and after a pause all are older until heartbeats are read. No load was known, which the placer takes for none.

Change: the requests of peers that Peers.load returns may be older by the largest lateness of the event loop in the last 3 s. The other parts of a load are as before: suspicions from before a pause are not told as new ones.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/fleet_load.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/fleet_load.py
@@ -62,6 +62,14 @@
     )
 
 
+def sum_running(loads):
+    """Return the sum of the requests in flight, by group or server."""
+    running = Counter()
+    for load in loads:
+        running.update(load.running)
+    return running
+
+
 def limits_to_wire(limits):
     """Return the ``own_limits`` of ``ServerNotices`` as ``ServerLimit`` by server."""
     return {
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -10,7 +10,13 @@
 from auburnwall.wire.exceptions import PeerUnavailableError
 from auburnwall.wire.peer.ttypes import FleetDigest
 
-from .fleet_load import load_of_pulse, loads_in, subtract_running, sum_loads
+from .fleet_load import (
+    load_of_pulse,
+    loads_in,
+    subtract_running,
+    sum_loads,
+    sum_running,
+)
 from .peer_status import (
     Heartbeat,
     PublishedStatuses,
@@ -363,25 +369,24 @@
         if known is None or status.heard_at >= known.heard_at:
             self._statuses[name] = status
 
-    def _recent_heartbeats(self):
-        oldest_at = self._clock.monotonic() - max(MAX_LOAD_AGE_S, 2 * self.period_s())
-        return [
-            heartbeat
-            for heartbeat in self._heartbeats.values()
-            if heartbeat.received_at >= oldest_at
-        ]
+    def _recent_heartbeats(self, paused_s=0.0):
+        max_age_s = max(MAX_LOAD_AGE_S, 2 * self.period_s()) + paused_s
+        oldest_at = self._clock.monotonic() - max_age_s
+        return [h for h in self._heartbeats.values() if h.received_at >= oldest_at]
 
-    def _recent_digest(self):
+    def _recent_digest(self, paused_s=0.0):
         digest = self._digest
         if digest is None or self._links.parent is None:
             return None
         age_s = self._clock.monotonic() - digest.received_at
-        return digest if age_s <= MAX_LOAD_AGE_S else None
+        return digest if age_s <= MAX_LOAD_AGE_S + paused_s else None
 
     def _sum_running(self):
-        if digest := self._recent_digest():
+        # After a pause of this node, what it knew is better than no requests at all.
+        late_s = self._lateness.recent_s()
+        if digest := self._recent_digest(late_s):
             return digest.running
-        return self._sum_heartbeats().running
+        return sum_running(loads_in(self._recent_heartbeats(late_s)))
 
     def _sum_load(self):
         if digest := self._recent_digest():
--- a/tests/routed/test_own_pause.py
+++ b/tests/routed/test_own_pause.py
@@ -15,14 +15,15 @@
     CHOICE_REUSED_S,
     FAILED_BROKER_S,
 )
+from auburnwall.node.routed.fleet_load import load_of_pulse
 from auburnwall.node.routed.node import GRANT_CHECK_INTERVAL_S, Platform, RoutedNode
-from auburnwall.node.routed.peers import MAX_HEARTBEAT_AGE_S
+from auburnwall.node.routed.peers import MAX_HEARTBEAT_AGE_S, MAX_LOAD_AGE_S
 from auburnwall.node.routed.settings import RoutedSettings
 from auburnwall.routing.brokered_placer import BrokeredPlacer, Grant
 from auburnwall.routing.in_flight import CHECK_INTERVAL_S
 from auburnwall.routing.step_model import Work
 from auburnwall.wire.exceptions import PeerUnavailableError
-from auburnwall.wire.peer.ttypes import Pulse, SlotGrant
+from auburnwall.wire.peer.ttypes import FleetDigest, Pulse, SlotGrant
 from tests.state.test_table import FakeClock
 
 OWN, ASKER, OTHER = "n0", "n1", "n2"
@@ -171,6 +172,61 @@
         self.assertFalse(self.node.placing.brokers.is_current(grant))
 
 
+class LoadTests(PausedNodeCase):
+    """Guards against full groups that seem to be free after a pause."""
+
+    def setUp(self):
+        super().setUp()
+        self.peers = self.node.peers
+
+    def hear(self, name, running, suspects=()):
+        pulse = new_pulse(name)
+        pulse.running, pulse.suspects = running, list(suspects)
+        self.peers.receive(pulse, reports=True)
+
+    def test_loads_of_peers_are_kept_during_a_pause(self):
+        self.hear(ASKER, {"g1": 3})
+        self.hear(OTHER, {"g1": 2})
+        self.clock.now += PAUSE_S
+        self.assertEqual(self.peers.load("g1"), 5)
+        self.resume()
+        self.run_node(0.2)
+        self.assertEqual(self.peers.load("g1"), 5)
+        # The first peer that is heard does not stand for all.
+        self.hear(ASKER, {"g1": 1})
+        self.run_node(0.2)
+        self.assertEqual(self.peers.load("g1"), 3)
+
+    def test_loads_of_lost_peers_end_soon_after_the_pause(self):
+        self.hear(ASKER, {"g1": 3})
+        self.clock.now += PAUSE_S
+        self.resume()
+        self.run_node(MAX_LOAD_AGE_S + 0.1)
+        self.assertEqual(self.peers.load("g1"), 0)
+
+    def test_loads_of_a_relay_s_digest_are_kept_as_well(self):
+        # Nodes with fewer cores report to a relay.
+        own = self.node.fleet.nodes[OWN]
+        self.node.fleet.nodes[OWN] = own._replace(cores=0.1)
+        self.peers.call_new_peers(SimpleNamespace(spawn=lambda *args: None))
+        relay = self.peers.parent()
+        self.assertIn(relay, (ASKER, OTHER))
+        load = load_of_pulse(new_pulse(relay))
+        load.running = {"g1": 5}
+        digest = FleetDigest(f"{relay}-1", 1, True, [], [], load)
+        self.peers._apply_digest(relay, new_pulse(OWN), digest)
+        self.clock.now += PAUSE_S
+        self.assertEqual(self.peers.load("g1"), 5)
+        self.resume()
+        self.run_node(MAX_LOAD_AGE_S + 0.1)
+        self.assertEqual(self.peers.load("g1"), 0)
+
+    def test_suspicions_from_before_the_pause_are_not_told(self):
+        self.hear(ASKER, {"g1": 3}, ["g1"])
+        self.clock.now += PAUSE_S
+        self.assertEqual(self.peers.fleet_load().suspects, {})
+
+
 class SilentBrokerTests(PausedNodeCase):
     """Guards against a sound broker that is not asked because its asker was late."""
 
