Take no suspicion that is heard late for one that has ended early

What callers see: where loads come late or are lost, a group whose server is silent counts as sound again: nodes and brokers send it requests, which stand still.

Cause: a suspicion that ends less than 1.2 s after it was first heard of counts as refuted, since it lasts 2 s otherwise and reports are up to 0.8 s old. But one that is first heard after a gap in the loads (lost calls, a relay that changes, a pause of either node) may have begun any time since the load before.

Change: a suspicion counts from one reporting period after the load before it, if that is earlier than when it was heard. Loads that come in time count as before. Peers adds up the heartbeats in one place, now that nothing else uses that sum.

Not mended: a relay that itself hears late tells of the suspicion late, in loads that come in time; and a suspicion also counts as refuted if it ends in its time while the group has requests, though these may be new ones that are silent, for up to 0.6 s and half their objective. Both need that nodes tell since when they suspect.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -97,7 +97,7 @@
         self._heartbeats = {}
         self._statuses = {}
         self._suspect_reports = SuspectReports(
-            clock, max_report_age_s=2 * REPORT_PERIOD_S
+            clock, 2 * REPORT_PERIOD_S, REPORT_PERIOD_S
         )
         self._digest = None
         self._digest_nodes = {}
@@ -391,14 +391,8 @@
     def _sum_load(self):
         if digest := self._recent_digest():
             return digest.load
-        return sum_loads([load_of_pulse(self._own_pulse()), self._sum_heartbeats()])
-
-    def _sum_heartbeats(self):
-        """Return the ``Load`` of the peers that send heartbeats to this node."""
-        return self._cached("heartbeats", self._add_up_heartbeats)
-
-    def _add_up_heartbeats(self):
-        return sum_loads(loads_in(self._recent_heartbeats()))
+        loads = loads_in(self._recent_heartbeats())
+        return sum_loads([load_of_pulse(self._own_pulse()), *loads])
 
     def _sum_members(self):
         """Return the statuses and the ``Load`` of the nodes that report to this one."""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/suspect_reports.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/suspect_reports.py
@@ -23,7 +23,8 @@
 class _GroupReport(NamedTuple):
     """A group that ``count`` nodes suspect, the first of them since ``since``.
 
-    ``ended_early`` is whether one has ended its suspicion before its time.
+    That may be up to the maximum age of a report too late. ``ended_early`` is whether
+    one has ended its suspicion before its time.
     """
 
     since: float
@@ -34,6 +35,7 @@
 class _LoadReport(NamedTuple):
     """The ``_GroupReport`` by group of a load, which is of ``node_count`` nodes."""
 
+    heard_at: float
     node_count: int
     groups: dict
 
@@ -41,11 +43,14 @@
 class SuspectReports:
     """The last report of each node.
 
-    What is heard of a suspicion may be up to ``max_report_age_s`` old.
+    What is heard of a suspicion may be up to ``max_report_age_s`` old, of two loads at
+    ``period_s`` from each other. If the last load before it is older, as after a pause
+    or a loss, the suspicion may have begun since then.
     """
 
-    def __init__(self, clock, max_report_age_s):
+    def __init__(self, clock, max_report_age_s, period_s):
         self._clock = clock
+        self._period_s = period_s
         self._reports = {}
         self._early_end_s = SUSPECT_S - max_report_age_s
 
@@ -57,7 +62,7 @@
         prove nothing.
         """
         now, known = self._clock.monotonic(), self._reports.get(node)
-        began_at = -math.inf if known is None else now
+        began_at = min(now, known.heard_at + self._period_s) if known else -math.inf
         earlier = known.groups if known else {}
         is_smaller = known is not None and load.nodes_with_traffic < known.node_count
         groups, refuted = {}, set()
@@ -72,7 +77,7 @@
                 groups[name] = _GroupReport(before.since, count, ended_early)
             if has_fewer and (ended_early or (not count and load.running.get(name))):
                 refuted.add(name)
-        self._reports[node] = _LoadReport(load.nodes_with_traffic, groups)
+        self._reports[node] = _LoadReport(now, load.nodes_with_traffic, groups)
         return refuted
 
     def keep_only(self, nodes):
