Close a connection behind a body that has no end

What callers see at the product's own interface: behind a body whose chunks are bad, what follows on the connection runs as the next request (UNASKED).

Cause: gevent leaves it to the application to close the connection after an error within a body. The front does; the own interface answers 400 and goes on. An error of the framing in a body that the application never read was swallowed, too.

Ruled out: bodies over the limit. The rest of one did not run at either place (two cases that hold before and after).

Test (test_request_framing.py): 5 of 16 cases ran the request behind a bad chunk before; all hold after it. test_front, test_caller_connections, node.test_callers and test_truncated_messages pass.

Conclusion: the reader of bodies notes an error, and the request handler of both interfaces closes the connection then.

--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -79,16 +79,23 @@
 
 
 class _BodyReader(Input):
-    """Reads the body of a request, and nothing behind an error within it."""
+    """Reads the body of a request, and nothing behind an error within it.
 
-    __slots__ = ()
+    ``is_broken`` is whether there was one, so that the next request begins nowhere.
+    """
+
+    __slots__ = ("is_broken",)
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.is_broken = False
 
     def read(self, length=None):
         """Return up to ``length`` bytes; raises ``OSError`` for a bad body."""
         try:
             return super().read(length)
         except (OSError, ValueError) as exc:
-            self._chunked_input_error = True
+            self.is_broken = self._chunked_input_error = True
             if isinstance(exc, OSError):
                 raise
             # The base class takes a line without a digit for a chunk's size.
@@ -210,6 +217,12 @@
             environ["wsgi.input_terminated"] = True
             return environ
 
+        def handle_one_response(self):
+            """Serve a request; close the connection if its body has no end."""
+            super().handle_one_response()
+            if self.wsgi_input.is_broken:
+                self.close_connection = True
+
         def log_request(self):
             """Do nothing: the application logs requests."""
 
--- a/tests/routed/test_request_framing.py
+++ b/tests/routed/test_request_framing.py
@@ -36,7 +36,8 @@
 class OwnInterface:
     """A server with the request handler of the product's own interface.
 
-    ``requests`` are those that it has read, with method and path, and body.
+    ``requests`` are those that it has read, with method and path, and body. It refuses
+    those to the path ``/unread`` without a look at their bodies.
     """
 
     def __init__(self):
@@ -51,11 +52,14 @@
         self._server.stop(0.1)
 
     def _serve(self, environ, start_response):
+        if environ["PATH_INFO"] == "/unread":
+            start_response("404 Not Found", [("Content-Length", "0")])
+            return [b""]
         length = int(environ.get("CONTENT_LENGTH") or 0)
         try:
             body = read_body(environ["wsgi.input"], length, MAX_BODY_BYTES)
         except BadRequestError:
-            start_response("400 Bad Request", [("Connection", "close")])
+            start_response("400 Bad Request", [("Content-Length", "0")])
             return [b""]
         line = f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']}"
         self.requests.append((line, body))
@@ -247,6 +251,38 @@
                     self.assertEqual(self.play(data + more), [(400, [])] * 2)
                 self.assertEqual(errors.getvalue(), "")
 
+    def test_body_that_is_not_read_to_its_end(self):
+        """Nothing behind the error, or the limit, is another request."""
+        evil = request(b"Content-Length: 0")
+        # The reader reads in such pieces; with each of them another request begins.
+        piece_bytes = 8_192
+        pad = piece_bytes - len(request(b"P: ", b"Content-Length: 0"))
+        piece = request(b"P: " + b"x" * pad, b"Content-Length: 0")
+        big = piece * 300
+        head_bytes = len(request(b"P: ", b"Content-Length: %d" % len(big)))
+        big_fields = [
+            b"P: " + b"x" * (piece_bytes - head_bytes),
+            b"Content-Length: %d" % len(big),
+        ]
+        for fields, body in (
+            ([b"Transfer-Encoding: chunked"], b"x\r\n" + evil),
+            ([b"Transfer-Encoding: chunked"], b"\r\n" + evil),
+            ([b"Transfer-Encoding: chunked"], b"2\r\nabc\r\n" + evil),
+            ([b"Transfer-Encoding: chunked"], b"0\r\na b\r\n" + evil),
+            ([b"Transfer-Encoding: chunked"], b"x" + evil),
+            ([b"Transfer-Encoding: chunked"], b"2\r\nabX" + evil),
+            ([b"Transfer-Encoding: chunked"], b"0\r\na b" + evil),
+            (big_fields, big),
+        ):
+            for line in (LINE, b"POST /unread HTTP/1.1"):
+                with self.subTest(line=line, fields=fields, body=body[:20]):
+                    self.own.requests.clear()
+                    data = request(*fields, line=line, body=body)
+                    with contextlib.suppress(ConnectionError):
+                        self.send(self.own.address, data, leaves=False)
+                    gevent.sleep(0.05)
+                    self.assertEqual(len(self.own.requests), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
