Skip interim answers, and none but whole ones

What callers see: behind 102 or 103 the server's right answer gets 502. If a 100 breaks off in its first line and the answer follows, the head of the answer is taken for the fields of the 100, and a body that holds an answer for the answer.

Cause: the standard library's reader skips 100 only, and drops all lines behind it up to an empty one without a look. Other interim answers are final to it.

Ruled out: an interim answer that breaks off in its fields; they are parsed since the answers other than 100 are, and a head within them was refused before.

Conclusion: interim answers are skipped in one place, where their heads are checked like that of an answer. 101 stays an error, since no other protocol was asked for.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -10,7 +10,12 @@
 import re
 from collections import deque
 from email import errors
-from http.client import HTTPException, HTTPResponse
+from http.client import (
+    SWITCHING_PROTOCOLS,
+    HTTPException,
+    HTTPResponse,
+    parse_headers,
+)
 
 import gevent
 from urllib3 import HTTPConnectionPool, PoolManager
@@ -289,6 +294,17 @@
                 self._skip_body()
             self._begin_next()
 
+    def _read_status(self):
+        """Return version, status and reason of the next answer that is not interim.
+
+        The base class skips 100 only, and whatever stands where its fields are due.
+        """
+        while True:
+            version, status, reason = super()._read_status()
+            if status == SWITCHING_PROTOCOLS or not 100 <= status < 200:
+                return version, status, reason
+            _check_head(parse_headers(self.fp), reason)
+
     def _begin_next(self):
         self.headers = None
         super().begin()
