Tell a status line by one pattern wherever one is looked for

What callers see: a body with another answer in it whose status line has two spaces passes as a part of the own answer. The node reads such a line as an answer's first.

Cause: two patterns, one on text that allows several spaces in heads and stale bodies, one on bytes that allows one space in bodies and events.

Conclusion: one pattern, the more lenient of both, so that what was refused is refused still. The bytes behind a body need no bound for it: only a line that begins within the body counts, as before.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -46,8 +46,8 @@
 # takes signs, prefixes and underscores for parts of a number.
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;[^\r\n]*)?\r?\n")
 _CHUNK_END = b"\r\n"
-# The begin of a response, where a field or a reason is due.
-_STATUS_LINE = re.compile(r"HTTP/\d\.\d +\d{3}")
+# The begin of a response, also where something else is due.
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d +\d{3}")
 # What the parser notes of a body in several parts, which it looks for behind the head.
 _BODY_DEFECTS = (
     errors.CloseBoundaryNotFoundDefect,
@@ -238,7 +238,7 @@
     """
     check_fields(headers)
     for text in (reason, *headers.values()):
-        if _STATUS_LINE.search(text):
+        if STATUS_LINE.search(text.encode("latin-1")):
             raise FramingError(f"a head within a head: {text[-64:]!r}")
 
 
@@ -319,7 +319,7 @@
             is_whole = self.fp is None
         finally:
             self.fp = reader
-        if not is_whole or _STATUS_LINE.search(body.decode("latin-1")):
+        if not is_whole or STATUS_LINE.search(body):
             raise FramingError("a stale response is cut short or too long")
 
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -1,6 +1,5 @@
 """One attempt to have a request served by one server."""
 
-import re
 from http.client import HTTPException
 
 from urllib3 import HTTPHeaderDict
@@ -8,6 +7,7 @@
 from urllib3.util import SKIP_HEADER
 
 from auburnwall.base.http import READ_BYTES
+from auburnwall.base.http_reader import STATUS_LINE
 from auburnwall.base.logs import event
 from auburnwall.base.sockets import has_unread
 from auburnwall.fleet.server_notices import (
@@ -37,9 +37,6 @@
 MAX_LATE_S = 0.25
 # Statuses that promise a caller that its request has not run and will not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-# The first line of a response, and the longest part of one that can end a body.
-_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
-_STATUS_LINE_BYTES = len(b"HTTP/1.1 200")
 # Socket read timeout; stalled exchanges are interrupted long before.
 READ_TIMEOUT_S = 60.0
 
@@ -382,7 +379,7 @@
 
         A faulty server may write a copy of an answer at any moment.
         """
-        match = _STATUS_LINE.search(data)
+        match = STATUS_LINE.search(data)
         if not match:
             return False
         field = f"\n{self._deps.header_names.request_id}:".lower().encode()
@@ -396,7 +393,7 @@
         unread = self._channel.connection.unread
         if not unread:
             return False
-        match = _STATUS_LINE.search(body + unread[: _STATUS_LINE_BYTES - 1])
+        match = STATUS_LINE.search(body + unread)
         return match is not None and match.start() < len(body)
 
     def _unchunked(self):
--- a/tests/routed/test_broken_heads.py
+++ b/tests/routed/test_broken_heads.py
@@ -236,6 +236,19 @@
                 with self.subTest(first=earlier, own=own):
                     self.check(front, server, earlier, own, expected)
 
+    def test_answer_within_a_body(self):
+        """An answer is told there by the same line as where one is due."""
+        server = BreakingServer()
+        self.addCleanup(server.stop)
+        with FrontWithServers() as front:
+            only(front.desks, server)
+            for line in (b"HTTP/1.1 200 OK", b"HTTP/1.1  200 OK", b"HTTP/1.0   200"):
+                head = line + b"\r\nX-Attempt-Id: %s\r\n\r\n"
+                server.answer = response("sized", b"a " + head.replace(b"%s", b"r"))
+                with self.subTest(line=line):
+                    status, _, _ = send_call(front.address, "POST", "/book/x", "r")
+                    self.assertEqual(status, 502)
+
     def test_lines_that_are_no_fields(self):
         """Behind such a line the parser sees no fields, so it misses the length."""
         server = BreakingServer()
