Refuse answers whose first line is none

What callers see: an answer with the status '+200', '0200' or '2_00', with other spaces, or behind a part of another status line passes as 200.

Cause: the standard library splits the line at all that Python takes for space and reads the status by int(); of the version it asks for the first characters only.

Conclusion: the line is checked where the standard library has read it, by the pattern that tells status lines elsewhere.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -126,14 +126,16 @@
     """A file object for a parser of HTTP messages.
 
     ``buffered`` is the file object that ``sock.makefile("rb")`` has returned, from
-    which nothing has been read yet; it is not usable afterwards. Once closed,
-    ``unread`` are the first bytes that had arrived and were not read.
+    which nothing has been read yet; it is not usable afterwards. ``last_line`` is the
+    line that was read last. Once closed, ``unread`` are the first bytes that had
+    arrived and were not read.
     """
 
     def __init__(self, sock, buffered):
         self._socket_reader = _TurnTakingReader(sock, buffered.detach())
         super().__init__(self._socket_reader)
         self.unread = b""
+        self.last_line = b""
         self._lines_bytes = 0
         self._begun = False
         self._chunk_left = None
@@ -174,6 +176,7 @@
                 )
             return line
         self._begun = True
+        self.last_line = line
         self._lines_bytes += len(line)
         if self._lines_bytes > MAX_LINES_BYTES:
             raise MessageTooLongError(f"over {MAX_LINES_BYTES} bytes without data")
@@ -297,10 +300,15 @@
     def _read_status(self):
         """Return version, status and reason of the next answer that is not interim.
 
-        The base class skips 100 only, and whatever stands where its fields are due.
+        The base class skips 100 only, and whatever stands where its fields are due. It
+        also takes other spaces, and signs and underscores for parts of the status.
         """
         while True:
             version, status, reason = super()._read_status()
+            line = self.fp.last_line
+            match = STATUS_LINE.match(line)
+            if match is None or line[match.end()] not in b" \r\n":
+                raise FramingError(f"bad status line: {line[:64]!r}")
             if status == SWITCHING_PROTOCOLS or not 100 <= status < 200:
                 return version, status, reason
             _check_head(parse_headers(self.fp), reason)
--- a/tests/routed/test_truncated_messages.py
+++ b/tests/routed/test_truncated_messages.py
@@ -63,6 +63,22 @@
             b"2\f",
         )
     ),
+    *(
+        SEALED_HEAD.replace(b"HTTP/1.1 200 OK", line) + b"Content-Length: 2\r\n\r\nok"
+        for line in (
+            b"HTTP/1.1 +200 OK",
+            b"HTTP/1.1 0200 OK",
+            b"HTTP/1.1 2_00 OK",
+            b"HTTP/1.1\x0b200 OK",
+            b"HTTP/1.1 200\x0bOK",
+            b"\tHTTP/1.1 200 OK",
+            b" HTTP/1.1 200 OK",
+            b"HTTP/1HTTP/1.1 200 OK",
+            b"HTTP/1.1x 200 OK",
+            b"HTTP/1. 200 OK",
+            b"x HTTP/1.1 200 OK",
+        )
+    ),
 )
 SOUND = (
     CHUNKED + b"\r\n2\r\nok\r\n0\r\n\r\n",
@@ -70,6 +86,10 @@
     CHUNKED + b"\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
     SEALED_HEAD + b"Content-Length: 2 \r\n\r\nok",
     SEALED_HEAD + b"\r\nok",
+    *(
+        SEALED_HEAD.replace(b"HTTP/1.1 200 OK", line) + b"Content-Length: 2\r\n\r\nok"
+        for line in (b"HTTP/1.1 200", b"HTTP/1.1 200 ", b"HTTP/1.0 200 O K")
+    ),
     SEALED_HEAD + b"Content-Type: multipart/mixed; boundary=b\r\n"
     b"Content-Length: 2\r\n\r\nok",
 )
