Let the search for a kept request cost other requests nothing

While a server is silent, its request is kept there and looks for a slot elsewhere. That search used to queue like a new request. What callers saw: requests that were late were refused, or evicted from the queue, with "late, and places have been short" or "12 go first", though nothing but searches had missed a slot; and the log had `request refused` for requests that went on and were answered.

Cause: RequestAttempts.place_elsewhere called the placer's place, made for requests that have nothing. Each failed search of a request that could be in time was a miss; four of them were a shortage, which refuses late requests, evicts the waiting ones and lengthens Retry-After. Late searches stood before later late callers.

Placers have a search of their own now. It takes a slot that is free at the moment, is counted nowhere, evicts and overtakes nobody and logs nothing. BrokeredPlacer asks the brokers for it without a wait and as a late request, so what nodes tell each other is as it was, and asks none where all servers are avoided. DetourPlacer takes a peer as before. A stream that has begun still waits its window before new requests, as what is lost there is lost for good, but evicts nothing of a full queue. A failed search is one line, `exchange kept`, now with the age of the exchange. It is repeated after 0.3 s as before. A 5xx that may be retried waits for its slot as before: it has nothing to keep.

What remains: a slot that becomes free between two searches is found up to 0.3 s later than by a request in the queue, and a waiting caller gets it first. A broker logs the end of a begun stream's wait as `request refused`, as it cannot tell why it waits, and new requests count such waits as ahead of them.

In test_brokers, Node.place is split in two to make requests for other tests; no test is changed.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
@@ -115,9 +115,14 @@
         status = self._peers.not_lost().get(grant.broker)
         return status is not None and status.incarnation == grant.incarnation
 
-    def ask(self, broker, request, excluded_servers, resume_window_s, wait):
-        """Ask a broker for a slot; see ``BrokeredPlacer``."""
+    def ask(self, broker, ask, excluded_servers):
+        """Ask a broker for a slot; see ``BrokeredPlacer``.
+
+        A search is asked like a late request, which is no miss and overtakes nobody.
+        """
+        request, resume_window_s = ask.request, ask.resume_window_s
         now = self._clock.monotonic()
+        objective_left_s = 0.0 if ask.is_search else request.objective_at - now
         slot_ask = SlotAsk(
             id=f"{self._identity.incarnation}/{next(self._numbers)}",
             node=self._identity.node,
@@ -129,13 +134,13 @@
             prompt_tokens=request.work.prompt_tokens,
             response_tokens=request.work.response_tokens,
             deadline_left_ms=int(1000 * (request.deadline - now)),
-            objective_left_ms=int(1000 * (request.objective_at - now)),
+            objective_left_ms=int(1000 * objective_left_s),
             objective_ms=int(1000 * request.route.objective_s),
             resume_window_ms=(
                 -1 if resume_window_s is None else int(1000 * resume_window_s)
             ),
             excluded_servers=sorted(excluded_servers),
-            wait=wait,
+            wait=ask.wait,
         )
         reply = self._call(broker, slot_ask)
         if reply is None:
--- a/packages/auburnwall-routing/src/auburnwall/routing/brokered_placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/brokered_placer.py
@@ -26,6 +26,20 @@
     group: str
 
 
+class Ask(NamedTuple):
+    """What a broker is asked for a request.
+
+    ``resume_window_s`` is how long a stream that has begun may wait, ``None`` for other
+    requests. With ``wait``, the request waits if no slot is free. ``is_search`` is true
+    for a request that has a slot already.
+    """
+
+    request: object
+    resume_window_s: float | None
+    wait: bool
+    is_search: bool
+
+
 class BrokeredPlacer:
     """A ``Placer`` for requests whose slots are granted by brokers.
 
@@ -33,9 +47,9 @@
     only a few nodes may send to a server, the others could not use it. ``local`` is the
     ``Placer`` for all other requests. ``brokers`` has the methods
     ``are_used()``, ``broker_of(service, model, data_center)``, ``is_current(grant)``,
-    ``ask(broker, request, excluded_servers, resume_window_s, wait)``, which returns a
-    ``Placement`` or ``None`` and raises ``OverloadedError``, and ``release(grant)``.
-    ``ask`` returns ``UNREACHABLE`` if the broker does not respond.
+    ``ask(broker, ask, excluded_servers)``, which returns a ``Placement`` or ``None``
+    and raises ``OverloadedError``, and ``release(grant)``. ``ask`` returns
+    ``UNREACHABLE`` if the broker does not respond.
     """
 
     UNREACHABLE = object()
@@ -52,23 +66,19 @@
 
     def place(self, request, excluded_servers=frozenset(), resume_window_s=None):
         """Return a ``Placement``, as ``Placer.place`` does."""
-        has_brokers = self._brokers.are_used() and (
-            bool(request.model) or self._is_limited(request)
-        )
-        data_centers = self._data_centers(request) if has_brokers else []
-        if not data_centers:
+        placement = self._ask_brokers(request, excluded_servers, resume_window_s)
+        if placement is None or placement is self.UNREACHABLE:
             return self._local.place(request, excluded_servers, resume_window_s)
-        avoided = excluded_servers | self._avoided_servers(request)
-        asks = [(name, False) for name in data_centers[:MAX_BROKERS_ASKED]]
-        for data_center, wait in [*asks, (data_centers[0], True)]:
-            placement = self._ask_until_usable(
-                data_center, request, avoided, resume_window_s, wait
-            )
-            if placement is self.UNREACHABLE:
-                break
-            if placement is not None:
-                return placement
-        return self._local.place(request, excluded_servers, resume_window_s)
+        return placement
+
+    def search(self, request, excluded_servers=frozenset(), resume_window_s=None):
+        """Return a ``Placement`` or ``None``, as ``Placer.search`` does."""
+        placement = self._ask_brokers(
+            request, excluded_servers, resume_window_s, is_search=True
+        )
+        if placement is self.UNREACHABLE:
+            return self._local.search(request, excluded_servers, resume_window_s)
+        return placement
 
     def release_slot(self, placement):
         """Release the slot of a placement."""
@@ -90,13 +100,40 @@
             if not self._brokers.is_current(grant)
         )
 
-    def _ask_until_usable(self, data_center, request, avoided, resume_window_s, wait):
+    def _ask_brokers(self, request, excluded_servers, resume_window_s, is_search=False):
+        """Return a placement or, without one, ``None``.
+
+        Returns ``UNREACHABLE`` if the request has no broker or if one does not respond.
+        """
+        has_brokers = self._brokers.are_used() and (
+            bool(request.model) or self._is_limited(request)
+        )
+        data_centers = self._data_centers(request) if has_brokers else []
+        if not data_centers:
+            return self.UNREACHABLE
+        avoided = excluded_servers | self._avoided_servers(request)
+        asked = data_centers
+        if is_search:
+            # In a silence of many servers, many nodes search at the same time.
+            usable = self._usable_data_centers(request, avoided)
+            asked = [name for name in data_centers if name in usable]
+        asks = [(name, False) for name in asked[:MAX_BROKERS_ASKED]]
+        if not is_search or resume_window_s is not None:
+            asks.append((data_centers[0], True))
+        for data_center, wait in asks:
+            ask = Ask(request, resume_window_s, wait, is_search)
+            placement = self._ask_until_usable(data_center, ask, avoided)
+            if placement is not None:
+                return placement
+        return None
+
+    def _ask_until_usable(self, data_center, ask, avoided):
         """Ask a broker again if it grants a slot that this node must not use.
 
         The broker has not heard yet that the server leaves.
         """
         while True:
-            placement = self._ask(data_center, request, avoided, resume_window_s, wait)
+            placement = self._ask(data_center, ask, avoided)
             if (
                 placement is None
                 or placement is self.UNREACHABLE
@@ -106,15 +143,16 @@
             self.release_slot(placement)
             avoided = avoided | {placement.candidate.server}
 
-    def _ask(self, data_center, request, avoided, resume_window_s, wait):
+    def _ask(self, data_center, ask, avoided):
+        request = ask.request
         broker = self._brokers.broker_of(request.service, request.model, data_center)
         if broker is None:
             return self.UNREACHABLE
         try:
-            placement = self._brokers.ask(
-                broker, request, avoided, resume_window_s, wait
-            )
+            placement = self._brokers.ask(broker, ask, avoided)
         except OverloadedError as exc:
+            if ask.is_search:
+                return None
             event(
                 "request refused",
                 request=request.request_id,
@@ -146,6 +184,14 @@
             or view.pause_left_s(candidate.server) > 0
         }
 
+    def _usable_data_centers(self, request, avoided):
+        """Return the data centres with a candidate whose server is not avoided."""
+        return {
+            candidate.data_center
+            for candidate in self._view.candidates(request)
+            if candidate.server not in avoided
+        }
+
     def _data_centers(self, request):
         """Return the data centres with groups, the own one first.
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/detour.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/detour.py
@@ -62,6 +62,12 @@
                 return placement
             raise
 
+    def search(self, request, excluded_servers=frozenset(), resume_window_s=None):
+        """Return a ``Placement`` or ``None``, as ``Placer.search`` does."""
+        return self._place_at_peer(request, excluded_servers) or self._direct.search(
+            request, excluded_servers, resume_window_s
+        )
+
     def release_slot(self, placement):
         """Release the slot of a placement."""
         if not placement.is_detour:
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -268,7 +268,7 @@
         try:
             placement = exchange.place_elsewhere()
         except RequestError as exc:
-            _log(exchange, "exchange kept", why=f"{why}; {exc.detail}")
+            self._log_kept(exchange, f"{why}; {exc.detail}")
             return
         finally:
             exchange.search = None
@@ -277,7 +277,7 @@
         is_live = exchange.is_lost is not None and not exchange.is_lost()
         if progress_at > began_at or is_live or not exchange.awaiting_server:
             exchange.give_back(placement)
-            _log(exchange, "exchange kept", why=f"{why}; it goes on")
+            self._log_kept(exchange, f"{why}; it goes on")
             return
         error = StalledError(why, step="wait", placement=placement)
         self._interrupt(exchange, error, self._clock.monotonic())
@@ -302,12 +302,18 @@
             self._silences[service] = silent, len(awaited)
         return self._silences[service]
 
+    def _log_kept(self, exchange, why):
+        _log(exchange, "exchange kept", age_s=self._age_s(exchange), why=why)
+
+    def _age_s(self, exchange):
+        return round(self._clock.monotonic() - exchange.started_at, 2)
+
     def _interrupt(self, exchange, error, now):
         silent, awaited = self._silence_of_service(exchange.request.service, now)
         _log(
             exchange,
             "exchange interrupted",
-            age_s=round(now - exchange.started_at, 2),
+            age_s=self._age_s(exchange),
             late_s=round(self._lateness.recent_s(), 3),
             silent=silent,
             awaited=awaited,
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -151,6 +151,26 @@
             backlog.shortage.note_placed()
         return placement
 
+    def search(self, request, excluded_servers=frozenset(), resume_window_s=None):
+        """Return a ``Placement`` for a request that keeps its attempt, or ``None``.
+
+        The request has a slot already, so the search costs others nothing: it is no
+        miss, evicts and overtakes nobody and takes only a slot that is free now. A
+        stream that has begun may wait ``resume_window_s``, before requests that have
+        not.
+        """
+        backlog = self._backlogs[request.service, request.model]
+        has_begun = resume_window_s is not None
+        wait_class = WaitClass.RESUMING if has_begun else WaitClass.LATE
+        placement = self._place_without_waiting(
+            request, excluded_servers, backlog, wait_class
+        )
+        is_full = len(backlog.queues[wait_class]) >= MAX_WAITING
+        if placement is not None or not has_begun or is_full:
+            return placement
+        context = self._wait_context(request, backlog, wait_class, resume_window_s)
+        return self._wait_for_slot(request, excluded_servers, backlog, context)
+
     def _place_late(self, request, excluded_servers, backlog):
         """Wait once more, as a late request, after no slot was found in time.
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -139,26 +139,30 @@
     def place_elsewhere(self, attempt):
         """Return a ``Placement`` for the attempt that is to follow a running one.
 
-        Waits for a free slot as any other attempt does. The retry is taken from the
-        budget. Raises ``RequestError`` if there is no slot or no further attempt is
-        allowed; the running attempt is worth more then. ``give_back`` undoes it.
+        Takes a slot that costs other requests nothing, see ``Placer.search``. The retry
+        is taken from the budget. Raises ``RequestError`` if there is no slot or no
+        further attempt is allowed; the running attempt is worth more then and goes on.
+        ``give_back`` undoes it.
         """
-        placer, has_begun = self._deps.placer, self._first_event_s is not None
+        return self._place_elsewhere(attempt, self._search, is_kept=True)
+
+    def _place_elsewhere(self, attempt, find_slot, *, is_kept):
+        has_begun = self._first_event_s is not None
         if has_begun and attempt.splitter.last_id is None:
             raise self.unresumable_error()
         if self._attempt_count >= MAX_ATTEMPTS or not self._budget.may_take():
             raise self._no_retry_error()
-        self._check_crash_causes()
-        placement = self._place(
+        self._check_crash_causes(is_kept=is_kept)
+        placement = find_slot(
             self._avoid | {attempt.candidate.server},
             RESUME_WINDOW_S if has_begun else None,
         )
         try:
-            self._check_placed()
+            self._check_placed(is_kept=is_kept)
             if not self._budget.take():
                 raise self._no_retry_error()
         except RequestError:
-            placer.release_slot(placement)
+            self._deps.placer.release_slot(placement)
             raise
         return placement
 
@@ -196,8 +200,11 @@
             attempt.exchange.started_at,
         )
 
-    def _check_crash_causes(self):
-        """Raise ``RequestError`` if the request or a part of its prompt is blocked."""
+    def _check_crash_causes(self, *, is_kept=False):
+        """Raise ``RequestError`` if the request or a part of its prompt is blocked.
+
+        The request is logged as refused unless its running attempt ``is_kept``.
+        """
         found = self._deps.crash_evidence.blocked_cause(self.request.crash_causes)
         if found is None:
             return
@@ -208,14 +215,15 @@
         else:
             step, title = "check prompt", "Prompt crashes servers"
             detail = f"servers crash at prompts with part {cause}"
-        event(
-            "request refused",
-            request=self.request.request_id,
-            step=step,
-            part=cause,
-            why=detail,
-            retry_after_s=round(left_s, 2),
-        )
+        if not is_kept:
+            event(
+                "request refused",
+                request=self.request.request_id,
+                step=step,
+                part=cause,
+                why=detail,
+                retry_after_s=round(left_s, 2),
+            )
         raise self._final_error(
             502 if self._possible_runs else 503,
             title,
@@ -324,17 +332,31 @@
 
     def _place(self, avoid, resume_window_s):
         """Return a placement, for which a stop of this node leaves time."""
+        with self._limit_wait(resume_window_s):
+            return self._deps.placer.place(self.request, avoid, resume_window_s)
+
+    def _search(self, avoid, resume_window_s):
+        """Return a placement for a request whose running attempt is kept."""
+        with self._limit_wait(resume_window_s):
+            placement = self._deps.placer.search(self.request, avoid, resume_window_s)
+        if placement is None:
+            raise OverloadedError(
+                "no slot is free elsewhere", DEFAULT_RETRY_AFTER_S, step="place"
+            )
+        return placement
+
+    def _limit_wait(self, resume_window_s):
+        """Return a context that ends with an error once a stop leaves no time."""
         request, stop_time = self.request, self._deps.in_flight.stop_time
         has_begun = resume_window_s is not None
         stop_time.check(request, has_begun=has_begun)
         refusal = partial(stop_time.refusal, request, has_begun=has_begun)
-        with stop_time.limit_wait(request.request_id, refusal):
-            return self._deps.placer.place(request, avoid, resume_window_s)
+        return stop_time.limit_wait(request.request_id, refusal)
 
-    def _check_placed(self):
+    def _check_placed(self, *, is_kept=False):
         """Raise ``RequestError`` if a request that has a slot must not be sent now."""
         # The request may have been blocked while it waited.
-        self._check_crash_causes()
+        self._check_crash_causes(is_kept=is_kept)
         if self._deps.clock.monotonic() >= self.request.deadline:
             # The node was paused, or the slot came too late.
             exc = DeadlineExceededError("out of time", step="place")
@@ -355,7 +377,9 @@
         if self._possible_runs + 1 >= route.max_servers:
             return False
         try:
-            self._next_placement = self.place_elsewhere(attempt)
+            self._next_placement = self._place_elsewhere(
+                attempt, self._place, is_kept=False
+            )
         except RequestError as exc:
             self._log(attempt, "failure passed on", status=attempt.status, why=str(exc))
             return False
--- a/tests/routed/test_silent_servers.py
+++ b/tests/routed/test_silent_servers.py
@@ -10,6 +10,7 @@
 import itertools  # noqa: E402
 import time  # noqa: E402
 import unittest  # noqa: E402
+from collections import Counter  # noqa: E402
 from http.client import HTTPException  # noqa: E402
 
 import gevent  # noqa: E402
@@ -118,6 +119,21 @@
         calls = [gevent.spawn(self.call, "/ask/x") for _ in range(2)]
         self.assertEqual(self.results(calls), [(200, 10)] * 2)
 
+    def test_kept_requests_are_not_logged_as_refused(self):
+        self.front.view.slots = 1
+        self.silence(self.front.engines, 1.8)
+        with self.assertLogs("absl", "INFO") as logs:
+            calls = [gevent.spawn(self.call, "/ask/x") for _ in range(2)]
+            self.assertEqual(self.results(calls), [(200, 10)] * 2)
+        counts = Counter(record.msg for record in logs.records)
+        self.assertEqual(counts["request refused"], 0)
+        self.assertIn(counts["exchange kept"], range(1, 6))
+
+    def test_stream_whose_prompt_is_blocked_meanwhile_is_not_logged_as_refused(self):
+        with self.assertLogs("absl", "INFO") as logs:
+            self.test_stream_is_kept_if_its_prompt_is_blocked_meanwhile()
+        self.assertNotIn("request refused", [record.msg for record in logs.records])
+
     def test_request_that_may_be_repeated_is_kept(self):
         self.front.view.slots = 1
         self.silence(self.front.desks, 1.8)
--- a/tests/routing/test_brokers.py
+++ b/tests/routing/test_brokers.py
@@ -121,9 +121,9 @@
             raise PeerUnavailableError("no answer", step=method, peer=address)
         return getattr(network.nodes[address].brokers, method)(*args)
 
-    def place(self, number=0, objective_s=0.3, deadline_s=2.0, excluded=frozenset()):
+    def request(self, number=0, objective_s=0.3, deadline_s=2.0):
         now = self.network.clock.monotonic()
-        request = SimpleNamespace(
+        return SimpleNamespace(
             request_id=f"r-{self.name}-{number}",
             service="assist",
             model="big",
@@ -136,6 +136,9 @@
             objective_at=now + objective_s,
             route=SimpleNamespace(objective_s=objective_s),
         )
+
+    def place(self, number=0, objective_s=0.3, deadline_s=2.0, excluded=frozenset()):
+        request = self.request(number, objective_s, deadline_s)
         return self.placer.place(request, excluded)
 
 
--- a/tests/routing/test_in_flight.py
+++ b/tests/routing/test_in_flight.py
@@ -106,6 +106,24 @@
         # The first time after 0.8 s, then each 0.3 s.
         self.assertIn(len(asked_at), (4, 5))
 
+    def test_failed_search_is_one_line_with_the_age_of_its_exchange(self):
+        exchange, searches = self.exchange(), []
+
+        def refuse():
+            searches.append(self.clock.now)
+            raise OverloadedError("no slot", 1.0)
+
+        exchange.place_elsewhere = refuse
+        with self.assertLogs("absl", "INFO") as logs:
+            for _ in range(40):
+                self.check_after(0.05)
+                self.assertIsNone(self.interruption(exchange))
+        kept = [r.fields for r in logs.records if r.msg == "exchange kept"]
+        self.assertEqual(len(kept), len(searches))
+        ages = [round(at - exchange.started_at, 2) for at in searches]
+        self.assertEqual([fields["age_s"] for fields in kept], ages)
+        self.assertEqual({fields["peer"] for fields in kept}, {"s1"})
+
     def test_slot_is_given_back_if_the_exchange_goes_on_meanwhile(self):
         exchange, slot = self.exchange(), AsyncResult()
         exchange.place_elsewhere = slot.get
