--- a/tests/routed/test_own_pause.py
+++ b/tests/routed/test_own_pause.py
@@ -19,7 +19,7 @@
 from auburnwall.node.routed.node import GRANT_CHECK_INTERVAL_S, Platform, RoutedNode
 from auburnwall.node.routed.peers import MAX_HEARTBEAT_AGE_S, MAX_LOAD_AGE_S
 from auburnwall.node.routed.settings import RoutedSettings
-from auburnwall.routing.brokered_placer import BrokeredPlacer, Grant
+from auburnwall.routing.brokered_placer import Ask, BrokeredPlacer, Grant
 from auburnwall.routing.in_flight import CHECK_INTERVAL_S
 from auburnwall.routing.step_model import Work
 from auburnwall.wire.exceptions import PeerUnavailableError
@@ -268,7 +268,7 @@
             objective_at=self.clock.now + 0.3,
             route=SimpleNamespace(objective_s=0.3),
         )
-        return self.brokers.ask(broker, request, (), None, False)
+        return self.brokers.ask(broker, Ask(request, None, False, False), ())
 
     def ask_late(self, late_s):
         """Ask the broker; return whether it is asked by the next request."""
