Keep a stalled exchange until another server has begun to respond

Callers saw a stream cut whose server had only paused for a second. The node had a slot for it at another server, interrupted the exchange, and then found that this server refused the connection or the request, closed the connection, failed or was silent itself. The first server was excluded by then, so nothing was left. Repeatable plain requests got a 502 in the same way.

A slot at hand is one in this node's tables; only the response of a server shows that it takes the request.

The task that looks for a slot now also sends the request there, and interrupts the stalled exchange once the response has started and may continue it. Until then, and if it does not, the exchange is kept:

- A server that may have run the request counts as one of the route's servers, also if its response came too late.
One that refused it or could not be reached does not.
- Each search takes a retry from the budget, and at most four attempts are made as before.
The retry is given back if nothing was sent; until now it stayed counted.
- If the kept exchange ends by itself with a failure or a refusal meanwhile, the request goes on with the attempt that has begun elsewhere.
- A server that is silent as well is given up after the usual time if the route allows a further one.
- Requests that may not run again are never sent elsewhere, as before.

Ruled out: going back to the first server with a new request. It is suspect then, the prompt would be read again, and a retry would be needed for what was still running. Opening the connection alone first finds a refused one, but not a refused request.

What it costs: while the second server has not begun to respond, the request runs on both, and its first slot stays taken for as long. If the first one goes on before, what the second has begun is ended.

tests/routed/test_refused_continuations.py, 18 tests: 11 failed before (9 failures and 2 errors, one of which is about the new attempt itself), all pass now. The other 7 guard what the change could break. Run after it: twelve modules of tests.routed, 128 passed. No existing test is changed.

--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -3,7 +3,7 @@
 Failure pattern: a group whose member has died still accepts requests but makes no
 progress on any of them. The first sign is that all of its streams stop at the same
 time. The same is seen while sound servers pause, so a stalled exchange is given up only
-for a slot that its request already has elsewhere.
+for another one that has begun elsewhere.
 """
 
 from collections import defaultdict
@@ -49,12 +49,14 @@
 class StalledError(AuburnwallError):
     """The candidate makes no progress, and ``placement`` is a slot at another one.
 
-    Whoever handles the error owns the placement.
+    ``attempt`` uses the slot if the request has been sent there already, and is
+    ``None`` otherwise. Whoever handles the error owns both.
     """
 
-    def __init__(self, *args, placement=None, **kwargs):
+    def __init__(self, *args, placement=None, attempt=None, **kwargs):
         super().__init__(*args, **kwargs)
         self.placement = placement
+        self.attempt = attempt
 
 
 class DeadlineExceededError(AuburnwallError):
@@ -75,8 +77,10 @@
     ``has_unread()`` returns whether bytes of the candidate have arrived that its task
     has not read yet. ``place_elsewhere()`` returns a ``Placement`` for the request at
     another candidate, for which it may wait, or raises ``RequestError``.
-    ``give_back(placement)`` undoes that. ``search`` is the task that calls them.
-    ``is_past_end`` is set by the first check that finds it past its deadline.
+    ``give_back(placement)`` undoes that. ``begin_elsewhere(placement)`` sends the
+    request there and returns the attempt once its response has started, or raises
+    ``RequestError``. ``search`` is the task that calls them. ``is_past_end`` is set by
+    the first check that finds it past its deadline.
     """
 
     def __init__(self, request, candidate, now):
@@ -94,6 +98,7 @@
         self.has_unread = bool
         self.place_elsewhere = None
         self.give_back = None
+        self.begin_elsewhere = lambda placement: None
         self.search = None
         self.next_search_at = 0.0
         self.stall_timeout_s = FIRST_EVENT_STALL_TIMEOUT_S
@@ -204,7 +209,7 @@
 
         The former are interrupted. A stalled candidate becomes suspect. Its exchanges
         go on ``REROUTE_DELAY_S`` later if they may be sent to another server and as
-        soon as one has a slot for them; until then they keep what they have. Exchanges
+        soon as one responds to them; until then they keep what they have. Exchanges
         that do not await their server are left alone, also past their deadline. Those
         that have bytes to read are left alone for ``MAX_UNREAD_S`` past their stall,
         and for one check past their deadline. Progress older than
@@ -260,28 +265,35 @@
             exchange.search = gevent.spawn(self._reroute, exchange, why)
 
     def _reroute(self, exchange, why):
-        """Interrupt a stalled exchange once it has a slot elsewhere.
+        """Interrupt a stalled exchange once another one has begun elsewhere.
 
-        If there is none, or if the exchange goes on meanwhile, it is kept.
+        If none does, or if the exchange goes on meanwhile, it is kept.
         """
         began_at = self._clock.monotonic()
+        attempt = None
         try:
             placement = exchange.place_elsewhere()
+            if not self._goes_on(exchange, began_at):
+                attempt = exchange.begin_elsewhere(placement)
         except RequestError as exc:
             self._log_kept(exchange, f"{why}; {exc.detail}")
             return
         finally:
             exchange.search = None
             exchange.next_search_at = self._clock.monotonic() + SEARCH_RETRY_S
-        progress_at = self.last_progress_at(exchange.candidate.name)
-        is_live = exchange.is_lost is not None and not exchange.is_lost()
-        if progress_at > began_at or is_live or not exchange.awaiting_server:
-            exchange.give_back(placement)
+        if self._goes_on(exchange, began_at):
+            _drop(exchange, placement, attempt)
             self._log_kept(exchange, f"{why}; it goes on")
             return
-        error = StalledError(why, step="wait", placement=placement)
+        error = StalledError(why, step="wait", placement=placement, attempt=attempt)
         self._interrupt(exchange, error, self._clock.monotonic())
 
+    def _goes_on(self, exchange, since):
+        """Return whether a stalled exchange is found not to be stalled any more."""
+        progress_at = self.last_progress_at(exchange.candidate.name)
+        is_live = exchange.is_lost is not None and not exchange.is_lost()
+        return progress_at > since or is_live or not exchange.awaiting_server
+
     def _silence_of_service(self, service, now):
         """Return the number of a service's silent candidates and of all awaited ones.
 
@@ -350,5 +362,13 @@
     if exchange.awaiting_server and exchange.waits == wait:
         exchange.awaiting_server = False
         exchange.task.throw(error)
-    elif getattr(error, "placement", None) is not None:
-        exchange.give_back(error.placement)
+    elif isinstance(error, StalledError):
+        _drop(exchange, error.placement, error.attempt)
+
+
+def _drop(exchange, placement, attempt):
+    """End what was to follow an exchange that is kept."""
+    if attempt is not None:
+        attempt.close()
+    elif placement is not None:
+        exchange.give_back(placement)
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -6,6 +6,9 @@
 
 from functools import partial
 
+import gevent
+from gevent.event import AsyncResult
+
 from auburnwall.base.logs import event
 
 from .attempt import Attempt
@@ -30,8 +33,10 @@
 class RequestAttempts:
     """The attempts at one request, and whether a further attempt is allowed.
 
-    ``_possible_runs`` counts the failed attempts whose server may have run the request.
-    ``_avoid`` holds the servers that must get no further attempt.
+    ``_possible_runs`` counts the servers that may have run the request, without that of
+    the present attempt. ``_avoid`` holds the servers that must get no further attempt.
+    ``_beginning`` is the result of an attempt that begins elsewhere while the present
+    one is still running, ``None`` without one.
     """
 
     def __init__(self, deps, request, budget):
@@ -41,7 +46,7 @@
         self._avoid = frozenset()
         self._attempt_count = 0
         self._possible_runs = 0
-        self._next_placement = None
+        self._next_placement = self._next_attempt = self._beginning = None
         last_id = request.call.header(deps.header_names.last_event_id)
         # Whether the ids up to there were consecutive is not known.
         self._caller_position = StreamPosition(last_id, False) if last_id else None
@@ -80,9 +85,13 @@
         if resume_at is None:
             resume_at = self._caller_position
         while True:
-            attempt = self._start_attempt(resume_at, resume_window_s)
+            attempt, self._next_attempt = self._next_attempt, None
+            is_open = attempt is not None
+            if not is_open:
+                attempt = self._start_attempt(resume_at, resume_window_s)
             try:
-                attempt.open()
+                if not is_open:
+                    attempt.open()
                 if attempt.not_run:
                     self._handle_server_refusal(attempt)
                 elif self._may_retry_error(attempt):
@@ -90,8 +99,10 @@
                 else:
                     return attempt
             except (ExchangeError, StalledError, DeadlineExceededError) as exc:
-                attempt.close()
-                self.check_retry_after_failure(attempt, exc)
+                try:
+                    self.check_retry_after_failure(attempt, exc)
+                finally:
+                    attempt.close()
             except BaseException:
                 attempt.close()
                 raise
@@ -99,24 +110,20 @@
     def check_retry_after_failure(self, attempt, exc):
         """Record a failed attempt and check whether a further one is allowed.
 
-        Excludes the server. If nothing was sent, the candidate becomes suspect, since
-        otherwise each further request would be tried there again. A retry of a request
-        that was sent is taken from the retry budget, unless the attempt was given up
-        for a slot elsewhere, see ``place_elsewhere``. Raises ``RequestError`` if no
-        further attempt is allowed.
+        A retry of a request that was sent is taken from the retry budget, unless the
+        attempt was given up for another one, see ``place_elsewhere``. Raises
+        ``RequestError`` if no further attempt is allowed.
         """
-        self._avoid |= {attempt.candidate.server}
-        # StalledError and DeadlineExceededError occur only once sending has begun.
-        sent = getattr(exc, "sent", True)
-        self._possible_runs += sent
-        if not sent:
-            attempt.note_unreachable()
-        self._log_failure(attempt, exc)
-        if sent and isinstance(exc, ExchangeError) and not attempt.is_detour:
-            self._check_for_crash(attempt)
-        self._next_placement = getattr(exc, "placement", None)
-        if self._next_placement is not None:
+        self._record_failure(attempt, exc)
+        if isinstance(exc, StalledError):
+            if exc.attempt is None:
+                self._next_placement = exc.placement
+            else:
+                self._take_over(exc.attempt)
+            return
+        if not isinstance(exc, DeadlineExceededError) and self._take_beginning():
             return
+        sent = getattr(exc, "sent", True)
         request = self.request
         if isinstance(exc, DeadlineExceededError):
             raise self._final_error(504, "Out of time", exc)
@@ -136,6 +143,22 @@
         if sent and not self._budget.take():
             raise self._final_error(502, "No repeats left", exc)
 
+    def _record_failure(self, attempt, exc):
+        """Record a failed attempt and exclude its server.
+
+        If nothing was sent, the candidate becomes suspect, since otherwise each further
+        request would be tried there again.
+        """
+        self._avoid |= {attempt.candidate.server}
+        # StalledError and DeadlineExceededError occur only once sending has begun.
+        sent = getattr(exc, "sent", True)
+        self._possible_runs += sent
+        if not sent:
+            attempt.note_unreachable()
+        self._log_failure(attempt, exc)
+        if sent and isinstance(exc, ExchangeError) and not attempt.is_detour:
+            self._check_for_crash(attempt)
+
     def place_elsewhere(self, attempt):
         """Return a ``Placement`` for the attempt that is to follow a running one.
 
@@ -171,6 +194,103 @@
         self._deps.placer.release_slot(placement)
         self._budget.give_back()
 
+    def begin_elsewhere(self, attempt, placement):
+        """Return an attempt at a placement that may follow a running one.
+
+        Its response has started, and continues what the running attempt has begun. The
+        retry stays counted unless nothing was sent. Raises ``RequestError`` if there is
+        no such response; the running attempt goes on then.
+        """
+        position = attempt.splitter.position
+        following = self._new_attempt(
+            placement,
+            position if position.last_id is not None else None,
+            self._first_event_s is not None,
+            self._servers_left - 1,
+        )
+        # If it stalls it is given up: the request still has the running attempt.
+        following.exchange.place_elsewhere = lambda: None
+        self._avoid |= {following.candidate.server}
+        self._possible_runs += 1
+        beginning = self._beginning = AsyncResult()
+        has_begun = False
+        try:
+            has_begun = self._open_following(following, attempt)
+        finally:
+            has_ended = self._beginning is not beginning
+            if has_ended:
+                beginning.set(following if has_begun else None)
+            self._beginning = None
+        if has_ended:
+            # The task of the running attempt waits for this one; the search is over.
+            raise gevent.GreenletExit
+        if has_begun:
+            return following
+        attempt.exchange.may_reroute = self._servers_left > 1
+        detail = f"{following.candidate.server} did not take it"
+        raise RequestError(502, "Not repeated", detail, ran=UNKNOWN, step="offer")
+
+    def _open_following(self, following, attempt):
+        """Open an attempt and return whether it may follow the running one."""
+        try:
+            following.open()
+            if self._may_follow(following, attempt):
+                return True
+            if not following.not_run:
+                detail = f"status {following.status}"
+                raise ExchangeError(
+                    detail, step="resume", peer=following.candidate.server, sent=True
+                )
+            self._possible_runs -= 1
+            self._record_refusal(following)
+            following.close()
+        except (ExchangeError, StalledError, DeadlineExceededError) as exc:
+            following.close()
+            self._possible_runs -= 1
+            self._record_failure(following, exc)
+            if not getattr(exc, "sent", True):
+                self._budget.give_back()
+        except BaseException:
+            following.close()
+            raise
+        return False
+
+    def _take_beginning(self):
+        """Wait for what begins elsewhere; return whether the request goes on there."""
+        beginning, self._beginning = self._beginning, None
+        if beginning is None:
+            return False
+        try:
+            following = beginning.get()
+        except BaseException:
+            if beginning.ready() and beginning.value is not None:
+                beginning.value.close()
+            raise
+        if following is None:
+            return False
+        self._take_over(following)
+        return True
+
+    def _take_over(self, following):
+        """Let an attempt that has begun elsewhere take the place of the present one."""
+        self._possible_runs -= 1
+        self._next_attempt = following
+        self._allow_reroute(following)
+
+    def _may_follow(self, following, attempt):
+        """Return whether a response may take the place of a running attempt."""
+        if following.not_run:
+            return False
+        if self._first_event_s is not None:
+            return following.is_event_stream
+        # A status of 0 tells that the running attempt has no response yet.
+        return not 200 <= attempt.status < 300 or 200 <= following.status < 300
+
+    @property
+    def _servers_left(self):
+        """Return on how many servers the request may still run."""
+        return self.request.route.max_servers - self._possible_runs
+
     def _no_retry_error(self):
         return RequestError(
             502, "No repeats left", "no repeats left", ran=UNKNOWN, step="place"
@@ -283,7 +403,6 @@
         self._deps.time_to_start.record(request.service, request.model, took_s)
 
     def _start_attempt(self, resume_at, resume_window_s):
-        request, deps = self.request, self._deps
         has_begun = resume_window_s is not None
         placement, self._next_placement = self._next_placement, None
         if placement is None:
@@ -291,18 +410,21 @@
         try:
             self._check_placed()
         except RequestError:
-            deps.placer.release_slot(placement)
+            self._deps.placer.release_slot(placement)
             raise
+        attempt = self._new_attempt(placement, resume_at, has_begun, self._servers_left)
+        self._allow_reroute(attempt)
+        return attempt
+
+    def _new_attempt(self, placement, resume_at, has_begun, servers_left):
+        request, deps = self.request, self._deps
         self._attempt_count += 1
-        servers_left = request.route.max_servers - self._possible_runs
         attempt_class = DetourAttempt if placement.is_detour else Attempt
         attempt = attempt_class(deps, request, placement, resume_at, servers_left)
         attempt.exchange.has_begun = has_begun
         attempt.limit_silence(
             may_reroute=request.route.may_run_again and servers_left > 1
         )
-        attempt.exchange.place_elsewhere = partial(self.place_elsewhere, attempt)
-        attempt.exchange.give_back = self.give_back
         self._log(
             attempt,
             "request placed",
@@ -316,6 +438,14 @@
         )
         return attempt
 
+    def _allow_reroute(self, attempt):
+        """Let an attempt of the present task be given up for another one."""
+        exchange = attempt.exchange
+        exchange.task = gevent.getcurrent()
+        exchange.place_elsewhere = partial(self.place_elsewhere, attempt)
+        exchange.give_back = self.give_back
+        exchange.begin_elsewhere = partial(self.begin_elsewhere, attempt)
+
     def _place_or_fail(self, resume_window_s):
         self._check_crash_causes()
         try:
@@ -389,15 +519,35 @@
         return True
 
     def _handle_server_refusal(self, attempt):
+        """Record a refusal and check whether a further attempt is allowed.
+
+        The retry is taken from the budget. Raises ``RequestError`` if no further
+        attempt is allowed.
+        """
+        try:
+            self._record_refusal(attempt)
+            if self._take_beginning():
+                return
+        finally:
+            attempt.close()
+        exhausted = self._attempt_count >= MAX_ATTEMPTS or not self._budget.take()
+        if not exhausted:
+            return
+        detail = f"{attempt.candidate.server} answered {attempt.status}"
+        if self._possible_runs:
+            raise RequestError(
+                502, "Backend server failed", detail, ran=UNKNOWN, step="offer"
+            )
+        raise OverloadedError(detail, DEFAULT_RETRY_AFTER_S, step="offer")
+
+    def _record_refusal(self, attempt):
         """Record that a server stated that it did not run the request.
 
         Nodes send a group fewer requests than it can take, so a refusal is not due to
         load: the group is broken or closing, even if the fleet's tables do not show it
         yet. It becomes suspect, since its free slots would attract further requests. A
-        server that asks for a pause is not suspect. The retry is taken from the budget.
-        Raises ``RequestError`` if no further attempt is allowed.
+        server that asks for a pause is not suspect.
         """
-        attempt.close()
         if self.request.model and attempt.pause_s is None:
             self._deps.in_flight.make_suspect(attempt.candidate.name)
         at_fault = attempt.headers.get(self._deps.header_names.server_at_fault, "")
@@ -405,15 +555,6 @@
         self._log(
             attempt, "server refused", status=attempt.status, at_fault=at_fault or None
         )
-        exhausted = self._attempt_count >= MAX_ATTEMPTS or not self._budget.take()
-        if not exhausted:
-            return
-        detail = f"{attempt.candidate.server} answered {attempt.status}"
-        if self._possible_runs:
-            raise RequestError(
-                502, "Backend server failed", detail, ran=UNKNOWN, step="offer"
-            )
-        raise OverloadedError(detail, DEFAULT_RETRY_AFTER_S, step="offer")
 
     def _final_error(self, status, title, exc):
         ran = UNKNOWN if self._possible_runs else NOT_RUN
