Wait out the usual time of an answer before asking a second server

Each repeatable request to a plain service whose servers always take longer than 0.75 s and 0.45 s more (at an objective of 0.3 s) was sent to a second server while one was free, though the first would have answered. That took places and retries for nothing.

The cause is a fixed limit on the silence before an answer that is no stream, whatever such answers take. The second server is now asked only after twice the usual time, the mean that the node keeps for each service already, and no later than after half of the time that is left, so that a server that has failed leaves time for another one. It is never asked sooner than before, and for services that usually answer within 0.6 s nothing changes. A silent server becomes suspect as soon as before, so that new requests go elsewhere meanwhile.

Ruled out: a later suspicion as well, since each new request would go to a server that has failed. Recording the age of abandoned attempts as a lower bound of the mean: the exchange that is kept, or the one that follows it, ends with its answer and is measured.

Left: a service that usually takes more than half of its callers' time.

Two tests of the decision in tests/routing/test_in_flight.py.

--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -25,7 +25,11 @@
 from .exceptions import ExchangeError
 from .forwarded import FORWARDED_BY, SERVERS_LEFT
 from .hop_by_hop import HOP_BY_HOP
-from .in_flight import FIRST_EVENT_STALL_TIMEOUT_S, DeadlineExceededError
+from .in_flight import (
+    FIRST_EVENT_STALL_TIMEOUT_S,
+    DeadlineExceededError,
+    reroute_delay_s,
+)
 
 # How an exchange fails in ``urllib3``, or in the standard library below it, which
 # rejects bytes that are no response.
@@ -129,12 +133,20 @@
         """Set for how long the server may be silent before it becomes suspect.
 
         ``may_reroute`` allows the request to be sent to another server then. Half the
-        objective is allowed for reading the prompt.
+        objective is allowed for reading the prompt. An answer that is no stream is
+        looked for elsewhere only after the time that such answers usually take.
         """
-        self.exchange.may_reroute = may_reroute
-        self.exchange.stall_timeout_s = (
-            FIRST_EVENT_STALL_TIMEOUT_S + 0.5 * self._request.route.objective_s
+        request, exchange, deps = self._request, self.exchange, self._deps
+        exchange.may_reroute = may_reroute
+        exchange.stall_timeout_s = (
+            FIRST_EVENT_STALL_TIMEOUT_S + 0.5 * request.route.objective_s
         )
+        if not request.route.streams:
+            exchange.reroute_delay_s = reroute_delay_s(
+                exchange.stall_timeout_s,
+                deps.time_to_start.mean_s(request.service, request.model),
+                request.deadline - deps.clock.monotonic(),
+            )
 
     def note_unreachable(self):
         """Record that nothing could be sent to the server."""
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -32,6 +32,10 @@
 # The same if all candidates of the service that this node awaits are silent at the same
 # time: another one is hardly any better, and a pause of all of them ends for all.
 COMMON_REROUTE_DELAY_S = 1.0
+# Silence before a request is sent to another server, as a multiple of the usual time
+# until an answer. The maximum, a fraction of the time left, leaves another one time if
+# the first has failed.
+USUAL_TIME_MULTIPLE, MAX_SILENCE_FRACTION = 2.0, 0.5
 # Time after which a stalled request that found no slot elsewhere looks for one again.
 SEARCH_RETRY_S = 0.3
 # Silence before the first event after which a group is suspect, in addition to the
@@ -63,13 +67,24 @@
     """The deadline of the route or of the caller has passed."""
 
 
+def reroute_delay_s(stall_timeout_s, usual_s, time_left_s):
+    """Return how long after ``stall_timeout_s`` an answer is looked for elsewhere.
+
+    Such answers usually take ``usual_s``, 0 if it is not known. ``time_left_s`` remains
+    until the request's deadline. All times are in seconds.
+    """
+    silence_s = min(USUAL_TIME_MULTIPLE * usual_s, MAX_SILENCE_FRACTION * time_left_s)
+    return max(REROUTE_DELAY_S, silence_s - stall_timeout_s)
+
+
 class Exchange:
     """One request at one candidate.
 
     ``awaiting_server`` is true while the exchange's task sends to the server or reads
     from it, and ``waits`` counts these times. ``may_reroute`` allows the request to be
     sent to another server. After ``stall_timeout_s`` without progress the candidate
-    becomes suspect. ``reads`` counts the pieces of a stream that have arrived, each of
+    becomes suspect, and after further ``reroute_delay_s`` the request is sent to
+    another server. ``reads`` counts the pieces of a stream that have arrived, each of
     which may hold several events or a part of one. If ``is_lost`` is set, the candidate
     may be silent as long as ``is_lost()`` is false, and is never suspect. With
     ``has_begun``, the caller has a part of the response.
@@ -102,6 +117,7 @@
         self.search = None
         self.next_search_at = 0.0
         self.stall_timeout_s = FIRST_EVENT_STALL_TIMEOUT_S
+        self.reroute_delay_s = REROUTE_DELAY_S
         self.task = gevent.getcurrent()
 
     def note_progress(self, now):
@@ -208,7 +224,7 @@
         """Find exchanges that are past their deadline or stalled.
 
         The former are interrupted. A stalled candidate becomes suspect. Its exchanges
-        go on ``REROUTE_DELAY_S`` later if they may be sent to another server and as
+        go on ``reroute_delay_s`` later if they may be sent to another server and as
         soon as one responds to them; until then they keep what they have. Exchanges
         that do not await their server are left alone, also past their deadline. Those
         that have bytes to read are left alone for ``MAX_UNREAD_S`` past their stall,
@@ -249,7 +265,7 @@
         if over_s <= 0 or _has_unread(exchange, over_s):
             return
         self.make_suspect(name)
-        if not exchange.may_reroute or over_s <= REROUTE_DELAY_S:
+        if not exchange.may_reroute or over_s <= exchange.reroute_delay_s:
             return
         if over_s <= COMMON_REROUTE_DELAY_S:
             silent, awaited = self._silence_of_service(exchange.request.service, now)
--- a/tests/routing/test_in_flight.py
+++ b/tests/routing/test_in_flight.py
@@ -20,6 +20,7 @@
     DeadlineExceededError,
     InFlightRequests,
     StalledError,
+    reroute_delay_s,
 )
 from tests.state.test_table import FakeClock
 
@@ -247,6 +248,29 @@
             self.in_flight.note_progress(active)
         self.assertEqual((self.suspects, self.interruption(stalled)), ([], None))
 
+    def test_answers_that_usually_take_long_are_waited_for_longer(self):
+        for usual_s, time_left_s, delay_s in (
+            (0.0, 3.0, REROUTE_DELAY_S),
+            (0.1, 3.0, REROUTE_DELAY_S),
+            (1.0, 6.0, 1.3),
+            # No longer than half of the time left, whatever is usual.
+            (1.4, 3.0, 0.8),
+            (9.0, 3.0, 0.8),
+            (9.0, 0.4, REROUTE_DELAY_S),
+        ):
+            with self.subTest(usual_s=usual_s, time_left_s=time_left_s):
+                found_s = reroute_delay_s(0.7, usual_s, time_left_s)
+                self.assertAlmostEqual(found_s, delay_s)
+
+    def test_candidate_whose_answers_usually_take_long_is_suspect_as_soon(self):
+        exchange = self.exchange()
+        exchange.reroute_delay_s = 1.3
+        self.check_after(STALL_TIMEOUT_S + 1.29)
+        self.assertEqual(self.suspects, ["g1"])
+        self.assertIsNone(self.interruption(exchange))
+        self.check_after(0.02)
+        self.assertIsInstance(self.interruption(exchange), StalledError)
+
     def test_request_that_may_not_run_again_is_not_rerouted(self):
         exchange = self.exchange(may_reroute=False)
         self.check_after(5.0)
