Refuse heads with a line that begins a mail

What callers see: a head with a line 'From ...' as its first or last field is taken for sound, the line is dropped.

Cause: the standard library's parser of fields is one of mails. It takes such a line at the begin for the mailbox's, and at the end for the begin of the next mail; only one between two fields is noted as a defect.

Ruled out: that another field goes with it; only the line itself is lost.

Test (test_request_framing.py): 2 of 3 heads passed before at both interfaces; all are refused after it. The case that is new in test_broken_heads held before.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -163,7 +163,8 @@
         The line is empty if the connection has ended and no message has begun. Raises
         ``IncompleteMessageError`` if the connection ends anywhere else, and
         ``MessageTooLongError`` beyond the limit. Raises ``FramingError`` if the line
-        holds a CR by itself, which the parser of fields takes for the end of a line.
+        holds a CR by itself, which the parser of fields takes for the end of a line, or
+        if it begins a mail in a mailbox, which that parser may leave out.
         """
         max_bytes = MAX_LINES_BYTES - self._lines_bytes + 1
         if 0 <= size < max_bytes:
@@ -182,6 +183,8 @@
             raise MessageTooLongError(f"over {MAX_LINES_BYTES} bytes without data")
         if b"\r" in line.removesuffix(b"\n").removesuffix(b"\r"):
             raise FramingError(f"a CR within a line: {line[-64:]!r}")
+        if line.startswith(b"From "):
+            raise FramingError(f"a line that is no field: {line[:64]!r}")
         if self._chunk_left is not None:
             self._begin_chunk(line)
         return line
--- a/tests/routed/test_broken_heads.py
+++ b/tests/routed/test_broken_heads.py
@@ -258,7 +258,7 @@
             for line in (
                 b"no field", b": x", b"a b: c", b"a : c", b"x: a\rb: c",
                 b"x: a\r\n b: c", b"\x00", b"\r",
-                b"HTTP/1.1 200 OK",
+                b"HTTP/1.1 200 OK", b"From a b",
             ):  # fmt: skip
                 for body in (b"body", b"bo", b"body and more"):
                     whole = response("sized", b"body", fields=line + b"\r\n")
--- a/tests/routed/test_request_framing.py
+++ b/tests/routed/test_request_framing.py
@@ -110,6 +110,17 @@
             expected = [(200, [b"ab"])] * 2
             self.assertEqual(self.play(request(*fields, body=body)), expected)
 
+    def test_line_that_begins_a_mail(self):
+        """The parser of fields drops it at the begin and at the end of a head."""
+        line, length = b"From a b", b"Content-Length: 2"
+        for data in (
+            request(line, length, body=b"ab"),
+            request(length, line, body=b"ab"),
+            request(length, body=b"ab").replace(HEAD, line + b"\r\n" + HEAD),
+        ):
+            with self.subTest(data=data):
+                self.assertEqual(self.play(data), [(400, [])] * 2)
+
     def test_body_in_several_parts(self):
         """The parser of fields reads on for the parts, and misses them."""
         for kind in (
