Refuse heads with a field whose name is no token

What callers see: 'Content-Length/: 2' or 'a;b: c' is passed on as a field, in both directions, and a length that is spoiled so is none.

Cause: the standard library takes all printable characters but the colon for a name.

Conclusion: such a line is no field and refused as those are.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -48,6 +48,8 @@
 _CHUNK_END = b"\r\n"
 # The begin of a response, also where something else is due.
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d +\d{3}")
+# The name of a field. The parser takes all but spaces, colons and control characters.
+_FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 # What the parser notes of a body in several parts, which it looks for behind the head.
 _BODY_DEFECTS = (
     errors.CloseBoundaryNotFoundDefect,
@@ -225,6 +227,9 @@
         bad = [d for d in headers.defects if not isinstance(d, _BODY_DEFECTS)]
         if bad:
             raise FramingError(f"bad head: {bad}")
+    for name in headers.keys():  # noqa: SIM118
+        if not _FIELD_NAME.fullmatch(name):
+            raise FramingError(f"bad name of a field: {name[:64]!r}")
     lengths = headers.get_all("Content-Length", [])
     codings = headers.get_all("Transfer-Encoding", [])
     if codings and (
--- a/tests/routed/test_request_framing.py
+++ b/tests/routed/test_request_framing.py
@@ -221,6 +221,8 @@
     def test_refused_heads_are_logged_in_one_line(self):
         for fields in (
             [b"no field"],
+            [b"a;b: c"],
+            [b"Content-Length/: 2"],
             [b"a: b\rc"],
             [b"a: b", b" c"],
             [b"Content-Length: two"],
--- a/tests/routed/test_truncated_messages.py
+++ b/tests/routed/test_truncated_messages.py
@@ -63,6 +63,8 @@
             b"2\f",
         )
     ),
+    SEALED_HEAD + b"a;b: c\r\nContent-Length: 2\r\n\r\nok",
+    SEALED_HEAD + b"Content-Length/: 2\r\n\r\nok",
     *(
         SEALED_HEAD.replace(b"HTTP/1.1 200 OK", line) + b"Content-Length: 2\r\n\r\nok"
         for line in (
