Never wait on a caller's connection where it is watched for its end

What callers see: rarely, a kept connection is closed instead of the next request on it being read, or the error output gets a traceback, ConcurrentObjectUseError.

Cause: the watch for callers that leave wakes as bytes arrive and peeks at them. If they have been read meanwhile, since the next request began in the same turn of the event loop, the peek waits on the socket, where only one task may.

Test (test_caller_connections.py): the second request got no answer before; five in a row do after it. test_caller_connections and test_late_checks: 15 tests pass.

Conclusion: the peek shares the code that looks at a socket without waiting.

--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -3,7 +3,7 @@
 import re
 from contextlib import contextmanager
 from http.client import HTTPException, responses
-from socket import IPPROTO_TCP, MSG_PEEK, TCP_NODELAY
+from socket import IPPROTO_TCP, TCP_NODELAY
 
 import gevent
 from gevent.pywsgi import Input, WSGIHandler
@@ -17,7 +17,7 @@
     check_fields,
 )
 from auburnwall.base.logs import event
-from auburnwall.base.sockets import has_unread
+from auburnwall.base.sockets import has_ended, has_unread
 
 SOCKET_KEY = "auburnwall.socket"
 # Largest number of bytes in a request for each byte of its body: a chunk with one byte
@@ -71,7 +71,8 @@
 def _raise_on_disconnect(sock, request_task):
     try:
         wait_read(sock.fileno())
-        disconnected = sock.recv(1, MSG_PEEK) == b""
+        # What woke this task may have been read by the next request since.
+        disconnected = has_ended(sock)
     except OSError:
         disconnected = True
     if disconnected:
--- a/tests/routed/test_caller_connections.py
+++ b/tests/routed/test_caller_connections.py
@@ -15,6 +15,7 @@
 from gevent.pywsgi import WSGIHandler  # noqa: E402
 
 from auburnwall.base.clock import SystemClock  # noqa: E402
+from auburnwall.node import callers  # noqa: E402
 from auburnwall.node.callers import CallerStalledError  # noqa: E402
 from auburnwall.node.routed.connections import (  # noqa: E402
     MAX_CUT_OFF_LINES,
@@ -91,6 +92,18 @@
         wait_until(lambda: self.closed_count("unfinished"))
         return line
 
+    def test_late_wake_up_of_the_watch_leaves_the_connection_alone(self):
+        """What woke it has been read since; it waited on the socket then."""
+        length = b"Content-Length: 0\r\n\r\n"
+        with mock.patch.object(callers, "wait_read", lambda fileno: None):
+            sock = self.send("/book/x")
+            for number in range(2, 6):
+                self.assertIn(b" 200 ", sock.recv(65_536))
+                head = "POST /book/x HTTP/1.1\r\nHost: shop.example\r\n"
+                head += f"X-Attempt-Id: r-{number}\r\nAuthorization: Bearer {KEY}\r\n"
+                sock.sendall(head.encode() + length)
+            self.assertIn(b" 200 ", sock.recv(65_536))
+
     def test_caller_that_disconnects_in_a_stream(self):
         for server in self.front.engines:
             server.events = 1_000
