Take a further empty line between the events of a stream

What callers see: a stream in which a server writes three line feeds in a row breaks off there, with an unexpected error in the log; or it ends as cut off if they are its last ones.

Cause: the bytes up to the last empty line were split by an index that must be found. A single line feed behind an event is none, and is no incomplete event either. Clients take such lines for nothing.

Found by the random trials of framing (a spoiled stream).

--- a/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
@@ -35,8 +35,11 @@
 
     @property
     def pending(self):
-        """Return whether an incomplete event has arrived."""
-        return bool(self._incomplete)
+        """Return whether an incomplete event has arrived.
+
+        An empty line by itself is none.
+        """
+        return bool(self._incomplete.strip(b"\n"))
 
     @property
     def pending_bytes(self):
@@ -108,7 +111,9 @@
         """Return the bytes of all events that are complete now, possibly none."""
         complete, begin, end = super().feed(data), 0, 0
         while end < len(complete) and not self.fault:
-            next_end = complete.index(_EVENT_END, end) + len(_EVENT_END)
+            found_at = complete.find(_EVENT_END, end)
+            # What is left may be an empty line that ends no event.
+            next_end = len(complete) if found_at < 0 else found_at + len(_EVENT_END)
             self.fault = self._fault_of(complete[end:next_end])
             if not self.fault:
                 end = next_end
--- a/tests/routed/test_stream_continuations.py
+++ b/tests/routed/test_stream_continuations.py
@@ -9,6 +9,8 @@
 import unittest  # noqa: E402
 from contextlib import closing  # noqa: E402
 
+from auburnwall.routing.event_stream import NumberedEventSplitter  # noqa: E402
+
 from .raw_server import RawServer, attempt_id, read_request  # noqa: E402
 from .support import KEY, FrontWithServers, send_call  # noqa: E402
 
@@ -212,5 +214,22 @@
             self.assertIn(body, answer)
 
 
+class EmptyLineTests(unittest.TestCase):
+    """Guards against a stream that ends with an error at a further empty line."""
+
+    def test_empty_lines_between_events(self):
+        stream = b"id: 1\ndata: a\n\n\nid: 2\ndata: b\n\n\n\n\nid: 3\ndata: c\n\n\n"
+        for size in range(1, len(stream) + 1):
+            splitter, got = NumberedEventSplitter(), b""
+            with self.subTest(size=size):
+                for begin in range(0, len(stream), size):
+                    got += splitter.feed(stream[begin : begin + size])
+                self.assertEqual(splitter.fault, None)
+                self.assertEqual((splitter.count, splitter.last_id), (3, "3"))
+                self.assertFalse(splitter.pending)
+                # A line at the end that ends no event may be left out.
+                self.assertIn(got, (stream, stream[:-1]))
+
+
 if __name__ == "__main__":
     unittest.main()
