Take an answer that arrives during a search for another slot

A silent request whose answer began while its node looked for a slot elsewhere could be interrupted all the same: the answer's first bytes lay unread, or its head was read and the body awaited, when the slot was found. Callers waited for a second server to read their prompt again, or got its answer instead of the first one.

Cause: after the search the node looked at the progress of the group and at whether the task awaits its server, but bytes are progress only once a whole event has been read, and a task that has read the head awaits its server again.

The node now looks at the socket and at the number of waits as well. The end of a connection is no answer: the slot at hand is then used, as before.

Tests: on the code before, 4 of the 25 tests that test_in_flight and test_late_checks then had fail, each with StalledError in place of the answer, one of them over a socket; now 0 of 27. The other two new ones guard the end of a connection: it is unread but no bytes, and the slot is used.

Run: 193 of 193 in eighteen modules of routing, routed and cli around the change. The 9 process tests of silent servers, each once alone, at loads of 7 to 25: 9 good.

--- a/packages/auburnwall-base/src/auburnwall/base/sockets.py
+++ b/packages/auburnwall-base/src/auburnwall/base/sockets.py
@@ -4,20 +4,25 @@
 
 
 def has_unread(sock):
-    """Return whether bytes, an end or an error lie unread in a socket.
-
-    Neither waits nor lets other tasks run, as ``select`` does under ``gevent``.
-    """
+    """Return whether bytes, an end or an error lie unread in a socket."""
     return _peek(sock) is not None
 
 
+def has_unread_bytes(sock):
+    """Return whether bytes lie unread in a socket."""
+    return bool(_peek(sock))
+
+
 def has_ended(sock):
     """Return whether nothing but an end or an error lies unread in a socket."""
     return _peek(sock) == b""
 
 
 def _peek(sock):
-    """Return the first unread byte, none at an end or error, or ``None``."""
+    """Return an unread byte, ``b""`` at an end or an error, or else ``None``.
+
+    Neither waits nor lets other tasks run, as ``select`` does under ``gevent``.
+    """
     timeout_s = sock.gettimeout()
     sock.settimeout(0.0)
     try:
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -9,7 +9,7 @@
 from auburnwall.base.http import READ_BYTES
 from auburnwall.base.http_reader import STATUS_LINE
 from auburnwall.base.logs import event
-from auburnwall.base.sockets import has_unread
+from auburnwall.base.sockets import has_unread, has_unread_bytes
 from auburnwall.fleet.server_notices import (
     LEAVING,
     limit_from_header,
@@ -74,6 +74,7 @@
         self._complete = False
         self.exchange = deps.in_flight.begin(request, placement.candidate)
         self.exchange.has_unread = self._has_unread
+        self.exchange.has_unread_bytes = self._has_unread_bytes
 
     def open(self):
         """Send the request and read the head of the response.
@@ -421,6 +422,11 @@
         sock = self._channel.connection.sock if self._channel else None
         return sock is not None and has_unread(sock)
 
+    def _has_unread_bytes(self):
+        """Return whether bytes have arrived, and not merely the connection's end."""
+        sock = self._channel.connection.sock if self._channel else None
+        return sock is not None and has_unread_bytes(sock)
+
     def _awaiting_server(self):
         """Return a context in which ``in_flight`` may interrupt the exchange."""
         return _AwaitingServer(self.exchange)
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -89,13 +89,16 @@
     may be silent as long as ``is_lost()`` is false, and is never suspect. With
     ``has_begun``, the caller has a part of the response.
 
-    ``has_unread()`` returns whether bytes of the candidate have arrived that its task
-    has not read yet. ``place_elsewhere()`` returns a ``Placement`` for the request at
-    another candidate, for which it may wait, or raises ``RequestError``.
+    ``has_unread()`` returns whether bytes of the candidate or its connection's end have
+    arrived that its task has not read yet, ``has_unread_bytes()`` whether bytes have.
+    ``place_elsewhere()`` returns a ``Placement`` for the request at another candidate,
+    for which it may wait, or raises ``RequestError``.
     ``give_back(placement)`` undoes that. ``begin_elsewhere(placement)`` sends the
     request there and returns the attempt once its response has started, or raises
     ``RequestError``. ``search`` is the task that calls them. ``is_past_end`` is set by
-    the first check that finds it past its deadline.
+    the first check that finds it past its deadline, and ``was_kept_for_bytes`` tells
+    whether bytes that arrived during a search have kept the exchange since its last
+    progress.
     """
 
     def __init__(self, request, candidate, now):
@@ -111,11 +114,13 @@
         self.is_past_end = False
         self.is_lost = None
         self.has_unread = bool
+        self.has_unread_bytes = bool
         self.place_elsewhere = None
         self.give_back = None
         self.begin_elsewhere = lambda placement: None
         self.search = None
         self.next_search_at = 0.0
+        self.was_kept_for_bytes = False
         self.stall_timeout_s = FIRST_EVENT_STALL_TIMEOUT_S
         self.reroute_delay_s = REROUTE_DELAY_S
         self.task = gevent.getcurrent()
@@ -124,6 +129,7 @@
         """Record that bytes of a stream have arrived."""
         self.reads += 1
         self.progress_at = now
+        self.was_kept_for_bytes = False
         self.stall_timeout_s = STALL_TIMEOUT_S
 
 
@@ -285,30 +291,40 @@
 
         If none does, or if the exchange goes on meanwhile, it is kept.
         """
-        began_at = self._clock.monotonic()
+        began_at, waits = self._clock.monotonic(), exchange.waits
         attempt = None
         try:
             placement = exchange.place_elsewhere()
-            if not self._goes_on(exchange, began_at):
+            goes_on = self._goes_on(exchange, began_at, waits)
+            if not goes_on:
                 attempt = exchange.begin_elsewhere(placement)
+                goes_on = self._goes_on(exchange, began_at, waits)
         except RequestError as exc:
             self._log_kept(exchange, f"{why}; {exc.detail}")
             return
         finally:
             exchange.search = None
             exchange.next_search_at = self._clock.monotonic() + SEARCH_RETRY_S
-        if self._goes_on(exchange, began_at):
+        if goes_on:
             _drop(exchange, placement, attempt)
             self._log_kept(exchange, f"{why}; it goes on")
             return
         error = StalledError(why, step="wait", placement=placement, attempt=attempt)
         self._interrupt(exchange, error, self._clock.monotonic())
 
-    def _goes_on(self, exchange, since):
-        """Return whether a stalled exchange is found not to be stalled any more."""
+    def _goes_on(self, exchange, since, waits):
+        """Return whether a stalled exchange is found not to be stalled any more.
+
+        ``waits`` is how often it had awaited its server at the time ``since``.
+        """
         progress_at = self.last_progress_at(exchange.candidate.name)
         is_live = exchange.is_lost is not None and not exchange.is_lost()
-        return progress_at > since or is_live or not exchange.awaiting_server
+        return (
+            progress_at > since
+            or is_live
+            or not exchange.awaiting_server
+            or _is_kept_for_bytes(exchange, waits)
+        )
 
     def _silence_of_service(self, service, now):
         """Return the number of a service's silent candidates and of all awaited ones.
@@ -369,6 +385,17 @@
     return over_s <= MAX_UNREAD_S and exchange.has_unread()
 
 
+def _is_kept_for_bytes(exchange, waits):
+    """Return whether bytes have arrived since the exchange had waited ``waits`` times.
+
+    True once until its next progress: a server may always send something else.
+    """
+    has_arrived = exchange.waits != waits or exchange.has_unread_bytes()
+    is_kept = has_arrived and not exchange.was_kept_for_bytes
+    exchange.was_kept_for_bytes |= has_arrived
+    return is_kept
+
+
 def _raise_if_awaiting(exchange, wait, error):
     """Raise an error in an exchange's task if that still awaits its server.
 
--- a/tests/routing/test_in_flight.py
+++ b/tests/routing/test_in_flight.py
@@ -16,6 +16,7 @@
     COMMON_REROUTE_DELAY_S,
     MAX_UNREAD_S,
     REROUTE_DELAY_S,
+    SEARCH_RETRY_S,
     STALL_TIMEOUT_S,
     DeadlineExceededError,
     InFlightRequests,
@@ -162,6 +163,49 @@
         self.assertIsNone(self.interruption(exchange))
         self.assertEqual(self.released, [self.placement])
 
+    def test_slot_is_given_back_if_bytes_arrive_during_the_search(self):
+        exchange, slot = self.exchange(), AsyncResult()
+        exchange.place_elsewhere = slot.get
+        self.check_after(STALL_TIMEOUT_S + REROUTE_DELAY_S + 0.01)
+        gevent.sleep(0)
+        exchange.has_unread = exchange.has_unread_bytes = lambda: True
+        slot.set(self.placement)
+        self.assertIsNone(self.interruption(exchange))
+        self.assertEqual(self.released, [self.placement])
+
+    def test_slot_is_kept_if_the_connection_ends_during_the_search(self):
+        """What follows has its place then."""
+        exchange, slot = self.exchange(), AsyncResult()
+        exchange.place_elsewhere = slot.get
+        self.check_after(STALL_TIMEOUT_S + REROUTE_DELAY_S + 0.01)
+        gevent.sleep(0)
+        exchange.has_unread = lambda: True
+        slot.set(self.placement)
+        self.assertIsInstance(self.interruption(exchange), StalledError)
+        self.assertEqual(self.released, [])
+
+    def test_slot_is_given_back_if_the_head_is_read_during_the_search(self):
+        exchange, slot = self.exchange(), AsyncResult()
+        exchange.place_elsewhere = slot.get
+        self.check_after(STALL_TIMEOUT_S + REROUTE_DELAY_S + 0.01)
+        gevent.sleep(0)
+        # Its task awaits the body.
+        exchange.waits += 1
+        slot.set(self.placement)
+        self.assertIsNone(self.interruption(exchange))
+        self.assertEqual(self.released, [self.placement])
+
+    def test_bytes_that_are_no_progress_keep_an_exchange_once(self):
+        """Guards against a server that always sends something."""
+        exchange = self.exchange()
+        exchange.has_unread = exchange.has_unread_bytes = lambda: True
+        self.check_after(STALL_TIMEOUT_S + REROUTE_DELAY_S + 0.01)
+        self.assertIsNone(self.interruption(exchange))
+        self.assertEqual(self.released, [self.placement])
+        self.check_after(SEARCH_RETRY_S + 0.01)
+        self.assertIsInstance(self.interruption(exchange), StalledError)
+        self.assertEqual(self.released, [self.placement])
+
     def test_search_ends_with_its_exchange(self):
         exchange, ended = self.exchange(), []
 
@@ -229,8 +273,20 @@
         self.assertFalse(Attempt._has_unread(attempt))
         theirs.sendall(b"id: 1")
         self.assertTrue(Attempt._has_unread(attempt))
+        self.assertTrue(Attempt._has_unread_bytes(attempt))
         attempt._channel = None
         self.assertFalse(Attempt._has_unread(attempt))
+        self.assertFalse(Attempt._has_unread_bytes(attempt))
+
+    def test_end_of_an_attempt_s_connection_is_unread_and_no_bytes(self):
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        channel = SimpleNamespace(connection=SimpleNamespace(sock=ours))
+        attempt = SimpleNamespace(_channel=channel)
+        self.assertFalse(Attempt._has_unread_bytes(attempt))
+        theirs.close()
+        self.assertTrue(Attempt._has_unread(attempt))
+        self.assertFalse(Attempt._has_unread_bytes(attempt))
 
     def test_slow_group_keeps_its_streams(self):
         """Servers twelve times slower, at 0.6 s an event, finish their streams."""
