Wait out no usual time of an answer in a group whose streams have stopped

What callers would see: while a group has lost a member, its requests that are no streams wait for up to half of their time, since such answers usually take long, and are late.

Cause: how long an answer usually takes says nothing where others of the same group have made progress since the request began and have all stopped. That silence is of the group, and is measured from its last progress, as before.

The test failed before.

--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -271,7 +271,10 @@
         if over_s <= 0 or _has_unread(exchange, over_s):
             return
         self.make_suspect(name)
-        if not exchange.may_reroute or over_s <= exchange.reroute_delay_s:
+        # Others of the group have stopped as well, which is no usual time of an answer.
+        has_stopped = self.last_progress_at(name) > exchange.progress_at
+        delay_s = REROUTE_DELAY_S if has_stopped else exchange.reroute_delay_s
+        if not exchange.may_reroute or over_s <= delay_s:
             return
         if over_s <= COMMON_REROUTE_DELAY_S:
             silent, awaited = self._silence_of_service(exchange.request.service, now)
--- a/tests/routing/test_in_flight.py
+++ b/tests/routing/test_in_flight.py
@@ -318,6 +318,14 @@
                 found_s = reroute_delay_s(0.7, usual_s, time_left_s)
                 self.assertAlmostEqual(found_s, delay_s)
 
+    def test_answer_of_a_group_whose_streams_have_stopped_is_not_waited_for(self):
+        exchange, stream = self.exchange(), self.exchange()
+        exchange.reroute_delay_s = 9.0
+        self.check_after(0.1)
+        self.in_flight.note_progress(stream)
+        self.check_after(STALL_TIMEOUT_S + REROUTE_DELAY_S + 0.01)
+        self.assertIsInstance(self.interruption(exchange), StalledError)
+
     def test_candidate_whose_answers_usually_take_long_is_suspect_as_soon(self):
         exchange = self.exchange()
         exchange.reroute_delay_s = 1.3
