Leave the exit of a stopped node a quarter of a second at least

What callers and operators see: with a short grace, a node that still has requests at the end of its stop may be killed before its process has ended.

Cause: the stop ended at 0.93 of the grace, which leaves the end of the process 0.07 s with the least grace (1 s) and 0.21 s with 3 s, however long it takes; and its last wait of 0.05 s was not shortened, so that up to 0.05 s of that was lost. The stop ends 0.25 s before the grace does now, if that is earlier than 0.93, and its last wait ends with it. The time for last answers before that is 0.08 of the grace, as before. With a grace of 3.6 s or more, nothing changes but the last wait.

Test: test_short_grace_leaves_time_for_the_exit, with a request that runs on. Time left after the stop, before: 0.05 s (grace 1 s), 0.10 (1.5 s), 0.10 (2 s), 0.20 (3 s); now 0.25 s.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/shutdown.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/shutdown.py
@@ -21,11 +21,13 @@
 # accepted last finish in the rest: the longest streams under load take half of the
 # grace time.
 ACCEPT_SHARE = 0.36
-# Fraction of the grace time after which requests without a response get an error, so
-# that it can still be written.
-ANSWER_SHARE = 0.85
 # Fraction of the grace time after which the node exits although requests are running.
 END_SHARE = 0.93
+# Time that the exit has at least, in seconds.
+MIN_EXIT_S = 0.25
+# Time before the exit from which on requests without a response get an error, so that
+# it can still be written, as a fraction of the grace time.
+ANSWER_SHARE = 0.08
 # Time without a running request after which no more are expected, in seconds.
 IDLE_S = 1.5
 
@@ -59,16 +61,15 @@
         event("stop begun", running=gateway.running, grace_s=cfg.grace_s)
         self._tasks.spawn(self._withdraw)
         accept_s = min(ENTRY_HOLDS * cfg.entry_hold_s, ACCEPT_SHARE * cfg.grace_s)
-        end_at = began_at + END_SHARE * cfg.grace_s
-        gateway.stop_time.begin(began_at + ANSWER_SHARE * cfg.grace_s, end_at)
-        while self._clock.monotonic() < end_at:
-            now = self._clock.monotonic()
+        end_at = began_at + min(END_SHARE * cfg.grace_s, cfg.grace_s - MIN_EXIT_S)
+        gateway.stop_time.begin(end_at - ANSWER_SHARE * cfg.grace_s, end_at)
+        while (now := self._clock.monotonic()) < end_at:
             gateway.refusing = now - began_at >= accept_s
             idle_s = now - max(gateway.idle_since, began_at)
             if not gateway.running and (gateway.refusing or idle_s >= IDLE_S):
                 break
             gateway.stop_time.end_late_waits()
-            self._clock.sleep(POLL_S)
+            self._clock.sleep(min(POLL_S, end_at - now))
         gateway.refusing = True
         if gateway.running:
             warn("stopping with requests running", running=gateway.running)
--- a/tests/routed/test_shutdown.py
+++ b/tests/routed/test_shutdown.py
@@ -26,6 +26,8 @@
 # Requests that are sent to a node later than this after its SIGTERM must never be cut
 # off, so the node must refuse new ones by then.
 MAX_ACCEPT_S = 3.0
+# Time that the end of the process may take beside load, in seconds.
+MIN_LEFT_S = 0.24
 
 
 class YieldingClock(FakeClock):
@@ -91,6 +93,22 @@
             gevent.sleep(0)
         self.assertLess(self.clock.now - began_at, 8.0)
 
+    def test_short_grace_leaves_time_for_the_exit(self):
+        """Guards against an exit that is killed, and answers that come too late."""
+        for grace_s in (1.0, 1.5, 2.0, 3.0):
+            self.setUp()
+            self.shutdown.cfg = RoutedSettings(grace_s=grace_s)
+            began_at = self.clock.now
+            self.run_until_refusing(running=1)
+            self.shutdown.finished.wait()
+            left_s = began_at + grace_s - self.clock.now
+            stop_time = self.gateway.stop_time
+            with self.subTest(grace_s=grace_s):
+                self.assertGreater(left_s, MIN_LEFT_S)
+                self.assertAlmostEqual(self.clock.now, stop_time.exit_at)
+                answer_s = stop_time.exit_at - stop_time.answer_by
+                self.assertAlmostEqual(answer_s, 0.08 * grace_s)
+
     def test_requests_that_the_exit_cuts_off_are_logged_at_its_end(self):
         logged_at = []
         self.shutdown.log_cut_off = lambda: logged_at.append(self.clock.now)
