Raise the error of a stop once in the task of a request

Latent, not seen at callers: the stop raises its error in a task that waits too long. If the clean-up after that waits as well, say for a call that ends the run, the next check of the stop found the same wait and raised a second error in the clean-up, which broke it off: what was still to be released was not.

Cause: the wait stayed listed until its block was left. It is taken off now when its error is raised. An outer block has a limit of its own, as before.

Test: test_error_is_raised_once; the clean-up did not come to its end before, it does now. tests.routing.test_stop_time 10, tests.routing.test_brokers 16 and tests.node.test_planned_stop 2, all good.

--- a/packages/auburnwall-routing/src/auburnwall/routing/stop_time.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/stop_time.py
@@ -128,6 +128,8 @@
     def _raise_in(self, task, wait, why):
         """Raise the error if the task still waits; called by the event loop."""
         if self._waits.get(task) is wait:
+            # The clean-up after the error must not be broken off by a further one.
+            del self._waits[task]
             task.throw(wait.error(why))
 
     def _late_answer(self):
--- a/tests/routing/test_stop_time.py
+++ b/tests/routing/test_stop_time.py
@@ -11,7 +11,11 @@
 import gevent  # noqa: E402
 from gevent.event import Event  # noqa: E402
 
-from auburnwall.routing.exceptions import NOT_RUN, OverloadedError  # noqa: E402
+from auburnwall.routing.exceptions import (  # noqa: E402
+    NOT_RUN,
+    OverloadedError,
+    RequestError,
+)
 from auburnwall.routing.stop_time import StopTime, can_end  # noqa: E402
 from tests.state.test_table import FakeClock  # noqa: E402
 
@@ -123,6 +127,30 @@
         task.join(1.0)
         self.assertEqual(ended, ["stop"])
 
+    def test_error_is_raised_once(self):
+        """Guards against one that breaks off the clean-up after the first."""
+        ended = []
+
+        def wait():
+            try:
+                with self.stop_time.limit_answer("r"):
+                    try:
+                        Event().wait()
+                    finally:
+                        gevent.sleep(0.02)
+                        ended.append("cleaned up")
+            except RequestError as exc:
+                ended.append(exc.step)
+
+        task = gevent.spawn(wait)
+        gevent.sleep(0)
+        self.begin(answer_s=0.0)
+        for _ in range(2):
+            self.stop_time.end_late_waits()
+            gevent.sleep(0.005)
+        task.join(1.0)
+        self.assertEqual(ended, ["cleaned up", "stop"])
+
     def test_wait_that_has_just_succeeded_is_left_alone(self):
         """Guards against an error that is raised after the wait, in what follows."""
         ended, ready = [], Event()
