Do not send a request to a peer that a stop has refused

What callers see, in a case that takes both troubles at once: a node loses its links to the servers while a request waits for a slot, and stops meanwhile. The stop ends the wait, as no time is left for an attempt, but the request was sent to a peer after all, and got 504, unknown, or nothing at the exit, in place of 503, not run. Latent; not seen at callers.

Cause: `DetourPlacer.place` took every `OverloadedError` for a lack of slots. That of a stop is raised on now; its step is named `STOP_STEP`.

Test: test_request_that_a_stop_has_refused_goes_to_no_peer; no error was raised before.

--- a/packages/auburnwall-routing/src/auburnwall/routing/detour.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/detour.py
@@ -15,6 +15,7 @@
 from .exceptions import OverloadedError
 from .forwarded import FORWARDED_BY, SERVERS_LEFT
 from .placer import Placement
+from .stop_time import STOP_STEP
 
 # Time for which a peer that could not be reached is not chosen, in seconds.
 FAILED_PEER_S = 1.0
@@ -56,7 +57,9 @@
             return placement
         try:
             return self._direct.place(request, excluded_servers, resume_window_s)
-        except OverloadedError:
+        except OverloadedError as exc:
+            if exc.step == STOP_STEP:
+                raise
             # The links may have been lost during the wait.
             if placement := self._place_at_peer(request, excluded_servers):
                 return placement
--- a/packages/auburnwall-routing/src/auburnwall/routing/stop_time.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/stop_time.py
@@ -21,15 +21,17 @@
 # Retry-After of a stopping node, in seconds. It is short, as the caller retries at
 # another node.
 STOPPING_RETRY_AFTER_S = 0.05
+# Step of the errors by which a stop ends a request.
+STOP_STEP = "stop"
 
 
 def stopping_error(why):
     """Return the error for a request that a stopping node does not begin."""
-    return OverloadedError(why, STOPPING_RETRY_AFTER_S, step="stop")
+    return OverloadedError(why, STOPPING_RETRY_AFTER_S, step=STOP_STEP)
 
 
 def _unknown_error(why):
-    return RequestError(504, "Out of time", why, ran=UNKNOWN, step="stop")
+    return RequestError(504, "Out of time", why, ran=UNKNOWN, step=STOP_STEP)
 
 
 class _Wait(NamedTuple):
--- a/tests/routed/test_detours.py
+++ b/tests/routed/test_detours.py
@@ -4,15 +4,20 @@
 
 gevent.monkey.patch_all()
 
+import random  # noqa: E402
 import socket  # noqa: E402
 import unittest  # noqa: E402
 from types import SimpleNamespace  # noqa: E402
 
 import gevent  # noqa: E402
 
+from auburnwall.base.clock import SystemClock  # noqa: E402
 from auburnwall.fleet.formation.records import NodeRecord  # noqa: E402
 from auburnwall.node.routed.entry import EntryPoints  # noqa: E402
 from auburnwall.node.routed.settings import RoutedSettings  # noqa: E402
+from auburnwall.routing.detour import DetourPlacer  # noqa: E402
+from auburnwall.routing.exceptions import OverloadedError  # noqa: E402
+from auburnwall.routing.stop_time import stopping_error  # noqa: E402
 
 from .support import KEY, FrontWithServers, config, send_call, wait_until  # noqa: E402
 
@@ -193,5 +198,41 @@
         self.assertEqual(self.addresses("n0", "n1", "n2", "n3"), ["n0", "n1"])
 
 
+class StopTests(unittest.TestCase):
+    """The links are lost during a wait for a slot, which then ends with an error."""
+
+    def place(self, error):
+        """Return the placement at a peer; raises ``error`` without one."""
+        reach = SimpleNamespace(is_lost=lambda service: is_lost)
+        is_lost = False
+
+        def place_directly(*args):
+            nonlocal is_lost
+            is_lost = True
+            raise error
+
+        peer = NodeRecord("peer-0", "peer-0-1", "127.0.0.1:1", "", "norte")
+        detours = DetourPlacer(
+            SimpleNamespace(place=place_directly),
+            reach,
+            lambda service: [peer],
+            lambda name: True,
+            "norte",
+            SystemClock(),
+            random.Random(1),
+        )
+        request = SimpleNamespace(forwarded_by="", service="desk")
+        return detours.place(request)
+
+    def test_request_that_has_no_slot_goes_to_a_peer(self):
+        self.assertTrue(self.place(OverloadedError("full", 1.0)).is_detour)
+
+    def test_request_that_a_stop_has_refused_goes_to_no_peer(self):
+        """Guards against a detour for which the stop leaves no time."""
+        with self.assertRaises(OverloadedError) as caught:
+            self.place(stopping_error("this node is stopping"))
+        self.assertEqual(caught.exception.step, "stop")
+
+
 if __name__ == "__main__":
     unittest.main()
