Cancel the run of a stream that a stop ends

What operators see: a stopping node of the product's own interface answers 504 to a stream that has no event yet, and its group goes on with the request until the deadline, for nobody.

Cause: a stop's error is a `RequestError`, and `Completions.stream` cancels a run at any error but those, which are otherwise raised when the group has ended the exchange. `complete` cancels in no case, as before; the group knows the deadline.

Test: test_run_of_a_request_that_a_stop_ends_is_cancelled, with an engine that takes 0.3 s for a cancel; none came before, one comes now, and the error needs less than 0.2 s.

--- a/packages/auburnwall-routing/src/auburnwall/routing/completions.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/completions.py
@@ -9,12 +9,15 @@
 import json
 from contextlib import contextmanager
 
+import gevent
+
 from auburnwall.base.http import READ_BYTES
 from auburnwall.base.logs import event
 
 from .event_stream import is_event_stream
 from .exceptions import UNKNOWN, ExchangeError, RequestError
 from .sse import DONE, TruncatedStreamError, error_event, split_events, text_of
+from .stop_time import STOP_STEP
 
 # Bounds of the timeout for each read from a response. Between them, the timeout is the
 # time left until the caller's deadline.
@@ -81,7 +84,10 @@
                         if sent_events and sent_events[-1].endswith(DONE):
                             return
                         retry_state.record_failure(exc)
-                    except RequestError:
+                    except RequestError as exc:
+                        if exc.step == STOP_STEP:
+                            # The answer must not wait for the group.
+                            gevent.spawn(self._cancel, slot.group_view, request)
                         raise
                     except BaseException:
                         self._cancel(slot.group_view, request)
--- a/tests/routing/test_streams.py
+++ b/tests/routing/test_streams.py
@@ -1,10 +1,14 @@
 """Streams are sent in complete events, end once and are resumed after a failure."""
 
 import json
+import time
 import unittest
 from contextlib import contextmanager
 from types import SimpleNamespace
 
+import gevent
+from gevent.event import Event
+
 from auburnwall.base.clock import SystemClock
 from auburnwall.fleet.directory import GroupView
 from auburnwall.routing.completions import Completions
@@ -12,6 +16,7 @@
 from auburnwall.routing.request import CallerRequest
 from auburnwall.routing.retries import RetryBudget
 from auburnwall.routing.sse import DONE, TruncatedStreamError, split_events, text_of
+from auburnwall.routing.stop_time import StopTime
 
 
 def text_event(text):
@@ -84,15 +89,20 @@
         yield SimpleNamespace(group_view=group_view)
 
 
+def new_stream(exchanges, engine=None):
+    """Return the events that a caller gets by these exchanges."""
+    budget = RetryBudget(share=0.1, reserve=10.0)
+    completions = Completions(exchanges, engine, budget, SystemClock())
+    deadline = SystemClock().monotonic() + 10.0
+    request = CallerRequest(
+        "r", "t", 1.0, "m", deadline, 5, "POST", "/", {}, b'{"stream": true}'
+    )
+    return completions.stream(request, FakeDispatcher())
+
+
 class ResumeTests(unittest.TestCase):
     def stream(self, exchanges):
-        budget = RetryBudget(share=0.1, reserve=10.0)
-        completions = Completions(exchanges, None, budget, SystemClock())
-        deadline = SystemClock().monotonic() + 10.0
-        request = CallerRequest(
-            "r", "t", 1.0, "m", deadline, 5, "POST", "/", {}, b'{"stream": true}'
-        )
-        return b"".join(completions.stream(request, FakeDispatcher()))
+        return b"".join(new_stream(exchanges))
 
     def test_broken_stream_is_resumed_after_the_events_sent(self):
         exchanges = FakeExchanges(
@@ -124,5 +134,43 @@
         self.assertNotIn(DONE, answer)
 
 
+class StopTests(unittest.TestCase):
+    """A stop of the node ends a wait for the first event."""
+
+    def setUp(self):
+        self.stop_time = StopTime(SystemClock())
+        self.cancelled = []
+
+    def cancel(self, address, request_id):
+        """Cancel a request at an engine that answers late."""
+        gevent.sleep(0.3)
+        self.cancelled.append(request_id)
+
+    def first_event(self):
+        """Return the error that ends the wait for a silent engine's first event."""
+        exchanges = FakeExchanges(([], False))
+        exchanges._send_chunks = lambda chunks, fails: iter(Event().wait, None)
+        engine = SimpleNamespace(cancel=self.cancel)
+        stream = new_stream(exchanges, engine)
+        with (
+            self.assertRaises(RequestError) as caught,
+            self.stop_time.limit_answer("r"),
+        ):
+            next(stream)
+        return caught.exception
+
+    def test_run_of_a_request_that_a_stop_ends_is_cancelled(self):
+        """Guards against work for nobody, and an answer that waits for its end."""
+        task = gevent.spawn(self.first_event)
+        gevent.sleep(0.02)
+        now = time.monotonic()
+        self.stop_time.begin(now, now + 1.0)
+        self.stop_time.end_late_waits()
+        error = task.get(timeout=0.2)
+        self.assertEqual((error.status, error.step), (504, "stop"))
+        gevent.sleep(0.4)
+        self.assertEqual(self.cancelled, ["r"])
+
+
 if __name__ == "__main__":
     unittest.main()
