Take nothing but fields behind the last chunk of an answer

What callers see: an answer in chunks whose end is missing, with a copy of another answer behind it, passes as whole: the copy's head is taken for its trailer.

Cause: the libraries read lines up to an empty one behind the last chunk and do not look at them. Only behind chunks of a stale answer was a status line refused.

Conclusion: the reader of lines checks them for both; the check of stale answers alone is gone.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -48,6 +48,8 @@
 _CHUNK_END = b"\r\n"
 # The begin of a response, also where something else is due.
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d +\d{3}")
+# What may follow the last chunk: fields, and the empty line at the end.
+_TRAILER_LINE = re.compile(rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n]*)?\r?\n")
 # The name of a field. The parser takes all but spaces, colons and control characters.
 _FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 # What the parser notes of a body in several parts, which it looks for behind the head.
@@ -141,6 +143,7 @@
         self._lines_bytes = 0
         self._begun = False
         self._chunk_left = None
+        self._is_in_trailer = False
 
     def begin_message(self, max_bytes=None):
         """Begin a further message, of up to ``max_bytes`` bytes if that is given.
@@ -155,7 +158,8 @@
         """Check from now on that what is read are sound chunks.
 
         The parser reads the line before a chunk, its data, and the two bytes after it.
-        Raises ``FramingError`` then. After the last chunk nothing is checked.
+        Raises ``FramingError`` then, and for lines after the last chunk that are no
+        fields.
         """
         self._chunk_left = 0
 
@@ -187,7 +191,11 @@
             raise FramingError(f"a CR within a line: {line[-64:]!r}")
         if line.startswith(b"From "):
             raise FramingError(f"a line that is no field: {line[:64]!r}")
-        if self._chunk_left is not None:
+        if self._is_in_trailer:
+            if not _TRAILER_LINE.fullmatch(line):
+                raise FramingError(f"bad line after the chunks: {line[:64]!r}")
+            self._is_in_trailer = line != b"\r\n"
+        elif self._chunk_left is not None:
             self._begin_chunk(line)
         return line
 
@@ -208,6 +216,7 @@
         size = int(match[1], 16)
         # The end of the chunk is read like its data.
         self._chunk_left = size + len(_CHUNK_END) if size else None
+        self._is_in_trailer = not size
 
     def close(self):
         """Close the reader, and the socket's file object below it."""
@@ -257,17 +266,7 @@
     """Reads from a ``MessageReader`` for a parser that closes its file at the end."""
 
     def __init__(self, reader):
-        self.read, self._readline = reader.read, reader.readline
-
-    def readline(self, size=-1):
-        """Return the next line; raises ``FramingError`` if a response begins there.
-
-        Behind the last chunk the parser takes it for one of the fields of a trailer.
-        """
-        line = self._readline(size)
-        if line.startswith(b"HTTP/"):
-            raise FramingError("a stale response is cut short")
-        return line
+        self.read, self.readline = reader.read, reader.readline
 
     def close(self):
         """Do nothing: the next response is read from the same reader."""
--- a/tests/routed/test_truncated_messages.py
+++ b/tests/routed/test_truncated_messages.py
@@ -42,6 +42,9 @@
             b"2\r\nok\n\r0\r\n\r\n",
             b"2\r\nok\r\n\r\n0\r\n\r\n",
             b"2 2\r\nok\r\n0\r\n\r\n",
+            b"2\r\nok\r\n0\r\nno field\r\n\r\n",
+            b"2\r\nok\r\n0\r\n: x\r\n\r\n",
+            b"2\r\nok\r\n0\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
         )
     ),
     CHUNKED + b"Content-Length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n",
