Refuse a line feed by itself in the lines of a request's chunks

What callers see: nothing yet; a body whose chunk has a line feed in its extension, or in its trailer, is taken for sound. A reader before the node that ends lines there sees other chunks, and another end of the request.

Cause: gevent reads these lines byte by byte up to a CR.

Line feeds and CRs in the data of chunks, whole or alone in one, pass as they are (12 cases).

Conclusion: a reader between gevent and the connection refuses them. It knows by gevent's own count whether a byte is of a line or of the data.

--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -87,9 +87,11 @@
 
     __slots__ = ("is_broken",)
 
-    def __init__(self, *args):
-        super().__init__(*args)
+    def __init__(self, rfile, *args):
+        super().__init__(rfile, *args)
         self.is_broken = False
+        if self.chunked_input:
+            self.rfile = _ChunkReader(rfile, self)
 
     def read(self, length=None):
         """Return up to ``length`` bytes; raises ``OSError`` for a bad body."""
@@ -103,6 +105,29 @@
             raise FramingError("a chunk without a size") from exc
 
 
+class _ChunkReader:
+    """Reads the chunks of ``body`` for it; a line feed by itself ends no line of them.
+
+    The base class reads the lines byte by byte, and takes one for a part of a line
+    that another reader takes for its end.
+    """
+
+    def __init__(self, rfile, body):
+        self._read = rfile.read
+        self._body = body
+        self._last = b""
+
+    def read(self, size):
+        """Return up to ``size`` bytes; raises ``FramingError`` for a bad line."""
+        data = self._read(size)
+        body = self._body
+        is_in_line = body.position >= body.chunk_length
+        if data == b"\n" and is_in_line and self._last != b"\r":
+            raise FramingError("a line feed within the line of a chunk")
+        self._last = data
+        return data
+
+
 class ReadTimeout:
     """Raises ``error`` in a task that still waits for bytes after ``seconds``.
 
--- a/tests/routed/test_request_framing.py
+++ b/tests/routed/test_request_framing.py
@@ -106,6 +106,7 @@
         for fields, body in (
             ([b"Content-Length: 2"], b"ab"),
             ([b"Transfer-Encoding: chunked"], b"2;a=b\r\nab\r\n0\r\nX-T: 1\r\n\r\n"),
+            ([b"Transfer-Encoding: chunked"], b"1\r\na\r\n1;\r\nb\r\n0\r\n\r\n"),
         ):
             expected = [(200, [b"ab"])] * 2
             self.assertEqual(self.play(request(*fields, body=body)), expected)
@@ -255,6 +256,11 @@
             b"-0\r\n\r\n",
             b"2\r\nabXX" + sound,
             b"2\r\nab\r\n0\r\na b: c\r\n\r\n",
+            # A reader that ends lines at LF takes this for other chunks.
+            b"2;a\nab\r\nab\r\n0\r\n\r\n",
+            b"1;\n\r\na\r\n0\r\n\r\n",
+            b"2\r\nab\r\n0;\n\r\n\r\n",
+            b"2\r\nab\r\n0\r\na: b\nc: d\r\n\r\n",
         ):
             data = request(b"Transfer-Encoding: chunked", body=chunks)
             with self.subTest(chunks=chunks):
@@ -264,6 +270,16 @@
                     self.assertEqual(self.play(data + more), [(400, [])] * 2)
                 self.assertEqual(errors.getvalue(), "")
 
+    def test_line_feeds_in_the_data_of_chunks(self):
+        for data in (b"\n", b"\r", b"\n\n", b"\r\n", b"a\n", b"\na"):
+            for size in (1, 2):
+                pieces = [data[at : at + size] for at in range(0, len(data), size)]
+                chunks = b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in pieces)
+                chunked = b"Transfer-Encoding: chunked"
+                with self.subTest(data=data, size=size):
+                    got = self.play(request(chunked, body=chunks + b"0\r\n\r\n"))
+                    self.assertEqual(got, [(200, [data])] * 2)
+
     def test_body_that_is_not_read_to_its_end(self):
         """Nothing behind the error, or the limit, is another request."""
         evil = request(b"Content-Length: 0")
