Move the crash checks of a request to a module of their own

No behaviour is changed. What its attempts show of crashes, and whether the request is blocked, is CrashChecks; end_to_end_headers is beside the names of these headers, and two errors without state are functions of exceptions.

--- a/packages/auburnwall-routing/src/auburnwall/routing/exceptions.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/exceptions.py
@@ -49,3 +49,17 @@
     def __init__(self, detail, *, step, peer, sent):
         super().__init__(detail, step=step, peer=peer)
         self.sent = sent
+
+
+def unresumable_error():
+    """Return the error for a stream that broke off and whose events have no ids."""
+    return RequestError(
+        502, "Stream broke off", "its events have no ids", ran=UNKNOWN, step="resume"
+    )
+
+
+def no_retry_error():
+    """Return the error for a request that may not be sent to a further server."""
+    return RequestError(
+        502, "No repeats left", "no repeats left", ran=UNKNOWN, step="place"
+    )
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -7,9 +7,10 @@
 
 from typing import NamedTuple
 
-from .exceptions import ExchangeError
+from .exceptions import ExchangeError, unresumable_error
+from .hop_by_hop import end_to_end_headers
 from .in_flight import DeadlineExceededError, StalledError
-from .request_attempts import RESUME_WINDOW_S, RequestAttempts, end_to_end_headers
+from .request_attempts import RESUME_WINDOW_S, RequestAttempts
 
 
 class Reply(NamedTuple):
@@ -145,7 +146,7 @@
         the point to resume from is then unknown.
         """
         if caller_has_events and (position is None or position.last_id is None):
-            raise attempts.unresumable_error()
+            raise unresumable_error()
         while True:
             attempt = attempts.next_attempt(
                 position, RESUME_WINDOW_S if caller_has_events else None
--- a/packages/auburnwall-routing/src/auburnwall/routing/hop_by_hop.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/hop_by_hop.py
@@ -13,3 +13,8 @@
         "content-length",
     }
 )
+
+
+def end_to_end_headers(headers):
+    """Return a response's headers that are passed on to the caller, as pairs."""
+    return [(n, v) for n, v in headers.items() if n.lower() not in HOP_BY_HOP]
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -12,12 +12,19 @@
 from auburnwall.base.logs import event
 
 from .attempt import Attempt
-from .call import is_fingerprint
-from .crash_evidence import Suspect
+from .crash_checks import CrashChecks
 from .detour import DetourAttempt
 from .event_stream import StreamPosition
-from .exceptions import NOT_RUN, UNKNOWN, ExchangeError, OverloadedError, RequestError
-from .hop_by_hop import HOP_BY_HOP
+from .exceptions import (
+    NOT_RUN,
+    UNKNOWN,
+    ExchangeError,
+    OverloadedError,
+    RequestError,
+    no_retry_error,
+    unresumable_error,
+)
+from .hop_by_hop import end_to_end_headers
 from .in_flight import DeadlineExceededError, StalledError
 
 # Attempts at one request, including those that the server refuses to run.
@@ -43,6 +50,7 @@
         self._deps = deps
         self.request = request
         self._budget = budget
+        self._crash_checks = CrashChecks(deps, request)
         self._avoid = frozenset()
         self._attempt_count = 0
         self._possible_runs = 0
@@ -157,7 +165,7 @@
             attempt.note_unreachable()
         self._log_failure(attempt, exc)
         if sent and isinstance(exc, ExchangeError) and not attempt.is_detour:
-            self._check_for_crash(attempt)
+            self._crash_checks.note_failure(attempt)
 
     def place_elsewhere(self, attempt):
         """Return a ``Placement`` for the attempt that is to follow a running one.
@@ -172,9 +180,9 @@
     def _place_elsewhere(self, attempt, find_slot, *, is_kept):
         has_begun = self._first_event_s is not None
         if has_begun and attempt.splitter.last_id is None:
-            raise self.unresumable_error()
+            raise unresumable_error()
         if self._attempt_count >= MAX_ATTEMPTS or not self._budget.may_take():
-            raise self._no_retry_error()
+            raise no_retry_error()
         self._check_crash_causes(is_kept=is_kept)
         placement = find_slot(
             self._avoid | {attempt.candidate.server},
@@ -183,7 +191,7 @@
         try:
             self._check_placed(is_kept=is_kept)
             if not self._budget.take():
-                raise self._no_retry_error()
+                raise no_retry_error()
         except RequestError:
             self._deps.placer.release_slot(placement)
             raise
@@ -291,79 +299,20 @@
         """Return on how many servers the request may still run."""
         return self.request.route.max_servers - self._possible_runs
 
-    def _no_retry_error(self):
-        return RequestError(
-            502, "No repeats left", "no repeats left", ran=UNKNOWN, step="place"
-        )
-
-    def _check_for_crash(self, attempt):
-        """Record the request as evidence if the server of an exchange has crashed.
-
-        A refused connection is no sign of that while this node reaches no server.
-        """
-        deps, request, candidate = self._deps, self.request, attempt.candidate
-        failed_at = deps.clock.monotonic()
-        if not deps.channels.has_crashed(candidate.server, candidate.address):
-            return
-        if not deps.reach.reaches_any_since(failed_at):
-            self._log(attempt, "crash not counted", why="no server can be reached")
-            return
-        deps.crash_evidence.note_crash(
-            candidate.server,
-            candidate.born,
-            Suspect(
-                request.shared_parts,
-                "".join(request.prompt_parts[-1:]),
-                request.fingerprint,
-            ),
-            request.request_id,
-            attempt.exchange.started_at,
-        )
-
     def _check_crash_causes(self, *, is_kept=False):
         """Raise ``RequestError`` if the request or a part of its prompt is blocked.
 
         The request is logged as refused unless its running attempt ``is_kept``.
         """
-        found = self._deps.crash_evidence.blocked_cause(self.request.crash_causes)
-        if found is None:
-            return
-        cause, left_s = found
-        if is_fingerprint(cause):
-            step, title = "check request", "Request crashes servers"
-            detail = f"servers crash at this request, {cause}"
-        else:
-            step, title = "check prompt", "Prompt crashes servers"
-            detail = f"servers crash at prompts with part {cause}"
-        if not is_kept:
-            event(
-                "request refused",
-                request=self.request.request_id,
-                step=step,
-                part=cause,
-                why=detail,
-                retry_after_s=round(left_s, 2),
-            )
-        raise self._final_error(
-            502 if self._possible_runs else 503,
-            title,
-            OverloadedError(detail, left_s, step=step),
-        )
-
-    def unresumable_error(self):
-        """Return the error for a stream that broke off and whose events have no ids."""
-        return RequestError(
-            502,
-            "Stream broke off",
-            "its events have no ids",
-            ran=UNKNOWN,
-            step="resume",
-        )
+        blocked = self._crash_checks.find_blocked(is_logged=not is_kept)
+        if blocked is not None:
+            title, exc = blocked
+            raise self._final_error(502 if self._possible_runs else 503, title, exc)
 
     def log_response(self, attempt, event_name):
         """Log the end of a request that got a complete response."""
         exchange = attempt.exchange
-        self._deps.crash_evidence.note_answered(self._sound_causes(attempt))
+        self._crash_checks.note_answer(attempt)
         now = self._deps.clock.monotonic()
         if not exchange.reads:
             self._record_start(attempt, now)
@@ -378,19 +327,6 @@
             took_s=round(now - self.request.call.arrived_at, 3),
         )
 
-    def _sound_causes(self, attempt):
-        """Return what a complete response shows to be sound.
-
-        Only the events of a stream show that the server has read the prompt. A peer's
-        response may be a failure of its own; what it shows, the peer itself records.
-        """
-        if attempt.is_detour:
-            return ()
-        request = self.request
-        if attempt.exchange.reads and 200 <= attempt.status < 300:
-            return request.crash_causes
-        return () if request.route.streams else (request.fingerprint,)
-
     def _record_start(self, attempt, now):
         """Record how long the server took until ``now``, the start of its response.
 
@@ -591,8 +527,3 @@
             group=candidate.name,
             **fields,
         )
-
-
-def end_to_end_headers(headers):
-    """Return a response's headers that are passed on to the caller, as pairs."""
-    return [(n, v) for n, v in headers.items() if n.lower() not in HOP_BY_HOP]
