Count a server whose response came too late among those of the route

A stream of a route with two servers could run on three. Its server paused, a second one had begun to respond, and the first went on in that moment: the second was ended, yet counted as one that may have run the request. When the first paused again, the request was sent to a third server.

The cause: whether the running attempt may be given up was renewed only if the other attempt had failed, not if it had begun and was ended afterwards.

Ruled out: a check in the search for a place. Whether an attempt may be given up is decided in one place, before any slot is asked for.

A test with three servers: 3 of them had the request before, 2 after. tests.routed.test_refused_continuations: 19 tests, 1 failed before, all pass after.

--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -229,12 +229,13 @@
             if has_ended:
                 beginning.set(following if has_begun else None)
             self._beginning = None
+            # The running attempt may yet be kept, also if the other one has begun.
+            attempt.exchange.may_reroute = self._servers_left > 1
         if has_ended:
             # The task of the running attempt waits for this one; the search is over.
             raise gevent.GreenletExit
         if has_begun:
             return following
-        attempt.exchange.may_reroute = self._servers_left > 1
         detail = f"{following.candidate.server} did not take it"
         raise RequestError(502, "Not repeated", detail, ran=UNKNOWN, step="offer")
 
--- a/tests/routed/test_refused_continuations.py
+++ b/tests/routed/test_refused_continuations.py
@@ -14,6 +14,10 @@
 
 import gevent  # noqa: E402
 
+from standins.modelserver import ModelServerStandin  # noqa: E402
+from standins.store import StoreStandin  # noqa: E402
+from tests.fleet.test_registrations import registration  # noqa: E402
+
 from .raw_server import RawServer, read_request  # noqa: E402
 from .support import FrontWithServers, config, send_call, wait_until  # noqa: E402
 
@@ -234,6 +238,28 @@
         self.check_whole(call)
         self.assertEqual((len(first.seen), len(other.seen)), (1, 1))
 
+    def add_server(self):
+        """Add a third server of the streams."""
+        server = ModelServerStandin(StoreStandin(), "assist-2", "assist", "norte", "d0")
+        server.start()
+        self.addCleanup(server.stop)
+        self.front.engines.append(server)
+        self.front.registry.servers[server.server] = registration(
+            server.server, address=server.address
+        )
+        return server
+
+    def test_server_whose_answer_came_too_late_leaves_no_third_one(self):
+        call, first, other = self.start_stream()
+        third = self.add_server()
+        other.answer_s = 0.6
+        self.silence(first, 1.0)
+        gevent.sleep(1.1)
+        self.silence(first, 1.0)
+        self.check_whole(call)
+        seen = [len(server.seen) for server in (first, other, third)]
+        self.assertEqual(sum(seen), 2, seen)
+
     def test_plain_request_waits_for_its_server(self):
         for desk in self.front.desks:
             desk.answer_s = 1.6
