Let a request go on elsewhere when its server breaks off just then

Callers saw a stream cut, and repeatable requests a 502, although another server had begun to respond: the first one broke off while, or a moment before, the other one's response was taken up. The node ended what had begun, and the route's two servers were used up.

The cause: what begins elsewhere was handed over only to a task that still awaits its server or that already waits for the hand-over. In between lie the check whether the server has crashed, up to 0.1 s, and the rest of a round of the event loop, in which a node that runs late sees both events. In both the search for a place found the running attempt to go on, since its task did not await its server.

The task of the running attempt now claims what begins elsewhere before anything that may take time, and can claim it until the search has ended it. If that task ends as well, whoever is second closes the attempt.

Ruled out: to wait for the crash check in the search. The caller may leave meanwhile, and a record of the crash must not be late.

No existing test is changed.

--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -95,10 +95,12 @@
     for which it may wait, or raises ``RequestError``.
     ``give_back(placement)`` undoes that. ``begin_elsewhere(placement)`` sends the
     request there and returns the attempt once its response has started, or raises
-    ``RequestError``. ``search`` is the task that calls them. ``is_past_end`` is set by
-    the first check that finds it past its deadline, and ``was_kept_for_bytes`` tells
-    whether bytes that arrived during a search have kept the exchange since its last
-    progress.
+    ``RequestError``. ``end_elsewhere(attempt)`` undoes that unless the request goes on
+    there. ``search`` is the task that calls them.
+
+    ``is_past_end`` is set by the first check that finds the exchange past its deadline.
+    ``was_kept_for_bytes`` tells whether bytes that arrived during a search have kept it
+    since its last progress.
     """
 
     def __init__(self, request, candidate, now):
@@ -118,6 +120,7 @@
         self.place_elsewhere = None
         self.give_back = None
         self.begin_elsewhere = lambda placement: None
+        self.end_elsewhere = None
         self.search = None
         self.next_search_at = 0.0
         self.was_kept_for_bytes = False
@@ -415,6 +418,6 @@
 def _drop(exchange, placement, attempt):
     """End what was to follow an exchange that is kept."""
     if attempt is not None:
-        attempt.close()
+        exchange.end_elsewhere(attempt)
     elif placement is not None:
         exchange.give_back(placement)
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -43,7 +43,8 @@
     ``_possible_runs`` counts the servers that may have run the request, without that of
     the present attempt. ``_avoid`` holds the servers that must get no further attempt.
     ``_beginning`` is the result of an attempt that begins elsewhere while the present
-    one is still running, ``None`` without one.
+    one is still running, ``None`` without one. If the present one ends by itself, its
+    task takes it from there; otherwise the search for a place owns it.
     """
 
     def __init__(self, deps, request, budget):
@@ -122,14 +123,18 @@
         attempt was given up for another one, see ``place_elsewhere``. Raises
         ``RequestError`` if no further attempt is allowed.
         """
-        self._record_failure(attempt, exc)
+        record = partial(self._record_failure, attempt, exc)
         if isinstance(exc, StalledError):
+            record()
             if exc.attempt is None:
                 self._next_placement = exc.placement
             else:
+                self._beginning = None
                 self._take_over(exc.attempt)
             return
-        if not isinstance(exc, DeadlineExceededError) and self._take_beginning():
+        if isinstance(exc, DeadlineExceededError):
+            record()
+        elif self._take_beginning(record):
             return
         sent = getattr(exc, "sent", True)
         request = self.request
@@ -226,9 +231,13 @@
             has_begun = self._open_following(following, attempt)
         finally:
             has_ended = self._beginning is not beginning
-            if has_ended:
+            if not beginning.ready():
                 beginning.set(following if has_begun else None)
-            self._beginning = None
+            elif has_begun:
+                # The task of the running attempt has ended as well.
+                following.close()
+            if not (has_ended or has_begun):
+                self._beginning = None
             # The running attempt may yet be kept, also if the other one has begun.
             attempt.exchange.may_reroute = self._servers_left > 1
         if has_ended:
@@ -264,15 +273,26 @@
             raise
         return False
 
-    def _take_beginning(self):
-        """Wait for what begins elsewhere; return whether the request goes on there."""
+    def end_elsewhere(self, following):
+        """End what ``begin_elsewhere`` returned unless the request goes on with it."""
+        beginning = self._beginning
+        if beginning is not None and beginning.value is following:
+            self._beginning = None
+            following.close()
+
+    def _take_beginning(self, record):
+        """Wait for what begins elsewhere; return whether the request goes on there.
+
+        ``record()`` records how the running attempt has ended, which may take a while.
+        """
         beginning, self._beginning = self._beginning, None
-        if beginning is None:
-            return False
         try:
-            following = beginning.get()
+            record()
+            following = None if beginning is None else beginning.get()
         except BaseException:
-            if beginning.ready() and beginning.value is not None:
+            if beginning is not None and not beginning.ready():
+                beginning.set(None)
+            elif beginning is not None and beginning.value is not None:
                 beginning.value.close()
             raise
         if following is None:
@@ -382,6 +402,7 @@
         exchange.place_elsewhere = partial(self.place_elsewhere, attempt)
         exchange.give_back = self.give_back
         exchange.begin_elsewhere = partial(self.begin_elsewhere, attempt)
+        exchange.end_elsewhere = self.end_elsewhere
 
     def _place_or_fail(self, resume_window_s):
         self._check_crash_causes()
@@ -462,8 +483,7 @@
         attempt is allowed.
         """
         try:
-            self._record_refusal(attempt)
-            if self._take_beginning():
+            if self._take_beginning(partial(self._record_refusal, attempt)):
                 return
         finally:
             attempt.close()
--- a/tests/routed/test_refused_continuations.py
+++ b/tests/routed/test_refused_continuations.py
@@ -14,6 +14,7 @@
 
 import gevent  # noqa: E402
 
+from auburnwall.routing.exceptions import ExchangeError  # noqa: E402
 from standins.modelserver import ModelServerStandin  # noqa: E402
 from standins.store import StoreStandin  # noqa: E402
 from tests.fleet.test_registrations import registration  # noqa: E402
@@ -205,6 +206,60 @@
         self.check_whole(call)
         self.assertEqual(len(self.front.budget._retries), 1)
 
+    def test_other_server_answers_while_the_first_one_is_checked_for_a_crash(self):
+        call, first, other = self.start_stream()
+        checked = []
+
+        def has_crashed(server, address):
+            checked.append(server)
+            wait_until(lambda: other.running)
+            gevent.sleep(0.05)
+            return False
+
+        self.front.channels.has_crashed = has_crashed
+        other.answer_s = 0.2
+        self.silence(first, 2.0)
+        wait_until(lambda: other.seen)
+        first.stop()
+        self.check_whole(call)
+        self.assertEqual(checked, [first.server])
+        self.assertEqual(len(self.front.budget._retries), 1)
+
+    def test_caller_leaves_while_the_first_server_is_checked_for_a_crash(self):
+        call, first, other = self.start_stream()
+        checked = []
+
+        def has_crashed(server, address):
+            wait_until(lambda: other.running)
+            checked.append(server)
+            gevent.sleep(0.3)
+            return False
+
+        self.front.channels.has_crashed = has_crashed
+        other.answer_s, other.event_s = 0.2, 0.5
+        self.silence(first, 2.0)
+        wait_until(lambda: other.seen)
+        first.stop()
+        wait_until(lambda: checked)
+        gevent.sleep(0.05)
+        call.kill()
+        wait_until(lambda: not self.front.in_flight.slots_in_use)
+        self.assertEqual(len(self.front.in_flight), 0)
+
+    def test_first_server_breaks_off_in_the_moment_of_the_interrupt(self):
+        call, first, other = self.start_stream()
+        interrupt = self.front.in_flight._interrupt
+
+        def break_off_first(exchange, error, now):
+            if error.attempt is not None:
+                exc = ExchangeError("closed", step="read", peer=first.server, sent=True)
+                gevent.get_hub().loop.run_callback(exchange.task.throw, exc)
+            interrupt(exchange, error, now)
+
+        self.front.in_flight._interrupt = break_off_first
+        self.silence(first, 2.0)
+        self.check_whole(call)
+
     def test_first_server_refuses_before_the_other_one_answers(self):
         for engine in self.front.engines:
             self.silence(engine, 1.7)
