Go on elsewhere when the first of two servers answers with a failure

A caller got the 500 of a server although its request had also been sent to another server that would have answered: the first one was silent for 1.2 s, the second was asked, and the failure of the first came before the response of the second. It also was the end of a resumable stream that had not begun.

The cause: the attempt that begins elsewhere was waited for if the running one broke off or was refused, not if its response is a failure. The failure was passed on, or a slot at a third server was looked for while the second worked.

The failure is passed on if the other server refuses, fails or is silent to the end, then as before. Ruled out: to pass the failure on at once and let the caller repeat the request; that is a new request to a service that is answering this one.

--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -455,12 +455,18 @@
     def _may_retry_error(self, attempt):
         """Return whether a response with a 5xx status is retried at another server.
 
-        It is if another server has a slot; otherwise the response is the caller's. If
-        so, takes the slot and the retry from the budget, counts the attempt as a
-        possible run and excludes the server.
+        It is if the request has been sent to one already that responds, or if one has a
+        slot; otherwise the response is the caller's. If so, takes the slot and the
+        retry from the budget, counts the attempt as a possible run and excludes the
+        server.
         """
         route = self.request.route
-        if attempt.status < 500 or not route.repeatable or attempt.is_detour:
+        if attempt.status < 500:
+            return False
+        if self._take_beginning(lambda: None):
+            self._record_error(attempt)
+            return True
+        if not route.repeatable or attempt.is_detour:
             return False
         if self._possible_runs + 1 >= route.max_servers:
             return False
@@ -471,10 +477,14 @@
         except RequestError as exc:
             self._log(attempt, "failure passed on", status=attempt.status, why=str(exc))
             return False
+        self._record_error(attempt)
+        return True
+
+    def _record_error(self, attempt):
+        """Record that a server's response is a failure, and exclude the server."""
         self._possible_runs += 1
         self._avoid |= {attempt.candidate.server}
         self._log(attempt, "server failed", status=attempt.status)
-        return True
 
     def _handle_server_refusal(self, attempt):
         """Record a refusal and check whether a further attempt is allowed.
--- a/tests/routed/test_refused_continuations.py
+++ b/tests/routed/test_refused_continuations.py
@@ -315,9 +315,18 @@
         seen = [len(server.seen) for server in (first, other, third)]
         self.assertEqual(sum(seen), 2, seen)
 
-    def test_plain_request_waits_for_its_server(self):
+    def start_slow_stream(self, seconds):
+        """Start a stream that begins late; return the call, its server, the other."""
+        for engine in self.front.engines:
+            engine.answer_s = seconds
+        call = gevent.spawn(self.call)
+        wait_until(lambda: any(engine.seen for engine in self.front.engines))
+        return call, *sorted(self.front.engines, key=lambda e: -len(e.seen))
+
+    def start_plain_request(self, seconds):
+        """Start a request; return its task, its server, the other."""
         for desk in self.front.desks:
-            desk.answer_s = 1.6
+            desk.answer_s = seconds
         call = gevent.spawn(
             send_call,
             self.front.address,
@@ -327,12 +336,42 @@
             **{"X-Deadline-Ms": DEADLINE_MS},
         )
         wait_until(lambda: any(desk.seen for desk in self.front.desks))
-        first, other = sorted(self.front.desks, key=lambda d: -len(d.seen))
+        return call, *sorted(self.front.desks, key=lambda d: -len(d.seen))
+
+    def check_answered_by(self, call, server):
+        status, _, body = call.get(timeout=5.0)
+        self.assertEqual(status, 200)
+        self.assertEqual(json.loads(body)["by"], server.server)
+
+    def test_plain_request_waits_for_its_server(self):
+        call, first, other = self.start_plain_request(1.6)
         other.stop()
         status, _, body = call.get(timeout=5.0)
         self.assertEqual((status, json.loads(body)["by"]), (200, first.server))
         self.assertEqual(len(self.front.budget._retries), 0)
 
+    def test_first_server_fails_before_the_other_one_answers(self):
+        call, first, other = self.start_plain_request(1.5)
+        first.faults.add("fail")
+        other.answer_s = 0.5
+        self.check_answered_by(call, other)
+        self.assertEqual((len(first.seen), len(other.seen)), (1, 1))
+        wait_until(lambda: not self.front.in_flight.slots_in_use)
+
+    def test_first_server_of_a_stream_fails_before_the_other_one_answers(self):
+        call, first, other = self.start_slow_stream(1.5)
+        first.faults.add("fail")
+        other.answer_s = 0.5
+        self.check_whole(call)
+
+    def test_both_servers_fail(self):
+        call, first, other = self.start_plain_request(1.5)
+        first.faults.add("fail")
+        other.faults.add("fail")
+        other.answer_s = 0.5
+        status, _, body = call.get(timeout=5.0)
+        self.assertEqual((status, body), (500, b"failed"))
+
 
 if __name__ == "__main__":
     unittest.main()
