Keep a running attempt over a failure of the server asked beside it

A caller got the 500 of the second server while the first one would still have answered: a request that may be repeated, or a resumable stream that had not begun, whose server was silent for 1.2 s. The failure of the server asked beside it began its response first, and the running attempt was given up for it.

A response was taken for one that may follow whatever its status, as long as the running attempt had none.

A 5xx now counts as a run that failed, and the running attempt is kept; a further server is asked if the route allows one. Other statuses tell something of the request and end it as before. What it costs: if the first server never answers and no further one is allowed, the caller gets a 504 at its deadline, not the 500 before it. Ruled out: to keep the failure for that case; its slot and connection would be held for it.

Two tests in tests/routed/test_refused_continuations.py, both failed before with 500 in place of 200 and pass after. No existing test is changed.

--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -312,6 +312,9 @@
             return False
         if self._first_event_s is not None:
             return following.is_event_stream
+        if following.status >= 500:
+            # The running attempt may yet succeed.
+            return False
         # A status of 0 tells that the running attempt has no response yet.
         return not 200 <= attempt.status < 300 or 200 <= following.status < 300
 
--- a/tests/routed/test_refused_continuations.py
+++ b/tests/routed/test_refused_continuations.py
@@ -364,6 +364,20 @@
         other.answer_s = 0.5
         self.check_whole(call)
 
+    def test_other_server_fails_before_the_first_one_answers(self):
+        call, first, other = self.start_plain_request(1.6)
+        other.faults.add("fail")
+        other.answer_s = 0.0
+        self.check_answered_by(call, first)
+        self.assertEqual((len(first.seen), len(other.seen)), (1, 1))
+
+    def test_other_server_fails_before_a_stream_of_the_first_one_begins(self):
+        call, first, other = self.start_slow_stream(1.6)
+        other.faults.add("fail")
+        other.answer_s = 0.0
+        self.check_whole(call)
+        self.assertEqual((len(first.seen), len(other.seen)), (1, 1))
+
     def test_both_servers_fail(self):
         call, first, other = self.start_plain_request(1.5)
         first.faults.add("fail")
