--- a/tests/routed/test_framing_fuzz.py
+++ b/tests/routed/test_framing_fuzz.py
@@ -103,12 +103,19 @@
 
 def read_chunks(rest):
     """Return the data of whole chunks, ``None`` for bad ones."""
-    body = b""
+    found = read_chunks_to_end(rest)
+    return None if found is None else found[0]
+
+
+def read_chunks_to_end(data):
+    """Return the data of whole chunks and their size with framing, or ``None``."""
+    body, rest = b"", data
     while line := CHUNK.match(rest):
         size = int(line[1], 16)
         rest = rest[line.end() :]
         if not size:
-            return body if TRAILER.match(rest) else None
+            trailer = TRAILER.match(rest)
+            return (body, len(data) - len(rest) + trailer.end()) if trailer else None
         body += rest[:size]
         if rest[size : size + 2] != b"\r\n":
             return None
