Give up the exchange with a lost peer at once, as before

Cause: an event of the lost peer that was on its way arrived after the attempt at the other peer had begun. That was taken for a peer that goes on: what had begun was ended, and counted as the second of two servers, so that nothing else was tried. Keeping an exchange until another one has begun is for servers that may only be silent; a peer is lost by what all nodes hear of it.

Ruled out: to let the running attempt be given up once more, which is a third run on a route with two servers.

--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -302,7 +302,9 @@
         try:
             placement = exchange.place_elsewhere()
             goes_on = self._goes_on(exchange, began_at, waits)
-            if not goes_on:
+            # What a lost peer has sent may still arrive. It must not end the attempt
+            # that is to follow, as nothing more comes.
+            if not goes_on and exchange.is_lost is None:
                 attempt = exchange.begin_elsewhere(placement)
                 goes_on = self._goes_on(exchange, began_at, waits)
         except RequestError as exc:
