Take the bytes of an answer that is arriving for its progress

What callers saw: an answer that is no stream and takes over 1.2 s to arrive was given up for another server's, however steadily it came; with bodies of 2.0 s at both servers they got 504 at their deadline of 2.9 s.

Cause: only events of streams counted as progress. Ruled out: progress of the candidate, which would hide that its other requests stand still.

tests/routed/test_slow_bodies.py: 1 of 2 failed before, with 504 and 174 bytes in place of 200; both pass after. The other one guards a body that stalls.

--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -161,6 +161,7 @@
         """
         chunks, size = [], 0
         for data in self._chunks():
+            self._deps.in_flight.note_bytes(self.exchange)
             chunks.append(data)
             size += len(data)
             if size > MAX_ANSWER_BYTES:
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -206,6 +206,14 @@
         exchange.note_progress(now)
         self._progress_by_candidate[exchange.candidate.name] = now
 
+    def note_bytes(self, exchange):
+        """Record that bytes of an answer that is no stream have arrived.
+
+        They tell nothing of the candidate's other requests.
+        """
+        exchange.progress_at = self._clock.monotonic()
+        exchange.was_kept_for_bytes = False
+
     def watch(self):
         """Check regularly for stalled and expired exchanges; never returns."""
         expected_at = self._clock.monotonic() + CHECK_INTERVAL_S
@@ -328,7 +336,7 @@
         progress_at = self.last_progress_at(exchange.candidate.name)
         is_live = exchange.is_lost is not None and not exchange.is_lost()
         return (
-            progress_at > since
+            max(progress_at, exchange.progress_at) > since
             or is_live
             or not exchange.awaiting_server
             or _is_kept_for_bytes(exchange, waits)
