--- a/benchmarks/framing.py
+++ b/benchmarks/framing.py
@@ -262,17 +262,6 @@
     return best / count * 1e6
 
 
-def print_times():
-    """Print the processor time of each reader for each load."""
-    for head, readers in READERS.items():
-        kind = "request" if head is REQUEST else "answer"
-        print(f"\n| {kind}, us | {' | '.join(readers)} |")
-        print(f"| --- |{' --- |' * len(readers)}")
-        for name, data in loads(head).items():
-            cells = (f"{time_us(read, data):,.0f}" for read in readers.values())
-            print(f"| {name} | {' | '.join(cells)} |")
-
-
 def peak_kb(read, data):
     """Return the most memory that a reader allocates for a message, in kB."""
     tracemalloc.start()
@@ -283,14 +272,14 @@
         tracemalloc.stop()
 
 
-def print_peaks():
-    """Print the memory of each reader for each load."""
+def print_loads(unit, measure):
+    """Print what ``measure(read, data)`` returns for each reader and each load."""
     for head, readers in READERS.items():
         kind = "request" if head is REQUEST else "answer"
-        print(f"\n| {kind}, kB | {' | '.join(readers)} |")
+        print(f"\n| {kind}, {unit} | {' | '.join(readers)} |")
         print(f"| --- |{' --- |' * len(readers)}")
         for name, data in loads(head).items():
-            cells = (f"{peak_kb(read, data):,.0f}" for read in readers.values())
+            cells = (f"{measure(read, data):,.0f}" for read in readers.values())
             print(f"| {name} | {' | '.join(cells)} |")
 
 
@@ -298,8 +287,8 @@
     """Print all tables."""
     logging.set_verbosity(logging.FATAL)
     print_verdicts()
-    print_times()
-    print_peaks()
+    print_loads("us", time_us)
+    print_loads("kB", peak_kb)
 
 
 if __name__ == "__main__":
--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -48,10 +48,12 @@
 _CHUNK_END = b"\r\n"
 # The begin of a response, also where something else is due.
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d +\d{3}")
+# The pattern of a method or of the name of a field.
+TOKEN = r"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 # What may follow the last chunk: fields, and the empty line at the end.
-_TRAILER_LINE = re.compile(rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n]*)?\r?\n")
+_TRAILER_LINE = re.compile(rb"(?:%s:[^\r\n]*)?\r?\n" % TOKEN.encode())
 # The name of a field. The parser takes all but spaces, colons and control characters.
-_FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_FIELD_NAME = re.compile(TOKEN)
 # What the parser notes of a body in several parts, which it looks for behind the head.
 _BODY_DEFECTS = (
     errors.CloseBoundaryNotFoundDefect,
--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -11,6 +11,7 @@
 
 from auburnwall.base.http_reader import (
     MAX_LINES_BYTES,
+    TOKEN,
     FramingError,
     IncompleteMessageError,
     MessageReader,
@@ -31,7 +32,7 @@
 MAX_WHY_CHARS = 200
 # The first line of a request. ``gevent`` also takes other spaces, other versions and
 # characters that cannot be passed on.
-_REQUEST_LINE = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+ [!-~]+ HTTP/1\.\d\r?\n")
+_REQUEST_LINE = re.compile(TOKEN + r" [!-~]+ HTTP/1\.\d\r?\n")
 
 
 class CallerDisconnectedError(Exception):
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -128,11 +128,15 @@
         self.reroute_delay_s = REROUTE_DELAY_S
         self.task = gevent.getcurrent()
 
+    def note_bytes(self, now):
+        """Record that bytes of an answer have arrived."""
+        self.progress_at = now
+        self.was_kept_for_bytes = False
+
     def note_progress(self, now):
         """Record that bytes of a stream have arrived."""
+        self.note_bytes(now)
         self.reads += 1
-        self.progress_at = now
-        self.was_kept_for_bytes = False
         self.stall_timeout_s = STALL_TIMEOUT_S
 
 
@@ -211,8 +215,7 @@
 
         They tell nothing of the candidate's other requests.
         """
-        exchange.progress_at = self._clock.monotonic()
-        exchange.was_kept_for_bytes = False
+        exchange.note_bytes(self._clock.monotonic())
 
     def watch(self):
         """Check regularly for stalled and expired exchanges; never returns."""
