Bound the age of tables that nodes copy from a relay

A small node had become relay while a large one was replaced, and its link of 10 Mbit/s was full: followers got each version of a series one by one, also those that newer ones had replaced, and nothing limited the age of a copy at the node that used it. Ruled out by the log: the stopped relay was not asked again, and the relay's own source was in time.

Relays pass on the newest record of each key only; a copy that would come too late is given up for a read of the store; a wait without records counts up to its end.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -302,6 +302,7 @@
                 MAX_OPERATOR_AGE_S,
                 reader_choice.peer_to_follow_in_large_fleet,
                 follow_pause_s=0.0,
+                notice_s=self.cfg.config_notice_s,
             ),
             FLEET_TABLE: reader(
                 FLEET_TABLE,
@@ -317,6 +318,7 @@
                 self._max_followed_age_s(),
                 reader_choice.peer_to_follow,
                 on_read=self.registry.record_read,
+                notice_s=self.cfg.drain_notice_s,
             ),
         }
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -313,9 +313,12 @@
             raise PeerUnavailableError("it has left", step="find address", peer=name)
         return node.peer
 
-    def call(self, address, method, *args):
-        """Call a peer and return its response; raises ``PeerUnavailableError``."""
-        return self._pool.call(address, method, *args)
+    def call(self, address, method, *args, **limits):
+        """Call a peer and return its response; raises ``PeerUnavailableError``.
+
+        ``limits`` are those of ``PeerPool.call``.
+        """
+        return self._pool.call(address, method, *args, **limits)
 
     def _cached(self, name, function):
         """Return the result of a sum over the peers, computed a short time ago.
--- a/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
@@ -28,6 +28,7 @@
     max_mesh_nodes: int = 12
     cores: float = 1.0
     drain_notice_s: float = 2.0
+    config_notice_s: float = 3.0
     repeat_share: float = 0.1
     repeat_reserve: float = 10.0
     repeat_window_s: float = 10.0
@@ -82,6 +83,9 @@
     "drain_notice_s": SettingSpec(
         "Time in which a leaving server must get no more requests", "s", 0.5, 60.0
     ),
+    "config_notice_s": SettingSpec(
+        "Time in which a new configuration must be in force", "s", 0.5, 60.0
+    ),
     "repeat_share": SettingSpec(
         "Retries allowed to a service, as a fraction of its requests", "", 0.0, 1.0
     ),
--- a/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
@@ -29,6 +29,12 @@
 # that copies from another.
 MAX_OPERATOR_AGE_S = 2 * RELAYED_LONG_POLL_S + 1.3
 MAX_FLEET_AGE_S = 2 * LONG_POLL_S + 2.0
+# Time reserved for a read of the store, in seconds: a copy from a peer is given up this
+# long before the end of the time in which the table's records must be noticed.
+STORE_READ_S = 0.4
+# Minimum time that a copy from a peer may take, in seconds. A node with less time left
+# reads the store.
+MIN_COPY_S = 0.1
 # Maximum time that a relay waits for new records before it responds, in seconds. It is
 # shorter than the timeout of calls to peers.
 RELAY_WAIT_S = 0.5
@@ -92,9 +98,10 @@
     returns the pause between two reads, in seconds, and ``follow_pause_s`` is that
     between two copies from a peer. ``peer_to_follow()`` returns the
     name of the peer that reads the table for this node, or ``None``, and
-    ``max_followed_age_s`` is the maximum age of that peer's copy. ``on_read()`` is
-    called after each successful read. ``reads_store`` is true while this node reads the
-    store itself.
+    ``max_followed_age_s`` is the maximum age of that peer's copy. Records of the table
+    must be noticed within ``notice_s`` seconds; a copy from a peer that would take
+    longer is given up for a read of the store. ``on_read()`` is called after each
+    successful read. ``reads_store`` is true while this node reads the store itself.
     """
 
     def __init__(
@@ -110,6 +117,7 @@
         peer_to_follow=lambda: None,
         max_followed_age_s=MAX_FOLLOWED_AGE_S,
         follow_pause_s=FOLLOW_INTERVAL_S,
+        notice_s=None,
     ):
         self.replica = replica
         self.reads_store = False
@@ -122,6 +130,7 @@
         self._peer_to_follow = peer_to_follow
         self._max_followed_age_s = max_followed_age_s
         self._follow_pause_s = follow_pause_s
+        self._notice_s = notice_s
         self._followed_peer = None
         self._read_store_until = 0.0
         self._backoff_s = FIRST_BACKOFF_S
@@ -159,9 +168,7 @@
         now = self._clock.monotonic()
         may_follow = self.replica.end >= 0 and now >= self._read_store_until
         name = self._peer_to_follow() if may_follow else None
-        followed = name is not None and self._copy_from_peer(
-            name, self._max_followed_age_s, RELAY_WAIT_S
-        )
+        followed = name is not None and self._copy_in_time(name)
         if name is not None and not followed:
             self._read_store_until = self._clock.monotonic() + READ_STORE_S
         if followed and self._followed_peer != name:
@@ -177,6 +184,27 @@
             self.reads_store = False
         return followed
 
+    def _copy_in_time(self, name):
+        """Copy from a peer while this copy is recent; return whether it succeeded.
+
+        The peer waits for a new record in at most half of the time that is left.
+        """
+        if self._notice_s is None:
+            return self._copy_from_peer(name, self._max_followed_age_s, RELAY_WAIT_S)
+        age_s = self.replica.age_s()
+        left_s = -1.0 if age_s is None else self._notice_s - STORE_READ_S - age_s
+        if left_s < MIN_COPY_S:
+            event(
+                "table copy outdated",
+                table=self.replica.table,
+                peer=name,
+                age_s=age_s and round(age_s, 3),
+                notice_s=self._notice_s,
+            )
+            return False
+        wait_s = min(RELAY_WAIT_S, left_s / 2)
+        return self._copy_from_peer(name, self._max_followed_age_s, wait_s, left_s)
+
     def _record_store_failure(self, exc):
         if self.reads_store:
             event(
@@ -199,10 +227,11 @@
         if readers:
             self._copy_from_peer(self._rng.choice(sorted(readers)))
 
-    def _copy_from_peer(self, name, max_age_s=None, wait_s=0.0):
+    def _copy_from_peer(self, name, max_age_s=None, wait_s=0.0, total_s=None):
         """Copy from a peer unless its copy is too old; return whether it succeeded.
 
-        The peer waits up to ``wait_s`` for a new record.
+        The peer waits up to ``wait_s`` for a new record, and the whole call takes at
+        most ``total_s``.
         """
         replica = self.replica
         asked_at = self._clock.monotonic()
@@ -215,6 +244,7 @@
                 replica.end,
                 int(1000 * wait_s),
                 replica.era,
+                total_s=total_s,
             )
         except PeerUnavailableError as exc:
             event("table copy failed", table=replica.table, peer=name, why=exc.detail)
--- a/packages/auburnwall-state/src/auburnwall/state/table/replica.py
+++ b/packages/auburnwall-state/src/auburnwall/state/table/replica.py
@@ -6,7 +6,6 @@
 again, and only then takes over what the store has.
 """
 
-from collections import deque
 from itertools import dropwhile
 
 from gevent.event import Event
@@ -16,8 +15,8 @@
 from ..exceptions import LogTruncatedError
 from .base import TableRecord
 
-# Recent records that a node retains for peers that cannot read the table themselves:
-# the last minute at about 50 changes a second.
+# Keys whose recent records a node retains for peers that cannot read the table
+# themselves: the last minute at about 50 changes a second.
 MAX_RELAY_RECORDS = 3_000
 # Time in which operators and servers have written again what the store has lost, in
 # seconds.
@@ -74,8 +73,10 @@
         self._is_repeat = is_repeat
         self._survives_pause = survives_pause
         self._settle_at = 0.0
-        self._recent = deque()
-        self._recent_from = 0  # ``_recent`` lacks no record from this offset on.
+        # The newest record of each key that changed, by key in the order of offsets.
+        self._recent = {}
+        # ``_recent`` lacks no key's newest record from this offset on.
+        self._recent_from = 0
         self._changed = Event()
 
     def age_s(self):
@@ -89,6 +90,9 @@
 
         Reloads the whole table at the first call, if the next records have expired, or
         if the store has a new era. Raises ``LogUnavailableError``.
+
+        A response without records that comes after the whole wait was written at its
+        end, so the replica was complete then.
         """
         asked_at = self._clock.monotonic()
         self.settle_due()
@@ -104,7 +108,9 @@
         if batch.era != self.era:
             self._reload(asked_at)
         else:
-            self.apply_records(batch.records, batch.end, asked_at)
+            waited = self._clock.monotonic() - asked_at >= wait_s and not batch.records
+            complete_at = asked_at + wait_s if waited else asked_at
+            self.apply_records(batch.records, batch.end, complete_at)
         self.settle_due()
 
     def apply_records(self, records, end, complete_at):
@@ -144,7 +150,9 @@
     def records_for_peer(self, offset, era):
         """Return records for a peer, and whether they are the whole table.
 
-        These are the records from ``offset`` on. If some of them are no longer in
+        These are the newest records of the keys that changed from ``offset`` on;
+        records that newer ones have replaced are left out, so that a peer on a slow
+        link does not fall further behind. If some of the records are no longer in
         memory, or if the peer has another era, the newest record of each key is
         returned instead. Before the first read that is an empty list; ``age_s`` returns
         ``None`` then, and ``end`` is -1.
@@ -153,7 +161,8 @@
             if offset >= self.end >= 0:
                 return [], False
             if self._recent_from <= offset:
-                return list(dropwhile(lambda r: r.offset < offset, self._recent)), False
+                recent = self._recent.values()
+                return list(dropwhile(lambda r: r.offset < offset, recent)), False
         return sorted(self.entries.values()), True
 
     def replace(self, records, end, complete_at, era=0):
@@ -253,7 +262,8 @@
     def _has_records_from(self, offset):
         if offset < self._recent_from:
             return True
-        return bool(self._recent) and self._recent[-1].offset >= offset
+        newest = next(reversed(self._recent.values()), None)
+        return newest is not None and newest.offset >= offset
 
     def _apply_reloaded(self, records):
         self.reloading = True
@@ -289,8 +299,10 @@
             listener(record)
 
     def _keep_for_peers(self, record):
-        self._recent.append(record)
+        self._recent.pop(record.key, None)
+        self._recent[record.key] = record
         if len(self._recent) > MAX_RELAY_RECORDS:
-            self._recent_from = self._recent.popleft().offset + 1
+            oldest = self._recent.pop(next(iter(self._recent)))
+            self._recent_from = oldest.offset + 1
         self._changed.set()
         self._changed = Event()
--- a/packages/auburnwall-wire/src/auburnwall/wire/client.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/client.py
@@ -1,5 +1,6 @@
 """Clients of the peer protocol."""
 
+import gevent
 from thrift.Thrift import TException
 from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TFramedTransport, TTransportException
@@ -94,15 +95,21 @@
         self._service = service
         self._idle = {}
 
-    def call(self, address, name, *args):
+    def call(self, address, name, *args, total_s=None):
         """Call the method ``name`` of the peer at ``address`` and return its result.
 
-        Raises ``PeerUnavailableError`` and forgets the idle connections to this peer.
+        The pool's timeout limits each wait for bytes, ``total_s`` the whole call if it
+        is given: a peer whose link is saturated sends a few bytes now and then. Raises
+        ``PeerUnavailableError`` and forgets the idle connections to this peer.
         """
         idle = self._idle.setdefault(address, [])
         client = idle.pop() if idle else self._new_client(address)
+        too_slow = PeerUnavailableError(
+            f"no complete response within {total_s} s", step=name, peer=address
+        )
         try:
-            result = client.call(name, *args)
+            with gevent.Timeout(total_s, too_slow):
+                result = client.call(name, *args)
         except PeerUnavailableError:
             self._idle.pop(address, None)
             raise
--- a/tests/routed/test_late_calls.py
+++ b/tests/routed/test_late_calls.py
@@ -4,6 +4,7 @@
 its sockets yet.
 """
 
+import contextlib
 import signal
 import socket
 import struct
@@ -18,7 +19,7 @@
 from auburnwall.wire.peer import Routed
 from auburnwall.wire.server import PROTOCOL_FACTORY
 
-TIMEOUT_S, STOP_S, SETTLE_S = 0.12, 0.4, 0.03
+TIMEOUT_S, TOTAL_S, STOP_S, SETTLE_S = 0.12, 0.6, 0.4, 0.03
 HEADER = struct.Struct("!i")
 CALLER = """
 from gevent import monkey
@@ -30,7 +31,8 @@
 pool = PeerPool(timeout_s=float(sys.argv[2]), service=Routed)
 began_at = time.monotonic()
 try:
-    result = pool.call(sys.argv[1], "reaches", "s1", "")
+    total_s = float(sys.argv[3]) if sys.argv[3:] else None
+    result = pool.call(sys.argv[1], "reaches", "s1", "", total_s=total_s)
 except PeerUnavailableError as exc:
     result = exc.detail
 print(f"{result}; {time.monotonic() - began_at:.3f}")
@@ -81,6 +83,21 @@
                 result, _, seconds = caller.stdout.read().partition("; ")
         return result, float(seconds)
 
+    def test_peer_that_sends_a_byte_now_and_then_is_given_up(self):
+        """A peer on a saturated link passes the timeout of each single read."""
+        address = "127.0.0.1:{1}".format(*self.listener.getsockname())
+        command = [sys.executable, "-c", CALLER, address, str(TIMEOUT_S), str(TOTAL_S)]
+        with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as caller:
+            conn, _ = self.listener.accept()
+            with conn, contextlib.suppress(ConnectionError):
+                (size,) = HEADER.unpack(conn.recv(HEADER.size))
+                for byte in response_to(conn.recv(size)):
+                    conn.sendall(bytes([byte]))
+                    time.sleep(TIMEOUT_S / 2)
+            result, _, seconds = caller.stdout.read().partition("; ")
+        self.assertIn("no complete response", result)
+        self.assertLess(float(seconds), 2 * TOTAL_S)
+
     def test_response_that_came_while_the_caller_was_stopped_counts(self):
         result, seconds = self.call(STOP_S, (1000,))
         self.assertEqual(result, "True")
--- a/tests/routed/test_tables.py
+++ b/tests/routed/test_tables.py
@@ -105,7 +105,7 @@
     def address(self, name):
         return name
 
-    def call(self, address, method, *args):
+    def call(self, address, method, *args, total_s=None):
         if not self.nodes[address].alive:
             raise PeerUnavailableError("refused", step="connect", peer=address)
         return getattr(self.nodes[address], method)(*args)
@@ -244,5 +244,91 @@
         self.assertEqual(follower.reads, reads_before + 1)
 
 
+# The time in which a new configuration must be in force on the users' pages for a fleet
+# with relays, in seconds.
+CONFIG_NOTICE_S = 3.0
+
+
+class SlowRelay:
+    """A relay whose copy is current and whose link has ``bytes_per_s`` for this node.
+
+    The bytes arrive without a pause that a timeout of single reads would notice.
+    """
+
+    def __init__(self, table, clock, bytes_per_s):
+        self.replica = TableReplica("operator", table, clock)
+        self.bytes_per_s = bytes_per_s
+        self._clock = clock
+        self._handler = RoutedHandler(
+            None, {"operator": self.replica}, None, SimpleNamespace(monotonic=float)
+        )
+
+    def address(self, name):
+        return name
+
+    def live(self):
+        return {}
+
+    def call(self, address, method, *args, total_s=None):
+        self.replica.refresh(0.0)
+        table, offset, _, era = args
+        rows = self._handler.rows(table, offset, 0, era)
+        transfer_s = sum(len(row.value) for row in rows.rows) / self.bytes_per_s
+        if total_s is not None and transfer_s > total_s:
+            self._clock.now += total_s
+            raise PeerUnavailableError("too slow", step=method, peer=address)
+        self._clock.now += max(transfer_s, 0.01)
+        return rows
+
+
+class SaturatedRelayTests(unittest.TestCase):
+    """A series of configurations is in force in time at nodes of a saturated relay.
+
+    A node with a link of 10 Mbit/s became the relay of nine others while each version
+    of 62 kB came 0.21 s after the one before. Its followers got all versions one by one
+    and fell 3 s behind, which no timeout noticed, as the bytes kept coming.
+    """
+
+    VERSION_BYTES, INTERVAL_S, VERSIONS = 62_000, 0.21, 24
+    LINK_BYTES_PER_S = 10e6 / 8 / 9
+
+    def check(self, bytes_per_s):
+        clock, table = FakeClock(), FakeTable()
+        relay = SlowRelay(table, clock, bytes_per_s)
+        replica = TableReplica("operator", table, clock)
+        reader = TableReader(
+            replica,
+            relay,
+            clock,
+            random.Random(1),
+            wait_s=lambda: 0.0,
+            pause_s=lambda: 0.1,
+            peer_to_follow=lambda: "relay",
+            max_followed_age_s=MAX_OPERATOR_AGE_S,
+            follow_pause_s=0.0,
+            notice_s=CONFIG_NOTICE_S,
+        )
+        table.write("config", bytes(self.VERSION_BYTES))
+        reader.step()
+        written_at, began_at, worst_s = {}, clock.now, 0.0
+        while clock.now - began_at < self.VERSIONS * self.INTERVAL_S + CONFIG_NOTICE_S:
+            due = int((clock.now - began_at) / self.INTERVAL_S)
+            while len(written_at) < min(due, self.VERSIONS):
+                at = began_at + (len(written_at) + 1) * self.INTERVAL_S
+                written_at[len(table.records)] = at
+                table.write("config", bytes(self.VERSION_BYTES))
+            missing = [at for offset, at in written_at.items() if offset >= replica.end]
+            reader.step()
+            worst_s = max([worst_s, *(clock.now - at for at in missing)])
+        self.assertEqual(replica.end, len(table.records))
+        self.assertLessEqual(worst_s, CONFIG_NOTICE_S)
+
+    def test_series_of_versions_over_a_saturated_link(self):
+        self.check(self.LINK_BYTES_PER_S)
+
+    def test_relay_too_slow_for_one_version(self):
+        self.check(self.LINK_BYTES_PER_S / 10)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/state/test_table.py
+++ b/tests/state/test_table.py
@@ -71,6 +71,43 @@
         self.assertEqual(self.values(), {"b": b"2"})
         self.assertEqual(self.replica.end, 3)
 
+    def test_peer_gets_only_the_newest_record_of_each_key(self):
+        """Each replaced configuration would take the time of a new one on its link."""
+        self.replica.refresh(0.0)
+        for value in (b"1", b"2", b"3"):
+            self.table.write("config", value)
+            self.replica.refresh(0.0)
+        self.table.write("a", None)
+        self.replica.refresh(0.0)
+        records, whole = self.replica.records_for_peer(1, 0)
+        self.assertFalse(whole)
+        self.assertEqual(
+            [(r.offset, r.key, r.value) for r in records],
+            [(2, "config", b"3"), (3, "a", None)],
+        )
+
+    def test_replaced_records_are_not_kept_for_peers(self):
+        self.replica.refresh(0.0)
+        for number in range(20):
+            self.table.write("config", bytes(1_000) + bytes([number]))
+            self.replica.refresh(0.0)
+        self.assertEqual(len(self.replica._recent), 1)
+
+    def test_wait_without_records_counts_as_complete_to_its_end(self):
+        self.table.write("a", b"1")
+        self.replica.refresh(0.0)
+
+        def read(table, offset, *, wait_s):
+            self.clock.now += wait_s + 0.01
+            return FakeTable.read(self.table, table, offset, wait_s=wait_s)
+
+        self.table.read = read
+        self.replica.refresh(1.0)
+        self.assertAlmostEqual(self.replica.age_s(), 0.01)
+        self.table.write("b", b"1")
+        self.replica.refresh(1.0)
+        self.assertAlmostEqual(self.replica.age_s(), 1.01)
+
     def test_record_written_between_two_pages_is_not_missed(self):
         self.table.write("a", b"1")
         self.table.write("b", b"2")
