Keep the logs of soak runs that find a violation

They are now kept under out/soak, the last line of the violations says where, and those of good runs are removed.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,7 +1,8 @@
 """One run: troubles drawn from a seed, callers at the same time, and the checks."""
 
+import os
 import random
-import tempfile
+import shutil
 import time
 from pathlib import Path
 
@@ -18,6 +19,8 @@
 # take, as a busy machine delays it.
 STOP_GRACE_S, STOP_MARGIN_S = 4.0, 2.0
 CHECK_INTERVAL_S = 0.05
+# Directory in which the logs of runs that found a violation are retained.
+FAILED_RUNS = Path(__file__).parents[2] / "out" / "soak"
 
 
 class Soak:
@@ -148,11 +151,17 @@
 def run_seed(seed, keep=None):
     """Run one seed; return the violations and the number of outcomes by status.
 
-    ``keep`` is a directory in which the logs are retained.
+    ``keep`` is a directory in which the logs are retained. Without it, those of a run
+    without violations are removed, and the last line of the violations tells where the
+    others are.
     """
-    with tempfile.TemporaryDirectory() as out:
-        path = Path(keep) / str(seed) if keep else Path(out)
-        violations, outcomes = Soak(seed, path).run()
+    path = Path(keep) / str(seed) if keep else FAILED_RUNS / f"{seed}-{os.getpid()}"
+    path.mkdir(parents=True, exist_ok=True)
+    violations, outcomes = Soak(seed, path).run()
+    if violations:
+        violations.append(f"the logs of seed {seed} are in {path}")
+    elif not keep:
+        shutil.rmtree(path)
     counts = {}
     for outcome in outcomes:
         counts[outcome.status] = counts.get(outcome.status, 0) + 1
