Keep groups whose members are only cut off from the table

A member that is no longer registered now stays while it says itself, asked directly, that it is in the group, and neither its entry nor an answer has said that it leaves. Heads still must be registered.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
@@ -199,6 +199,7 @@
                 self._is_order_pending(group, now),
             )
         self._phase_since = phase_since
+        self._monitor.keep_only(self._state.groups.values())
         self._groups_with_retired_head &= set(statuses)
         return statuses
 
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/member_monitor.py
@@ -15,6 +15,11 @@
 
 # Interval between two probes of a suspect server.
 PROBE_INTERVAL_S = 0.15
+# Interval between two probes of a member that responds although it is not registered.
+SOUND_PROBE_INTERVAL_S = 0.5
+# Time for which a member that is no longer registered is given to answer a probe before
+# it counts as leaving.
+FIRST_PROBE_S = 0.5
 # Number of failed probes in a row after which a server whose registration has expired
 # counts as gone.
 GONE_AFTER_FAILURES = 2
@@ -43,6 +48,8 @@
         self._results = {}
         self._probing = set()
         self._suspected_until = {}
+        # Member -> time since which it has not been registered.
+        self._unregistered_since = {}
 
     def suspect_group(self, group_name):
         """Mark a stalled group as suspect, so that ``view`` probes its members."""
@@ -64,9 +71,14 @@
         is_suspect = (
             self._suspected_until.get(group.name, 0.0) > self._clock.monotonic()
         )
-        if entry is None or is_suspect:
-            self._probe(member)
         now = self._clock.monotonic()
+        if entry is None:
+            self._unregistered_since.setdefault(member, now)
+        else:
+            self._unregistered_since.pop(member, None)
+        if entry is None or is_suspect:
+            sound = self._is_in_group(group, member) and not is_suspect
+            self._probe(member, SOUND_PROBE_INTERVAL_S if sound else PROBE_INTERVAL_S)
         result = valid_evidence(self._results.get(member.server), member, now)
         liveness = self._liveness(member, entry, result, is_suspect)
         group_membership = (
@@ -75,15 +87,53 @@
         membership_known = entry is not None or (
             result is not None and result.report is not None
         )
-        unusable = (
-            entry is None
-            or self._registry.usable_registration(member.server) is None
-            or entry.data_center in evacuated
-        )
+        if entry is None:
+            unusable = not self._may_stay(group, member, evacuated)
+        else:
+            unusable = (
+                self._registry.usable_registration(member.server) is None
+                or entry.data_center in evacuated
+            )
         return MemberView(
             member.server, liveness, unusable, group_membership, membership_known
         )
 
+    def _may_stay(self, group, member, evacuated):
+        """Return whether an unregistered server may remain a member of its group.
+
+        A server that is cut off from the table loses its registration and serves on. It
+        may stay while it says itself that it is in the group and does not leave. The
+        head may not, as no request may be sent to a server without a registration.
+        """
+        registry = self._registry
+        if (
+            member == group.head
+            or registry.drained_incarnations.get(member.server) == member.born
+            or registry.data_center_of(member.server) in evacuated
+        ):
+            return False
+        unregistered_s = self._clock.monotonic() - self._unregistered_since[member]
+        return unregistered_s < FIRST_PROBE_S or self._is_in_group(group, member)
+
+    def _is_in_group(self, group, member):
+        """Return whether a member says that it is in its group, by a recent probe."""
+        now = self._clock.monotonic()
+        result = valid_evidence(self._results.get(member.server), member, now)
+        membership = _group_membership_of(result)
+        return membership is not None and (membership.group, membership.epoch) == (
+            group.name,
+            group.epoch,
+        )
+
+    def keep_only(self, groups):
+        """Forget what is known of unregistered members of other groups."""
+        members = {member for group in groups for member in group.members}
+        self._unregistered_since = {
+            member: since
+            for member, since in self._unregistered_since.items()
+            if member in members
+        }
+
     def probe_server(self, member):
         """Probe a server that has not responded to an order."""
         self._probe(member)
@@ -141,9 +191,9 @@
         is_gone = self._registry.is_registration_expected(member.server)
         return Liveness.GONE if is_gone else Liveness.UNRESPONSIVE
 
-    def _probe(self, member):
+    def _probe(self, member, interval_s=PROBE_INTERVAL_S):
         result = self._results.get(member.server)
-        due_at = result.probed_at + PROBE_INTERVAL_S if result else 0.0
+        due_at = result.probed_at + interval_s if result else 0.0
         if member.server in self._probing or self._clock.monotonic() < due_at:
             return
         self._probing.add(member.server)
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/registrations.py
@@ -210,6 +210,10 @@
         seen_epoch, since = self.first_seen_open.get(server, (None, None))
         return since if seen_epoch == epoch else None
 
+    def data_center_of(self, server):
+        """Return the data centre in which a server last registered, or ``None``."""
+        return self._data_centers.get(server)
+
     def is_registration_expected(self, server):
         """Return whether a server would have registered by now if it were alive.
 
