--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -26,7 +26,6 @@
 from auburnwall.routing.shared_retry_budget import SharedRetryBudget
 from auburnwall.routing.stop_time import StopTime
 from auburnwall.state.proposer import new_incarnation
-from auburnwall.state.table.replica import TableReplica
 from auburnwall.wire.client import PeerPool
 from auburnwall.wire.peer import Routed
 from auburnwall.wire.peer.ttypes import Pulse
@@ -50,19 +49,15 @@
 from .settings_reload import SettingsReload
 from .shutdown import GracefulShutdown
 from .source import ConfigSource
-from .tables import (
-    LONG_POLL_S,
-    MAX_FLEET_AGE_S,
-    MAX_FOLLOWED_AGE_S,
-    MAX_OPERATOR_AGE_S,
-    MAX_RELAYED_AGE_FRACTION,
-    RELAYED_LONG_POLL_S,
-    StoreReaderChoice,
-    TableReader,
+from .table_readers import (
+    FLEET_TABLE,
+    OPERATOR_TABLE,
+    SERVER_TABLE,
+    build_readers,
+    build_replicas,
 )
 from .views import PlanningView, SuspectCandidates
 
-OPERATOR_TABLE, SERVER_TABLE, FLEET_TABLE = "operator", "servers", "fleet"
 # Timeout of a call to a peer, in seconds.
 PEER_TIMEOUT_S = 0.8
 # Planning interval, in seconds. A plan for several dozen groups takes a few ms.
@@ -85,14 +80,6 @@
 MAX_PAUSE_S = 1.0
 # Maximum age of the table copies from which this node may plan, in seconds.
 MAX_PLANNING_AGE_S = 4.0
-# Pause between two reads of the fleet table at nodes other than the planner, in
-# seconds, so that one read gets a burst of the planner's records. A shorter pause gains
-# little: a group is used only once its head, the member that takes its requests, has
-# registered, and the registrations are read at longer intervals (``registry_s``).
-FLEET_READ_PAUSE_S = 0.3
-# Time for which this node keeps what it knows of the fleet after the store has lost
-# records, in seconds. A new planner, if one is needed, has written them again by then.
-FLEET_SETTLE_S = 6.0
 
 
 class Platform(NamedTuple):
@@ -134,7 +121,9 @@
             cfg.peer_address,
             cfg.data_center,
         )
-        self._build_tables()
+        self.replicas = build_replicas(
+            platform.store, self.clock, platform.is_same_registration
+        )
         self._build_fleet()
         self._build_routing()
         self._pause_detector = PauseDetector(self.clock, MAX_PAUSE_S)
@@ -209,19 +198,6 @@
             incarnation=self.identity.incarnation,
         )
 
-    def _build_tables(self):
-        store, clock = self._platform.store, self.clock
-        self.replicas = {
-            OPERATOR_TABLE: TableReplica(OPERATOR_TABLE, store, clock),
-            SERVER_TABLE: TableReplica(
-                SERVER_TABLE, store, clock, survives_pause=False
-            ),
-            FLEET_TABLE: TableReplica(
-                FLEET_TABLE, store, clock, settle_s=FLEET_SETTLE_S, survives_pause=False
-            ),
-        }
-        self.replicas[SERVER_TABLE].is_repeat = self._platform.is_same_registration
-
     def _build_fleet(self):
         cfg, platform, clock = self.cfg, self._platform, self.clock
         self.source = ConfigSource(self.replicas[OPERATOR_TABLE], platform.codec)
@@ -274,51 +250,7 @@
             clock,
             self.tasks,
         )
-        self._build_readers()
-
-    def _build_readers(self):
-        reader_choice = StoreReaderChoice(
-            self.identity, self.fleet, self.peers, self.writer.is_planner
-        )
-
-        def reader(table, wait_s, pause_s, max_age_s, peer_to_follow, **kwargs):
-            return TableReader(
-                self.replicas[table],
-                self.peers,
-                self.clock,
-                self.rng,
-                wait_s=wait_s,
-                pause_s=pause_s,
-                max_followed_age_s=max_age_s,
-                peer_to_follow=peer_to_follow,
-                **kwargs,
-            )
-
-        self.readers = {
-            OPERATOR_TABLE: reader(
-                OPERATOR_TABLE,
-                lambda: LONG_POLL_S if self.peers.is_mesh else RELAYED_LONG_POLL_S,
-                lambda: 0.0,
-                MAX_OPERATOR_AGE_S,
-                reader_choice.peer_to_follow_in_large_fleet,
-                follow_pause_s=0.0,
-            ),
-            FLEET_TABLE: reader(
-                FLEET_TABLE,
-                lambda: LONG_POLL_S,
-                self._fleet_pause_s,
-                MAX_FLEET_AGE_S,
-                reader_choice.peer_to_follow,
-            ),
-            SERVER_TABLE: reader(
-                SERVER_TABLE,
-                lambda: 0.0,
-                self._registry_pause_s,
-                self._max_followed_age_s(),
-                reader_choice.peer_to_follow,
-                on_read=self.registry.record_read,
-            ),
-        }
+        self.readers = build_readers(self)
 
     def _build_routing(self):
         cfg, clock = self.cfg, self.clock
@@ -417,19 +349,6 @@
             ),
         )
 
-    def _registry_pause_s(self):
-        cfg = self.cfg
-        return cfg.planner_registry_s if self.writer.is_planner() else cfg.registry_s
-
-    def _fleet_pause_s(self):
-        """Return the pause between two reads of the fleet table, in seconds."""
-        return 0.0 if self.writer.is_planner() else FLEET_READ_PAUSE_S
-
-    def _max_followed_age_s(self):
-        """Return the maximum age of a peer's copy that this node takes, in seconds."""
-        relayed_age_s = MAX_RELAYED_AGE_FRACTION * self.cfg.drain_notice_s
-        return max(MAX_FOLLOWED_AGE_S, relayed_age_s)
-
     def _reads_tables(self):
         """Return whether this node has the tables and knows enough to plan.
 
--- /dev/null
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
@@ -0,0 +1,102 @@
+"""Builds a node's copies of the platform's tables and the readers that update them."""
+
+from auburnwall.state.table.replica import TableReplica
+
+from .tables import (
+    LONG_POLL_S,
+    MAX_FLEET_AGE_S,
+    MAX_FOLLOWED_AGE_S,
+    MAX_OPERATOR_AGE_S,
+    MAX_RELAYED_AGE_FRACTION,
+    RELAYED_LONG_POLL_S,
+    StoreReaderChoice,
+    TableReader,
+)
+
+OPERATOR_TABLE, SERVER_TABLE, FLEET_TABLE = "operator", "servers", "fleet"
+# Pause between two reads of the fleet table at nodes other than the planner, in
+# seconds, so that one read gets a burst of the planner's records. A shorter pause gains
+# little: a group is used only once its head, the member that takes its requests, has
+# registered, and the registrations are read at longer intervals (``registry_s``).
+FLEET_READ_PAUSE_S = 0.3
+# Time for which this node keeps what it knows of the fleet after the store has lost
+# records, in seconds. A new planner, if one is needed, has written them again by then.
+FLEET_SETTLE_S = 6.0
+
+
+def build_replicas(store, clock, is_same_registration):
+    """Return the ``TableReplica`` of each table, by name.
+
+    ``is_same_registration`` compares two entries of a server.
+    """
+    replicas = {
+        OPERATOR_TABLE: TableReplica(OPERATOR_TABLE, store, clock),
+        SERVER_TABLE: TableReplica(SERVER_TABLE, store, clock, survives_pause=False),
+        FLEET_TABLE: TableReplica(
+            FLEET_TABLE, store, clock, settle_s=FLEET_SETTLE_S, survives_pause=False
+        ),
+    }
+    replicas[SERVER_TABLE].is_repeat = is_same_registration
+    return replicas
+
+
+def build_readers(node):
+    """Return the ``TableReader`` of each table of a ``RoutedNode``, by name."""
+    reader_choice = StoreReaderChoice(
+        node.identity, node.fleet, node.peers, node.writer.is_planner
+    )
+
+    def reader(table, wait_s, pause_s, max_age_s, peer_to_follow, **kwargs):
+        return TableReader(
+            node.replicas[table],
+            node.peers,
+            node.clock,
+            node.rng,
+            wait_s=wait_s,
+            pause_s=pause_s,
+            max_followed_age_s=max_age_s,
+            peer_to_follow=peer_to_follow,
+            **kwargs,
+        )
+
+    return {
+        OPERATOR_TABLE: reader(
+            OPERATOR_TABLE,
+            lambda: LONG_POLL_S if node.peers.is_mesh else RELAYED_LONG_POLL_S,
+            lambda: 0.0,
+            MAX_OPERATOR_AGE_S,
+            reader_choice.peer_to_follow_in_large_fleet,
+            follow_pause_s=0.0,
+        ),
+        FLEET_TABLE: reader(
+            FLEET_TABLE,
+            lambda: LONG_POLL_S,
+            lambda: _fleet_pause_s(node),
+            MAX_FLEET_AGE_S,
+            reader_choice.peer_to_follow,
+        ),
+        SERVER_TABLE: reader(
+            SERVER_TABLE,
+            lambda: 0.0,
+            lambda: _registry_pause_s(node),
+            _max_followed_age_s(node),
+            reader_choice.peer_to_follow,
+            on_read=node.registry.record_read,
+        ),
+    }
+
+
+def _registry_pause_s(node):
+    cfg = node.cfg
+    return cfg.planner_registry_s if node.writer.is_planner() else cfg.registry_s
+
+
+def _fleet_pause_s(node):
+    """Return the pause between two reads of the fleet table, in seconds."""
+    return 0.0 if node.writer.is_planner() else FLEET_READ_PAUSE_S
+
+
+def _max_followed_age_s(node):
+    """Return the maximum age of a peer's copy that this node takes, in seconds."""
+    relayed_age_s = MAX_RELAYED_AGE_FRACTION * node.cfg.drain_notice_s
+    return max(MAX_FOLLOWED_AGE_S, relayed_age_s)
