Log the stages of a node's start with their times

Cause: of a restart of all nodes only the first response was known, not what the nodes had waited for.

Change: a node logs "start stage" once for each stage, with the time since the kernel began its process. Stages before the first log line, "started", are logged after it.

--- a/packages/auburnwall-base/src/auburnwall/base/startup.py
+++ b/packages/auburnwall-base/src/auburnwall/base/startup.py
@@ -1,4 +1,4 @@
-"""Signals that arrive while a process starts, before it has its own handlers.
+"""The begin of a process: its time, and signals before the process has handlers.
 
 The modules that this one imports are loaded by the interpreter itself, so that it can
 be called before all others are imported.
@@ -7,6 +7,10 @@
 import os
 import signal
 
+# Position of the start time among the fields of ``/proc/self/stat`` that follow the
+# process's name, which ends with the last parenthesis.
+START_TIME_FIELD = 19
+
 
 def handle_signals_while_starting():
     """Ignore SIGHUP, and end with status 0 at SIGTERM: nothing has begun yet.
@@ -16,3 +20,16 @@
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, lambda number, frame: os._exit(0))
+
+
+def process_started_at():
+    """Return when this process began, in seconds since boot, or ``None`` if unknown.
+
+    The kernel states it with a resolution of 10 ms, on the clock ``CLOCK_BOOTTIME``.
+    """
+    try:
+        with open("/proc/self/stat", encoding="utf-8", errors="replace") as file:
+            fields = file.read().rpartition(")")[2].split()
+        return int(fields[START_TIME_FIELD]) / os.sysconf("SC_CLK_TCK")
+    except (OSError, ValueError, IndexError):
+        return None
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/candidate_index.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/candidate_index.py
@@ -37,6 +37,11 @@
         self._by_model = {}
         self._by_service = {}
 
+    def has_candidates(self):
+        """Return whether any server accepts requests."""
+        self._rebuild()
+        return bool(self._by_model or self._by_service)
+
     def by_model(self, service, model):
         """Return the candidates for a model of a service with model engines."""
         self._rebuild()
--- a/packages/auburnwall-node/src/auburnwall/node/routed/connections.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/connections.py
@@ -11,6 +11,8 @@
 
 from auburnwall.base.logs import warn
 
+from .start_stages import FIRST_REQUEST_PLACED
+
 # What a running request is at; the steps of its lines.
 READ_BODY = "read body"
 PLACE = "place"
@@ -106,11 +108,15 @@
 
 
 class StepTrackingPlacer:
-    """A placer that sets the step of the request to which it gives a place."""
+    """A placer that sets the step of the request to which it gives a place.
+
+    The first one is a stage of the node's start.
+    """
 
-    def __init__(self, placer, connections):
+    def __init__(self, placer, connections, stages):
         self._placer = placer
         self._connections = connections
+        self._stages = stages
 
     def __getattr__(self, name):
         return getattr(self._placer, name)
@@ -121,5 +127,6 @@
             return self._placer.place(*args, **kwargs)
         running.step = PLACE
         placement = self._placer.place(*args, **kwargs)
+        self._stages.note(FIRST_REQUEST_PLACED)
         running.step = AWAIT_SERVER
         return placement
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -106,6 +106,7 @@
         return call._replace(body=body, arrived_at=self._clock.monotonic())
 
     def _respond(self, start_response, reply, request, running, stack):
+        self._gateway.note_response_start()
         headers = reply.headers + self._connection_headers()
         complete = isinstance(reply.body, bytes)
         if complete:
--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -17,6 +17,8 @@
 from auburnwall.routing.step_model import Work
 from auburnwall.routing.stop_time import stopping_error
 
+from .start_stages import FIRST_RESPONSE
+
 # Retry-After of a node that has no configuration yet, in seconds. A node takes about
 # this long to start.
 STARTING_RETRY_AFTER_S = 0.5
@@ -46,6 +48,7 @@
         metrics,
         demand,
         stop_time,
+        stages,
     ):
         self.forwarder = forwarder
         self.running = 0
@@ -59,6 +62,7 @@
         self._rng = rng
         self._metrics = metrics
         self._demand = demand
+        self._stages = stages
         self._retried_calls = RetriedCallDetector()
 
     def __enter__(self):
@@ -86,6 +90,10 @@
         """Return the response headers that carry the request ID."""
         return [(self._header_names.request_id, request_id)] if request_id else []
 
+    def note_response_start(self):
+        """Record that a server's response begins, which ends the node's start."""
+        self._stages.note(FIRST_RESPONSE)
+
     def record_response(self, request, status):
         """Record the response of a server to a request."""
         duration_s = self._clock.monotonic() - request.call.arrived_at
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -49,6 +49,7 @@
 from .settings_reload import SettingsReload
 from .shutdown import GracefulShutdown
 from .source import ConfigSource
+from .start_stages import SOCKETS_OPEN, StartStages, checks_of
 from .table_readers import (
     FLEET_TABLE,
     OPERATOR_TABLE,
@@ -105,12 +106,21 @@
     """All components of a routed node; ``tasks`` owns its greenlets."""
 
     def __init__(
-        self, cfg, platform, tasks, stack, load_settings, clock=None, rng=None
+        self,
+        cfg,
+        platform,
+        tasks,
+        stack,
+        load_settings,
+        clock=None,
+        rng=None,
+        stages=None,
     ):
         self.settings = SettingsReload(cfg, load_settings)
         self.tasks = tasks
         self.clock = clock or SystemClock()
         self.rng = rng or random.Random()
+        self.stages = stages or StartStages(self.clock)
         self.lateness = LoopLateness(self.clock)
         self._platform = platform
         self._stack = stack
@@ -169,6 +179,7 @@
         for server in self._servers():
             server.start()
             self._stack.callback(server.stop)
+        self.stages.note(SOCKETS_OPEN)
         for reader in self.readers.values():
             spawn(
                 run_restarting, self.clock, reader.run, f"table {reader.replica.table}"
@@ -197,6 +208,8 @@
             peer=cfg.peer_address,
             incarnation=self.identity.incarnation,
         )
+        self.stages.begin_logging()
+        spawn(self.stages.watch, checks_of(self))
 
     def _build_fleet(self):
         cfg, platform, clock = self.cfg, self._platform, self.clock
@@ -291,7 +304,9 @@
         self.stop_time.expected_s = self.placing.expected_time_s
         self.metrics = RoutedMetrics()
         self.connections = CallerConnections(clock, self.metrics)
-        self.placer = StepTrackingPlacer(self.placing.placer, self.connections)
+        self.placer = StepTrackingPlacer(
+            self.placing.placer, self.connections, self.stages
+        )
         header_names = self._platform.header_names
         deps = ForwarderDeps(
             self.placer,
@@ -315,6 +330,7 @@
             self.metrics,
             self.demand,
             self.stop_time,
+            self.stages,
         )
         self.shutdown = GracefulShutdown(
             self.gateway, self.writer, clock, cfg, self.tasks
--- a/packages/auburnwall-node/src/auburnwall/node/routed/run.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/run.py
@@ -15,16 +15,18 @@
 LOG_DRAIN_TIMEOUT_S = 0.2
 
 
-def run_routed_node(cfg, new_platform, load_settings):
+def run_routed_node(cfg, new_platform, load_settings, stages):
     """Run a node until it receives SIGTERM or SIGINT and its shutdown has finished.
 
     ``new_platform(stack)`` returns the ``Platform``. ``load_settings()`` reads the
-    settings again and raises ``AuburnwallError`` if they are invalid.
+    settings again and raises ``AuburnwallError`` if they are invalid. ``stages`` are
+    the ``StartStages`` of this start.
     """
     writer = logs.set_up(cfg.log_format, cfg.log_level, cfg.node, max_recent_events=0)
     with ExitStack() as stack:
         tasks = stack.enter_context(TaskGroup())
-        node = RoutedNode(cfg, new_platform(stack), tasks, stack, load_settings)
+        platform = new_platform(stack)
+        node = RoutedNode(cfg, platform, tasks, stack, load_settings, stages=stages)
         gevent.signal_handler(signal.SIGTERM, node.shutdown.begin)
         gevent.signal_handler(signal.SIGINT, node.shutdown.begin)
         gevent.signal_handler(signal.SIGHUP, node.reload)
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -19,6 +19,7 @@
 from auburnwall.node.routed.front import new_front_server
 from auburnwall.node.routed.gateway import Gateway
 from auburnwall.node.routed.metrics import RoutedMetrics
+from auburnwall.node.routed.start_stages import StartStages
 from auburnwall.node.routed.views import SlotUsage, SuspectCandidates
 from auburnwall.platform.headers import HEADER_NAMES
 from auburnwall.platform.operator import OperatorDecoder
@@ -186,8 +187,9 @@
         )
         self.metrics = RoutedMetrics()
         self.connections = CallerConnections(clock, self.metrics)
+        stages = StartStages(clock)
         deps = ForwarderDeps(
-            StepTrackingPlacer(self.detours, self.connections),
+            StepTrackingPlacer(self.detours, self.connections, stages),
             self.channels,
             self.in_flight,
             HEADER_NAMES,
@@ -209,6 +211,7 @@
             self.metrics,
             DemandMeter(clock),
             stop_time,
+            stages,
         )
         server = new_front_server("127.0.0.1:0", self.gateway, clock, self.connections)
         server.start()
