--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -3,7 +3,6 @@
 import random
 from contextlib import closing
 from functools import partial
-from typing import NamedTuple
 
 from auburnwall.base import logs
 from auburnwall.base.clock import PauseDetector, SystemClock
@@ -83,25 +82,6 @@
 MAX_PLANNING_AGE_S = 4.0
 
 
-class Platform(NamedTuple):
-    """The adapters through which a routed node uses its platform.
-
-    ``engine`` is the client that asks the model servers for their state. ``codec``
-    decodes the operators' table and ``decode_registration`` a server's entry;
-    ``is_same_registration`` compares two entries of a server.
-    ``directory`` is a ``DirectoryCodec``; ``ready_path`` is the path for readiness.
-    """
-
-    store: object
-    engine: object
-    header_names: object
-    codec: object
-    decode_registration: object
-    is_same_registration: object
-    directory: object
-    ready_path: str
-
-
 class RoutedNode:
     """All components of a routed node; ``tasks`` owns its greenlets."""
 
--- a/tests/routed/test_own_pause.py
+++ b/tests/routed/test_own_pause.py
@@ -16,8 +16,9 @@
     FAILED_BROKER_S,
 )
 from auburnwall.node.routed.fleet_load import load_of_pulse
-from auburnwall.node.routed.node import GRANT_CHECK_INTERVAL_S, Platform, RoutedNode
+from auburnwall.node.routed.node import GRANT_CHECK_INTERVAL_S, RoutedNode
 from auburnwall.node.routed.peers import MAX_HEARTBEAT_AGE_S, MAX_LOAD_AGE_S
+from auburnwall.node.routed.platform_adapters import Platform
 from auburnwall.node.routed.settings import RoutedSettings
 from auburnwall.routing.brokered_placer import Ask, BrokeredPlacer, Grant
 from auburnwall.routing.in_flight import CHECK_INTERVAL_S
