Look for no plugins when a node's blocking calls are patched

Cause: gevent looks for entry points of all installed distributions 25 times while it patches the standard library.

Change: patch_blocking_calls() lets it find none; a node has no such plugins.

--- a/packages/auburnwall-base/src/auburnwall/base/startup.py
+++ b/packages/auburnwall-base/src/auburnwall/base/startup.py
@@ -1,4 +1,4 @@
-"""The begin of a process: its time, and signals before the process has handlers.
+"""The begin of a process: its time, its first signals, and what speeds up its imports.
 
 The modules that this one imports are loaded by the interpreter itself, so that it can
 be called before all others are imported.
@@ -33,3 +33,21 @@
         return int(fields[START_TIME_FIELD]) / os.sysconf("SC_CLK_TCK")
     except (OSError, ValueError, IndexError):
         return None
+
+
+def patch_blocking_calls():
+    """Replace the blocking calls of the standard library by those of gevent.
+
+    ``gevent`` looks for plugins among all installed distributions for each module that
+    it patches, 25 times in all. A node has no such plugins, so none are looked for.
+    """
+    from importlib import metadata
+
+    from gevent import monkey
+
+    find_plugins = metadata.entry_points
+    metadata.entry_points = lambda **params: ()
+    try:
+        monkey.patch_all()
+    finally:
+        metadata.entry_points = find_plugins
