Collect no garbage while a node's modules are imported

Cause: the collector runs dozens of times while the modules are imported, and nothing of what they create is garbage.

Change: it is off from the begin of the process to the end of the node's start. What the start has created is then left out of later collections (gc.freeze).

--- a/packages/auburnwall-node/src/auburnwall/node/routed/run.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/run.py
@@ -31,6 +31,10 @@
         gevent.signal_handler(signal.SIGINT, node.shutdown.begin)
         gevent.signal_handler(signal.SIGHUP, node.reload)
         node.start()
+        # What the start has created lives as long as the process. Later collections
+        # need not look through it.
+        gc.freeze()
+        gc.enable()
         node.shutdown.finished.wait()
     logs.event("stopped")
     writer.drain(LOG_DRAIN_TIMEOUT_S)
