Let requests wait for a node's first reads, and refuse earlier ones for less long

Cause: a node opens its sockets some 20 to 120 ms before it has read the tables. A request of this time was refused: without a configuration with a Retry-After of 0.5 s, and without servers as overloaded, with one of 3 s. Callers honour a third of the time that they have left, which is 0.2 s for the shortest deadline.

Change: for 0.1 s after the sockets have opened, a request waits for the first reads. After that it is refused as before, as not run, with a Retry-After of up to 0.2 s in the first second and up to 0.5 s later, never more than a third of the caller's time left. A node that has not read the servers, or the groups for a service with models, says "Starting" and not that nothing serves the request.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -19,9 +19,6 @@
 
 from .start_stages import FIRST_RESPONSE
 
-# Retry-After of a node that has no configuration yet, in seconds. A node takes about
-# this long to start.
-STARTING_RETRY_AFTER_S = 0.5
 # Largest deadline of a caller, in milliseconds; a route has a limit of its own.
 MAX_DEADLINE_MS = 10**9
 # Rank of a request whose route and team have no priority; 0 is the most urgent.
@@ -49,6 +46,7 @@
         demand,
         stop_time,
         stages,
+        start_gate,
     ):
         self.forwarder = forwarder
         self.running = 0
@@ -63,6 +61,7 @@
         self._metrics = metrics
         self._demand = demand
         self._stages = stages
+        self._start_gate = start_gate
         self._retried_calls = RetriedCallDetector()
 
     def __enter__(self):
@@ -108,14 +107,11 @@
 
         Raises ``RequestError`` if this node cannot serve the call.
         """
+        self._start_gate.wait()
         table = self._source.table
         if table is None:
-            raise RequestError(
-                503,
-                "Starting",
-                "this node has no configuration yet",
-                step="find route",
-                retry_after_s=STARTING_RETRY_AFTER_S,
+            raise self._start_gate.starting_error(
+                "this node has no configuration yet", self._stated_time_left_s(call)
             )
         if self.refusing:
             raise stopping_error("this node is stopping")
@@ -148,6 +144,8 @@
         if forwarded_by:
             route = route._replace(max_servers=max_servers_of(call, route))
         deadline, elapsed_s = self._deadline(route, call)
+        time_left_s = deadline - self._clock.monotonic()
+        self._start_gate.check_servers(engine is not None, time_left_s)
         request = RoutedRequest(
             call,
             self.request_id(call),
@@ -180,6 +178,15 @@
         except ValueError as exc:
             raise BadRequestError(str(exc)) from exc
 
+    def _stated_time_left_s(self, call):
+        """Return the time that a caller states to have left, ``None`` if unknown."""
+        left_ms = parse_digits(
+            call.header(self._header_names.deadline_ms) or "", MAX_DEADLINE_MS
+        )
+        if left_ms is None:
+            return None
+        return call.arrived_at + left_ms / 1000 - self._clock.monotonic()
+
     def _deadline(self, route, call):
         """Return the deadline and the estimated seconds since the caller's first try.
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -48,6 +48,7 @@
 from .settings_reload import SettingsReload
 from .shutdown import GracefulShutdown
 from .source import ConfigSource
+from .start_gate import StartGate
 from .start_stages import SOCKETS_OPEN, StartStages, checks_of
 from .table_readers import (
     FLEET_TABLE,
@@ -160,6 +161,8 @@
             server.start()
             self._stack.callback(server.stop)
         self.stages.note(SOCKETS_OPEN)
+        self.start_gate.open()
+        spawn(self.start_gate.watch)
         for reader in self.readers.values():
             spawn(
                 run_restarting, self.clock, reader.run, f"table {reader.replica.table}"
@@ -301,6 +304,7 @@
             cfg.node,
         )
         self._retry_budgets = {}
+        self.start_gate = StartGate(self.replicas, clock, self.rng)
         self.gateway = Gateway(
             self.source,
             Forwarder(deps, self._retry_budget, self._record_stream),
@@ -311,6 +315,7 @@
             self.demand,
             self.stop_time,
             self.stages,
+            self.start_gate,
         )
         self.shutdown = GracefulShutdown(
             self.gateway, self.writer, clock, cfg, self.tasks
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -19,6 +19,7 @@
 from auburnwall.node.routed.front import new_front_server
 from auburnwall.node.routed.gateway import Gateway
 from auburnwall.node.routed.metrics import RoutedMetrics
+from auburnwall.node.routed.start_gate import StartGate
 from auburnwall.node.routed.start_stages import StartStages
 from auburnwall.node.routed.views import SlotUsage, SuspectCandidates
 from auburnwall.platform.headers import HEADER_NAMES
@@ -212,6 +213,7 @@
             DemandMeter(clock),
             stop_time,
             stages,
+            StartGate({}, clock, random.Random(7)),
         )
         server = new_front_server("127.0.0.1:0", self.gateway, clock, self.connections)
         server.start()
