Let a node meet its peers as soon as it has read the fleet table

Cause: the tasks that announce a node, call its peers and report to its relay started with the node, did nothing before the first read of the fleet table, and had their first useful round up to 0.25 to 0.4 s later. Until then a node is the only broker that it knows, and all nodes grant the slots of the same groups.

Change: these three tasks begin when the table has been read.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -77,6 +77,8 @@
 CRASH_EVIDENCE_INTERVAL_S = 0.1
 # Interval between attempts to write this node's record, in seconds.
 ANNOUNCE_INTERVAL_S = 0.3
+# Interval between two checks whether the fleet table was read, in seconds.
+FIRST_READ_CHECK_INTERVAL_S = 0.01
 # Pause of this process after which its table copies count as outdated, in seconds.
 MAX_PAUSE_S = 1.0
 # Maximum age of the table copies from which this node may plan, in seconds.
@@ -170,10 +172,7 @@
         spawn(run_restarting, self.clock, self.in_flight.watch, "progress watch")
         for delay_s, function, name in (
             (MAX_PAUSE_S / 4, self._check_for_pause, "pause watch"),
-            (PEERS_INTERVAL_S, partial(self.peers.call_new_peers, self.tasks), "peers"),
-            (REPORT_PERIOD_S, self.peers.report, "report"),
             (LOST_NODE_INTERVAL_S, self.peers.call_lost_node, "lost nodes"),
-            (ANNOUNCE_INTERVAL_S, self._announce_node, "announcement"),
             (ELECTION_INTERVAL_S, self._step_election, "election"),
             (PLANNING_INTERVAL_S, self._plan, "plan"),
             (DEMAND_INTERVAL_S, self.demand.step, "demand"),
@@ -185,6 +184,7 @@
             (SETTINGS_INTERVAL_S, self.settings.check, "settings"),
         ):
             spawn(run_periodically, self.clock, delay_s, function, name)
+        spawn(self._join_fleet)
         logs.event(
             "started",
             front=cfg.front_address,
@@ -194,6 +194,21 @@
         self.stages.begin_logging()
         spawn(self.stages.watch, checks_of(self))
 
+    def _join_fleet(self):
+        """Announce this node and meet its peers as soon as the fleet table is read.
+
+        Their tasks do nothing before. If they started with the others, their first
+        useful round would be up to a whole interval after the read.
+        """
+        while self.replicas[FLEET_TABLE].end < 0:
+            self.clock.sleep(FIRST_READ_CHECK_INTERVAL_S)
+        for delay_s, function, name in (
+            (ANNOUNCE_INTERVAL_S, self._announce_node, "announcement"),
+            (PEERS_INTERVAL_S, partial(self.peers.call_new_peers, self.tasks), "peers"),
+            (REPORT_PERIOD_S, self.peers.report, "report"),
+        ):
+            self.tasks.spawn(run_periodically, self.clock, delay_s, function, name)
+
     def _build_fleet(self):
         cfg, platform, clock = self.cfg, self._platform, self.clock
         self.source = ConfigSource(self.replicas[OPERATOR_TABLE], platform.codec)
