--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -28,23 +28,19 @@
 from auburnwall.wire.client import PeerPool
 from auburnwall.wire.peer import Routed
 from auburnwall.wire.peer.ttypes import Pulse
-from auburnwall.wire.server import PeerServer
 
 from ..identity import Identity
-from ..webserver import new_server
 from .announcement import Announcement
 from .blocked_parts import BlockedParts
 from .connections import CallerConnections, StepTrackingPlacer
 from .demand import DemandMeter
-from .entry import EntryPoints, new_directory_app, new_ready_app
 from .fleet_load import limits_to_wire
 from .fleet_reach import FleetReach
-from .front import new_front_server
 from .gateway import Gateway
-from .handler import RoutedHandler
 from .metrics import RoutedMetrics, add_gauges
 from .peers import LOST_NODE_INTERVAL_S, REPORT_PERIOD_S, Peers
 from .placing import Placing
+from .servers import build_servers
 from .settings_reload import SettingsReload
 from .shutdown import GracefulShutdown
 from .source import ConfigSource
@@ -105,7 +101,7 @@
         self.rng = rng or random.Random()
         self.stages = stages or StartStages(self.clock)
         self.lateness = LoopLateness(self.clock)
-        self._platform = platform
+        self.platform = platform
         self._stack = stack
         self.identity = Identity(
             cfg.node,
@@ -159,7 +155,7 @@
     def start(self):
         """Start the servers and all tasks that run until the node stops."""
         cfg, spawn = self.cfg, self.tasks.spawn
-        for server in self._servers():
+        for server in build_servers(self):
             server.start()
             self._stack.callback(server.stop)
         self.stages.note(SOCKETS_OPEN)
@@ -210,7 +206,7 @@
             self.tasks.spawn(run_periodically, self.clock, delay_s, function, name)
 
     def _build_fleet(self):
-        cfg, platform, clock = self.cfg, self._platform, self.clock
+        cfg, platform, clock = self.cfg, self.platform, self.clock
         self.source = ConfigSource(self.replicas[OPERATOR_TABLE], platform.codec)
         self.registry = Registry(
             self.replicas[SERVER_TABLE], platform.decode_registration, clock
@@ -305,7 +301,7 @@
         self.placer = StepTrackingPlacer(
             self.placing.placer, self.connections, self.stages
         )
-        header_names = self._platform.header_names
+        header_names = self.platform.header_names
         deps = ForwarderDeps(
             self.placer,
             self.channels,
@@ -339,32 +335,6 @@
         self.settings.listeners.append(self._apply_settings)
         add_gauges(self.metrics, self)
 
-    def _servers(self):
-        cfg, platform = self.cfg, self._platform
-        host, _, port = cfg.peer_address.rpartition(":")
-        handler = RoutedHandler(
-            self.peers,
-            self.replicas,
-            platform.engine,
-            self.clock,
-            self.placing.brokers,
-        )
-        entry_points = EntryPoints(self.fleet, self.peers, self.pulse, lambda: self.cfg)
-        return (
-            PeerServer(host, int(port), handler, Routed),
-            new_server(
-                cfg.ready_address,
-                new_ready_app(platform.ready_path, self.is_ready, self.metrics),
-            ),
-            new_server(
-                cfg.directory_address,
-                new_directory_app(platform.directory, entry_points),
-            ),
-            new_front_server(
-                cfg.front_address, self.gateway, self.clock, self.connections
-            ),
-        )
-
     def _reads_tables(self):
         """Return whether this node has the tables and knows enough to plan.
 
