--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -58,10 +58,16 @@
             store=store or self.store,
             **self.nodes[name],
         )
-        path = self.settings_path(name)
-        path.write_text(text, "utf-8")
+        self.settings_path(name).write_text(text, "utf-8")
+        self.start_node(name)
+
+    def start_node(self, name):
+        """Start a node with its settings file, again if it has ended."""
         command = [sys.executable, "-m", self._node_module]
-        environ = {"AUBURNWALL_SETTINGS": str(path), **self._node_env}
+        environ = {
+            "AUBURNWALL_SETTINGS": str(self.settings_path(name)),
+            **self._node_env,
+        }
         self._start(name, command, {**environ, **self.environ_of(name)})
 
     def environ_of(self, node):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/start_stages.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/start_stages.py
@@ -38,15 +38,19 @@
         self._clock = clock
         self._began_at = clock.monotonic() if process_at is None else process_at
         self._reached = {}
+        self._due_checks = {}
         self._is_logging = False
 
     def note(self, stage):
-        """Record that the node has reached a stage; only the first time counts."""
+        """Record that the node has reached a stage; only the first time counts.
+
+        The stages that are watched are checked before, so that none that came earlier
+        is recorded later.
+        """
         if stage in self._reached:
             return
-        self._reached[stage] = self._clock.monotonic() - self._began_at
-        if self._is_logging:
-            self._log(stage)
+        self._check_due()
+        self._record(stage)
 
     def begin_logging(self):
         """Log the stages that were reached so far, and from now on each new one."""
@@ -60,12 +64,22 @@
         ``checks`` maps stages to functions without arguments that return a bool.
         """
         ends_at = self._began_at + MAX_WATCHED_S
-        due = dict(checks)
-        while due and self._clock.monotonic() < ends_at:
-            for stage in [stage for stage, is_reached in due.items() if is_reached()]:
-                self.note(stage)
-                del due[stage]
+        self._due_checks = dict(checks)
+        while self._due_checks and self._clock.monotonic() < ends_at:
+            self._check_due()
             self._clock.sleep(CHECK_INTERVAL_S)
+        self._due_checks.clear()
+
+    def _record(self, stage):
+        self._reached[stage] = self._clock.monotonic() - self._began_at
+        if self._is_logging:
+            self._log(stage)
+
+    def _check_due(self):
+        checks = self._due_checks.items()
+        for stage in [stage for stage, is_reached in checks if is_reached()]:
+            del self._due_checks[stage]
+            self._record(stage)
 
     def _log(self, stage):
         event("start stage", stage=stage, since_start_s=round(self._reached[stage], 3))
--- a/tests/routed/test_start_gate.py
+++ b/tests/routed/test_start_gate.py
@@ -142,6 +142,27 @@
             ],
         )
 
+    def test_watched_stage_is_not_recorded_after_one_that_follows_it(self):
+        """The checks are 10 ms apart, in which a whole request may be served."""
+        clock, facts, logged = FakeClock(), [], []
+        self.enterContext(
+            patch.object(
+                start_stages, "event", lambda name, **f: logged.append(f["stage"])
+            )
+        )
+        stages = StartStages(clock)
+        stages.begin_logging()
+        sleep = clock.sleep
+
+        def serve_request(seconds):
+            facts.append("read")
+            stages.note(FIRST_RESPONSE)
+            sleep(seconds)
+
+        clock.sleep = serve_request
+        stages.watch({SETTINGS_READ: lambda: "read" in facts})
+        self.assertEqual(logged, [SETTINGS_READ, FIRST_RESPONSE])
+
     def test_stages_that_are_never_reached_are_not_watched_for_ever(self):
         """A node that is alone hears no heartbeats, and one in a mesh has no broker."""
         clock = FakeClock()
