--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -3,7 +3,6 @@
 import random
 from contextlib import closing
 from functools import partial
-from typing import NamedTuple
 
 from auburnwall.base import logs
 from auburnwall.base.clock import PauseDetector, SystemClock
@@ -26,43 +25,36 @@
 from auburnwall.routing.shared_retry_budget import SharedRetryBudget
 from auburnwall.routing.stop_time import StopTime
 from auburnwall.state.proposer import new_incarnation
-from auburnwall.state.table.replica import TableReplica
 from auburnwall.wire.client import PeerPool
 from auburnwall.wire.peer import Routed
 from auburnwall.wire.peer.ttypes import Pulse
-from auburnwall.wire.server import PeerServer
 
 from ..identity import Identity
-from ..webserver import new_server
 from .announcement import Announcement
 from .blocked_parts import BlockedParts
 from .connections import CallerConnections, StepTrackingPlacer
 from .demand import DemandMeter
-from .entry import EntryPoints, new_directory_app, new_ready_app
 from .fleet_load import limits_to_wire
 from .fleet_reach import FleetReach
-from .front import new_front_server
 from .gateway import Gateway
-from .handler import RoutedHandler
 from .metrics import RoutedMetrics, add_gauges
 from .peers import LOST_NODE_INTERVAL_S, REPORT_PERIOD_S, Peers
 from .placing import Placing
+from .servers import build_servers
 from .settings_reload import SettingsReload
 from .shutdown import GracefulShutdown
 from .source import ConfigSource
-from .tables import (
-    LONG_POLL_S,
-    MAX_FLEET_AGE_S,
-    MAX_FOLLOWED_AGE_S,
-    MAX_OPERATOR_AGE_S,
-    MAX_RELAYED_AGE_FRACTION,
-    RELAYED_LONG_POLL_S,
-    StoreReaderChoice,
-    TableReader,
+from .start_gate import StartGate
+from .start_stages import SOCKETS_OPEN, StartStages, checks_of
+from .table_readers import (
+    FLEET_TABLE,
+    OPERATOR_TABLE,
+    SERVER_TABLE,
+    build_readers,
+    build_replicas,
 )
 from .views import PlanningView, SuspectCandidates
 
-OPERATOR_TABLE, SERVER_TABLE, FLEET_TABLE = "operator", "servers", "fleet"
 # Timeout of a call to a peer, in seconds.
 PEER_TIMEOUT_S = 0.8
 # Planning interval, in seconds. A plan for several dozen groups takes a few ms.
@@ -81,51 +73,35 @@
 CRASH_EVIDENCE_INTERVAL_S = 0.1
 # Interval between attempts to write this node's record, in seconds.
 ANNOUNCE_INTERVAL_S = 0.3
+# Interval between two checks whether the fleet table was read, in seconds.
+FIRST_READ_CHECK_INTERVAL_S = 0.01
 # Pause of this process after which its table copies count as outdated, in seconds.
 MAX_PAUSE_S = 1.0
 # Maximum age of the table copies from which this node may plan, in seconds.
 MAX_PLANNING_AGE_S = 4.0
-# Pause between two reads of the fleet table at nodes other than the planner, in
-# seconds, so that one read gets a burst of the planner's records. A shorter pause gains
-# little: a group is used only once its head, the member that takes its requests, has
-# registered, and the registrations are read at longer intervals (``registry_s``).
-FLEET_READ_PAUSE_S = 0.3
-# Time for which this node keeps what it knows of the fleet after the store has lost
-# records, in seconds. A new planner, if one is needed, has written them again by then.
-FLEET_SETTLE_S = 6.0
-
-
-class Platform(NamedTuple):
-    """The adapters through which a routed node uses its platform.
-
-    ``engine`` is the client that asks the model servers for their state. ``codec``
-    decodes the operators' table and ``decode_registration`` a server's entry;
-    ``is_same_registration`` compares two entries of a server.
-    ``directory`` is a ``DirectoryCodec``; ``ready_path`` is the path for readiness.
-    """
-
-    store: object
-    engine: object
-    header_names: object
-    codec: object
-    decode_registration: object
-    is_same_registration: object
-    directory: object
-    ready_path: str
 
 
 class RoutedNode:
     """All components of a routed node; ``tasks`` owns its greenlets."""
 
     def __init__(
-        self, cfg, platform, tasks, stack, load_settings, clock=None, rng=None
+        self,
+        cfg,
+        platform,
+        tasks,
+        stack,
+        load_settings,
+        clock=None,
+        rng=None,
+        stages=None,
     ):
         self.settings = SettingsReload(cfg, load_settings)
         self.tasks = tasks
         self.clock = clock or SystemClock()
         self.rng = rng or random.Random()
+        self.stages = stages or StartStages(self.clock)
         self.lateness = LoopLateness(self.clock)
-        self._platform = platform
+        self.platform = platform
         self._stack = stack
         self.identity = Identity(
             cfg.node,
@@ -134,7 +110,9 @@
             cfg.peer_address,
             cfg.data_center,
         )
-        self._build_tables()
+        self.replicas = build_replicas(
+            platform.store, self.clock, platform.is_same_registration
+        )
         self._build_fleet()
         self._build_routing()
         self._pause_detector = PauseDetector(self.clock, MAX_PAUSE_S)
@@ -177,9 +155,12 @@
     def start(self):
         """Start the servers and all tasks that run until the node stops."""
         cfg, spawn = self.cfg, self.tasks.spawn
-        for server in self._servers():
+        for server in build_servers(self):
             server.start()
             self._stack.callback(server.stop)
+        self.stages.note(SOCKETS_OPEN)
+        self.start_gate.open()
+        spawn(self.start_gate.watch)
         for reader in self.readers.values():
             spawn(
                 run_restarting, self.clock, reader.run, f"table {reader.replica.table}"
@@ -187,10 +168,7 @@
         spawn(run_restarting, self.clock, self.in_flight.watch, "progress watch")
         for delay_s, function, name in (
             (MAX_PAUSE_S / 4, self._check_for_pause, "pause watch"),
-            (PEERS_INTERVAL_S, partial(self.peers.call_new_peers, self.tasks), "peers"),
-            (REPORT_PERIOD_S, self.peers.report, "report"),
             (LOST_NODE_INTERVAL_S, self.peers.call_lost_node, "lost nodes"),
-            (ANNOUNCE_INTERVAL_S, self._announce_node, "announcement"),
             (ELECTION_INTERVAL_S, self._step_election, "election"),
             (PLANNING_INTERVAL_S, self._plan, "plan"),
             (DEMAND_INTERVAL_S, self.demand.step, "demand"),
@@ -202,28 +180,33 @@
             (SETTINGS_INTERVAL_S, self.settings.check, "settings"),
         ):
             spawn(run_periodically, self.clock, delay_s, function, name)
+        spawn(self._join_fleet)
         logs.event(
             "started",
             front=cfg.front_address,
             peer=cfg.peer_address,
             incarnation=self.identity.incarnation,
         )
+        self.stages.begin_logging()
+        spawn(self.stages.watch, checks_of(self))
 
-    def _build_tables(self):
-        store, clock = self._platform.store, self.clock
-        self.replicas = {
-            OPERATOR_TABLE: TableReplica(OPERATOR_TABLE, store, clock),
-            SERVER_TABLE: TableReplica(
-                SERVER_TABLE, store, clock, survives_pause=False
-            ),
-            FLEET_TABLE: TableReplica(
-                FLEET_TABLE, store, clock, settle_s=FLEET_SETTLE_S, survives_pause=False
-            ),
-        }
-        self.replicas[SERVER_TABLE].is_repeat = self._platform.is_same_registration
+    def _join_fleet(self):
+        """Announce this node and meet its peers as soon as the fleet table is read.
+
+        Their tasks do nothing before. If they started with the others, their first
+        useful round would be up to a whole interval after the read.
+        """
+        while self.replicas[FLEET_TABLE].end < 0:
+            self.clock.sleep(FIRST_READ_CHECK_INTERVAL_S)
+        for delay_s, function, name in (
+            (ANNOUNCE_INTERVAL_S, self._announce_node, "announcement"),
+            (PEERS_INTERVAL_S, partial(self.peers.call_new_peers, self.tasks), "peers"),
+            (REPORT_PERIOD_S, self.peers.report, "report"),
+        ):
+            self.tasks.spawn(run_periodically, self.clock, delay_s, function, name)
 
     def _build_fleet(self):
-        cfg, platform, clock = self.cfg, self._platform, self.clock
+        cfg, platform, clock = self.cfg, self.platform, self.clock
         self.source = ConfigSource(self.replicas[OPERATOR_TABLE], platform.codec)
         self.registry = Registry(
             self.replicas[SERVER_TABLE], platform.decode_registration, clock
@@ -274,55 +257,7 @@
             clock,
             self.tasks,
         )
-        self._build_readers()
-
-    def _build_readers(self):
-        reader_choice = StoreReaderChoice(
-            self.identity, self.fleet, self.peers, self.writer.is_planner
-        )
-
-        def reader(table, wait_s, pause_s, max_age_s, peer_to_follow, **kwargs):
-            return TableReader(
-                self.replicas[table],
-                self.peers,
-                self.clock,
-                self.rng,
-                wait_s=wait_s,
-                pause_s=pause_s,
-                max_followed_age_s=max_age_s,
-                peer_to_follow=peer_to_follow,
-                **kwargs,
-            )
-
-        self.readers = {
-            OPERATOR_TABLE: reader(
-                OPERATOR_TABLE,
-                lambda: LONG_POLL_S if self.peers.is_mesh else RELAYED_LONG_POLL_S,
-                lambda: 0.0,
-                MAX_OPERATOR_AGE_S,
-                reader_choice.peer_to_follow_in_large_fleet,
-                follow_pause_s=0.0,
-                notice_s=self.cfg.config_notice_s,
-                start=reader_choice,
-            ),
-            FLEET_TABLE: reader(
-                FLEET_TABLE,
-                lambda: LONG_POLL_S,
-                self._fleet_pause_s,
-                MAX_FLEET_AGE_S,
-                reader_choice.peer_to_follow,
-            ),
-            SERVER_TABLE: reader(
-                SERVER_TABLE,
-                lambda: 0.0,
-                self._registry_pause_s,
-                self._max_followed_age_s(),
-                reader_choice.peer_to_follow,
-                on_read=self.registry.record_read,
-                notice_s=self.cfg.drain_notice_s,
-                start=reader_choice,
-            ),
-        }
+        self.readers = build_readers(self)
 
     def _build_routing(self):
         cfg, clock = self.cfg, self.clock
@@ -363,8 +298,10 @@
         self.stop_time.expected_s = self.placing.expected_time_s
         self.metrics = RoutedMetrics()
         self.connections = CallerConnections(clock, self.metrics)
-        self.placer = StepTrackingPlacer(self.placing.placer, self.connections)
-        header_names = self._platform.header_names
+        self.placer = StepTrackingPlacer(
+            self.placing.placer, self.connections, self.stages
+        )
+        header_names = self.platform.header_names
         deps = ForwarderDeps(
             self.placer,
             self.channels,
@@ -378,6 +315,7 @@
             cfg.node,
         )
         self._retry_budgets = {}
+        self.start_gate = StartGate(self.replicas, clock, self.rng)
         self.gateway = Gateway(
             self.source,
             Forwarder(deps, self._retry_budget, self._record_stream),
@@ -387,6 +325,8 @@
             self.metrics,
             self.demand,
             self.stop_time,
+            self.stages,
+            self.start_gate,
         )
         self.shutdown = GracefulShutdown(
             self.gateway, self.writer, clock, cfg, self.tasks
@@ -395,45 +335,6 @@
         self.settings.listeners.append(self._apply_settings)
         add_gauges(self.metrics, self)
 
-    def _servers(self):
-        cfg, platform = self.cfg, self._platform
-        host, _, port = cfg.peer_address.rpartition(":")
-        handler = RoutedHandler(
-            self.peers,
-            self.replicas,
-            platform.engine,
-            self.clock,
-            self.placing.brokers,
-        )
-        entry_points = EntryPoints(self.fleet, self.peers, self.pulse, lambda: self.cfg)
-        return (
-            PeerServer(host, int(port), handler, Routed),
-            new_server(
-                cfg.ready_address,
-                new_ready_app(platform.ready_path, self.is_ready, self.metrics),
-            ),
-            new_server(
-                cfg.directory_address,
-                new_directory_app(platform.directory, entry_points),
-            ),
-            new_front_server(
-                cfg.front_address, self.gateway, self.clock, self.connections
-            ),
-        )
-
-    def _registry_pause_s(self):
-        cfg = self.cfg
-        return cfg.planner_registry_s if self.writer.is_planner() else cfg.registry_s
-
-    def _fleet_pause_s(self):
-        """Return the pause between two reads of the fleet table, in seconds."""
-        return 0.0 if self.writer.is_planner() else FLEET_READ_PAUSE_S
-
-    def _max_followed_age_s(self):
-        """Return the maximum age of a peer's copy that this node takes, in seconds."""
-        relayed_age_s = MAX_RELAYED_AGE_FRACTION * self.cfg.drain_notice_s
-        return max(MAX_FOLLOWED_AGE_S, relayed_age_s)
-
     def _reads_tables(self):
         """Return whether this node has the tables and knows enough to plan.
 
