--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
@@ -5,21 +5,18 @@
 from auburnwall.base.logs import event, warn
 from auburnwall.state.exceptions import StateError, TableChangedError
 
-from ..engines.group import CloseOrder, OrderOutcome, StageOrder
-from ..exceptions import EngineError, ServerPausedError
+from ..engines.group import StageOrder
 from ..registrations import JOINING
 from .adoption import UnrecordedGroups
 from .assembly import assemble, coverage
 from .lifecycle import GroupStatus, next_actions
 from .loads import LoadAllowance
+from .orders import OrderSender
 from .plan import Plan, as_free_server, engines_of, is_compatible
-from .records import ENDING, SERVING, Member, NotPlannerError
+from .records import SERVING, Member, NotPlannerError
 from .shifting import Shift, ShiftableGroup, find_shift
 from .staging import HostView, choose_staging
 
-# An order without a visible effect is sent again after this time: the registrations
-# that would show the effect are up to 0.5 s old.
-ORDER_RETRY_S = 0.8
 # Before the first request, the fleet counts as settled after this time without a new
 # server: servers that start together register at shorter intervals.
 SETTLING_S = 1.0
@@ -54,15 +51,11 @@
         self._writer = writer
         self._registry = registry
         self._monitor = member_monitor
-        self._engine = engine
         self._inputs = inputs
         self._clock = clock
         self._tasks = tasks
         self._phase_since = {}  # by group name and phase
-        self._sent_at = {}  # by server and orders
-        self._refusals = {}  # group name -> why it must end
-        self._groups_with_retired_head = set()
-        self._unanswered_at = {}  # server -> time of the last order without a response
+        self._orders = OrderSender(state, member_monitor, engine, clock, tasks)
         self._planner_since = None
         self._min_own_epoch = 0  # groups of earlier planners have smaller epochs
         self._load_limit = LoadAllowance()
@@ -100,7 +93,7 @@
         for plan in plans:
             endings.update(dict.fromkeys(plan.shift.groups, (False, plan.shift.cause)))
         if self._write(endings, finished, plans):
-            self._send_orders(statuses, actions)
+            self._orders.send_orders(statuses, actions)
             for service, engine in engines.items():
                 self._stage(service, engine, RESERVED_LOADS)
 
@@ -112,9 +105,7 @@
         """
         self._planner_since = self._clock.monotonic()
         self._min_own_epoch = self._state.next_epoch()
-        self._refusals.clear()
-        self._groups_with_retired_head.clear()
-        self._sent_at.clear()
+        self._orders.forget_conclusions()
         self._shifts.clear()
 
     def pause(self):
@@ -170,12 +161,12 @@
 
     def _find_endings(self, statuses, actions):
         """Return the groups to end: names mapped to pairs of ``at_once`` and cause."""
-        self._refusals = {
+        self._orders.refusals = {
             name: why
-            for name, why in self._refusals.items()
+            for name, why in self._orders.refusals.items()
             if name in statuses and statuses[name].group.phase == SERVING
         }
-        endings = {name: (True, why) for name, why in self._refusals.items()}
+        endings = {name: (True, why) for name, why in self._orders.refusals.items()}
         endings.update(
             {n: (a.at_once, a.end_cause) for n, a in actions.items() if a.end_cause}
         )
@@ -195,11 +186,11 @@
                 tuple(self._monitor.view(group, m, evacuated) for m in group.members),
                 now - phase_since[key],
                 model.load_s if model else 0.0,  # an unknown model gets no time to form
-                group.name in self._groups_with_retired_head,
+                group.name in self._orders.groups_with_retired_head,
                 self._is_order_pending(group, now),
             )
         self._phase_since = phase_since
-        self._groups_with_retired_head &= set(statuses)
+        self._orders.groups_with_retired_head &= set(statuses)
         return statuses
 
     def _is_order_pending(self, group, now):
@@ -209,7 +200,8 @@
         sent when the head was first seen open, or else when this node began to plan.
         """
         head = group.head.server
-        sent_at = self._unanswered_at.get(head, -ORDER_EXPIRY_S)  # by default never
+        # Without an unanswered order the time counts as expired.
+        sent_at = self._orders.unanswered_at.get(head, -ORDER_EXPIRY_S)
         if group.epoch < self._min_own_epoch:
             open_since = self._registry.open_since(head, group.epoch)
             sent_at = max(sent_at, open_since or self._planner_since)
@@ -380,7 +372,7 @@
             self._staging_until[server] = now + 2 * load_s
             entry = self._registry.servers[server]
             member = Member(server, entry.born, entry.address)
-            self._tasks.spawn(self._send, "", member, StageOrder(model))
+            self._tasks.spawn(self._orders.send, "", member, StageOrder(model))
 
     def _free_servers(self, service, finished_names):
         """Return the servers that a new group may use."""
@@ -449,58 +441,3 @@
         for plan in plans:
             self._record_plan(plan)
         return True
-
-    def _send_orders(self, statuses, actions):
-        """Send the orders of groups whose records are unchanged since ``statuses``."""
-        now = self._clock.monotonic()
-        self._sent_at = {
-            key: at for key, at in self._sent_at.items() if at > now - ORDER_RETRY_S
-        }
-        for name, act in actions.items():
-            if self._state.groups.get(name) != statuses[name].group:
-                continue
-            for server, orders in act.orders.items():
-                self._send_unless_recent(statuses[name].group, server, orders, now)
-
-    def _send_unless_recent(self, group, server, orders, now):
-        key = server, orders
-        if key in self._sent_at:
-            return
-        self._sent_at[key] = now
-        member = next(m for m in group.members if m.server == server)
-        self._tasks.spawn(self._send_all, group, member, orders)
-
-    def _send_all(self, group, member, orders):
-        """Send orders one by one until one of them has no response."""
-        outcome = None
-        for order in orders:
-            outcome = self._send(group.name, member, order)
-            if outcome is None:
-                return
-        done = outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS)
-        if group.phase == ENDING and done and not isinstance(orders[-1], CloseOrder):
-            self._groups_with_retired_head.add(group.name)
-        stale = outcome in (OrderOutcome.STALE, OrderOutcome.WRONG_SERVER)
-        if group.phase == SERVING and stale:
-            self._refusals[group.name] = f"{member.server} refused: {outcome.value}"
-
-    def _send(self, group, member, order):
-        """Send one order; return its outcome, ``None`` without a response."""
-        fields = {
-            "peer": member.server,
-            "group": group,
-            "order": type(order).__name__,
-            "epoch": getattr(order, "epoch", None),
-        }
-        try:
-            outcome = self._engine.send_order(member.server, member.address, order)
-        except ServerPausedError as exc:
-            event("order held", **fields, why=exc.detail)
-            return None
-        except EngineError as exc:
-            event("order unanswered", **fields, why=exc.detail)
-            self._unanswered_at[member.server] = self._clock.monotonic()
-            self._monitor.probe_server(member)
-            return None
-        event("order given", **fields, outcome=outcome.value)
-        return outcome
--- a/tests/fleet/test_knowledge.py
+++ b/tests/fleet/test_knowledge.py
@@ -212,7 +212,7 @@
         controller = self.node.formation_controller
         controller.step()
         name = next(iter(self.groups()))
-        controller._refusals[name] = "refused long ago"
+        controller._orders.refusals[name] = "refused long ago"
         controller.pause()
         controller.step()
         self.assertEqual(self.groups()[name].phase, SERVING)
