Report the newest second's demand and measure the ranks of models

The planner sees only the moving average of each node, which shows a jump of 2.5 times as 1.4 times after one second. A shorter memory in the node, without a new field, is no substitute: a node of a large fleet gets a request for a large model every few seconds, so the higher of mean and newest second must be taken of the sums over the nodes. The optional field newest_demand of Pulse (19) and Load (10) carries it where capacity between models is planned ahead; elsewhere it is not sent. A node that does not send it counts with its mean.

The rank of a model is the lowest one of the routes whose requests name it at the planner's own node; it needs no message.

The setting plan_ahead and the settings of a routed node are on the settings page.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/demand.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/demand.py
@@ -8,6 +8,8 @@
 
 from auburnwall.routing.step_model import Work, group_seconds_per_request
 
+from .model_ranks import ModelRanks
+
 # Factor by which older demand decays in the moving average, per second. The demand of
 # about four seconds ago has a third of the weight of the newest.
 DECAY_PER_S = 0.75
@@ -20,15 +22,18 @@
 class DemandMeter:
     """Measure the demand that arrives at this node.
 
-    ``has_traffic`` is whether any request has arrived yet.
+    ``has_traffic`` is whether any request has arrived yet. ``ranks`` are the
+    ``ModelRanks`` of the requests.
     """
 
     def __init__(self, clock):
         self.has_traffic = False
+        self.ranks = ModelRanks()
         self._traffic_since = None
         self._clock = clock
         self._new_group_seconds = defaultdict(float)
         self._mean_groups = defaultdict(float)
+        self._newest_groups = {}
         self._updated_at = clock.monotonic()
         self._estimated_tokens = defaultdict(float)
         self._measured_tokens = defaultdict(float)
@@ -46,9 +51,9 @@
                 request.work.response_tokens * self._correction(request.model)
             )
             work = Work(request.work.prompt_tokens, max(1, tokens))
-            self._new_group_seconds[request.model] += group_seconds_per_request(
-                engine, model, work
-            )
+            group_seconds = group_seconds_per_request(engine, model, work)
+            self._new_group_seconds[request.model] += group_seconds
+            self.ranks.record(request.model, request.route.priority, group_seconds)
 
     def record_answer(self, request, events, tokens_per_event):
         """Record the length of a complete answer and the caller's estimate of it.
@@ -72,14 +77,24 @@
         The averages start at zero. The division by ``covered``, the weight of the time
         measured so far, corrects this bias.
         """
-        if not self.has_traffic:
-            return {}
-        measured_s = self._updated_at - self._traffic_since
+        measured_s = self._measured_s()
         if measured_s < MIN_MEASURED_S:
             return {}
         covered = 1 - DECAY_PER_S**measured_s
         return {model: mean / covered for model, mean in self._mean_groups.items()}
 
+    def newest_groups(self):
+        """Return the demand by model in the last whole second, in groups.
+
+        It is empty whenever ``groups_needed`` is.
+        """
+        if self._measured_s() < MIN_MEASURED_S:
+            return {}
+        return dict(self._newest_groups)
+
+    def _measured_s(self):
+        return self._updated_at - self._traffic_since if self.has_traffic else 0.0
+
     def step(self):
         """Update the averages with the requests since the last call."""
         now = self._clock.monotonic()
@@ -89,8 +104,10 @@
         decay = DECAY_PER_S**span_s
         for model in set(self._mean_groups) | set(self._new_group_seconds):
             groups = self._new_group_seconds.get(model, 0.0) / span_s
+            self._newest_groups[model] = groups
             self._mean_groups[model] = (
                 decay * self._mean_groups[model] + (1 - decay) * groups
             )
         self._new_group_seconds.clear()
+        self.ranks.decay(span_s)
         self._updated_at = now
--- a/packages/auburnwall-node/src/auburnwall/node/routed/fleet_load.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/fleet_load.py
@@ -17,6 +17,7 @@
         crashes=pulse.crashes,
         sound_parts=pulse.sound_parts,
         limits=pulse.limits,
+        newest_demand=pulse.newest_demand,
     )
 
 
@@ -29,10 +30,13 @@
 def sum_loads(loads):
     """Return the sum of ``Load`` objects.
 
-    Demand of nodes without traffic is not counted; they have not measured any.
+    Demand of nodes without traffic is not counted; they have not measured any. A node
+    that does not report the newest second, for example of an older build, counts there
+    with its mean. If no node reports it, the sum has none either.
     """
     running, demand, suspects, leaving = Counter(), Counter(), Counter(), {}
     prompts_by_crash, sound_parts, limits = defaultdict(set), set(), {}
+    newest_demand, has_newest = Counter(), False
     nodes_with_traffic = nodes_measured = 0
     for load in loads:
         running.update(load.running)
@@ -40,6 +44,9 @@
         nodes_measured += load.nodes_measured
         if load.nodes_measured:
             demand.update(load.demand)
+            reported = load.newest_demand
+            has_newest = has_newest or reported is not None
+            newest_demand.update(load.demand if reported is None else reported)
         suspects.update(load.suspects)
         leaving.update(load.leaving or {})
         for crash, prompts in (load.crashes or {}).items():
@@ -59,6 +66,7 @@
         {crash: sorted(prompts) for crash, prompts in prompts_by_crash.items()},
         sorted(sound_parts),
         limits,
+        dict(newest_demand) if has_newest else None,
     )
 
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -13,7 +13,7 @@
 from auburnwall.routing.exceptions import BadRequestError, RequestError
 from auburnwall.routing.forwarded import FORWARDED_BY, max_servers_of
 from auburnwall.routing.retried_calls import RetriedCallDetector
-from auburnwall.routing.routes import ClientLimits, pick_target
+from auburnwall.routing.routes import DEFAULT_RANK, ClientLimits, pick_target
 from auburnwall.routing.step_model import Work
 from auburnwall.routing.stop_time import stopping_error
 
@@ -22,8 +22,6 @@
 STARTING_RETRY_AFTER_S = 0.5
 # Largest deadline of a caller, in milliseconds; a route has a limit of its own.
 MAX_DEADLINE_MS = 10**9
-# Rank of a request whose route and team have no priority; 0 is the most urgent.
-DEFAULT_RANK = 5
 
 
 class Gateway:
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -155,6 +155,11 @@
             table_ends={name: r.end for name, r in self.replicas.items()},
             running=self.placing.slots_in_use(),
             demand=self.demand.groups_needed(),
+            newest_demand=(
+                self.demand.newest_groups()
+                if self.planning_view.reports_newest_demand()
+                else None
+            ),
             suspects=self.suspects.own_suspects(),
             has_traffic=self.demand.has_traffic,
             leaving=self.notices.leaving(),
@@ -264,13 +269,21 @@
             clock,
             self.tasks,
         )
+        self.demand = DemandMeter(clock)
+        self.planning_view = PlanningView(
+            self.source,
+            self.peers,
+            cfg.first_start,
+            self.demand.ranks.lowest,
+            lambda: self.cfg.plan_ahead,
+        )
         self.formation_controller = FormationController(
             self.fleet,
             self.writer,
             self.registry,
             self.member_monitor,
             platform.engine,
-            PlanningView(self.source, self.peers, cfg.first_start),
+            self.planning_view,
             clock,
             self.tasks,
         )
@@ -340,7 +353,6 @@
             clock, self.suspects.suspect, self.stop_time, self.lateness
         )
         self.suspects.last_progress_at = self.in_flight.last_progress_at
-        self.demand = DemandMeter(clock)
         self.time_to_start = TimeToStart()
         self.candidate_index = CandidateIndex(
             self.registry, self.fleet, lambda: self.source.evacuated_data_centers
--- a/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
@@ -31,6 +31,7 @@
     repeat_share: float = 0.1
     repeat_reserve: float = 10.0
     repeat_window_s: float = 10.0
+    plan_ahead: bool = False
 
 
 SETTING_SPECS = {
@@ -92,4 +93,8 @@
         1_000_000.0,
     ),
     "repeat_window_s": SettingSpec("Window for counting retries", "s", 1.0, 600.0),
+    "plan_ahead": SettingSpec(
+        "Whether capacity follows the newest second's demand, urgent models first, "
+        "even where the routes of a service have equal priorities"
+    ),
 }
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -4,6 +4,7 @@
 
 from auburnwall.base.logs import event
 from auburnwall.routing.in_flight import STALL_TIMEOUT_S
+from auburnwall.routing.routes import ranks_of_service
 from auburnwall.routing.step_model import service_time_s
 
 # Time for which a candidate gets no requests after a first suspicion, in seconds. The
@@ -320,12 +321,20 @@
 
 
 class PlanningView:
-    """The planner's view of the node's state."""
+    """The planner's view of the node's state.
 
-    def __init__(self, source, peers, first_start):
+    ``ranks()`` returns the lowest rank of each model that this node has had requests
+    for, ``plan_ahead()`` the setting of that name.
+    """
+
+    def __init__(
+        self, source, peers, first_start, ranks=dict, plan_ahead=lambda: False
+    ):
         self._source = source
         self._peers = peers
         self._first_start = first_start
+        self._ranks = ranks
+        self._plan_ahead = plan_ahead
 
     def config(self):
         """Return the configuration in force, or ``None``."""
@@ -344,15 +353,43 @@
         these callers is still part of what the others measured.
         """
         load = self._peers.fleet_load()
-        few_measured = (
-            load.nodes_measured < MIN_MEASURED_FRACTION * load.nodes_with_traffic
-        )
-        scale = (
-            load.nodes_with_traffic / max(1, load.nodes_measured)
-            if few_measured
-            else 1.0
-        )
-        return {model: groups * scale for model, groups in load.demand.items()}
+        return _extrapolate(load, load.demand)
+
+    def newest_demand(self):
+        """Return the demand of the newest second by model, in groups.
+
+        It is extrapolated as ``demand()`` is, and empty if no node reports it.
+        """
+        load = self._peers.fleet_load()
+        return _extrapolate(load, load.newest_demand or {})
+
+    def plans_ahead(self, service):
+        """Return whether capacity between the models of a service is planned ahead.
+
+        It is where the setting ``plan_ahead`` is on, and where the service has models
+        and its routes have different priorities.
+        """
+        config = self._source.config
+        spec = config.services.get(service) if config else None
+        if spec is None or spec.engine is None:
+            return False
+        return self._plan_ahead() or len(ranks_of_service(config, service)) > 1
+
+    def reports_newest_demand(self):
+        """Return whether the heartbeats must report the newest second's demand."""
+        config = self._source.config
+        return config is not None and any(map(self.plans_ahead, config.services))
+
+    def model_ranks(self, service):
+        """Return the lowest rank of the routes that use each model of a service.
+
+        A model that this node has had no request for counts with the lowest rank of the
+        service's routes, so that a node that has just started puts no model last.
+        """
+        config, measured = self._source.config, self._ranks()
+        lowest = min(ranks_of_service(config, service), default=0)
+        models = config.services[service].engine.models
+        return {model: measured.get(model, lowest) for model in models}
 
     def is_before_first_request(self):
         """Return whether this is the first start and no live node has had a request.
@@ -361,3 +398,12 @@
         of them knows of earlier requests.
         """
         return self._first_start and not self._peers.fleet_load().nodes_with_traffic
+
+
+def _extrapolate(load, demand):
+    """Return ``demand`` of a ``Load``, scaled up if few of its nodes have measured."""
+    few_measured = load.nodes_measured < MIN_MEASURED_FRACTION * load.nodes_with_traffic
+    scale = (
+        load.nodes_with_traffic / max(1, load.nodes_measured) if few_measured else 1.0
+    )
+    return {model: groups * scale for model, groups in demand.items()}
--- a/packages/auburnwall-routing/src/auburnwall/routing/routes.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/routes.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+# Rank of a request whose route and team have no priority; 0 is the most urgent.
+DEFAULT_RANK = 5
+
 
 class Target(NamedTuple):
     """A service that gets requests of a route in proportion to ``weight``."""
@@ -152,6 +155,15 @@
         return None
 
 
+def ranks_of_service(config, service):
+    """Return the set of the priorities of the routes that may use a service."""
+    return {
+        DEFAULT_RANK if route.priority is None else route.priority
+        for route in config.routes
+        if any(target.service == service for target in route.targets)
+    }
+
+
 def pick_target(route, rng):
     """Return the service for one request of ``route``, drawn at random by weight."""
     if len(route.targets) == 1:
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
@@ -169,7 +169,8 @@
  * there, each as the IDs of its prompt's parts joined by commas, a slash and its
  * fingerprint. NUMBER counts the crashes before with the same BORN. `sound_parts` are
  * shared parts and fingerprints of such requests that have been answered. `limits` maps
- * servers to the limits that they have named, the newest of each.
+ * servers to the limits that they have named, the newest of each. `newest_demand` is the
+ * demand of the newest second, not set where capacity is planned from the mean alone.
  */
 struct Load {
   1: map<string, i32> running
@@ -181,6 +182,7 @@
   7: map<string, list<string>> crashes
   8: list<string> sound_parts
   9: map<string, ServerLimit> limits
+  10: optional map<string, double> newest_demand
 }
 
 /**
@@ -209,9 +211,9 @@
  * measured. `suspects` names groups whose requests make no progress. `table_ends` is up
  * to which offset it has read each of the platform's tables, `reads_tables` whether it
  * reads all of them from the store. `cut_off` and `lost_services` are as in
- * `NodeStatus`, `leaving`, `crashes`, `sound_parts` and `limits` are
- * as in `Load`. `members` are the nodes that report to it, and `member_load` is the load of
- * these.
+ * `NodeStatus`, `leaving`, `crashes`, `sound_parts`, `limits` and
+ * `newest_demand` are as in `Load`. `members` are the nodes that report to it, and
+ * `member_load` is the load of these.
  */
 struct Pulse {
   1: string node
@@ -232,6 +234,7 @@
   16: map<string, ServerLimit> limits
   17: bool cut_off
   18: list<string> lost_services
+  19: optional map<string, double> newest_demand
 }
 
 /**
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
@@ -1564,7 +1564,8 @@
     there, each as the IDs of its prompt's parts joined by commas, a slash and its
     fingerprint. NUMBER counts the crashes before with the same BORN. `sound_parts` are
     shared parts and fingerprints of such requests that have been answered. `limits` maps
-    servers to the limits that they have named, the newest of each.
+    servers to the limits that they have named, the newest of each. `newest_demand` is the
+    demand of the newest second, not set where capacity is planned from the mean alone.
 
     Attributes:
      - running
@@ -1576,11 +1577,12 @@
      - crashes
      - sound_parts
      - limits
+     - newest_demand
 
     """
 
 
-    def __init__(self, running=None, demand=None, nodes_with_traffic=None, nodes_measured=None, suspects=None, leaving=None, crashes=None, sound_parts=None, limits=None,):
+    def __init__(self, running=None, demand=None, nodes_with_traffic=None, nodes_measured=None, suspects=None, leaving=None, crashes=None, sound_parts=None, limits=None, newest_demand=None,):
         self.running = running
         self.demand = demand
         self.nodes_with_traffic = nodes_with_traffic
@@ -1590,6 +1592,7 @@
         self.crashes = crashes
         self.sound_parts = sound_parts
         self.limits = limits
+        self.newest_demand = newest_demand
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1692,6 +1695,17 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.MAP:
+                    self.newest_demand = {}
+                    (_ktype230, _vtype231, _size229) = iprot.readMapBegin()
+                    for _i233 in range(_size229):
+                        _key234 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val235 = iprot.readDouble()
+                        self.newest_demand[_key234] = _val235
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1768,6 +1782,14 @@
                 viter104.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.newest_demand is not None:
+            oprot.writeFieldBegin('newest_demand', TType.MAP, 10)
+            oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.newest_demand))
+            for kiter236, viter237 in self.newest_demand.items():
+                oprot.writeString(kiter236.encode('utf-8') if sys.version_info[0] == 2 else kiter236)
+                oprot.writeDouble(viter237)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1953,9 +1975,9 @@
     measured. `suspects` names groups whose requests make no progress. `table_ends` is up
     to which offset it has read each of the platform's tables, `reads_tables` whether it
     reads all of them from the store. `cut_off` and `lost_services` are as in
-    `NodeStatus`, `leaving`, `crashes`, `sound_parts` and `limits` are
-    as in `Load`. `members` are the nodes that report to it, and `member_load` is the load of
-    these.
+    `NodeStatus`, `leaving`, `crashes`, `sound_parts`, `limits` and
+    `newest_demand` are as in `Load`. `members` are the nodes that report to it, and
+    `member_load` is the load of these.
 
     Attributes:
      - node
@@ -1976,11 +1998,12 @@
      - limits
      - cut_off
      - lost_services
+     - newest_demand
 
     """
 
 
-    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None, limits=None, cut_off=None, lost_services=None,):
+    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None, limits=None, cut_off=None, lost_services=None, newest_demand=None,):
         self.node = node
         self.incarnation = incarnation
         self.ready = ready
@@ -1999,6 +2022,7 @@
         self.limits = limits
         self.cut_off = cut_off
         self.lost_services = lost_services
+        self.newest_demand = newest_demand
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2163,6 +2187,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.MAP:
+                    self.newest_demand = {}
+                    (_ktype239, _vtype240, _size238) = iprot.readMapBegin()
+                    for _i242 in range(_size238):
+                        _key243 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val244 = iprot.readDouble()
+                        self.newest_demand[_key243] = _val244
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2284,6 +2319,14 @@
                 oprot.writeString(iter200.encode('utf-8') if sys.version_info[0] == 2 else iter200)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.newest_demand is not None:
+            oprot.writeFieldBegin('newest_demand', TType.MAP, 19)
+            oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.newest_demand))
+            for kiter245, viter246 in self.newest_demand.items():
+                oprot.writeString(kiter245.encode('utf-8') if sys.version_info[0] == 2 else kiter245)
+                oprot.writeDouble(viter246)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3199,6 +3242,7 @@
     (7, TType.MAP, 'crashes', (TType.STRING, 'UTF8', TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 7
     (8, TType.LIST, 'sound_parts', (TType.STRING, 'UTF8', False), None, ),  # 8
     (9, TType.MAP, 'limits', (TType.STRING, 'UTF8', TType.STRUCT, [ServerLimit, None], False), None, ),  # 9
+    (10, TType.MAP, 'newest_demand', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 10
 )
 all_structs.append(NodeStatus)
 NodeStatus.thrift_spec = (
@@ -3234,6 +3278,7 @@
     (16, TType.MAP, 'limits', (TType.STRING, 'UTF8', TType.STRUCT, [ServerLimit, None], False), None, ),  # 16
     (17, TType.BOOL, 'cut_off', None, None, ),  # 17
     (18, TType.LIST, 'lost_services', (TType.STRING, 'UTF8', False), None, ),  # 18
+    (19, TType.MAP, 'newest_demand', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 19
 )
 all_structs.append(FleetDigest)
 FleetDigest.thrift_spec = (
--- a/scripts/reference_pages.py
+++ b/scripts/reference_pages.py
@@ -9,6 +9,8 @@
 from auburnwall.base.settings import describe
 from auburnwall.cli.settings import SETTING_SPECS as CLI_SETTING_SPECS
 from auburnwall.cli.settings import CliSettings
+from auburnwall.node.routed.settings import SETTING_SPECS as ROUTED_SETTING_SPECS
+from auburnwall.node.routed.settings import RoutedSettings
 from auburnwall.node.settings import SETTING_SPECS as NODE_SETTING_SPECS
 from auburnwall.node.settings import NodeSettings
 
@@ -24,6 +26,10 @@
         "named at once, with a way to mend it, and the program ends with 2.",
         "## auburnwalld",
         _table(describe(NodeSettings, NODE_SETTING_SPECS)),
+        "## A node on the users' platform",
+        "The platform's file sets most of these; the variables hold where it says "
+        "nothing.",
+        _table(describe(RoutedSettings, ROUTED_SETTING_SPECS)),
         "## auburnwall",
         _table(describe(CliSettings, CLI_SETTING_SPECS)),
     ]
--- a/tests/routed/test_views.py
+++ b/tests/routed/test_views.py
@@ -3,6 +3,12 @@
 import unittest
 from types import SimpleNamespace
 
+from thrift.protocol.TBinaryProtocol import (
+    TBinaryProtocol,
+    TBinaryProtocolAccelerated,
+)
+from thrift.transport.TTransport import TMemoryBuffer
+
 from auburnwall.node.routed.fleet_load import load_of_pulse, sum_loads
 from auburnwall.node.routed.views import (
     MIN_REPORT_S,
@@ -11,7 +17,8 @@
     RoutingView,
     SuspectCandidates,
 )
-from auburnwall.wire.peer.ttypes import Pulse
+from auburnwall.routing.routes import EngineSpec, ModelSpec, ServiceSpec, Target
+from auburnwall.wire.peer.ttypes import Load, Pulse
 from tests.fleet.test_server_reach import FixedReach
 from tests.state.test_table import FakeClock
 
@@ -49,6 +56,119 @@
     def test_demand_is_empty_before_any_measurement(self):
         self.assertEqual(self.view(pulse(), [pulse()]).demand(), {})
 
+    def test_newest_demand_is_scaled_like_the_mean(self):
+        newest = pulse(True, big=2.0)
+        newest.newest_demand = {"big": 5.0}
+        view = self.view(newest, [pulse(True), pulse(True)])
+        self.assertAlmostEqual(view.newest_demand()["big"], 15.0)
+
+    def test_node_of_an_older_build_counts_with_its_mean(self):
+        """Guards against a fall of the newest demand while builds are exchanged."""
+        newest = pulse(True, big=2.0)
+        newest.newest_demand = {"big": 5.0}
+        view = self.view(newest, [pulse(True, big=1.0)])
+        self.assertAlmostEqual(view.newest_demand()["big"], 6.0)
+
+    def test_no_newest_demand_without_a_node_that_reports_it(self):
+        view = self.view(pulse(True, big=2.0), [pulse(True, big=1.0)])
+        self.assertEqual(view.newest_demand(), {})
+
+
+class OptionalFieldTests(unittest.TestCase):
+    """Guards against heartbeats that the previous build cannot read."""
+
+    def encode(self, struct, protocol):
+        buffer = TMemoryBuffer()
+        struct.write(protocol(buffer))
+        return buffer.getvalue()
+
+    def test_older_build_reads_a_heartbeat_with_the_newest_demand(self):
+        sent = pulse(True, big=2.0)
+        sent.newest_demand = {"big": 5.0}
+        sent.member_load = Load(demand={"big": 1.0}, newest_demand={"big": 3.0})
+        for protocol in (TBinaryProtocol, TBinaryProtocolAccelerated):
+            data = self.encode(sent, protocol)
+            received = Pulse()
+            received.read(protocol(TMemoryBuffer(data)))
+            self.assertEqual(received, sent)
+            old = older(Pulse, 19, older(Load, 10))()
+            old.read(TBinaryProtocolAccelerated(TMemoryBuffer(data)))
+            self.assertEqual(old.demand, {"big": 2.0})
+            self.assertEqual(old.member_load.demand, {"big": 1.0})
+            self.assertIsNone(old.newest_demand)
+            self.assertIsNone(old.member_load.newest_demand)
+
+    def test_heartbeat_without_the_newest_demand_has_the_bytes_of_before(self):
+        sent = pulse(True, big=2.0)
+        for protocol in (TBinaryProtocol, TBinaryProtocolAccelerated):
+            data = self.encode(sent, protocol)
+            self.assertNotIn(b"\x0d\x00\x13", data)  # a map with the id 19
+
+
+def older(struct, field_id, load=None):
+    """Return a thrift structure as it was before the field ``field_id`` was added.
+
+    ``load`` is the older ``Load`` of a heartbeat, the structure of its field 12.
+    """
+    fields = list(struct.thrift_spec[:field_id])
+    if load is not None:
+        fields[12] = (*fields[12][:3], [load, load.thrift_spec], fields[12][4])
+    return type(struct.__name__, (struct,), {"thrift_spec": tuple(fields)})
+
+
+MODELS = {
+    "big": ModelSpec("big", 8, 1.0, 0.5, 16.0, 1.6),
+    "small": ModelSpec("small", 2, 0.6, 0.5, 12.0, 1.1),
+}
+ENGINE = EngineSpec(9, MODELS, 0.0078, 2e-4, 2e-8, 2e-5, 4e-10, 5, 5.0, 7, 979, 154)
+
+
+class PlanningAheadTests(unittest.TestCase):
+    """Where capacity between models is planned ahead, and with which ranks."""
+
+    def view(self, priorities, *, setting=False, engine=ENGINE, ranks=None):
+        routes = [
+            SimpleNamespace(targets=(Target(service, 1.0),), priority=priority)
+            for service, priority in priorities
+        ]
+        services = {
+            "assist": ServiceSpec("assist", 0.0, engine),
+            "plain": ServiceSpec("plain", 0.0, None),
+        }
+        config = SimpleNamespace(routes=routes, services=services)
+        return PlanningView(
+            SimpleNamespace(config=config),
+            None,
+            False,
+            lambda: ranks or {},
+            lambda: setting,
+        )
+
+    def test_needs_routes_of_different_priorities_to_a_service_with_models(self):
+        for priorities, expected in (
+            ([("assist", 0), ("assist", 2)], True),
+            ([("assist", 0), ("assist", None)], True),
+            ([("assist", 1), ("assist", 1), ("plain", 2)], False),
+            ([("assist", 5), ("assist", None)], False),
+        ):
+            view = self.view(priorities)
+            self.assertIs(view.plans_ahead("assist"), expected)
+            self.assertIs(view.reports_newest_demand(), expected)
+            self.assertFalse(view.plans_ahead("plain"))
+
+    def test_setting_enables_it_for_equal_priorities(self):
+        view = self.view([("assist", 1), ("plain", 2)], setting=True)
+        self.assertTrue(view.plans_ahead("assist"))
+        self.assertFalse(view.plans_ahead("plain"))
+
+    def test_no_service_without_models_has_it(self):
+        view = self.view([("assist", 0), ("assist", 2)], setting=True, engine=None)
+        self.assertFalse(view.reports_newest_demand())
+
+    def test_model_without_a_request_yet_counts_as_urgent(self):
+        view = self.view([("assist", 1), ("assist", 2)], ranks={"big": 2})
+        self.assertEqual(view.model_ranks("assist"), {"big": 2, "small": 1})
+
 
 class SlotUsageTests(unittest.TestCase):
     def test_idle_node_counts_an_equal_share_of_the_slots_in_use(self):
