Plan capacity between models ahead of the mean demand

The planner compared groups with the mean demand of the last seconds and followed a jump only after it had done harm; it also saw only the ratio of groups to demand. Where the routes to a service with models have different priorities, or plan_ahead is on:

- demand_forecast takes the higher of the mean and the newest second, at most 2.5 times the mean.
- model_order puts models with too few groups first, the most urgent of them first, and then the spare group of the model with the largest groups.
A model gives up groups for a more urgent one as long as it has not too few itself.
- Hosts of the next group of the scarcest model stage it before all others.

Elsewhere the order by coverage decides as before. The log event 'demand forecast' and the gauges auburnwall_model_demand_groups and auburnwall_model_coverage show it.

--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/assembly.py
@@ -3,20 +3,16 @@
 Servers are lost in pairs every few seconds, and new ones have no weights. The group
 that can serve soonest is therefore preferred: first one of servers that still hold the
 model, then one of hosts that have it staged, then one that loads it from the weight
-store. The model with the least capacity relative to its demand comes first.
+store. A ``ModelOrder`` decides which model comes first.
 """
 
 from itertools import groupby
 from typing import NamedTuple
 
+from .model_order import CoverageOrder
+
 # Time that a server takes to join if its last group was of the same model.
 REJOIN_S = 0.2
-# A model with at least this ratio of groups to demand gets no more groups. From the
-# servers that stay free, a new group can form without delay when one has lost a member.
-SUFFICIENT_COVERAGE = 2.5
-# Lower bound of a model's demand, in groups. A model without recent requests thus keeps
-# capacity for the next one.
-MIN_DEMAND_GROUPS = 0.3
 
 
 class FreeServer(NamedTuple):
@@ -56,21 +52,23 @@
     return model.warm_s if model.name in server.staged else model.load_s
 
 
-def assemble(free, models, group_counts, demand, loads_left, settled=True):
+def assemble(free, models, group_counts, demand, loads_left, settled=True, order=None):
     """Return the ``Formation`` objects to begin now.
 
     ``models`` maps names to the service's ``ModelSpec``. ``group_counts`` maps pairs of
     model and data centre to the number of groups that serve or form. ``demand`` is the
-    work by model, in groups. At most ``loads_left`` loads may begin.
+    work by model, in groups. At most ``loads_left`` loads may begin. ``order`` is the
+    ``ModelOrder``, by default that of the coverage.
 
     While servers still register one by one, the fleet is not ``settled``. Until then
-    only the model with the lowest coverage gets groups: its next group may need many
-    servers in one domain.
+    only the first model gets groups: its next group may need many servers in one
+    domain.
     """
+    order = order or CoverageOrder(models, demand)
     free, group_counts = list(free), dict(group_counts)
     formations = []
     while True:
-        new = _next_formation(free, models, group_counts, demand, loads_left, settled)
+        new = _next_formation(free, order, group_counts, loads_left, settled)
         if new is None:
             return formations
         formations.append(new)
@@ -81,23 +79,14 @@
         group_counts[key] = group_counts.get(key, 0) + 1
 
 
-def coverage(model, group_counts, demand):
-    """Return the ratio of groups of ``model`` that serve or form to its demand."""
-    groups = sum(count for (name, _), count in group_counts.items() if name == model)
-    return groups / max(demand.get(model, 0.0), MIN_DEMAND_GROUPS)
-
-
-def _next_formation(free, models, group_counts, demand, loads_left, settled):
-    def priority(name):
-        return coverage(name, group_counts, demand), -models[name].members
-
-    for name in sorted(models, key=priority):
-        if coverage(name, group_counts, demand) >= SUFFICIENT_COVERAGE:
+def _next_formation(free, order, group_counts, loads_left, settled):
+    for name in order.sorted_names(group_counts):
+        if order.is_sufficient(name, group_counts):
             return None
         candidates = [
             formation
             for _, servers in by_domain(free)
-            if (formation := best_formation(servers, models[name]))
+            if (formation := best_formation(servers, order.models[name]))
             and formation.loads <= loads_left
             and not (formation.loads and _has_reserved(formation))
         ]
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
@@ -1,16 +1,17 @@
 """Plan groups of servers and send their orders while this node is the planner."""
 
-from collections import Counter
-
 from auburnwall.base.logs import event, warn
 from auburnwall.state.exceptions import StateError, TableChangedError
 
 from ..engines.group import StageOrder
 from ..registrations import JOINING
 from .adoption import UnrecordedGroups
-from .assembly import assemble, coverage
+from .assembly import assemble
+from .capacity_report import CapacityReport
+from .demand_forecast import DemandForecast, expected_demand
 from .lifecycle import GroupStatus, next_actions
 from .loads import LoadAllowance
+from .model_order import CoverageOrder, UrgencyOrder, coverage
 from .orders import OrderSender
 from .plan import Plan, as_free_server, engines_of, is_compatible
 from .records import SERVING, Member, NotPlannerError
@@ -25,10 +26,6 @@
 # An order without a response is certainly not executed after this time: servers
 # execute orders up to 12 s late.
 ORDER_EXPIRY_S = 15.0
-# Within a second, the demand for a model falls at most to this fraction. While nodes
-# restart, the requests of their callers are missing from the measured demand.
-DEMAND_DECAY_PER_S = 0.96
-LOG_PERIOD_S = 2.0  # between two log lines on the capacity of a service
 # The servers of a shift stay reserved for its model for this time: the longest drain
 # and the steps after it.
 RESERVATION_S = 15.0
@@ -41,7 +38,11 @@
     ``inputs`` has ``config()`` (a ``RoutingConfig`` or ``None``),
     ``evacuated_data_centers()`` (names), ``is_before_first_request()`` (true on the
     system's first start, until the first request) and ``demand()`` (the number of
-    groups that each model's work needs; empty until the first measurement).
+    groups that each model's work needs; empty until the first measurement). Where
+    ``plans_ahead(service)`` is true, ``newest_demand()`` (the same for the newest
+    second), ``request_work(service)`` (the group-seconds of a mean request, by model)
+    and ``model_ranks(service)`` are used as well. ``capacity`` is the
+    ``CapacityReport``.
     """
 
     def __init__(
@@ -60,10 +61,10 @@
         self._min_own_epoch = 0  # groups of earlier planners have smaller epochs
         self._load_limit = LoadAllowance()
         self._shifts = []
+        self._scarcest = {}  # service -> model whose next group hosts stage first
         self._staging_until = {}  # server -> no other stage order until then
-        self._logged_at = {}  # by service
-        self._demand = {}
-        self._demand_at = clock.monotonic()
+        self.capacity = CapacityReport(clock)
+        self._forecast = DemandForecast(clock.monotonic())
         self._unrecorded = UnrecordedGroups(state, registry, clock)
 
     def step(self):
@@ -73,7 +74,7 @@
         """
         config = self._inputs.config()
         if config is None or not self._writer.is_planner():
-            self._planner_since = None
+            self.pause()
             return
         if self._planner_since is None:
             self._begin_planning()
@@ -107,6 +108,7 @@
         self._min_own_epoch = self._state.next_epoch()
         self._orders.forget_conclusions()
         self._shifts.clear()
+        self._scarcest.clear()
 
     def pause(self):
         """Forget that this node was the planner: another one plans for a time.
@@ -114,6 +116,7 @@
         The orders of that one are then treated as those of any earlier planner.
         """
         self._planner_since = None
+        self.capacity.models.clear()
 
     def stage_without_tables(self):
         """Stage weights while the tables cannot be read and nothing can be planned.
@@ -208,26 +211,46 @@
         return now - sent_at < ORDER_EXPIRY_S
 
     def _plan_service(self, service, engine, finished, endings):
-        demand = self._smooth_demand()
+        ahead = self._inputs.plans_ahead(service)
+        demand = self._smooth_demand(service if ahead else "")
         self._drop_obsolete_shifts()
         free = self._free_servers(service, {group.name for group in finished})
         group_counts = self._group_counts(service, endings)
         at_start, measured = self._inputs.is_before_first_request(), bool(demand)
         if not measured:
-            demand = self._expected_demand(engine)
+            demand = expected_demand(engine, len(self._registry.servers))
         max_loads = len(free) if at_start else self._loads_left(engine)
-        self._log_capacity(service, free, group_counts, demand, max_loads)
+        self.capacity.update(
+            service,
+            engine.models,
+            group_counts,
+            demand,
+            free=len(free),
+            loads_left=max_loads,
+            shifts=len(self._shifts),
+        )
         unchanged_s = self._clock.monotonic() - self._registry.last_new_server_at
         settled = not at_start or unchanged_s >= SETTLING_S
-        found = assemble(free, engine.models, group_counts, demand, max_loads, settled)
+        order = self._model_order(service, engine, demand, ahead and measured)
+        found = assemble(
+            free, engine.models, group_counts, demand, max_loads, settled, order
+        )
         shift = Shift()
         # If a group can form without loads, a shift waits for a later step.
         if measured and all(formation.loads for formation in found):
             counts = self._group_counts(service, endings, exclude_loading=True)
-            shift = self._find_shift(service, engine, free, counts, demand, endings)
+            shift = self._find_shift(service, order, free, counts, endings)
             found = [f for f in found if is_compatible(f, shift)]
+        self._scarcest[service] = order.scarcest(group_counts)
         return Plan(service, engine, found, shift, group_counts, demand, at_start)
 
+    def _model_order(self, service, engine, demand, ahead):
+        """Return the ``ModelOrder`` of a service."""
+        if not ahead:
+            return CoverageOrder(engine.models, demand)
+        ranks = self._inputs.model_ranks(service)
+        return UrgencyOrder(engine.models, demand, ranks)
+
     def _drop_obsolete_shifts(self):
         """Remove the shifts that have expired or lost a server."""
         now = self._clock.monotonic()
@@ -249,43 +272,19 @@
             reported=sum(self._is_loading(member.server) for member in members),
         )
 
-    def _log_capacity(self, service, free, group_counts, demand, max_loads):
-        """Log the capacity and demand of each model, at most every 2 s."""
-        now = self._clock.monotonic()
-        if now - self._logged_at.get(service, -LOG_PERIOD_S) < LOG_PERIOD_S:
-            return
-        self._logged_at[service] = now
-        groups = Counter()
-        for (model, _), count in group_counts.items():
-            groups[model] += count
-        event(
-            "capacity",
-            service=service,
-            groups=dict(groups),
-            demand={model: round(work, 2) for model, work in demand.items()},
-            free=len(free),
-            loads_left=max_loads,
-            shifts=len(self._shifts),
-        )
+    def _smooth_demand(self, service=""):
+        """Return the demand to plan for; it follows each fall slowly.
 
-    def _smooth_demand(self):
-        """Return the measured demand, with each fall slowed down."""
-        now, measured = self._clock.monotonic(), self._inputs.demand()
-        keep = DEMAND_DECAY_PER_S ** (now - self._demand_at)
-        self._demand_at = now
-        self._demand = {
-            model: max(measured.get(model, 0.0), keep * self._demand.get(model, 0.0))
-            for model in set(measured) | set(self._demand)
-        }
-        return dict(self._demand)
-
-    def _expected_demand(self, engine):
-        """Return the demand to assume until one is measured, in groups by model."""
-        servers = len(self._registry.servers)
-        return {
-            model.name: model.share / model.members * servers
-            for model in engine.models.values()
-        }
+        For the models of ``service``, it also follows the newest second.
+        """
+        now, mean = self._clock.monotonic(), self._inputs.demand()
+        if not service:
+            return self._forecast.update(now, mean)
+        newest, work = self._inputs.newest_demand(), self._inputs.request_work(service)
+        demand = self._forecast.update(now, mean, newest, work)
+        for change in self._forecast.changes(now, mean, newest, work):
+            self.capacity.log_forecast(service, change)
+        return demand
 
     def _record_plan(self, plan):
         """Record and log a plan that has been written to the fleet table."""
@@ -322,7 +321,7 @@
             demand=round(plan.demand.get(model, 0.0), 2),
         )
 
-    def _find_shift(self, service, engine, free, group_counts, demand, endings):
+    def _find_shift(self, service, order, free, group_counts, endings):
         """Return the best ``Shift``; count pending shifts in ``group_counts``."""
         for shift in self._shifts:
             key = shift.model, ""  # only the sum over the data centres is used
@@ -334,7 +333,9 @@
             and group.service == service
             and group.name not in endings
         ]
-        return find_shift(shiftable, free, engine.models, group_counts, demand)
+        return find_shift(
+            shiftable, free, order.models, group_counts, order.demand, order
+        )
 
     def _as_free_servers(self, group):
         """Return a group's servers as they would be if they were free."""
@@ -366,7 +367,9 @@
             for entry in self._registry.usable_of_service(service)
         ]
         max_loads = self._loads_left(engine) - (0 if at_start else reserved_loads)
-        for server, model in choose_staging(hosts, engine.models, max_loads, at_start):
+        for server, model in choose_staging(
+            hosts, engine.models, max_loads, at_start, self._scarcest.get(service, "")
+        ):
             load_s = engine.models[model].load_s * (START_RATIO if at_start else 1.0)
             self._load_limit.record_loads(1, load_s, now, unrated=at_start)
             self._staging_until[server] = now + 2 * load_s
--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/shifting.py
@@ -7,15 +7,8 @@
 
 from typing import NamedTuple
 
-from .assembly import best_formation, by_domain, coverage, time_to_ready_s
-
-# A model below this coverage gets servers of other models.
-LOW_COVERAGE = 1.25
-# A donor model keeps at least this coverage when it gives servers to such a model.
-DONOR_COVERAGE = 1.6
-# While no model is below ``LOW_COVERAGE``, a group may be ended so that its servers are
-# a free reserve. Its model keeps at least this coverage.
-SURPLUS_COVERAGE = 3.2
+from .assembly import best_formation, by_domain, time_to_ready_s
+from .model_order import LOW_COVERAGE, SURPLUS_COVERAGE, CoverageOrder, count_groups
 
 
 class ShiftableGroup(NamedTuple):
@@ -40,30 +33,47 @@
     until: float = 0.0
 
 
-def find_shift(shiftable, free, models, group_counts, demand):
-    """Return the best ``Shift``, one without groups if none is worthwhile."""
+def find_shift(shiftable, free, models, group_counts, demand, order=None):
+    """Return the best ``Shift``, one without groups if none is worthwhile.
+
+    ``order`` is the ``ModelOrder``, by default that of the coverage.
+    """
     if not models:
         return Shift()
-    lowest = min(models, key=lambda name: coverage(name, group_counts, demand))
-    covered = coverage(lowest, group_counts, demand)
-    if covered >= LOW_COVERAGE:
-        surplus = _surplus(lowest, models, group_counts, demand, SURPLUS_COVERAGE)
-        return _end_group_for_reserve(shiftable, free, models, surplus)
-    surplus = _surplus(lowest, models, group_counts, demand, DONOR_COVERAGE)
+    order = order or CoverageOrder(models, demand)
+    for name in order.names_to_shift_to(group_counts):
+        if shift := _shift_to(name, shiftable, free, order, group_counts):
+            return shift
+    lowest = min(models, key=lambda name: order.coverage(name, group_counts))
+    if order.coverage(lowest, group_counts) < LOW_COVERAGE:
+        return Shift()
+    # While no model has too few groups, a group may be ended so that its servers are a
+    # free reserve.
+    surplus = _surplus(lowest, order, group_counts, lambda donor: SURPLUS_COVERAGE)
+    return _end_group_for_reserve(shiftable, free, models, surplus)
+
+
+def _shift_to(name, shiftable, free, order, group_counts):
+    """Return the best ``Shift`` to a model, ``None`` if there is none."""
+    model = order.models[name]
+    surplus = _surplus(
+        name,
+        order,
+        group_counts,
+        lambda donor: order.donor_coverage(donor, name, group_counts),
+    )
     options = [
         option
         for domain, servers in by_domain(
             free + [server for group in shiftable for server in group.servers]
         )
-        if (
-            option := _option(domain, servers, shiftable, free, models[lowest], surplus)
-        )
+        if (option := _option(domain, servers, shiftable, free, model, surplus))
     ]
     if not options:
-        return Shift()
+        return None
     _, _, groups, members = min(options)
-    cause = f"{lowest} is covered {covered:.2f} times"
-    return Shift(lowest, groups, members, cause)
+    cause = f"{name} is covered {order.coverage(name, group_counts):.2f} times"
+    return Shift(name, groups, members, cause)
 
 
 def _end_group_for_reserve(shiftable, free, models, surplus):
@@ -88,19 +98,18 @@
     return Shift()
 
 
-def _surplus(lowest, models, group_counts, demand, min_coverage):
+def _surplus(lowest, order, group_counts, min_coverage):
     """Return how many groups each model but ``lowest`` can lose.
 
-    All these models keep at least ``min_coverage``.
+    ``min_coverage(name)`` is the coverage that a model keeps.
     """
     surplus = {}
-    for name in models:
+    for name in order.models:
         if name != lowest:
-            groups = sum(count for (m, _), count in group_counts.items() if m == name)
+            groups = count_groups(name, group_counts)
             # The number of groups divided by the coverage is the demand.
-            needed = (
-                min_coverage * groups / max(coverage(name, group_counts, demand), 1e-9)
-            )
+            covered = max(order.coverage(name, group_counts), 1e-9)
+            needed = min_coverage(name) * groups / covered
             surplus[name] = max(0, int(groups - needed))
     return surplus
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a routed node."""
 
 from prometheus_client import Counter
+from prometheus_client.core import GaugeMetricFamily
 
 from auburnwall.base.metrics import DurationHistograms, MetricsRegistry
 
@@ -47,8 +48,44 @@
         self._connections_closed.labels(reason).inc()
 
 
+class CapacityGauges:
+    """A collector of the demand and the coverage of each model.
+
+    ``capacities()`` returns lists of ``ModelCapacity``, none unless this node plans.
+    """
+
+    def __init__(self, capacities):
+        self._capacities = capacities
+
+    def collect(self):
+        """Yield the two gauges, each with a sample for each model."""
+        demand = GaugeMetricFamily(
+            "auburnwall_model_demand_groups",
+            "Demand that the planner plans for, in groups.",
+            labels=["service", "model"],
+        )
+        coverage = GaugeMetricFamily(
+            "auburnwall_model_coverage",
+            "Groups that serve or form, relative to this demand.",
+            labels=["service", "model"],
+        )
+        for models in self._capacities():
+            for capacity in models:
+                labels = [capacity.service, capacity.model]
+                demand.add_metric(labels, capacity.demand)
+                coverage.add_metric(labels, capacity.coverage)
+        yield demand
+        yield coverage
+
+
 def add_gauges(metrics, node):
     """Add the gauges of a ``RoutedNode``."""
+    report = node.formation_controller.capacity
+    metrics.registry.register(
+        CapacityGauges(
+            lambda: list(report.models.values()) if node.writer.is_planner() else []
+        )
+    )
     channels, broker = node.channels, node.placing.broker
     for name, documentation, function in (
         ("running", "Requests under way.", lambda: node.gateway.running),
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -5,7 +5,11 @@
 from auburnwall.base.logs import event
 from auburnwall.routing.in_flight import STALL_TIMEOUT_S
 from auburnwall.routing.routes import ranks_of_service
-from auburnwall.routing.step_model import service_time_s
+from auburnwall.routing.step_model import (
+    Work,
+    group_seconds_per_request,
+    service_time_s,
+)
 
 # Time for which a candidate gets no requests after a first suspicion, in seconds. The
 # planner needs about this long to probe the members of a suspect group; it may dissolve
@@ -380,6 +384,15 @@
         config = self._source.config
         return config is not None and any(map(self.plans_ahead, config.services))
 
+    def request_work(self, service):
+        """Return the work of a service's mean request by model, in group-seconds."""
+        engine = self._source.config.services[service].engine
+        work = Work(engine.mean_prompt_tokens, engine.mean_response_tokens)
+        return {
+            name: group_seconds_per_request(engine, model, work)
+            for name, model in engine.models.items()
+        }
+
     def model_ranks(self, service):
         """Return the lowest rank of the routes that use each model of a service.
 
--- a/tests/fleet/test_formation_controller.py
+++ b/tests/fleet/test_formation_controller.py
@@ -99,10 +99,15 @@
 
 
 class FakePlanningView:
-    """A planning view with one service and settable demand and evacuations."""
+    """A planning view with one service and settable demand and evacuations.
+
+    ``ahead`` is whether its service is planned ahead.
+    """
 
     def __init__(self):
-        self.measured_demand = {}
+        self.measured_demand, self.newest, self.ranks = {}, {}, {}
+        self.ahead = False
+        self.work = dict.fromkeys(MODELS, 0.01)
         self.evacuated = set()
 
     def config(self):
@@ -118,6 +123,18 @@
     def demand(self):
         return self.measured_demand
 
+    def newest_demand(self):
+        return self.newest
+
+    def plans_ahead(self, service):
+        return self.ahead
+
+    def model_ranks(self, service):
+        return self.ranks
+
+    def request_work(self, service):
+        return self.work
+
 
 class PlannerNode:
     """One node's formation controller on a shared table."""
