--- a/tests/fleet/test_planner_model.py
+++ b/tests/fleet/test_planner_model.py
@@ -283,6 +283,22 @@
             self.rng.choice(list(self.servers.values())).crash()
 
 
+class AheadView(FakePlanningView):
+    """A view of a service that is planned ahead, with jumps in random steps."""
+
+    def __init__(self):
+        super().__init__()
+        self.ahead, self.ranks = True, {"big": 1, "small": 0}
+        self.measured_demand = {"big": 1.0, "small": 2.0}
+        self._rng = random.Random(1)
+
+    def newest_demand(self):
+        return {
+            model: mean * self._rng.choice((1.0, 1.0, 1.0, 2.5))
+            for model, mean in self.measured_demand.items()
+        }
+
+
 class PlannerModelTests(unittest.TestCase):
     def faulty_seeds(self):
         return [seed for seed in SEEDS if World(seed).run()]
@@ -290,6 +306,10 @@
     def test_no_server_is_taken_from_an_open_group(self):
         self.assertEqual(self.faulty_seeds(), [])
 
+    def test_no_server_is_taken_while_capacity_is_planned_ahead(self):
+        with mock.patch(f"{__name__}.FakePlanningView", AheadView):
+            self.assertEqual(self.faulty_seeds(), [])
+
     def test_planner_that_starts_without_a_wait(self):
         """As in a drill of the store with the planner killed meanwhile."""
         with mock.patch.object(knowledge, "ENTRIES_RENEWED_S", 0.0):
