Bound the work of one request in the newest second's demand

In the newest second and in the ranks, a request now counts as at most five mean requests. The mean is as before.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/demand.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/demand.py
@@ -15,6 +15,9 @@
 DECAY_PER_S = 0.75
 # Time with traffic after which the averages are good enough for planning, in seconds.
 MIN_MEASURED_S = 3.0
+# Maximum work of one request in the newest second's demand, relative to the engine's
+# mean request. Otherwise one request that states too many tokens looks like a jump.
+MAX_RELATIVE_WORK = 5.0
 # Minimum number of measured answers for a correction of the callers' length estimates.
 MIN_ANSWERS = 20
 
@@ -33,6 +36,7 @@
         self._clock = clock
         self._new_group_seconds = defaultdict(float)
         self._mean_groups = defaultdict(float)
+        self._newest_group_seconds = defaultdict(float)
         self._newest_groups = {}
         self._updated_at = clock.monotonic()
         self._estimated_tokens = defaultdict(float)
@@ -53,7 +57,11 @@
             work = Work(request.work.prompt_tokens, max(1, tokens))
             group_seconds = group_seconds_per_request(engine, model, work)
             self._new_group_seconds[request.model] += group_seconds
-            self.ranks.record(request.model, request.route.priority, group_seconds)
+            mean = Work(engine.mean_prompt_tokens, engine.mean_response_tokens)
+            mean_group_seconds = group_seconds_per_request(engine, model, mean)
+            bounded = min(group_seconds, MAX_RELATIVE_WORK * mean_group_seconds)
+            self._newest_group_seconds[request.model] += bounded
+            self.ranks.record(request.model, request.route.priority, bounded)
 
     def record_answer(self, request, events, tokens_per_event):
         """Record the length of a complete answer and the caller's estimate of it.
@@ -84,9 +92,9 @@
         return {model: mean / covered for model, mean in self._mean_groups.items()}
 
     def newest_groups(self):
-        """Return the demand by model in the last whole second, in groups.
+        """Return the demand by model between the last two updates, in groups.
 
-        It is empty whenever ``groups_needed`` is.
+        That is about a second. The result is empty whenever ``groups_needed`` is.
         """
         if self._measured_s() < MIN_MEASURED_S:
             return {}
@@ -104,10 +112,13 @@
         decay = DECAY_PER_S**span_s
         for model in set(self._mean_groups) | set(self._new_group_seconds):
             groups = self._new_group_seconds.get(model, 0.0) / span_s
-            self._newest_groups[model] = groups
+            self._newest_groups[model] = (
+                self._newest_group_seconds.get(model, 0.0) / span_s
+            )
             self._mean_groups[model] = (
                 decay * self._mean_groups[model] + (1 - decay) * groups
             )
         self._new_group_seconds.clear()
+        self._newest_group_seconds.clear()
         self.ranks.decay(span_s)
         self._updated_at = now
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -370,8 +370,8 @@
     def plans_ahead(self, service):
         """Return whether capacity between the models of a service is planned ahead.
 
-        It is where the setting ``plan_ahead`` is on, and where the service has models
-        and its routes have different priorities.
+        It is for a service with models if the setting ``plan_ahead`` is on, or if the
+        routes to the service have different priorities.
         """
         config = self._source.config
         spec = config.services.get(service) if config else None
--- a/tests/routed/test_demand.py
+++ b/tests/routed/test_demand.py
@@ -83,6 +83,23 @@
         self.run_for(1, 0)
         self.assertEqual(self.meter.newest_groups(), {"big": 0.0})
 
+    def test_request_that_states_too_many_tokens_is_no_jump(self):
+        """Otherwise one caller gets servers for its model with one request a second."""
+        self.run_for(5, 40)
+        level = self.meter.newest_groups()["big"]
+        self.meter.record_request(
+            SimpleNamespace(
+                model="big",
+                work=Work(10**6, 10**6),
+                is_retried=False,
+                route=SimpleNamespace(priority=0),
+            ),
+            ENGINE,
+        )
+        self.run_for(1, 40)
+        self.assertLess(self.meter.newest_groups()["big"], 1.3 * level)
+        self.assertEqual(self.meter.ranks.lowest()["big"], 5)
+
 
 class ModelRanksTests(unittest.TestCase):
     def test_lowest_rank_of_the_routes_whose_requests_name_a_model(self):
