--- a/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
+++ b/packages/auburnwall-fleet/src/auburnwall/fleet/formation/controller.py
@@ -1,25 +1,23 @@
 """Plan groups of servers and send their orders while this node is the planner."""
 
-from collections import Counter
-
 from auburnwall.base.logs import event, warn
 from auburnwall.state.exceptions import StateError, TableChangedError
 
-from ..engines.group import CloseOrder, OrderOutcome, StageOrder
-from ..exceptions import EngineError, ServerPausedError
+from ..engines.group import StageOrder
 from ..registrations import JOINING
 from .adoption import UnrecordedGroups
-from .assembly import assemble, coverage
+from .assembly import assemble
+from .capacity_report import CapacityReport
+from .demand_forecast import DemandForecast, expected_demand
 from .lifecycle import GroupStatus, next_actions
 from .loads import LoadAllowance
+from .model_order import CoverageOrder, UrgencyOrder, coverage
+from .orders import OrderSender
 from .plan import Plan, as_free_server, engines_of, is_compatible
-from .records import ENDING, SERVING, Member, NotPlannerError
+from .records import SERVING, Member, NotPlannerError
 from .shifting import Shift, ShiftableGroup, find_shift
 from .staging import HostView, choose_staging
 
-# An order without a visible effect is sent again after this time: the registrations
-# that would show the effect are up to 0.5 s old.
-ORDER_RETRY_S = 0.8
 # Before the first request, the fleet counts as settled after this time without a new
 # server: servers that start together register at shorter intervals.
 SETTLING_S = 1.0
@@ -28,10 +26,6 @@
 # An order without a response is certainly not executed after this time: servers
 # execute orders up to 12 s late.
 ORDER_EXPIRY_S = 15.0
-# Within a second, the demand for a model falls at most to this fraction. While nodes
-# restart, the requests of their callers are missing from the measured demand.
-DEMAND_DECAY_PER_S = 0.96
-LOG_PERIOD_S = 2.0  # between two log lines on the capacity of a service
 # The servers of a shift stay reserved for its model for this time: the longest drain
 # and the steps after it.
 RESERVATION_S = 15.0
@@ -44,7 +38,11 @@
     ``inputs`` has ``config()`` (a ``RoutingConfig`` or ``None``),
     ``evacuated_data_centers()`` (names), ``is_before_first_request()`` (true on the
     system's first start, until the first request) and ``demand()`` (the number of
-    groups that each model's work needs; empty until the first measurement).
+    groups that each model's work needs; empty until the first measurement). Where
+    ``plans_ahead(service)`` is true, ``newest_demand()`` (the same for the newest
+    second), ``request_work(service)`` (the group-seconds of a mean request, by model)
+    and ``model_ranks(service)`` are used as well. ``capacity`` is the
+    ``CapacityReport``.
     """
 
     def __init__(
@@ -54,23 +52,19 @@
         self._writer = writer
         self._registry = registry
         self._monitor = member_monitor
-        self._engine = engine
         self._inputs = inputs
         self._clock = clock
         self._tasks = tasks
         self._phase_since = {}  # by group name and phase
-        self._sent_at = {}  # by server and orders
-        self._refusals = {}  # group name -> why it must end
-        self._groups_with_retired_head = set()
-        self._unanswered_at = {}  # server -> time of the last order without a response
+        self._orders = OrderSender(state, member_monitor, engine, clock, tasks)
         self._planner_since = None
         self._min_own_epoch = 0  # groups of earlier planners have smaller epochs
         self._load_limit = LoadAllowance()
         self._shifts = []
+        self._scarcest = {}  # service -> model whose next group hosts stage first
         self._staging_until = {}  # server -> no other stage order until then
-        self._logged_at = {}  # by service
-        self._demand = {}
-        self._demand_at = clock.monotonic()
+        self.capacity = CapacityReport(clock)
+        self._forecast = DemandForecast(clock.monotonic())
         self._unrecorded = UnrecordedGroups(state, registry, clock)
 
     def step(self):
@@ -80,7 +74,7 @@
         """
         config = self._inputs.config()
         if config is None or not self._writer.is_planner():
-            self._planner_since = None
+            self.pause()
             return
         if self._planner_since is None:
             self._begin_planning()
@@ -100,7 +94,7 @@
         for plan in plans:
             endings.update(dict.fromkeys(plan.shift.groups, (False, plan.shift.cause)))
         if self._write(endings, finished, plans):
-            self._send_orders(statuses, actions)
+            self._orders.send_orders(statuses, actions)
             for service, engine in engines.items():
                 self._stage(service, engine, RESERVED_LOADS)
 
@@ -112,10 +106,9 @@
         """
         self._planner_since = self._clock.monotonic()
         self._min_own_epoch = self._state.next_epoch()
-        self._refusals.clear()
-        self._groups_with_retired_head.clear()
-        self._sent_at.clear()
+        self._orders.forget_conclusions()
         self._shifts.clear()
+        self._scarcest.clear()
 
     def pause(self):
         """Forget that this node was the planner: another one plans for a time.
@@ -123,6 +116,7 @@
         The orders of that one are then treated as those of any earlier planner.
         """
         self._planner_since = None
+        self.capacity.models.clear()
 
     def stage_without_tables(self):
         """Stage weights while the tables cannot be read and nothing can be planned.
@@ -170,12 +164,12 @@
 
     def _find_endings(self, statuses, actions):
         """Return the groups to end: names mapped to pairs of ``at_once`` and cause."""
-        self._refusals = {
+        self._orders.refusals = {
             name: why
-            for name, why in self._refusals.items()
+            for name, why in self._orders.refusals.items()
             if name in statuses and statuses[name].group.phase == SERVING
         }
-        endings = {name: (True, why) for name, why in self._refusals.items()}
+        endings = {name: (True, why) for name, why in self._orders.refusals.items()}
         endings.update(
             {n: (a.at_once, a.end_cause) for n, a in actions.items() if a.end_cause}
         )
@@ -195,12 +189,12 @@
                 tuple(self._monitor.view(group, m, evacuated) for m in group.members),
                 now - phase_since[key],
                 model.load_s if model else 0.0,  # an unknown model gets no time to form
-                group.name in self._groups_with_retired_head,
+                group.name in self._orders.groups_with_retired_head,
                 self._is_order_pending(group, now),
             )
         self._phase_since = phase_since
         self._monitor.keep_only(self._state.groups.values())
-        self._groups_with_retired_head &= set(statuses)
+        self._orders.groups_with_retired_head &= set(statuses)
         return statuses
 
     def _is_order_pending(self, group, now):
@@ -210,33 +204,54 @@
         sent when the head was first seen open, or else when this node began to plan.
         """
         head = group.head.server
-        sent_at = self._unanswered_at.get(head, -ORDER_EXPIRY_S)  # by default never
+        # Without an unanswered order the time counts as expired.
+        sent_at = self._orders.unanswered_at.get(head, -ORDER_EXPIRY_S)
         if group.epoch < self._min_own_epoch:
             open_since = self._registry.open_since(head, group.epoch)
             sent_at = max(sent_at, open_since or self._planner_since)
         return now - sent_at < ORDER_EXPIRY_S
 
     def _plan_service(self, service, engine, finished, endings):
-        demand = self._smooth_demand()
+        ahead = self._inputs.plans_ahead(service)
+        demand = self._smooth_demand(service if ahead else "")
         self._drop_obsolete_shifts()
         free = self._free_servers(service, {group.name for group in finished})
         group_counts = self._group_counts(service, endings)
         at_start, measured = self._inputs.is_before_first_request(), bool(demand)
         if not measured:
-            demand = self._expected_demand(engine)
+            demand = expected_demand(engine, len(self._registry.servers))
         max_loads = len(free) if at_start else self._loads_left(engine)
-        self._log_capacity(service, free, group_counts, demand, max_loads)
+        self.capacity.update(
+            service,
+            engine.models,
+            group_counts,
+            demand,
+            free=len(free),
+            loads_left=max_loads,
+            shifts=len(self._shifts),
+        )
         unchanged_s = self._clock.monotonic() - self._registry.last_new_server_at
         settled = not at_start or unchanged_s >= SETTLING_S
-        found = assemble(free, engine.models, group_counts, demand, max_loads, settled)
+        order = self._model_order(service, engine, demand, ahead and measured)
+        found = assemble(
+            free, engine.models, group_counts, demand, max_loads, settled, order
+        )
         shift = Shift()
         # If a group can form without loads, a shift waits for a later step.
         if measured and all(formation.loads for formation in found):
             counts = self._group_counts(service, endings, exclude_loading=True)
-            shift = self._find_shift(service, engine, free, counts, demand, endings)
+            shift = self._find_shift(service, order, free, counts, endings)
             found = [f for f in found if is_compatible(f, shift)]
+        self._scarcest[service] = order.scarcest(group_counts)
         return Plan(service, engine, found, shift, group_counts, demand, at_start)
 
+    def _model_order(self, service, engine, demand, ahead):
+        """Return the ``ModelOrder`` of a service."""
+        if not ahead:
+            return CoverageOrder(engine.models, demand)
+        ranks = self._inputs.model_ranks(service)
+        return UrgencyOrder(engine.models, demand, ranks)
+
     def _drop_obsolete_shifts(self):
         """Remove the shifts that have expired or lost a server."""
         now = self._clock.monotonic()
@@ -258,43 +273,19 @@
             reported=sum(self._is_loading(member.server) for member in members),
         )
 
-    def _log_capacity(self, service, free, group_counts, demand, max_loads):
-        """Log the capacity and demand of each model, at most every 2 s."""
-        now = self._clock.monotonic()
-        if now - self._logged_at.get(service, -LOG_PERIOD_S) < LOG_PERIOD_S:
-            return
-        self._logged_at[service] = now
-        groups = Counter()
-        for (model, _), count in group_counts.items():
-            groups[model] += count
-        event(
-            "capacity",
-            service=service,
-            groups=dict(groups),
-            demand={model: round(work, 2) for model, work in demand.items()},
-            free=len(free),
-            loads_left=max_loads,
-            shifts=len(self._shifts),
-        )
+    def _smooth_demand(self, service=""):
+        """Return the demand to plan for; it follows each fall slowly.
 
-    def _smooth_demand(self):
-        """Return the measured demand, with each fall slowed down."""
-        now, measured = self._clock.monotonic(), self._inputs.demand()
-        keep = DEMAND_DECAY_PER_S ** (now - self._demand_at)
-        self._demand_at = now
-        self._demand = {
-            model: max(measured.get(model, 0.0), keep * self._demand.get(model, 0.0))
-            for model in set(measured) | set(self._demand)
-        }
-        return dict(self._demand)
-
-    def _expected_demand(self, engine):
-        """Return the demand to assume until one is measured, in groups by model."""
-        servers = len(self._registry.servers)
-        return {
-            model.name: model.share / model.members * servers
-            for model in engine.models.values()
-        }
+        For the models of ``service``, it also follows the newest second.
+        """
+        now, mean = self._clock.monotonic(), self._inputs.demand()
+        if not service:
+            return self._forecast.update(now, mean)
+        newest, work = self._inputs.newest_demand(), self._inputs.request_work(service)
+        demand = self._forecast.update(now, mean, newest, work)
+        for change in self._forecast.changes(now, mean, newest, work):
+            self.capacity.log_forecast(service, change)
+        return demand
 
     def _record_plan(self, plan):
         """Record and log a plan that has been written to the fleet table."""
@@ -331,7 +322,7 @@
             demand=round(plan.demand.get(model, 0.0), 2),
         )
 
-    def _find_shift(self, service, engine, free, group_counts, demand, endings):
+    def _find_shift(self, service, order, free, group_counts, endings):
         """Return the best ``Shift``; count pending shifts in ``group_counts``."""
         for shift in self._shifts:
             key = shift.model, ""  # only the sum over the data centres is used
@@ -343,7 +334,9 @@
             and group.service == service
             and group.name not in endings
         ]
-        return find_shift(shiftable, free, engine.models, group_counts, demand)
+        return find_shift(
+            shiftable, free, order.models, group_counts, order.demand, order
+        )
 
     def _as_free_servers(self, group):
         """Return a group's servers as they would be if they were free."""
@@ -375,13 +368,15 @@
             for entry in self._registry.usable_of_service(service)
         ]
         max_loads = self._loads_left(engine) - (0 if at_start else reserved_loads)
-        for server, model in choose_staging(hosts, engine.models, max_loads, at_start):
+        for server, model in choose_staging(
+            hosts, engine.models, max_loads, at_start, self._scarcest.get(service, "")
+        ):
             load_s = engine.models[model].load_s * (START_RATIO if at_start else 1.0)
             self._load_limit.record_loads(1, load_s, now, unrated=at_start)
             self._staging_until[server] = now + 2 * load_s
             entry = self._registry.servers[server]
             member = Member(server, entry.born, entry.address)
-            self._tasks.spawn(self._send, "", member, StageOrder(model))
+            self._tasks.spawn(self._orders.send, "", member, StageOrder(model))
 
     def _free_servers(self, service, finished_names):
         """Return the servers that a new group may use."""
@@ -450,58 +445,3 @@
         for plan in plans:
             self._record_plan(plan)
         return True
-
-    def _send_orders(self, statuses, actions):
-        """Send the orders of groups whose records are unchanged since ``statuses``."""
-        now = self._clock.monotonic()
-        self._sent_at = {
-            key: at for key, at in self._sent_at.items() if at > now - ORDER_RETRY_S
-        }
-        for name, act in actions.items():
-            if self._state.groups.get(name) != statuses[name].group:
-                continue
-            for server, orders in act.orders.items():
-                self._send_unless_recent(statuses[name].group, server, orders, now)
-
-    def _send_unless_recent(self, group, server, orders, now):
-        key = server, orders
-        if key in self._sent_at:
-            return
-        self._sent_at[key] = now
-        member = next(m for m in group.members if m.server == server)
-        self._tasks.spawn(self._send_all, group, member, orders)
-
-    def _send_all(self, group, member, orders):
-        """Send orders one by one until one of them has no response."""
-        outcome = None
-        for order in orders:
-            outcome = self._send(group.name, member, order)
-            if outcome is None:
-                return
-        done = outcome in (OrderOutcome.BEGUN, OrderOutcome.HOLDS)
-        if group.phase == ENDING and done and not isinstance(orders[-1], CloseOrder):
-            self._groups_with_retired_head.add(group.name)
-        stale = outcome in (OrderOutcome.STALE, OrderOutcome.WRONG_SERVER)
-        if group.phase == SERVING and stale:
-            self._refusals[group.name] = f"{member.server} refused: {outcome.value}"
-
-    def _send(self, group, member, order):
-        """Send one order; return its outcome, ``None`` without a response."""
-        fields = {
-            "peer": member.server,
-            "group": group,
-            "order": type(order).__name__,
-            "epoch": getattr(order, "epoch", None),
-        }
-        try:
-            outcome = self._engine.send_order(member.server, member.address, order)
-        except ServerPausedError as exc:
-            event("order held", **fields, why=exc.detail)
-            return None
-        except EngineError as exc:
-            event("order unanswered", **fields, why=exc.detail)
-            self._unanswered_at[member.server] = self._clock.monotonic()
-            self._monitor.probe_server(member)
-            return None
-        event("order given", **fields, outcome=outcome.value)
-        return outcome
