Order waiting requests by rank, and spread return times, where routes differ

Cause: the queue takes turns between teams before it looks at the priority, so urgent requests miss their objective while less urgent ones of other teams are served. All callers that are refused in the same second come back together.

Return times are spread over the slots that become free. Both apply only to services with models whose routes differ in priority. X-Request-Urgency is sent there, and a caller's own is dropped. 'request refused' has rank and work_s; refusals and evictions are counted by rank.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/brokers.py
@@ -179,6 +179,7 @@
             now + slot_ask.deadline_left_ms / 1000,
             now + slot_ask.objective_left_ms / 1000,
             slot_ask.objective_ms / 1000,
+            elapsed_s=(slot_ask.objective_ms - slot_ask.objective_left_ms) / 1000,
         )
         window_ms = slot_ask.resume_window_ms
         try:
--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -14,6 +14,7 @@
 from auburnwall.routing.forwarded import FORWARDED_BY, max_servers_of
 from auburnwall.routing.retried_calls import RetriedCallDetector
 from auburnwall.routing.routes import ClientLimits, pick_target
+from auburnwall.routing.shortage_order import rank_of_route
 from auburnwall.routing.step_model import Work
 from auburnwall.routing.stop_time import stopping_error
 
@@ -22,8 +23,6 @@
 STARTING_RETRY_AFTER_S = 0.5
 # Largest deadline of a caller, in milliseconds; a route has a limit of its own.
 MAX_DEADLINE_MS = 10**9
-# Rank of a request whose route and team have no priority; 0 is the most urgent.
-DEFAULT_RANK = 5
 
 
 class Gateway:
@@ -133,7 +132,7 @@
         service = pick_target(route, self._rng)
         engine = config.services[service].engine if service in config.services else None
         model = (call.header(self._header_names.model) or "") if engine else ""
-        rank = DEFAULT_RANK if route.priority is None else route.priority
+        rank = rank_of_route(route)
         if team is not None and team.priority is not None:
             rank = team.priority
         forwarded_by = call.header(FORWARDED_BY) or ""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -3,9 +3,10 @@
 from prometheus_client import Counter
 
 from auburnwall.base.metrics import DurationHistograms, MetricsRegistry
+from auburnwall.routing.rank_counts import RankCounts
 
 
-class RoutedMetrics(MetricsRegistry):
+class RoutedMetrics(MetricsRegistry, RankCounts):
     """Counters, gauges and timings of a routed node."""
 
     def __init__(self):
@@ -22,6 +23,18 @@
             ["status", "step"],
             registry=self.registry,
         )
+        self._place_refusals = Counter(
+            "auburnwall_place_refusals",
+            "Requests that this node or its broker gave no slot, by rank.",
+            ["rank"],
+            registry=self.registry,
+        )
+        self._place_evictions = Counter(
+            "auburnwall_place_evictions",
+            "Waiting requests that left a queue in favour of others, by rank.",
+            ["rank"],
+            registry=self.registry,
+        )
         self._connections_closed = Counter(
             "auburnwall_caller_connections_closed",
             "Connections of callers that were closed, by reason.",
@@ -42,6 +55,14 @@
         """Record an error response of this node."""
         self._refusals.labels(str(status), step).inc()
 
+    def record_refusal(self, rank):
+        """Record that a request got no slot and was refused."""
+        self._place_refusals.labels(str(rank)).inc()
+
+    def record_eviction(self, rank):
+        """Record that a waiting request left a queue in favour of others."""
+        self._place_evictions.labels(str(rank)).inc()
+
     def record_connection_closed(self, reason):
         """Record that the connection to a caller was closed."""
         self._connections_closed.labels(reason).inc()
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -355,9 +355,9 @@
             self.time_to_start,
             self.notices,
         )
+        self.metrics = RoutedMetrics()
         self.placing = Placing(self, view_parts, self.in_flight, self._stack)
         self.stop_time.expected_s = self.placing.expected_time_s
-        self.metrics = RoutedMetrics()
         self.connections = CallerConnections(clock, self.metrics)
         self.placer = StepTrackingPlacer(self.placing.placer, self.connections)
         header_names = self._platform.header_names
@@ -372,6 +372,7 @@
             self.crash_evidence,
             self.reach,
             cfg.node,
+            self.placing.is_ranked,
         )
         self._retry_budgets = {}
         self.gateway = Gateway(
--- a/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
@@ -19,6 +19,7 @@
 class Placing:
     """The placers of a node.
 
+    ``is_ranked(request)`` returns whether ranks are told apart for its service.
     ``placer`` is for the requests of its callers. ``brokers`` grants slots to other
     nodes and asks them for slots. ``view_parts`` are the arguments of a
     ``RoutingView`` without the data centre.
@@ -34,6 +35,7 @@
             RateLimitGate(cfg.node, lambda: node.fleet.nodes, clock),
             clock,
             rng,
+            node.metrics,
         )
         # Of the requests to a cold server, the broker sends the share of one sender; of
         # those to a server with a limit, it sends all.
@@ -43,7 +45,7 @@
         )
         broker_view = DataCenterView(cfg.data_center, *view_parts)
         self.broker = SlotBroker(
-            Placer(broker_view, in_flight, *broker_gates, clock, rng),
+            Placer(broker_view, in_flight, *broker_gates, clock, rng, node.metrics),
             lambda name: name == cfg.node or name in node.peers.not_lost(),
             clock,
         )
@@ -63,7 +65,7 @@
             node.tasks,
             node.lateness,
         )
-        self._brokered = BrokeredPlacer(local, view, self.brokers)
+        self._brokered = BrokeredPlacer(local, view, self.brokers, clock)
         self.placer = DetourPlacer(
             self._brokered,
             node.reach,
@@ -74,6 +76,7 @@
             rng,
         )
         self._in_flight, self._view = in_flight, view
+        self.is_ranked = view.is_ranked
 
     def expected_time_s(self, request):
         """Return how long a server takes for such a request, 0 if it is not known.
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -4,6 +4,11 @@
 
 from auburnwall.base.logs import event
 from auburnwall.routing.in_flight import STALL_TIMEOUT_S
+from auburnwall.routing.shortage_order import (
+    UNKNOWN_WORK,
+    bounded_work,
+    ranked_services,
+)
 from auburnwall.routing.step_model import service_time_s
 
 # Time for which a candidate gets no requests after a first suspicion, in seconds. The
@@ -210,6 +215,8 @@
         self._suspects = suspects
         self._time_to_start = time_to_start
         self._notices = notices
+        self._ranked_config = None
+        self._ranked_services = frozenset()
 
     def candidates(self, request):
         """Return the candidates for a request."""
@@ -290,6 +297,23 @@
         )
         return SlotUsage(slots_in_use, forming_groups, slot_time_s)
 
+    def is_ranked(self, request):
+        """Return whether the routes to a request's service differ in priority.
+
+        This is false for services without models.
+        """
+        config = self._source.config
+        if config is not self._ranked_config:
+            self._ranked_config = config
+            self._ranked_services = ranked_services(config)
+        return request.service in self._ranked_services
+
+    def bounded_work(self, request):
+        """Return the ``BoundedWork`` of a request."""
+        engine = self._engine_of(request)
+        model = engine.models.get(request.model) if engine else None
+        return bounded_work(engine, model, request.work) if model else UNKNOWN_WORK
+
     def _own_share_of_slots(self, candidates):
         """Return this node's share of the slots in use.
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -30,6 +30,7 @@
     DeadlineExceededError,
     reroute_delay_s,
 )
+from .shortage_order import rank_of
 
 # How an exchange fails in ``urllib3``, or in the standard library below it, which
 # rejects bytes that are no response.
@@ -254,6 +255,8 @@
             header_names.deadline_ms,
             header_names.team,
             header_names.expected_server,
+            # A caller must not set its own urgency.
+            header_names.urgency,
             FORWARDED_BY,
             SERVERS_LEFT,
         )
@@ -264,6 +267,8 @@
         headers[header_names.expected_server] = self.candidate.server
         if request.team:
             headers[header_names.team] = request.team
+        if self._deps.is_ranked(request):
+            headers[header_names.urgency] = str(rank_of(request))
         return headers
 
     def _headers_without(self, dropped):
--- a/packages/auburnwall-routing/src/auburnwall/routing/brokered_placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/brokered_placer.py
@@ -10,8 +10,10 @@
 
 from auburnwall.base.logs import event
 
-from .exceptions import OverloadedError
+from .exceptions import ADMISSION_STEP, OverloadedError
 from .placer import Placement
+from .return_times import RefusedCallers
+from .shortage_order import rank_of
 
 # Brokers that a request asks for a slot that is free at once.
 MAX_BROKERS_ASKED = 3
@@ -54,18 +56,36 @@
 
     UNREACHABLE = object()
 
-    def __init__(self, local, view, brokers):
+    def __init__(self, local, view, brokers, clock):
         self._local = local
         self._view = view
         self._brokers = brokers
         self._grants = {}
+        self._refused_callers = RefusedCallers(clock)
 
     def waiting_count(self):
         """Return the number of requests that wait at this node."""
         return self._local.waiting_count()
 
     def place(self, request, excluded_servers=frozenset(), resume_window_s=None):
-        """Return a ``Placement``, as ``Placer.place`` does."""
+        """Return a ``Placement``, as ``Placer.place`` does.
+
+        Where ranks are told apart, refused callers are remembered, so that repeating a
+        request before its time gains nothing.
+        """
+        if not self._view.is_ranked(request):
+            return self._place(request, excluded_servers, resume_window_s)
+        request = self._refused_callers.recognise(request)
+        try:
+            return self._place(request, excluded_servers, resume_window_s)
+        except OverloadedError as exc:
+            if exc.step == ADMISSION_STEP:
+                exc.retry_after_s = self._refused_callers.note_refused(
+                    request, exc.retry_after_s
+                )
+            raise
+
+    def _place(self, request, excluded_servers, resume_window_s):
         placement = self._ask_brokers(request, excluded_servers, resume_window_s)
         if placement is None or placement is self.UNREACHABLE:
             return self._local.place(request, excluded_servers, resume_window_s)
@@ -159,6 +179,8 @@
                 step="place",
                 peer=broker,
                 model=request.model,
+                rank=rank_of(request),
+                work_s=round(self._view.bounded_work(request).work_s, 4),
                 why=exc.detail,
                 retry_after_s=round(exc.retry_after_s, 2),
             )
--- a/packages/auburnwall-routing/src/auburnwall/routing/call.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/call.py
@@ -50,7 +50,8 @@
     IDs of the prompt's parts in their order; the last part is the request's own.
     ``fingerprint`` is the same each time the caller sends the request, see
     ``fingerprint_of``. ``forwarded_by`` is the node that the caller sent it to, if that
-    one has forwarded it.
+    one has forwarded it. ``came_early`` is set for a caller that was refused and has
+    come back before the time that it was told.
     """
 
     call: Call
@@ -68,6 +69,7 @@
     prompt_parts: tuple = ()
     fingerprint: str = ""
     forwarded_by: str = ""
+    came_early: bool = False
 
     @property
     def shared_parts(self):
--- a/packages/auburnwall-routing/src/auburnwall/routing/exceptions.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/exceptions.py
@@ -4,6 +4,8 @@
 
 NOT_RUN = "not run"
 UNKNOWN = "unknown"
+# Step of a refusal for want of a slot.
+ADMISSION_STEP = "admission"
 
 
 class RequestError(AuburnwallError):
@@ -34,7 +36,7 @@
 class OverloadedError(RequestError):
     """The request cannot start in time."""
 
-    def __init__(self, detail, retry_after_s, *, status=503, step="admission"):
+    def __init__(self, detail, retry_after_s, *, status=503, step=ADMISSION_STEP):
         super().__init__(
             status, "Overloaded", detail, step=step, retry_after_s=retry_after_s
         )
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -5,6 +5,7 @@
 resumed after the last complete event that the caller has.
 """
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from .exceptions import ExchangeError, unresumable_error
@@ -32,6 +33,7 @@
     ``time_to_start`` holds the mean time until a response starts, ``notices`` what
     servers say of themselves, ``crash_evidence`` which prompt parts and requests crash
     them. ``reach`` is the node's ``ServerReach``, ``node`` its name.
+    ``is_ranked(request)`` returns whether servers are told the request's urgency.
     """
 
     placer: object
@@ -44,6 +46,7 @@
     crash_evidence: object
     reach: object
     node: str
+    is_ranked: Callable = lambda request: False
 
 
 class Forwarder:
--- a/packages/auburnwall-routing/src/auburnwall/routing/header_names.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/header_names.py
@@ -14,7 +14,8 @@
     tokens; ``answer_hint`` is the caller's estimate of the response tokens.
     ``prompt_parts`` lists the parts of the prompt. ``leaving`` states that the server
     leaves, ``pause`` for how long a refusing server wants no request, and ``limit`` how
-    many requests per second the server takes.
+    many requests per second the server takes. ``urgency`` is that of a request,
+    from 0 (first) to 9.
     """
 
     request_id: str
@@ -32,3 +33,4 @@
     leaving: str
     pause: str
     limit: str
+    urgency: str
--- a/packages/auburnwall-routing/src/auburnwall/routing/load_shedding.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/load_shedding.py
@@ -185,7 +185,7 @@
     An estimate of the wait is enough to refuse what has not begun, but not to end a
     stream that has: its caller has no other way to the rest of it.
     """
-    return context.pause_s > max_wait_s or _slots_per_s(context) == 0
+    return context.pause_s > max_wait_s or slot_rate_per_s(context) == 0
 
 
 def _is_late_in_shortage(context):
@@ -201,7 +201,7 @@
     """Return in how many seconds a slot is expected, and the reason as a text."""
     if context.pause_s > 0:
         return context.pause_s, f"every server wants a pause of {context.pause_s:.2f} s"
-    slots_per_s = _slots_per_s(context)
+    slots_per_s = slot_rate_per_s(context)
     if slots_per_s == 0:
         return math.inf, "the limits of all servers leave nothing for this node"
     if slots_per_s is not None:
@@ -217,7 +217,7 @@
     return 2 * FORMING_WAIT_S, "nothing serves it and nothing is forming"
 
 
-def _slots_per_s(context):
+def slot_rate_per_s(context):
     """Return how many slots per second become free for this node's requests.
 
     ``None`` if it is not known.
@@ -246,7 +246,7 @@
 
 def _queue_limit(context, max_wait_s):
     """Return how many requests may wait so that each of them has a chance of a slot."""
-    slots_per_s = _slots_per_s(context)
+    slots_per_s = slot_rate_per_s(context)
     if slots_per_s is None or context.wait_class is not WaitClass.IN_TIME:
         # No limit for the class; the queue's own size is the limit.
         return 2**31
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -14,21 +14,24 @@
 
 from auburnwall.base.logs import event
 
-from .admission import FairQueue, Waiting
+from .admission import Waiting
+from .backlog import MAX_WAITING, Backlog
 from .exceptions import OverloadedError
 from .load_shedding import (
-    ShortageDetector,
+    MIN_RETRY_AFTER_S,
     WaitClass,
     WaitContext,
     decide_wait,
+    slot_rate_per_s,
     wait_class_of,
 )
 from .placement import choose_candidate
+from .rank_counts import NoCounts
+from .return_times import ReturnTimes
+from .shortage_order import rank_of
 
 # Time between two attempts to place waiting requests when no slot is released.
 PLACE_RETRY_INTERVAL_S = 0.05
-# Requests of one class that may wait at this node for one service and model.
-MAX_WAITING = 256
 # Free slots of a service and model that late requests may not use during a shortage, so
 # that the next request that can be in time finds a free slot.
 SLOTS_KEPT_FREE_IN_SHORTAGE = 1
@@ -55,35 +58,6 @@
     """A waiting request was removed from its queue without a slot."""
 
 
-class _Backlog:
-    """The requests that wait for one service and model, one queue per class."""
-
-    def __init__(self):
-        self.queues = {
-            WaitClass.RESUMING: FairQueue(MAX_WAITING),
-            WaitClass.IN_TIME: FairQueue(MAX_WAITING, newest_first=True),
-            WaitClass.LATE: FairQueue(MAX_WAITING),
-        }
-        self.shortage = ShortageDetector()
-
-    def __len__(self):
-        return sum(len(queue) for queue in self.queues.values())
-
-    def queued_ahead(self, wait_class):
-        """Return how many requests are given slots before a new one of the class.
-
-        The queue of ``IN_TIME`` is newest first, so a new request of that class goes
-        before all others of it. The order of teams and priorities is ignored.
-        """
-        if wait_class is WaitClass.IN_TIME:
-            return len(self.queues[WaitClass.RESUMING])
-        return sum(
-            len(queue)
-            for other_class, queue in self.queues.items()
-            if other_class <= wait_class
-        )
-
-
 class Placer:
     """Gives slots to the requests of all services, and queues them when none is free.
 
@@ -99,16 +73,23 @@
     ``expected_time_to_start_s(request)``: the mean time from sending a request to the
     start of its response. ``slot_usage(request)``: an object with the fields
     ``slots_in_use``, ``forming_groups`` and ``slot_time_s`` of a ``WaitContext``.
+    ``is_ranked(request)``: whether the routes to the request's service, which has
+    models, differ in priority; the order of ``shortage_order`` applies then.
+    ``bounded_work(request)``: a ``BoundedWork``. ``counts`` is a ``RankCounts``.
     """
 
-    def __init__(self, view, in_flight, warmup_gate, limit_gate, clock, rng):
+    def __init__(
+        self, view, in_flight, warmup_gate, limit_gate, clock, rng, counts=None
+    ):
         self._view = view
         self._in_flight = in_flight
         self._warmup_gate = warmup_gate
         self._limit_gate = limit_gate
         self._clock = clock
         self._rng = rng
-        self._backlogs = defaultdict(_Backlog)
+        self._counts = counts or NoCounts()
+        self._backlogs = defaultdict(Backlog)
+        self._return_times = ReturnTimes()
 
     def waiting_count(self):
         """Return the number of waiting requests."""
@@ -124,7 +105,7 @@
         evicted from the queue. A request that can be in time but gets no slot first
         waits once more, as a late one.
         """
-        backlog = self._backlogs[request.service, request.model]
+        backlog = self._backlog(request)
         wait_class = self._wait_class(request, resume_window_s)
         placement = self._place_without_waiting(
             request, excluded_servers, backlog, wait_class
@@ -135,20 +116,20 @@
         if wait_class is WaitClass.IN_TIME:
             if placement is None:
                 return self._place_late(request, excluded_servers, backlog)
-            backlog.shortage.note_placed()
+            backlog.note_placed(rank_of(request))
         elif placement is None:
             raise self._overloaded_error(request, backlog, wait_class, resume_window_s)
         return placement
 
     def place_now(self, request, excluded_servers=frozenset(), resume_window_s=None):
         """Return a ``Placement`` at a slot that is free now, otherwise ``None``."""
-        backlog = self._backlogs[request.service, request.model]
+        backlog = self._backlog(request)
         wait_class = self._wait_class(request, resume_window_s)
         placement = self._place_without_waiting(
             request, excluded_servers, backlog, wait_class
         )
         if placement is not None and wait_class is WaitClass.IN_TIME:
-            backlog.shortage.note_placed()
+            backlog.note_placed(rank_of(request))
         return placement
 
     def search(self, request, excluded_servers=frozenset(), resume_window_s=None):
@@ -159,7 +140,7 @@
         stream that has begun may wait ``resume_window_s``, before requests that have
         not.
         """
-        backlog = self._backlogs[request.service, request.model]
+        backlog = self._backlog(request)
         has_begun = resume_window_s is not None
         wait_class = WaitClass.RESUMING if has_begun else WaitClass.LATE
         placement = self._place_without_waiting(
@@ -179,7 +160,8 @@
         # Taken before the miss is recorded: a shortage that begins with this miss does
         # not refuse the request itself.
         context = self._wait_context(request, backlog, WaitClass.LATE)
-        self._record_miss(backlog)
+        missed = backlog.note_missed(rank_of(request), self._clock.monotonic())
+        self._evict(missed)
         if placement := self._wait_for_slot(
             request, excluded_servers, backlog, context
         ):
@@ -190,13 +172,15 @@
         """Return a placement if a slot is free now, otherwise ``None``.
 
         A late request does not overtake any waiting request. One of another class
-        takes a free slot even if others wait.
+        takes a free slot even if others wait, but where ranks are told apart only after
+        them.
         """
         if wait_class is WaitClass.LATE and len(backlog):
             return None
-        return self._try_to_place(
-            request, excluded_servers, self._slots_kept_free(backlog, wait_class)
-        )
+        if backlog.is_ranked and len(backlog):
+            self._place_waiting(backlog)
+        slots_kept_free = self._slots_kept_free(backlog, wait_class, request)
+        return self._try_to_place(request, excluded_servers, slots_kept_free)
 
     def release_slot(self, placement):
         """Release the slot of a placement and place waiting requests."""
@@ -206,9 +190,17 @@
     def place_waiting(self):
         """Place as many waiting requests as there are free slots for."""
         for backlog in self._backlogs.values():
-            for wait_class, queue in backlog.queues.items():
-                while len(queue) and self._place_one(backlog, wait_class, queue):
-                    pass
+            self._place_waiting(backlog)
+
+    def _backlog(self, request):
+        backlog = self._backlogs[request.service, request.model]
+        backlog.set_ranked(self._view.is_ranked(request))
+        return backlog
+
+    def _place_waiting(self, backlog):
+        for wait_class, queue in backlog.queues.items():
+            while len(queue) and self._place_one(backlog, wait_class, queue):
+                pass
 
     def _wait_for_slot(self, request, excluded_servers, backlog, context):
         """Wait for a slot; return a placement, or ``None`` without one.
@@ -219,10 +211,19 @@
         decision = decide_wait(context)
         if not decision.wait:
             return None
-        waiting = Waiting(request, excluded_servers, AsyncResult())
+        now = self._clock.monotonic()
+        waiting = Waiting(
+            request,
+            excluded_servers,
+            AsyncResult(),
+            queued_at=now,
+            rank=rank_of(request),
+            relative_work=self._view.bounded_work(request).relative,
+            has_returned=backlog.is_ranked and _has_returned(request),
+        )
         queue = backlog.queues[context.wait_class]
-        _enqueue(queue, waiting, decision.queue_limit)
-        wait_ends_at = self._clock.monotonic() + decision.max_wait_s
+        self._enqueue(queue, waiting, decision.queue_limit)
+        wait_ends_at = now + decision.max_wait_s
         try:
             while not waiting.result.ready():
                 remaining_s = wait_ends_at - self._clock.monotonic()
@@ -243,19 +244,6 @@
         finally:
             queue.remove(waiting)
 
-    def _record_miss(self, backlog):
-        """Record that a request got no slot in time.
-
-        In a shortage, evicts all waiting late requests.
-        """
-        now = self._clock.monotonic()
-        backlog.shortage.note_missed(now)
-        if backlog.shortage.duration_s(now):
-            queue = backlog.queues[WaitClass.LATE]
-            for waiting in queue.entries():
-                queue.remove(waiting)
-                waiting.result.set_exception(_EvictedError())
-
     def _place_one(self, backlog, wait_class, queue):
         """Place the next request of a queue; return whether one was placed.
 
@@ -263,25 +251,26 @@
         tried, because it may use those servers.
         """
         for waiting in queue.next_per_team():
-            slots_kept_free = self._slots_kept_free(backlog, wait_class)
+            slots_kept_free = self._slots_kept_free(
+                backlog, wait_class, waiting.request
+            )
             if placement := self._try_to_place(
                 waiting.request, waiting.excluded, slots_kept_free
             ):
                 queue.dequeue(waiting)
                 waiting.result.set(placement)
                 return True
-            if not waiting.excluded:
+            # A more urgent band may use the slots that a band in shortage keeps free.
+            if not waiting.excluded and not (backlog.is_ranked and slots_kept_free):
                 break
         return False
 
-    def _slots_kept_free(self, backlog, wait_class):
+    def _slots_kept_free(self, backlog, wait_class, request):
         """Return how many free slots a request of the class must leave free."""
-        in_shortage = backlog.shortage.duration_s(self._clock.monotonic()) > 0
-        return (
-            SLOTS_KEPT_FREE_IN_SHORTAGE
-            if wait_class is WaitClass.LATE and in_shortage
-            else 0
-        )
+        if wait_class is not WaitClass.LATE:
+            return 0
+        short_s = backlog.shortage_s(rank_of(request), self._clock.monotonic())
+        return SLOTS_KEPT_FREE_IN_SHORTAGE if short_s > 0 else 0
 
     def _try_to_place(self, request, excluded_servers, slots_kept_free):
         view = self._view
@@ -349,14 +338,14 @@
         usage = self._view.slot_usage(request)
         return WaitContext(
             wait_class=wait_class,
-            queued_ahead=backlog.queued_ahead(wait_class),
+            queued_ahead=backlog.queued_ahead(wait_class, rank_of(request)),
             slots_in_use=usage.slots_in_use,
             forming_groups=usage.forming_groups,
             slot_time_s=usage.slot_time_s,
             expected_time_to_start_s=self._expected_time_to_start_s(request),
             time_left_s=request.deadline - now,
             objective_left_s=request.objective_at - now,
-            short_s=backlog.shortage.duration_s(now),
+            short_s=backlog.shortage_s(rank_of(request), now),
             resume_window_s=resume_window_s,
             pause_s=self._shortest_pause_s(request),
             rate_per_s=self._rate_per_s(request),
@@ -395,31 +384,50 @@
         """
         context = self._wait_context(request, backlog, wait_class, resume_window_s)
         decision = decide_wait(context)
+        retry_after_s = decision.retry_after_s
+        rank = rank_of(request)
+        if backlog.is_ranked:
+            retry_after_s = self._return_times.assign(
+                (request.service, request.model),
+                rank,
+                self._clock.monotonic(),
+                context.time_left_s,
+                slot_rate_per_s(context),
+                context.pause_s,
+            )
+        self._counts.record_refusal(rank)
         event(
             "request refused",
             request=request.request_id,
             step="place",
             model=request.model,
+            rank=rank,
+            work_s=round(self._view.bounded_work(request).work_s, 4),
             wait_class=wait_class.name.lower(),
             waiting=len(backlog),
             short_s=round(context.short_s, 2),
             candidates=len(self._view.candidates(request)),
             why=decision.why,
-            retry_after_s=round(decision.retry_after_s, 2),
+            retry_after_s=round(retry_after_s, 2),
         )
-        return OverloadedError(decision.why, decision.retry_after_s)
+        return OverloadedError(decision.why, retry_after_s)
+
+    def _enqueue(self, queue, waiting, queue_limit):
+        """Queue ``waiting``; evict requests until the queue is within its limit."""
+        evicted = queue.push(waiting)
+        beyond_limit = queue.evict_beyond(waiting, queue_limit)
+        self._evict(filter(None, itertools.chain([evicted], beyond_limit)))
+
+    def _evict(self, entries):
+        """End the wait of entries that have left their queue."""
+        for entry in entries:
+            self._counts.record_eviction(rank_of(entry.request))
+            entry.result.set_exception(_EvictedError())
 
 
-def _enqueue(queue, waiting, queue_limit):
-    """Queue ``waiting``; evict requests until the queue is within its limit.
+def _has_returned(request):
+    """Return whether a caller was refused before and has come back on time.
 
-    The oldest request of the team with the most waiting ones is evicted first.
+    No return time is shorter than ``MIN_RETRY_AFTER_S``.
     """
-    evicted = [queue.push(waiting)]
-    while len(queue) > queue_limit:
-        oldest = queue.oldest_of_largest()
-        queue.remove(oldest)
-        evicted.append(oldest)
-    for entry in evicted:
-        if entry is not None:
-            entry.result.set_exception(_EvictedError())
+    return request.elapsed_s >= MIN_RETRY_AFTER_S and not request.came_early
--- a/packages/auburnwall-routing/src/auburnwall/routing/routes.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/routes.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+# Rank of a request whose route and team have no priority; 0 is the most urgent.
+DEFAULT_RANK = 5
+
 
 class Target(NamedTuple):
     """A service that gets requests of a route in proportion to ``weight``."""
--- a/packages/auburnwall-routing/src/auburnwall/routing/slot_broker.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/slot_broker.py
@@ -23,7 +23,8 @@
     """What a broker knows of a request; the times are on its own clock.
 
     The fields are those of ``RoutedRequest`` that the placer uses. ``objective_s`` is
-    the objective of the request's route.
+    the objective of the request's route, ``elapsed_s`` how much of the caller's time
+    had passed before the broker was asked.
     """
 
     id: str
@@ -38,6 +39,9 @@
     objective_at: float
     objective_s: float
     weight: float = 1.0
+    elapsed_s: float = 0.0
+    # The node that asks has this from the caller, and does not pass it on.
+    came_early: bool = False
 
     @property
     def route(self):
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -32,6 +32,7 @@
 from auburnwall.routing.rate_limits import RateLimitGate
 from auburnwall.routing.routes import RouteTable
 from auburnwall.routing.shared_retry_budget import SharedRetryBudget
+from auburnwall.routing.shortage_order import UNKNOWN_WORK
 from auburnwall.routing.stop_time import StopTime
 from auburnwall.routing.warmup import WarmupGate
 from auburnwall.state.table.replica import TableReplica
@@ -137,6 +138,12 @@
     def expected_time_to_start_s(self, request):
         return 0.0
 
+    def is_ranked(self, request):
+        return False
+
+    def bounded_work(self, request):
+        return UNKNOWN_WORK
+
     def slot_usage(self, request):
         return SlotUsage(0, 0, 0.1)
 
--- a/tests/routing/test_brokers.py
+++ b/tests/routing/test_brokers.py
@@ -16,6 +16,7 @@
 from auburnwall.routing.in_flight import InFlightRequests
 from auburnwall.routing.placer import Placer
 from auburnwall.routing.rate_limits import RateLimitGate
+from auburnwall.routing.shortage_order import UNKNOWN_WORK
 from auburnwall.routing.slot_broker import SlotBroker
 from auburnwall.routing.step_model import Work
 from auburnwall.routing.stop_time import StopTime
@@ -70,6 +71,12 @@
     def expected_time_to_start_s(self, request):
         return 0.05
 
+    def is_ranked(self, request):
+        return False
+
+    def bounded_work(self, request):
+        return UNKNOWN_WORK
+
     def slot_usage(self, request):
         return SlotUsage(sum(self._in_flight.slots_in_use.values()), 0, 0.5)
 
@@ -112,7 +119,7 @@
             SimpleNamespace(spawn=gevent.spawn),
         )
         local = Placer(self.view, self.in_flight, *gates, clock, rng)
-        self.placer = BrokeredPlacer(local, self.view, self.brokers)
+        self.placer = BrokeredPlacer(local, self.view, self.brokers, clock)
 
     def call(self, address, method, *args):
         network = self.network
--- a/tests/routing/test_placer.py
+++ b/tests/routing/test_placer.py
@@ -14,6 +14,7 @@
 from auburnwall.routing.load_shedding import LATE_WAIT_S
 from auburnwall.routing.placer import Placer
 from auburnwall.routing.rate_limits import RateLimitGate
+from auburnwall.routing.shortage_order import UNKNOWN_WORK
 from auburnwall.routing.step_model import Work
 from auburnwall.routing.warmup import WarmupGate
 from tests.faults.virtual_time import VirtualClock, VirtualTime
@@ -57,6 +58,12 @@
     def expected_time_to_start_s(self, request):
         return TIME_TO_START_S
 
+    def is_ranked(self, request):
+        return False
+
+    def bounded_work(self, request):
+        return UNKNOWN_WORK
+
     def slot_usage(self, request):
         slots_in_use = sum(map(self.load, self.groups))
         return SlotUsage(slots_in_use, 0, SERVICE_S)
