--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -7,6 +7,7 @@
 from auburnwall.routing.shortage_order import (
     UNKNOWN_WORK,
     bounded_work,
+    mean_work,
     ranked_services,
 )
 from auburnwall.routing.step_model import service_time_s
@@ -35,12 +36,14 @@
 
     ``slots_in_use`` is this node's share of the slots in use. A request holds a slot
     for about ``slot_time_s`` seconds. ``forming_groups`` is the number of groups that
-    are not open yet.
+    are not open yet. A request of the engine's mean work holds a slot for about
+    ``mean_slot_time_s``.
     """
 
     slots_in_use: float
     forming_groups: int
     slot_time_s: float
+    mean_slot_time_s: float = DEFAULT_SERVICE_TIME_S
 
 
 class SuspectCandidates:
@@ -289,13 +292,14 @@
             return SlotUsage(slots_in_use, 0, DEFAULT_SERVICE_TIME_S)
         model = engine.models.get(request.model)
         # Assume 1 s for a model that is not in the configuration.
-        slot_time_s = (
-            service_time_s(engine, model, request.work, engine.slots) if model else 1.0
+        slot_time_s, mean_slot_time_s = (
+            service_time_s(engine, model, work, engine.slots) if model else 1.0
+            for work in (request.work, mean_work(engine))
         )
         forming_groups = self._candidate_index.forming_count(
             request.service, request.model
         )
-        return SlotUsage(slots_in_use, forming_groups, slot_time_s)
+        return SlotUsage(slots_in_use, forming_groups, slot_time_s, mean_slot_time_s)
 
     def is_ranked(self, request):
         """Return whether the routes to a request's service differ in priority.
--- a/packages/auburnwall-routing/src/auburnwall/routing/backlog.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/backlog.py
@@ -13,6 +13,9 @@
 
 # Requests of one class that may wait at this node for one service and model.
 MAX_WAITING = 256
+# Weight of a request in the mean work of those that were given slots. The mean follows
+# a change of the kinds of requests within some 20 of them.
+WORK_SMOOTHING = 0.05
 
 
 class Backlog:
@@ -31,6 +34,7 @@
         }
         self.shortage = ShortageDetector()
         self._shortages = defaultdict(ShortageDetector)
+        self._mean_work = 1.0
 
     def __len__(self):
         return sum(len(queue) for queue in self.queues.values())
@@ -99,6 +103,20 @@
             queue.remove(waiting)
         return leaving
 
+    def note_work(self, relative_work):
+        """Record the bounded work of a request that was given a slot."""
+        self._mean_work += WORK_SMOOTHING * (relative_work - self._mean_work)
+
+    def slot_time_s(self, usage):
+        """Return for how long a slot is held, from a view's slot usage.
+
+        Where ranks are told apart, it does not depend on the tokens that the request
+        states: it is a time that others hold their slots.
+        """
+        if not self.is_ranked:
+            return usage.slot_time_s
+        return usage.mean_slot_time_s * self._mean_work
+
     def _shortage(self, rank):
         return self._shortages[rank] if self.is_ranked else self.shortage
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -72,7 +72,8 @@
     ``None`` without such a limit.
     ``expected_time_to_start_s(request)``: the mean time from sending a request to the
     start of its response. ``slot_usage(request)``: an object with the fields
-    ``slots_in_use``, ``forming_groups`` and ``slot_time_s`` of a ``WaitContext``.
+    ``slots_in_use``, ``forming_groups`` and ``slot_time_s`` of a ``WaitContext``, and
+    ``mean_slot_time_s``, the slot time of a request of mean work.
     ``is_ranked(request)``: whether the routes to the request's service, which has
     models, differ in priority; the order of ``shortage_order`` applies then.
     ``bounded_work(request)``: a ``BoundedWork``. ``counts`` is a ``RankCounts``.
@@ -180,7 +181,10 @@
         if backlog.is_ranked and len(backlog):
             self._place_waiting(backlog)
         slots_kept_free = self._slots_kept_free(backlog, wait_class, request)
-        return self._try_to_place(request, excluded_servers, slots_kept_free)
+        placement = self._try_to_place(request, excluded_servers, slots_kept_free)
+        if placement is not None:
+            backlog.note_work(self._view.bounded_work(request).relative)
+        return placement
 
     def release_slot(self, placement):
         """Release the slot of a placement and place waiting requests."""
@@ -258,6 +262,7 @@
                 waiting.request, waiting.excluded, slots_kept_free
             ):
                 queue.dequeue(waiting)
+                backlog.note_work(waiting.relative_work)
                 waiting.result.set(placement)
                 return True
             # A more urgent band may use the slots that a band in shortage keeps free.
@@ -341,7 +346,7 @@
             queued_ahead=backlog.queued_ahead(wait_class, rank_of(request)),
             slots_in_use=usage.slots_in_use,
             forming_groups=usage.forming_groups,
-            slot_time_s=usage.slot_time_s,
+            slot_time_s=backlog.slot_time_s(usage),
             expected_time_to_start_s=self._expected_time_to_start_s(request),
             time_left_s=request.deadline - now,
             objective_left_s=request.objective_at - now,
--- a/packages/auburnwall-routing/src/auburnwall/routing/shortage_order.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/shortage_order.py
@@ -18,15 +18,19 @@
 
 # Largest rank that is told from others; servers know urgencies from 0 to 9.
 MAX_RANK = 9
-# Slots that others get before a waiting band gets one. With one in eight, no kind of
-# request is served less than a quarter as often as all while half of them are served.
-SLOTS_BETWEEN_TURNS = 7
+# Slots that others get before a waiting band gets one. Of one in two, less urgent short
+# requests are served more often than urgent long ones; of one in eight, callers gain
+# less in all.
+SLOTS_BETWEEN_TURNS = 3
 # Bounds of a request's work, as multiples of the model's mean. Stated numbers of tokens
 # beyond them gain nothing.
 MIN_RELATIVE_WORK, MAX_RELATIVE_WORK = 0.2, 5.0
 # Requests that are queued within this time of each other count as of the same age. A
 # longer time would let short requests overtake those that have just come.
 AGE_STEP_S = 0.05
+# Time left that counts as much as the model's mean work when a request is evicted, as a
+# fraction of the objective.
+EVICTION_WORK_WEIGHT = 0.25
 # Elements that a heap may hold in excess of twice the waiting ones before those that
 # have left are removed.
 HEAP_SLACK = 16
@@ -49,8 +53,7 @@
 
 def bounded_work(engine, model, work):
     """Return the ``BoundedWork`` of a request to an engine's model."""
-    mean = Work(engine.mean_prompt_tokens, max(1, engine.mean_response_tokens))
-    mean_s = group_seconds_per_request(engine, model, mean)
+    mean_s = group_seconds_per_request(engine, model, mean_work(engine))
     if mean_s <= 0:
         return UNKNOWN_WORK
     relative = group_seconds_per_request(engine, model, work) / mean_s
@@ -58,6 +61,11 @@
     return BoundedWork(relative * mean_s, relative)
 
 
+def mean_work(engine):
+    """Return the mean ``Work`` of an engine's requests."""
+    return Work(engine.mean_prompt_tokens, max(1, engine.mean_response_tokens))
+
+
 def ranked_services(config):
     """Return the names of the services with models whose routes differ in priority.
 
@@ -98,11 +106,11 @@
 def eviction_key(waiting):
     """Order requests by eviction: the most work for the least time left goes first.
 
-    Work of the model's mean counts like one objective of time. A ratio of the two would
-    change its order with time, which a heap does not allow.
+    Work of the model's mean counts like ``EVICTION_WORK_WEIGHT`` of the objective. A
+    ratio of the two would change its order with time, which a heap does not allow.
     """
     request = waiting.request
-    work_s = waiting.relative_work * request.route.objective_s
+    work_s = EVICTION_WORK_WEIGHT * waiting.relative_work * request.route.objective_s
     return request.objective_at - work_s, waiting.number
 
 
