--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -13,7 +13,7 @@
 from auburnwall.routing.exceptions import BadRequestError, RequestError
 from auburnwall.routing.forwarded import FORWARDED_BY, max_servers_of
 from auburnwall.routing.retried_calls import RetriedCallDetector
-from auburnwall.routing.routes import DEFAULT_RANK, ClientLimits, pick_target
+from auburnwall.routing.routes import ClientLimits, pick_target, rank_of_route
 from auburnwall.routing.step_model import Work
 from auburnwall.routing.stop_time import stopping_error
 
@@ -135,7 +135,7 @@
         service = pick_target(route, self._rng)
         engine = config.services[service].engine if service in config.services else None
         model = (call.header(self._header_names.model) or "") if engine else ""
-        rank = DEFAULT_RANK if route.priority is None else route.priority
+        rank = rank_of_route(route)
         if team is not None and team.priority is not None:
             rank = team.priority
         forwarded_by = call.header(FORWARDED_BY) or ""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -306,9 +306,9 @@
             self.time_to_start,
             self.notices,
         )
+        self.metrics = RoutedMetrics()
         self.placing = Placing(self, view_parts, self.in_flight, self._stack)
         self.stop_time.expected_s = self.placing.expected_time_s
-        self.metrics = RoutedMetrics()
         self.connections = CallerConnections(clock, self.metrics)
         self.placer = StepTrackingPlacer(
             self.placing.placer, self.connections, self.stages
@@ -325,6 +325,7 @@
             self.crash_evidence,
             self.reach,
             cfg.node,
+            self.placing.is_ranked,
         )
         self._retry_budgets = {}
         self.start_gate = StartGate(self.replicas, clock, self.rng)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -5,6 +5,12 @@
 from auburnwall.base.logs import event
 from auburnwall.routing.in_flight import STALL_TIMEOUT_S
 from auburnwall.routing.routes import ranks_of_service
+from auburnwall.routing.shortage_order import (
+    UNKNOWN_WORK,
+    bounded_work,
+    mean_work,
+    ranked_services,
+)
 from auburnwall.routing.step_model import (
     Work,
     group_seconds_per_request,
@@ -35,12 +41,14 @@
 
     ``slots_in_use`` is this node's share of the slots in use. A request holds a slot
     for about ``slot_time_s`` seconds. ``forming_groups`` is the number of groups that
-    are not open yet.
+    are not open yet. A request of the engine's mean work holds a slot for about
+    ``mean_slot_time_s``.
     """
 
     slots_in_use: float
     forming_groups: int
     slot_time_s: float
+    mean_slot_time_s: float = DEFAULT_SERVICE_TIME_S
 
 
 class SuspectCandidates:
@@ -215,6 +223,8 @@
         self._suspects = suspects
         self._time_to_start = time_to_start
         self._notices = notices
+        self._ranked_config = None
+        self._ranked_services = frozenset()
 
     def candidates(self, request):
         """Return the candidates for a request."""
@@ -287,13 +297,33 @@
             return SlotUsage(slots_in_use, 0, DEFAULT_SERVICE_TIME_S)
         model = engine.models.get(request.model)
         # Assume 1 s for a model that is not in the configuration.
-        slot_time_s = (
-            service_time_s(engine, model, request.work, engine.slots) if model else 1.0
-        )
+        slot_time_s = mean_slot_time_s = 1.0
+        if model is not None:
+            slot_time_s, mean_slot_time_s = (
+                service_time_s(engine, model, work, engine.slots)
+                for work in (request.work, mean_work(engine))
+            )
         forming_groups = self._candidate_index.forming_count(
             request.service, request.model
         )
-        return SlotUsage(slots_in_use, forming_groups, slot_time_s)
+        return SlotUsage(slots_in_use, forming_groups, slot_time_s, mean_slot_time_s)
+
+    def is_ranked(self, request):
+        """Return whether the routes to a request's service differ in priority.
+
+        This is false for services without models.
+        """
+        config = self._source.config
+        if config is not self._ranked_config:
+            self._ranked_config = config
+            self._ranked_services = ranked_services(config)
+        return request.service in self._ranked_services
+
+    def bounded_work(self, request):
+        """Return the ``BoundedWork`` of a request."""
+        engine = self._engine_of(request)
+        model = engine.models.get(request.model) if engine else None
+        return bounded_work(engine, model, request.work) if model else UNKNOWN_WORK
 
     def _own_share_of_slots(self, candidates):
         """Return this node's share of the slots in use.
--- a/packages/auburnwall-routing/src/auburnwall/routing/routes.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/routes.py
@@ -155,10 +155,15 @@
         return None
 
 
+def rank_of_route(route):
+    """Return the rank of a route's requests, ``DEFAULT_RANK`` if it has no priority."""
+    return DEFAULT_RANK if route.priority is None else route.priority
+
+
 def ranks_of_service(config, service):
-    """Return the set of the priorities of the routes that may use a service."""
+    """Return the set of the ranks of the routes that may use a service."""
     return {
-        DEFAULT_RANK if route.priority is None else route.priority
+        rank_of_route(route)
         for route in config.routes
         if any(target.service == service for target in route.targets)
     }
