Refuse early callers at once; test and describe the order in a shortage

Change: a caller that comes back before its return time gets a free slot or a refusal, but does not wait. Ages within 0.15 s count as equal.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -292,10 +292,12 @@
             return SlotUsage(slots_in_use, 0, DEFAULT_SERVICE_TIME_S)
         model = engine.models.get(request.model)
         # Assume 1 s for a model that is not in the configuration.
-        slot_time_s, mean_slot_time_s = (
-            service_time_s(engine, model, work, engine.slots) if model else 1.0
-            for work in (request.work, mean_work(engine))
-        )
+        slot_time_s = mean_slot_time_s = 1.0
+        if model is not None:
+            slot_time_s, mean_slot_time_s = (
+                service_time_s(engine, model, work, engine.slots)
+                for work in (request.work, mean_work(engine))
+            )
         forming_groups = self._candidate_index.forming_count(
             request.service, request.model
         )
--- a/packages/auburnwall-routing/src/auburnwall/routing/brokered_placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/brokered_placer.py
@@ -75,7 +75,8 @@
         """
         if not self._view.is_ranked(request):
             return self._place(request, excluded_servers, resume_window_s)
-        request = self._refused_callers.recognise(request)
+        if resume_window_s is None:
+            request = self._refused_callers.recognise(request)
         try:
             return self._place(request, excluded_servers, resume_window_s)
         except OverloadedError as exc:
@@ -87,6 +88,8 @@
 
     def _place(self, request, excluded_servers, resume_window_s):
         placement = self._ask_brokers(request, excluded_servers, resume_window_s)
+        if placement is None and self._came_early(request):
+            self._local.refuse(request)
         if placement is None or placement is self.UNREACHABLE:
             return self._local.place(request, excluded_servers, resume_window_s)
         return placement
@@ -138,7 +141,8 @@
             usable = self._usable_data_centers(request, avoided)
             asked = [name for name in data_centers if name in usable]
         asks = [(name, False) for name in asked[:MAX_BROKERS_ASKED]]
-        if not is_search or resume_window_s is not None:
+        may_wait = not is_search or resume_window_s is not None
+        if may_wait and not self._came_early(request):
             asks.append((data_centers[0], True))
         for data_center, wait in asks:
             ask = Ask(request, resume_window_s, wait, is_search)
@@ -189,6 +193,10 @@
             self._grants[placement.grant.id] = placement.grant
         return placement
 
+    def _came_early(self, request):
+        """Return whether a caller came back before its return time."""
+        return self._view.is_ranked(request) and request.came_early
+
     def _is_limited(self, request):
         """Return whether a server that may take the request names a limit."""
         return any(
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -104,13 +104,16 @@
         other requests. Raises ``OverloadedError`` if no slot is expected within the
         longest useful wait, if that wait ends without a slot, or if the request is
         evicted from the queue. A request that can be in time but gets no slot first
-        waits once more, as a late one.
+        waits once more, as a late one. A caller that came back before its return time
+        does not wait.
         """
         backlog = self._backlog(request)
         wait_class = self._wait_class(request, resume_window_s)
         placement = self._place_without_waiting(
             request, excluded_servers, backlog, wait_class
         )
+        if placement is None and backlog.is_ranked and request.came_early:
+            raise self._overloaded_error(request, backlog, wait_class, resume_window_s)
         if placement is None:
             context = self._wait_context(request, backlog, wait_class, resume_window_s)
             placement = self._wait_for_slot(request, excluded_servers, backlog, context)
@@ -122,6 +125,11 @@
             raise self._overloaded_error(request, backlog, wait_class, resume_window_s)
         return placement
 
+    def refuse(self, request):
+        """Refuse a request that was given no slot: raise ``OverloadedError``."""
+        backlog, wait_class = self._backlog(request), self._wait_class(request, None)
+        raise self._overloaded_error(request, backlog, wait_class)
+
     def place_now(self, request, excluded_servers=frozenset(), resume_window_s=None):
         """Return a ``Placement`` at a slot that is free now, otherwise ``None``."""
         backlog = self._backlog(request)
--- a/packages/auburnwall-routing/src/auburnwall/routing/shortage_order.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/shortage_order.py
@@ -25,9 +25,9 @@
 # Bounds of a request's work, as multiples of the model's mean. Stated numbers of tokens
 # beyond them gain nothing.
 MIN_RELATIVE_WORK, MAX_RELATIVE_WORK = 0.2, 5.0
-# Requests that are queued within this time of each other count as of the same age. A
-# longer time would let short requests overtake those that have just come.
-AGE_STEP_S = 0.05
+# Requests that are queued within this time of each other count as of the same age. With
+# much more, the order would hang on hints of the length, which are often far off.
+AGE_STEP_S = 0.15
 # Time left that counts as much as the model's mean work when a request is evicted, as a
 # fraction of the objective.
 EVICTION_WORK_WEIGHT = 0.25
@@ -232,7 +232,6 @@
         request = waiting.request
         team = self._teams.get(request.team)
         if team is None:
-            self._forget_idle_teams()
             team = self._teams[request.team] = _Team(request.team)
         if not team.size:
             team.next_virtual_time = max(
@@ -306,15 +305,6 @@
         team = self._teams.get(name)
         return team is not None and team.size > 0 and team.turn_number == number
 
-    def _forget_idle_teams(self):
-        """Forget teams without requests, if they are more than the others."""
-        idle = self._teams_by_size[0]
-        if len(idle) <= len(self._teams) / 2 + HEAP_SLACK:
-            return
-        for name, team in list(idle.items()):
-            if team.next_virtual_time <= self._virtual_time:
-                del idle[name], self._teams[name]
-
 
 class _Team:
     """A team's waiting requests of one rank, by turn and by eviction.
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -158,6 +158,8 @@
         self._body = body or config()
         self._peers = peers
         self.lost_peers = set()
+        # Names of the services whose routes count as of different priorities.
+        self.ranked = set()
         self._stack = ExitStack()
 
     def __enter__(self):
@@ -204,6 +206,7 @@
             self.crash_evidence,
             self.reach,
             "n1",
+            lambda request: request.service in self.ranked,
         )
         self.budget = SharedRetryBudget(0.2, 20.0, 10.0, lambda: 1, clock)
         forwarder = Forwarder(deps, lambda service: self.budget, lambda r, n: None)
