Add the paces of slow groups to heartbeats

In a fleet with brokers the broker chooses the groups, but the nodes that use them see how slow they are. No existing field can carry this: running and limits would change what nodes of the build before decide. Pulse and Load get the optional field slow_paces.

Nothing uses the field yet.

--- a/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
@@ -157,6 +157,16 @@
   3: i32 age_ms
 }
 
+/**
+ * How many times slower than the median of its model a candidate is, as `responses` of
+ * the last seconds show, the newest of them `age_ms` ago.
+ */
+struct SlowPace {
+  1: double pace
+  2: i32 responses
+  3: i32 age_ms
+}
+
 /**
  * The requests and the demand of several nodes together.
  *
@@ -169,7 +179,8 @@
  * there, each as the IDs of its prompt's parts joined by commas, a slash and its
  * fingerprint. NUMBER counts the crashes before with the same BORN. `sound_parts` are
  * shared parts and fingerprints of such requests that have been answered. `limits` maps
- * servers to the limits that they have named, the newest of each.
+ * servers to the limits that they have named, the newest of each. `slow_paces` maps slow
+ * groups to their paces. A node of an earlier build does not send it.
  */
 struct Load {
   1: map<string, i32> running
@@ -181,6 +192,7 @@
   7: map<string, list<string>> crashes
   8: list<string> sound_parts
   9: map<string, ServerLimit> limits
+  10: optional map<string, SlowPace> slow_paces
 }
 
 /**
@@ -209,7 +221,7 @@
  * measured. `suspects` names groups whose requests make no progress. `table_ends` is up
  * to which offset it has read each of the platform's tables, `reads_tables` whether it
  * reads all of them from the store. `cut_off` and `lost_services` are as in
- * `NodeStatus`, `leaving`, `crashes`, `sound_parts` and `limits` are
+ * `NodeStatus`, `leaving`, `crashes`, `sound_parts`, `limits` and `slow_paces` are
  * as in `Load`. `members` are the nodes that report to it, and `member_load` is the load of
  * these.
  */
@@ -232,6 +244,7 @@
   16: map<string, ServerLimit> limits
   17: bool cut_off
   18: list<string> lost_services
+  19: optional map<string, SlowPace> slow_paces
 }
 
 /**
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
@@ -1551,6 +1551,88 @@
         return not (self == other)
 
 
+class SlowPace(object):
+    """
+    How many times slower than the median of its model a candidate is, as `responses` of
+    the last seconds show, the newest of them `age_ms` ago.
+
+    Attributes:
+     - pace
+     - responses
+     - age_ms
+
+    """
+
+
+    def __init__(self, pace=None, responses=None, age_ms=None,):
+        self.pace = pace
+        self.responses = responses
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.DOUBLE:
+                    self.pace = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.responses = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlowPace')
+        if self.pace is not None:
+            oprot.writeFieldBegin('pace', TType.DOUBLE, 1)
+            oprot.writeDouble(self.pace)
+            oprot.writeFieldEnd()
+        if self.responses is not None:
+            oprot.writeFieldBegin('responses', TType.I32, 2)
+            oprot.writeI32(self.responses)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Load(object):
     """
     The requests and the demand of several nodes together.
@@ -1564,7 +1646,8 @@
     there, each as the IDs of its prompt's parts joined by commas, a slash and its
     fingerprint. NUMBER counts the crashes before with the same BORN. `sound_parts` are
     shared parts and fingerprints of such requests that have been answered. `limits` maps
-    servers to the limits that they have named, the newest of each.
+    servers to the limits that they have named, the newest of each. `slow_paces` maps slow
+    groups to their paces. A node of an earlier build does not send it.
 
     Attributes:
      - running
@@ -1576,11 +1659,12 @@
      - crashes
      - sound_parts
      - limits
+     - slow_paces
 
     """
 
 
-    def __init__(self, running=None, demand=None, nodes_with_traffic=None, nodes_measured=None, suspects=None, leaving=None, crashes=None, sound_parts=None, limits=None,):
+    def __init__(self, running=None, demand=None, nodes_with_traffic=None, nodes_measured=None, suspects=None, leaving=None, crashes=None, sound_parts=None, limits=None, slow_paces=None,):
         self.running = running
         self.demand = demand
         self.nodes_with_traffic = nodes_with_traffic
@@ -1590,6 +1674,7 @@
         self.crashes = crashes
         self.sound_parts = sound_parts
         self.limits = limits
+        self.slow_paces = slow_paces
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1692,6 +1777,18 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.MAP:
+                    self.slow_paces = {}
+                    (_ktype229, _vtype230, _size231) = iprot.readMapBegin()
+                    for _i232 in range(_size231):
+                        _key233 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val234 = SlowPace()
+                        _val234.read(iprot)
+                        self.slow_paces[_key233] = _val234
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1768,6 +1865,14 @@
                 viter104.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.slow_paces is not None:
+            oprot.writeFieldBegin('slow_paces', TType.MAP, 10)
+            oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.slow_paces))
+            for kiter235, viter236 in self.slow_paces.items():
+                oprot.writeString(kiter235.encode('utf-8') if sys.version_info[0] == 2 else kiter235)
+                viter236.write(oprot)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1953,7 +2058,7 @@
     measured. `suspects` names groups whose requests make no progress. `table_ends` is up
     to which offset it has read each of the platform's tables, `reads_tables` whether it
     reads all of them from the store. `cut_off` and `lost_services` are as in
-    `NodeStatus`, `leaving`, `crashes`, `sound_parts` and `limits` are
+    `NodeStatus`, `leaving`, `crashes`, `sound_parts`, `limits` and `slow_paces` are
     as in `Load`. `members` are the nodes that report to it, and `member_load` is the load of
     these.
 
@@ -1976,11 +2081,12 @@
      - limits
      - cut_off
      - lost_services
+     - slow_paces
 
     """
 
 
-    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None, limits=None, cut_off=None, lost_services=None,):
+    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None, limits=None, cut_off=None, lost_services=None, slow_paces=None,):
         self.node = node
         self.incarnation = incarnation
         self.ready = ready
@@ -1999,6 +2105,7 @@
         self.limits = limits
         self.cut_off = cut_off
         self.lost_services = lost_services
+        self.slow_paces = slow_paces
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2163,6 +2270,18 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.MAP:
+                    self.slow_paces = {}
+                    (_ktype237, _vtype238, _size239) = iprot.readMapBegin()
+                    for _i240 in range(_size239):
+                        _key241 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val242 = SlowPace()
+                        _val242.read(iprot)
+                        self.slow_paces[_key241] = _val242
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2284,6 +2403,14 @@
                 oprot.writeString(iter200.encode('utf-8') if sys.version_info[0] == 2 else iter200)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.slow_paces is not None:
+            oprot.writeFieldBegin('slow_paces', TType.MAP, 19)
+            oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.slow_paces))
+            for kiter243, viter244 in self.slow_paces.items():
+                oprot.writeString(kiter243.encode('utf-8') if sys.version_info[0] == 2 else kiter243)
+                viter244.write(oprot)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3187,6 +3314,13 @@
     (2, TType.DOUBLE, 'per_s', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
 )
+all_structs.append(SlowPace)
+SlowPace.thrift_spec = (
+    None,  # 0
+    (1, TType.DOUBLE, 'pace', None, None, ),  # 1
+    (2, TType.I32, 'responses', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(Load)
 Load.thrift_spec = (
     None,  # 0
@@ -3199,6 +3333,7 @@
     (7, TType.MAP, 'crashes', (TType.STRING, 'UTF8', TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 7
     (8, TType.LIST, 'sound_parts', (TType.STRING, 'UTF8', False), None, ),  # 8
     (9, TType.MAP, 'limits', (TType.STRING, 'UTF8', TType.STRUCT, [ServerLimit, None], False), None, ),  # 9
+    (10, TType.MAP, 'slow_paces', (TType.STRING, 'UTF8', TType.STRUCT, [SlowPace, None], False), None, ),  # 10
 )
 all_structs.append(NodeStatus)
 NodeStatus.thrift_spec = (
@@ -3234,6 +3369,7 @@
     (16, TType.MAP, 'limits', (TType.STRING, 'UTF8', TType.STRUCT, [ServerLimit, None], False), None, ),  # 16
     (17, TType.BOOL, 'cut_off', None, None, ),  # 17
     (18, TType.LIST, 'lost_services', (TType.STRING, 'UTF8', False), None, ),  # 18
+    (19, TType.MAP, 'slow_paces', (TType.STRING, 'UTF8', TType.STRUCT, [SlowPace, None], False), None, ),  # 19
 )
 all_structs.append(FleetDigest)
 FleetDigest.thrift_spec = (
