Choose groups by the expected start while some of them are slow

A group that becomes slow got its share of the requests, since candidates were chosen by their number of requests only. Each node now measures the time to the first event and the pauses of its responses relative to the median of their model. While the pace of a candidate differs by a factor of 1.5, the candidate with the earliest expected first event is chosen. Paces expire in 3.5 s; nodes tell each other those of slow groups. Equal groups are chosen with the same random draws as before.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/fleet_load.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/fleet_load.py
@@ -2,7 +2,8 @@
 
 from collections import Counter, defaultdict
 
-from auburnwall.wire.peer.ttypes import Load, ServerLimit
+from auburnwall.routing.pace_reports import PaceReport, sum_reports
+from auburnwall.wire.peer.ttypes import Load, ServerLimit, SlowPace
 
 
 def load_of_pulse(pulse):
@@ -17,6 +18,7 @@
         crashes=pulse.crashes,
         sound_parts=pulse.sound_parts,
         limits=pulse.limits,
+        slow_paces=pulse.slow_paces,
     )
 
 
@@ -33,7 +35,7 @@
     """
     running, demand, suspects, leaving = Counter(), Counter(), Counter(), {}
     prompts_by_crash, sound_parts, limits = defaultdict(set), set(), {}
-    nodes_with_traffic = nodes_measured = 0
+    slow_paces, nodes_with_traffic, nodes_measured = [], 0, 0
     for load in loads:
         running.update(load.running)
         nodes_with_traffic += load.nodes_with_traffic
@@ -45,6 +47,7 @@
         for crash, prompts in (load.crashes or {}).items():
             prompts_by_crash[crash].update(prompts)
         sound_parts.update(load.sound_parts or ())
+        slow_paces.append(paces_from_wire(load.slow_paces))
         for server, limit in (load.limits or {}).items():
             known = limits.get(server)
             if known is None or limit.age_ms < known.age_ms:
@@ -59,6 +62,7 @@
         {crash: sorted(prompts) for crash, prompts in prompts_by_crash.items()},
         sorted(sound_parts),
         limits,
+        paces_to_wire(sum_reports(slow_paces)),
     )
 
 
@@ -78,6 +82,26 @@
     }
 
 
+def paces_to_wire(reports):
+    """Return ``PaceReport`` by candidate as ``SlowPace``, ``None`` without any."""
+    return {
+        name: SlowPace(report.pace, report.responses, int(1000 * report.age_s))
+        for name, report in reports.items()
+    } or None
+
+
+def paces_from_wire(paces):
+    """Return ``SlowPace`` by candidate as ``PaceReport``; incomplete ones are ignored.
+
+    ``paces`` is ``None`` if the sender's build does not know them.
+    """
+    return {
+        name: PaceReport(p.pace, p.responses, p.age_ms / 1000)
+        for name, p in (paces or {}).items()
+        if None not in (p.pace, p.responses, p.age_ms)
+    }
+
+
 def subtract_running(running, part):
     """Return the requests in ``running`` without those of ``part``."""
     rest = Counter(running)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -67,6 +67,11 @@
             "Servers that have named a limit on their requests.",
             lambda: len(node.notices.limited_servers()),
         ),
+        (
+            "slow_candidates",
+            "Groups that are slower than the median of their model.",
+            node.start_times.slow_count,
+        ),
         (
             "lost_services",
             "Services of which this node reaches no server.",
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -50,6 +50,7 @@
 from .settings_reload import SettingsReload
 from .shutdown import GracefulShutdown
 from .source import ConfigSource
+from .start_times import SLOW_CHECK_INTERVAL_S, StartTimes
 from .tables import (
     LONG_POLL_S,
     MAX_FLEET_AGE_S,
@@ -163,6 +164,7 @@
             sound_parts=self.crash_evidence.sound_parts_to_tell(),
             cut_off=self.fleet_reach.is_cut_off(),
             lost_services=self.reach.lost_services,
+            slow_paces=self.start_times.paces_to_tell(),
         )
 
     def is_ready(self):
@@ -198,6 +200,7 @@
             (NODE_REMOVAL_INTERVAL_S, self._remove_unreachable_nodes, "nodes gone"),
             (GRANT_CHECK_INTERVAL_S, self.placing.broker.expire_grants, "grants"),
             (RECHECK_INTERVAL_S, self.reach.recheck, "links"),
+            (SLOW_CHECK_INTERVAL_S, self.start_times.log_changes, "paces"),
             (CRASH_EVIDENCE_INTERVAL_S, self.blocked_parts.step, "crash evidence"),
             (SETTINGS_INTERVAL_S, self.settings.check, "settings"),
         ):
@@ -345,6 +348,11 @@
         self.candidate_index = CandidateIndex(
             self.registry, self.fleet, lambda: self.source.evacuated_data_centers
         )
+        self.start_times = StartTimes(
+            self.source, self._requests_at, clock, self.lateness
+        )
+        self.in_flight.new_timing = self.start_times.new_timing
+        self.peers.on_paces = self.start_times.note_peer_paces
         view_parts = (
             self.source,
             self.candidate_index,
@@ -471,6 +479,11 @@
         )
         return known.service if known else ""
 
+    def _requests_at(self, candidate):
+        """Return the known number of requests of all nodes at a candidate."""
+        name = candidate.name
+        return self.in_flight.count(name) + self.peers.load(name)
+
     def _apply_reach(self, service, lost):
         """Drop what this node believes of servers because its own links were cut."""
         if lost:
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -67,8 +67,10 @@
     suspects while it has requests there, ``on_leaving(servers, node)`` with the servers
     that told it that they leave, ``on_limits(limits, node)`` with the limits that
     servers told it, and ``on_crashes(crashes, sound_parts, node)`` with the crashes
-    that it has seen and the parts of prompts that it knows to be sound. ``lateness`` is
-    the node's ``LoopLateness``.
+    that it has seen and the parts of prompts that it knows to be sound.
+    ``on_paces(paces, node, includes_own)`` is called with the paces of slow groups that
+    a peer has measured, or with those of all nodes. ``lateness`` is the node's
+    ``LoopLateness``.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         self.on_leaving = lambda servers, node: None
         self.on_limits = lambda limits, node: None
         self.on_crashes = lambda crashes, sound_parts, node: None
+        self.on_paces = lambda paces, node, includes_own: None
         self._identity = identity
         self._state = state
         self._pool = pool
@@ -447,6 +450,7 @@
             self.on_leaving(load.leaving, node)
         if load.limits:
             self.on_limits(load.limits, node)
+        self.on_paces(load.slow_paces or {}, node, not self.is_mesh)
         if load.crashes or load.sound_parts:
             self.on_crashes(load.crashes or {}, load.sound_parts or (), node)
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
@@ -34,6 +34,7 @@
             RateLimitGate(cfg.node, lambda: node.fleet.nodes, clock),
             clock,
             rng,
+            node.start_times.start_estimate,
         )
         # Of the requests to a cold server, the broker sends the share of one sender; of
         # those to a server with a limit, it sends all.
@@ -43,7 +44,14 @@
         )
         broker_view = DataCenterView(cfg.data_center, *view_parts)
         self.broker = SlotBroker(
-            Placer(broker_view, in_flight, *broker_gates, clock, rng),
+            Placer(
+                broker_view,
+                in_flight,
+                *broker_gates,
+                clock,
+                rng,
+                node.start_times.start_estimate,
+            ),
             lambda name: name == cfg.node or name in node.peers.not_lost(),
             clock,
         )
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -448,6 +448,8 @@
     def __enter__(self):
         self._exchange.awaiting_server = True
         self._exchange.waits += 1
+        if self._exchange.timing is not None:
+            self._exchange.timing.note_wait()
 
     def __exit__(self, *exc_info):
         self._exchange.awaiting_server = False
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -100,7 +100,8 @@
 
     ``is_past_end`` is set by the first check that finds the exchange past its deadline.
     ``was_kept_for_bytes`` tells whether bytes that arrived during a search have kept it
-    since its last progress.
+    since its last progress. ``timing`` is the ``ResponseTiming``, ``None`` if the
+    response is not measured.
     """
 
     def __init__(self, request, candidate, now):
@@ -111,6 +112,7 @@
         self.reads = 0
         self.awaiting_server = False
         self.waits = 0
+        self.timing = None
         self.may_reroute = False
         self.has_begun = False
         self.is_past_end = False
@@ -148,7 +150,8 @@
     and ``end`` track the exchange that uses it; ``len()`` is the number of exchanges.
     ``make_suspect`` is called with the name of a stalled candidate. ``stop_time`` is
     what a stop of the node leaves to its requests. ``lateness`` is the ``LoopLateness``
-    that ``watch`` feeds.
+    that ``watch`` feeds. ``new_timing(request, candidate)`` returns the
+    ``ResponseTiming`` of an exchange that begins, ``None`` if it is not measured.
     """
 
     def __init__(self, clock, make_suspect, stop_time=None, lateness=None):
@@ -157,6 +160,7 @@
         self._lateness = lateness or LoopLateness(clock)
         self._clock = clock
         self.make_suspect = make_suspect
+        self.new_timing = lambda request, candidate: None
         self._exchanges = set()
         self._progress_by_candidate = {}
         self._silences_at, self._silences = None, {}
@@ -183,12 +187,15 @@
     def begin(self, request, candidate):
         """Start to track an exchange and return it."""
         exchange = Exchange(request, candidate, self._clock.monotonic())
+        exchange.timing = self.new_timing(request, candidate)
         self._exchanges.add(exchange)
         return exchange
 
     def end(self, exchange):
         """Stop tracking an exchange."""
         self._exchanges.discard(exchange)
+        if exchange.timing is not None:
+            exchange.timing.end()
         if exchange.search is not None:
             exchange.search.kill(block=False)
 
@@ -208,6 +215,8 @@
         """Record progress of an exchange and of its candidate."""
         now = self._clock.monotonic()
         exchange.note_progress(now)
+        if exchange.timing is not None:
+            exchange.timing.note_event()
         self._progress_by_candidate[exchange.candidate.name] = now
 
     def note_bytes(self, exchange):
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -99,15 +99,27 @@
     ``expected_time_to_start_s(request)``: the mean time from sending a request to the
     start of its response. ``slot_usage(request)``: an object with the fields
     ``slots_in_use``, ``forming_groups`` and ``slot_time_s`` of a ``WaitContext``.
+    ``start_estimate(request, candidates)`` returns a ``StartEstimate`` if the paces of
+    the candidates differ, otherwise ``None``.
     """
 
-    def __init__(self, view, in_flight, warmup_gate, limit_gate, clock, rng):
+    def __init__(
+        self,
+        view,
+        in_flight,
+        warmup_gate,
+        limit_gate,
+        clock,
+        rng,
+        start_estimate=lambda request, candidates: None,
+    ):
         self._view = view
         self._in_flight = in_flight
         self._warmup_gate = warmup_gate
         self._limit_gate = limit_gate
         self._clock = clock
         self._rng = rng
+        self._start_estimate = start_estimate
         self._backlogs = defaultdict(_Backlog)
 
     def waiting_count(self):
@@ -287,7 +299,12 @@
         view = self._view
         candidates = self._usable_candidates(request, excluded_servers)
         chosen = choose_candidate(
-            candidates, view.load, view.data_center, self._rng, slots_kept_free
+            candidates,
+            view.load,
+            view.data_center,
+            self._rng,
+            slots_kept_free,
+            self._start_estimate(request, candidates),
         )
         if chosen is None:
             return None
