--- a/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/placing.py
@@ -36,6 +36,7 @@
             clock,
             rng,
             node.metrics,
+            node.start_times.start_estimate,
         )
         # Of the requests to a cold server, the broker sends the share of one sender; of
         # those to a server with a limit, it sends all.
@@ -45,7 +46,15 @@
         )
         broker_view = DataCenterView(cfg.data_center, *view_parts)
         self.broker = SlotBroker(
-            Placer(broker_view, in_flight, *broker_gates, clock, rng, node.metrics),
+            Placer(
+                broker_view,
+                in_flight,
+                *broker_gates,
+                clock,
+                rng,
+                node.metrics,
+                node.start_times.start_estimate,
+            ),
             lambda name: name == cfg.node or name in node.peers.not_lost(),
             clock,
         )
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -255,11 +255,13 @@
             header_names.deadline_ms,
             header_names.team,
             header_names.expected_server,
-            # A caller must not set its own urgency.
-            header_names.urgency,
             FORWARDED_BY,
             SERVERS_LEFT,
         )
+        is_ranked = self._deps.is_ranked(request)
+        if is_ranked:
+            # A caller must not set its own urgency.
+            replaced += (header_names.urgency,)
         dropped.update(name.lower() for name in replaced)
         if request.strip_key:
             dropped.add("authorization")
@@ -267,7 +269,7 @@
         headers[header_names.expected_server] = self.candidate.server
         if request.team:
             headers[header_names.team] = request.team
-        if self._deps.is_ranked(request):
+        if is_ranked:
             headers[header_names.urgency] = str(rank_of(request))
         return headers
 
@@ -453,6 +455,8 @@
     def __enter__(self):
         self._exchange.awaiting_server = True
         self._exchange.waits += 1
+        if self._exchange.timing is not None:
+            self._exchange.timing.note_wait()
 
     def __exit__(self, *exc_info):
         self._exchange.awaiting_server = False
--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -77,10 +77,20 @@
     ``is_ranked(request)``: whether the routes to the request's service, which has
     models, differ in priority; the order of ``shortage_order`` applies then.
     ``bounded_work(request)``: a ``BoundedWork``. ``counts`` is a ``RankCounts``.
+    ``start_estimate(request, candidates)`` returns a ``StartEstimate`` if the paces of
+    the candidates differ, otherwise ``None``.
     """
 
     def __init__(
-        self, view, in_flight, warmup_gate, limit_gate, clock, rng, counts=None
+        self,
+        view,
+        in_flight,
+        warmup_gate,
+        limit_gate,
+        clock,
+        rng,
+        counts=None,
+        start_estimate=lambda request, candidates: None,
     ):
         self._view = view
         self._in_flight = in_flight
@@ -91,6 +101,7 @@
         self._counts = counts or NoCounts()
         self._backlogs = defaultdict(Backlog)
         self._return_times = ReturnTimes()
+        self._start_estimate = start_estimate
 
     def waiting_count(self):
         """Return the number of waiting requests."""
@@ -289,7 +300,12 @@
         view = self._view
         candidates = self._usable_candidates(request, excluded_servers)
         chosen = choose_candidate(
-            candidates, view.load, view.data_center, self._rng, slots_kept_free
+            candidates,
+            view.load,
+            view.data_center,
+            self._rng,
+            slots_kept_free,
+            self._start_estimate(request, candidates),
         )
         if chosen is None:
             return None
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
@@ -157,6 +157,16 @@
   3: i32 age_ms
 }
 
+/**
+ * How many times slower than the median of its model a candidate is, as `responses` of
+ * the last seconds show, the newest of them `age_ms` ago.
+ */
+struct SlowPace {
+  1: double pace
+  2: i32 responses
+  3: i32 age_ms
+}
+
 /**
  * The requests and the demand of several nodes together.
  *
@@ -170,7 +180,8 @@
  * fingerprint. NUMBER counts the crashes before with the same BORN. `sound_parts` are
  * shared parts and fingerprints of such requests that have been answered. `limits` maps
  * servers to the limits that they have named, the newest of each. `newest_demand` is the
- * demand of the newest second, not set where capacity is planned from the mean alone.
+ * demand of the newest second, not set where capacity is planned from the mean alone. `slow_paces`
+ * maps slow groups to their paces. A node of an earlier build sends neither.
  */
 struct Load {
   1: map<string, i32> running
@@ -183,6 +194,7 @@
   8: list<string> sound_parts
   9: map<string, ServerLimit> limits
   10: optional map<string, double> newest_demand
+  11: optional map<string, SlowPace> slow_paces
 }
 
 /**
@@ -211,8 +223,8 @@
  * measured. `suspects` names groups whose requests make no progress. `table_ends` is up
  * to which offset it has read each of the platform's tables, `reads_tables` whether it
  * reads all of them from the store. `cut_off` and `lost_services` are as in
- * `NodeStatus`, `leaving`, `crashes`, `sound_parts`, `limits` and
- * `newest_demand` are as in `Load`. `members` are the nodes that report to it, and
+ * `NodeStatus`, `leaving`, `crashes`, `sound_parts`, `limits`, `newest_demand` and
+ * `slow_paces` are as in `Load`. `members` are the nodes that report to it, and
  * `member_load` is the load of these.
  */
 struct Pulse {
@@ -235,6 +247,7 @@
   17: bool cut_off
   18: list<string> lost_services
   19: optional map<string, double> newest_demand
+  20: optional map<string, SlowPace> slow_paces
 }
 
 /**
