--- a/packages/auburnwall-base/src/auburnwall/base/startup.py
+++ b/packages/auburnwall-base/src/auburnwall/base/startup.py
@@ -6,10 +6,14 @@
 
 import os
 import signal
+import time
 
 # Position of the start time among the fields of ``/proc/self/stat`` that follow the
 # process's name, which ends with the last parenthesis.
 START_TIME_FIELD = 19
+# A stated start of the process that is longer ago is not plausible, in seconds: where a
+# process has a clock of its own, the kernel's statement is of another one.
+MAX_START_S = 60.0
 
 
 def handle_signals_while_starting():
@@ -30,9 +34,11 @@
     try:
         with open("/proc/self/stat", encoding="utf-8", errors="replace") as file:
             fields = file.read().rpartition(")")[2].split()
-        return int(fields[START_TIME_FIELD]) / os.sysconf("SC_CLK_TCK")
+        started_at = int(fields[START_TIME_FIELD]) / os.sysconf("SC_CLK_TCK")
     except (OSError, ValueError, IndexError):
         return None
+    age_s = time.clock_gettime(time.CLOCK_BOOTTIME) - started_at
+    return started_at if 0 <= age_s <= MAX_START_S else None
 
 
 def patch_blocking_calls():
