Let no connection in before all servers of a node have started

Cause: binding a socket looks up its address and starting an HTTP server looked up the name of that address; both let other tasks run. A peer that was answered meanwhile was logged as heard before the first line of the start, "started".

Change: all sockets are bound before any server begins to accept, and HTTP servers get the host of their address as their name instead of looking it up. Nothing lets other tasks run from the first accepting server to the line.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -22,7 +22,7 @@
     make_handler,
     watch_disconnect,
 )
-from ..webserver import PROBLEM_TYPE, CountedApp, new_server, read_body
+from ..webserver import PROBLEM_TYPE, CountedApp, new_listener, new_server, read_body
 from .connections import (
     AWAIT_SERVER,
     BAD_HEAD,
@@ -324,15 +324,17 @@
         super().handle_error(kind, value, traceback)
 
 
-def new_front_server(address, gateway, clock, connections):
+def new_front_server(address, gateway, clock, connections, listener=None):
     """Return the HTTP server for callers at ``address``.
 
-    ``connections`` are the ``CallerConnections`` that it counts its own in.
+    ``connections`` are the ``CallerConnections`` that it counts its own in. If there is
+    a ``listener``, which has ``LISTEN_BACKLOG``, it is used instead of a new socket.
     """
     attributes = {"gateway": gateway, "clock": clock, "connections": connections}
     handler = type("GatewayHandler", (CallerHandler,), attributes)
     app = CountedApp(Front(gateway, clock), gateway)
-    return new_server(address, app, handler_class=handler, backlog=LISTEN_BACKLOG)
+    listener = listener or new_listener(address, LISTEN_BACKLOG)
+    return new_server(address, app, listener=listener, handler_class=handler)
 
 
 def _status_line(status):
--- a/packages/auburnwall-node/src/auburnwall/node/webserver.py
+++ b/packages/auburnwall-node/src/auburnwall/node/webserver.py
@@ -1,8 +1,10 @@
 """Parts that all HTTP servers of a node share."""
 
 from contextlib import ExitStack
+from socket import AF_INET, AF_INET6
 
 from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
 
 from auburnwall.base.http_reader import MessageTooLongError
 from auburnwall.base.logs import event
@@ -65,11 +67,30 @@
         self._stack.close()
 
 
-def new_server(address, app, **options):
-    """Return a ``WSGIServer`` for ``app`` at ``address`` that does not log requests."""
+def new_listener(address, backlog=StreamServer.backlog):
+    """Return a socket that listens at ``address``; raises ``OSError``.
+
+    Up to ``backlog`` connections wait to be accepted.
+    """
+    host, _, port = address.rpartition(":")
+    family = AF_INET6 if ":" in host else AF_INET
+    return StreamServer.get_listener((host, int(port)), backlog, family)
+
+
+def new_server(address, app, *, listener=None, **options):
+    """Return a ``WSGIServer`` for ``app`` at ``address`` that does not log requests.
+
+    If there is a ``listener``, a listening socket, it is used instead of a new one.
+    """
     host, _, port = address.rpartition(":")
     return WSGIServer(
-        (host, int(port)), app, log=None, error_log=ServerErrorLog(), **options
+        listener or (host, int(port)),
+        app,
+        # Without a name, the server looks up that of its address before it accepts.
+        environ={"SERVER_NAME": host},
+        log=None,
+        error_log=ServerErrorLog(),
+        **options,
     )
 
 
--- a/packages/auburnwall-wire/src/auburnwall/wire/server.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/server.py
@@ -19,12 +19,13 @@
 class PeerServer:
     """Accepts connections on ``host:port`` and passes the calls to ``handler``.
 
-    ``service`` is the generated module of the service that ``handler`` implements.
+    ``service`` is the generated module of the service that ``handler`` implements. If
+    there is a ``listener``, a listening socket, it is used instead of a new one.
     """
 
-    def __init__(self, host, port, handler, service=Peer):
+    def __init__(self, host, port, handler, service=Peer, listener=None):
         self._processor = service.Processor(handler)
-        self._server = StreamServer((host, port), self._serve)
+        self._server = StreamServer(listener or (host, port), self._serve)
 
     def start(self):
         """Start to accept connections."""
