Do not take a further attempt of a refused call for an early one

Cause: a call that was refused and is placed again by its node would have been recognised as a repeat of itself, and would not have waited. A band that keeps slots free was tried once for each of its teams.

Change: a call is early only if it arrived after the refused one. Once a band has found no slot but the kept ones, only more urgent bands are tried. The fields of a refusal, the metrics and early callers at brokers are tested.

--- a/packages/auburnwall-routing/src/auburnwall/routing/placer.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/placer.py
@@ -18,7 +18,6 @@
 from .backlog import MAX_WAITING, Backlog
 from .exceptions import OverloadedError
 from .load_shedding import (
-    MIN_RETRY_AFTER_S,
     WaitClass,
     WaitContext,
     decide_wait,
@@ -27,8 +26,8 @@
 )
 from .placement import choose_candidate
 from .rank_counts import NoCounts
-from .return_times import ReturnTimes
-from .shortage_order import rank_of
+from .return_times import ReturnTimes, has_returned
+from .shortage_order import MAX_RANK, rank_of
 
 # Time between two attempts to place waiting requests when no slot is released.
 PLACE_RETRY_INTERVAL_S = 0.05
@@ -231,7 +230,7 @@
             queued_at=now,
             rank=rank_of(request),
             relative_work=self._view.bounded_work(request).relative,
-            has_returned=backlog.is_ranked and _has_returned(request),
+            has_returned=backlog.is_ranked and has_returned(request),
         )
         queue = backlog.queues[context.wait_class]
         self._enqueue(queue, waiting, decision.queue_limit)
@@ -262,7 +261,10 @@
         If a request that avoids some servers finds no slot, the next team's request is
         tried, because it may use those servers.
         """
+        unplaced_rank = MAX_RANK + 1
         for waiting in queue.next_per_team():
+            if waiting.rank >= unplaced_rank:
+                continue
             slots_kept_free = self._slots_kept_free(
                 backlog, wait_class, waiting.request
             )
@@ -273,9 +275,11 @@
                 backlog.note_work(waiting.relative_work)
                 waiting.result.set(placement)
                 return True
-            # A more urgent band may use the slots that a band in shortage keeps free.
-            if not waiting.excluded and not (backlog.is_ranked and slots_kept_free):
-                break
+            if not waiting.excluded:
+                if not backlog.is_ranked or not slots_kept_free:
+                    break
+                # Only a more urgent band may use the slots that this one keeps free.
+                unplaced_rank = min(unplaced_rank, waiting.rank)
         return False
 
     def _slots_kept_free(self, backlog, wait_class, request):
@@ -436,11 +440,3 @@
         for entry in entries:
             self._counts.record_eviction(rank_of(entry.request))
             entry.result.set_exception(_EvictedError())
-
-
-def _has_returned(request):
-    """Return whether a caller was refused before and has come back on time.
-
-    No return time is shorter than ``MIN_RETRY_AFTER_S``.
-    """
-    return request.elapsed_s >= MIN_RETRY_AFTER_S and not request.came_early
--- a/packages/auburnwall-routing/src/auburnwall/routing/return_times.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/return_times.py
@@ -32,6 +32,14 @@
 SPREAD = 0.618
 
 
+def has_returned(request):
+    """Return whether a caller was refused before and has come back on time.
+
+    No return time is shorter than ``MIN_RETRY_AFTER_S``.
+    """
+    return request.elapsed_s >= MIN_RETRY_AFTER_S and not request.came_early
+
+
 class ReturnTimes:
     """Assigns the slots that are expected to become free to refused callers.
 
@@ -106,8 +114,9 @@
 
 
 class RefusedCaller(NamedTuple):
-    """When a caller first called, its deadline, and when it was told to come back."""
+    """When a caller last called and first called, and when it was told to come back."""
 
+    arrived_at: float
     called_at: float
     deadline: float
     return_at: float
@@ -134,7 +143,10 @@
         arrived_at = request.call.arrived_at
         return request._replace(
             elapsed_s=max(request.elapsed_s, arrived_at - caller.called_at),
-            came_early=arrived_at < caller.return_at - EARLY_TOLERANCE_S,
+            # A further attempt of the call that was refused is no further call.
+            came_early=caller.arrived_at
+            < arrived_at
+            < caller.return_at - EARLY_TOLERANCE_S,
         )
 
     def note_refused(self, request, retry_after_s):
@@ -146,6 +158,7 @@
         if caller is not None:
             retry_after_s = max(retry_after_s, caller.return_at - now)
         self._callers[request.fingerprint] = RefusedCaller(
+            request.call.arrived_at,
             request.call.arrived_at - request.elapsed_s,
             request.deadline,
             now + retry_after_s,
--- a/tests/routing/test_brokers.py
+++ b/tests/routing/test_brokers.py
@@ -12,6 +12,7 @@
 from auburnwall.node.routed.brokers import Brokers
 from auburnwall.node.routed.views import SlotUsage
 from auburnwall.routing.brokered_placer import BrokeredPlacer
+from auburnwall.routing.call import Call, RoutedRequest
 from auburnwall.routing.exceptions import OverloadedError
 from auburnwall.routing.in_flight import InFlightRequests
 from auburnwall.routing.placer import Placer
@@ -43,6 +44,7 @@
         self.data_center = data_center
         self.avoided, self.paused, self.leaving = set(), {}, set()
         self.limits = {}
+        self.ranked = False
         self._in_flight = in_flight
         self._only = only
 
@@ -72,7 +74,7 @@
         return 0.05
 
     def is_ranked(self, request):
-        return False
+        return self.ranked
 
     def bounded_work(self, request):
         return UNKNOWN_WORK
@@ -224,6 +226,43 @@
             self.one.place(50, objective_s=0.1, deadline_s=0.2)
         self.assertGreater(caught.exception.retry_after_s, 0.0)
 
+    def ranked_call(self, called_at, deadline_s=6.0):
+        """Return a call of a caller whose service has routes of several ranks."""
+        now = self.network.clock.monotonic()
+        return RoutedRequest(
+            Call("POST", "/", (), b"", now),
+            "r",
+            SimpleNamespace(objective_s=0.2),
+            "assist",
+            "blue",
+            "big",
+            Work(100, 10),
+            called_at + deadline_s,
+            1,
+            fingerprint="f",
+        )
+
+    def test_caller_that_comes_back_early_does_not_wait_at_a_broker(self):
+        """Guards against callers that repeat at once and so are always in a queue."""
+        placements = self.fill(2 * GROUPS_PER_DATA_CENTER * SLOTS)
+        for node in self.network.nodes.values():
+            node.view.ranked = True
+        called_at = self.network.clock.monotonic()
+        with self.assertRaises(OverloadedError) as caught:
+            self.one.placer.place(self.ranked_call(called_at))
+        promised_at = self.network.clock.monotonic() + caught.exception.retry_after_s
+        began_at = self.network.clock.monotonic()
+        with self.assertRaises(OverloadedError) as caught:
+            self.one.placer.place(self.ranked_call(called_at))
+        self.assertLess(self.network.clock.monotonic() - began_at, 0.1)
+        again_at = self.network.clock.monotonic() + caught.exception.retry_after_s
+        self.assertGreater(again_at, promised_at - 0.05)
+        self.release(placements)
+        # A free slot is given to it.
+        placement = self.one.placer.place(self.ranked_call(called_at))
+        self.release([placement])
+        self.assertEqual(self.load(), {})
+
     def release(self, placements):
         """Let the node that got each slot release it."""
         for placement in placements:
--- a/tests/routing/test_return_times.py
+++ b/tests/routing/test_return_times.py
@@ -108,6 +108,13 @@
         self.assertFalse(again.came_early)
         self.assertAlmostEqual(again.elapsed_s, 2.0)
 
+    def test_further_attempt_of_the_same_call_is_not_early(self):
+        """Guards against a request that loses its wait because its own was refused."""
+        first = self.request()
+        self.callers.note_refused(first, 2.0)
+        self.clock.now += 0.3
+        self.assertEqual(self.callers.recognise(first), first)
+
     def test_equal_request_of_another_caller_is_not_taken_for_a_repeat(self):
         """Guards against callers that wait for others with the same text."""
         self.callers.note_refused(self.request(), 2.0)
--- a/tests/routing/test_shortage_order.py
+++ b/tests/routing/test_shortage_order.py
@@ -5,10 +5,13 @@
 import unittest
 from collections import Counter
 from types import SimpleNamespace
+from unittest import mock
 
+from auburnwall.node.routed.metrics import RoutedMetrics
 from auburnwall.routing.admission import FairQueue, Waiting
 from auburnwall.routing.backlog import Backlog
 from auburnwall.routing.load_shedding import (
+    MIN_RETRY_AFTER_S,
     SHORTAGE_MIN_MISSES,
     WaitClass,
 )
@@ -329,6 +332,32 @@
         return mean(share["medium"] for share in shares)
 
 
+class ObservationTests(unittest.TestCase):
+    """What an operator sees of a refusal."""
+
+    def test_refusal_is_logged_with_rank_and_work(self):
+        replay = Replay(1, hasty=0.0)
+        with mock.patch("auburnwall.routing.placer.event") as logged:
+            replay.run(3, (BRIEF, SUMMARY))
+        refusals = [
+            call.kwargs
+            for call in logged.call_args_list
+            if call.args == ("request refused",)
+        ]
+        self.assertEqual({fields["rank"] for fields in refusals}, {1, 2})
+        for fields in refusals:
+            self.assertGreater(fields["work_s"], 0.0)
+            self.assertGreaterEqual(fields["retry_after_s"], MIN_RETRY_AFTER_S)
+
+    def test_refusals_and_evictions_are_metrics(self):
+        metrics = RoutedMetrics()
+        metrics.record_refusal(2)
+        metrics.record_eviction(0)
+        text = metrics.exposition().decode()
+        self.assertIn('auburnwall_place_refusals_total{rank="2"} 1.0', text)
+        self.assertIn('auburnwall_place_evictions_total{rank="0"} 1.0', text)
+
+
 class ReplayTests(unittest.TestCase):
     """Half of the groups of a model are lost, or the demand doubles."""
 
