--- a/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
@@ -42,9 +42,9 @@
 # seconds. A peer that is gone no longer counts as live by then; see
 # ``peers.MAX_HEARTBEAT_AGE_S``.
 READ_STORE_S = 2.5
-# Time for which a node that starts waits for the fleet table, which names its relay, and
-# the time after that in which it tries to copy a table from the relay before it reads
-# the store, in seconds. Relays that start at the same moment read their tables in it.
+# Time for which a node that starts waits for the fleet table, which names its relay.
+# Then, time in which it tries to copy a table from the relay before it reads the store.
+# In seconds. Relays that start at the same moment read their own tables in it.
 FLEET_WAIT_S, FIRST_COPY_S = 0.8, 0.1
 # Longest call for such a copy, and pause between two of them, in seconds.
 FIRST_COPY_CALL_S, FIRST_COPY_PAUSE_S = 0.4, 0.02
