Look for ranks once a configuration, not at each heartbeat

Whether capacity is planned ahead was found by a walk over all routes, some 260, for each service and heartbeat of each node, also where it is off. PlanningView now keeps the answer for the configuration in force, as RoutingView does, from the same ranked_services. What it answers is unchanged: 46 tests of views, demand and planning pass; no time was measured.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/views.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/views.py
@@ -369,6 +369,8 @@
         self._first_start = first_start
         self._ranks = ranks
         self._plan_ahead = plan_ahead
+        self._ranked_config = None
+        self._ranked_services = frozenset()
 
     def config(self):
         """Return the configuration in force, or ``None``."""
@@ -407,7 +409,11 @@
         spec = config.services.get(service) if config else None
         if spec is None or spec.engine is None:
             return False
-        return self._plan_ahead() or len(ranks_of_service(config, service)) > 1
+        if config is not self._ranked_config:
+            # Each heartbeat asks, and there are hundreds of routes.
+            self._ranked_config = config
+            self._ranked_services = ranked_services(config)
+        return self._plan_ahead() or service in self._ranked_services
 
     def reports_newest_demand(self):
         """Return whether the heartbeats must report the newest second's demand."""
