--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -91,11 +91,13 @@
         "Routes": [
             route("ask", "streaming", "assist", Resumable=True, Affinity=True),
             route("book", "mutating", "desk", Attempts=1, TimeoutMs=2000),
-            route("look", "idempotent", "desk", TimeoutMs=2000),
+            route("look", "idempotent", "desk", TimeoutMs=4000),
+            route("certify", "mutating", "ledger", Attempts=1, TimeoutMs=4000),
         ],
         "Services": [
             {"Name": "assist", "HealthPath": "/healthz", "Engine": engine},
             {"Name": "desk", "HealthPath": "/healthz"},
+            {"Name": "ledger", "HealthPath": "/healthz"},
         ],
         "Limits": {
             "MaxHeaderBytes": 16_384,
@@ -177,7 +179,20 @@
         )
         path = self.out / f"{name}.conf"
         path.write_text(text, "utf-8")
-        self.start(name, ["-m", "auburnwall.platform"], AUBURNWALL_SETTINGS=str(path))
+        self.start_node(name)
+
+    def start_node(self, name):
+        """Start a node, again with its settings if it has ended."""
+        path = str(self.out / f"{name}.conf")
+        self.start(name, ["-m", "auburnwall.platform"], AUBURNWALL_SETTINGS=path)
+
+    def resident_bytes(self, name):
+        """Return the resident memory of a process, 0 if it has ended."""
+        try:
+            pages = Path(f"/proc/{self.processes[name].pid}/statm").read_text()
+        except OSError:
+            return 0
+        return int(pages.split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
     def add_server(self, name, service, domain, registered="", **changes):
         """Start a server; ``registered`` is the address of a proxy before it."""
--- a/review/lib2/server_process.py
+++ b/review/lib2/server_process.py
@@ -8,6 +8,7 @@
 monkey.patch_all()
 
 import json  # noqa: E402
+import signal  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
 from contextlib import suppress  # noqa: E402
@@ -21,6 +22,7 @@
 from standins.server import StandinServer  # noqa: E402
 
 HEARTBEAT_S = 1.2
+ENDLESS_BYTES, ENDLESS_PAUSE_S = 65_536, 0.01
 
 
 class ServerSpec(NamedTuple):
@@ -59,7 +61,13 @@
 
 
 class LoggingServer(ModelServerStandin):
-    """A server that logs each request that it begins to run."""
+    """A server that logs each request that it begins to run.
+
+    While ``is_endless``, the bodies of its answers have no end: ``ENDLESS_BYTES`` each
+    ``ENDLESS_PAUSE_S``, until the caller closes.
+    """
+
+    is_endless = False
 
     def __init__(self, spec):
         super().__init__(
@@ -92,12 +100,36 @@
                 f"{time.time():.3f} run {attempt} at {self.server}"
                 f" path /{path} after event {after}\n"
             )
+            if self.is_endless:
+                self._answer_without_end(bottle.request)
         return super()._serve(path)
 
+    def _answer_without_end(self, req):
+        """Send the head of an answer, then its body until the caller closes."""
+        sock = req.environ["standin.socket"]
+        with suppress(OSError):
+            sock.sendall(self._response_head(req, "Connection: close"))
+            while True:
+                sock.sendall(b"x" * ENDLESS_BYTES)
+                gevent.sleep(ENDLESS_PAUSE_S)
+        sock.close()
+        raise gevent.GreenletExit
+
+    def begin_trouble(self):
+        """Let all answers from now on be without end."""
+        self.is_endless = True
+
+    def end_trouble(self):
+        """Let the answers be whole again."""
+        self.is_endless = False
+
 
 def main():
-    """Serve until the process is killed."""
-    LoggingServer(ServerSpec(**json.loads(sys.argv[1]))).start()
+    """Serve until the process is killed; SIGUSR1 begins the trouble, SIGUSR2 ends it."""
+    server = LoggingServer(ServerSpec(**json.loads(sys.argv[1])))
+    gevent.signal_handler(signal.SIGUSR1, server.begin_trouble)
+    gevent.signal_handler(signal.SIGUSR2, server.end_trouble)
+    server.start()
     gevent.get_hub().join()
 
 
