--- a/review/6/case.py
+++ b/review/6/case.py
@@ -108,14 +108,9 @@
                 def cut(prefix=prefix, cut_s=cut_s):
                     cut_and_crash(deployment, proxies, prefix, cut_s, lines)
 
-                callers += run_streams(
-                    deployment, prefix, cut if has_trouble else None
-                )
+                callers += run_streams(deployment, prefix, cut if has_trouble else None)
                 time.sleep(PAUSE_S if has_trouble else 0.0)
             lines += deployment.runs()
-            if out := os.environ.get("CASE_LOGS"):
-                for name in deployment.processes:
-                    Path(out, f"{name}.log").write_text(deployment.logs(name))
     except CannotRunError as exc:
         lines.append(f"could not run: {exc}")
         code = 2
--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -18,6 +19,7 @@
 # Below the range from which the kernel takes ports for outgoing connections.
 PORTS = (12_000, 32_000)
 START_S = 20.0
+LOOK_TIMEOUT_MS = 4000
 SETTINGS = """Node={node}
 Role=node
 MachineClass=edge
@@ -91,7 +93,7 @@
         "Routes": [
             route("ask", "streaming", "assist", Resumable=True, Affinity=True),
             route("book", "mutating", "desk", Attempts=1, TimeoutMs=2000),
-            route("look", "idempotent", "desk", TimeoutMs=4000),
+            route("look", "idempotent", "desk", TimeoutMs=LOOK_TIMEOUT_MS),
             route("certify", "mutating", "ledger", Attempts=1, TimeoutMs=4000),
         ],
         "Services": [
@@ -121,7 +123,11 @@
 
 
 class Deployment:
-    """Processes of a store, of servers and of nodes; leaving the context ends them."""
+    """Processes of a store, of servers and of nodes; leaving the context ends them.
+
+    Their logs are kept in the folder that the variable ``CASE_LOGS`` names, if it is
+    set.
+    """
 
     def __init__(self):
         self.processes, self.nodes, self.specs = {}, {}, {}
@@ -274,3 +280,5 @@
             process.wait(10)
         for sock in self._reserved:
             sock.close()
+        if kept := os.environ.get("CASE_LOGS"):
+            shutil.copytree(self.out, kept, dirs_exist_ok=True)
--- a/review/lib2/server_process.py
+++ b/review/lib2/server_process.py
@@ -23,6 +23,7 @@
 
 HEARTBEAT_S = 1.2
 ENDLESS_BYTES, ENDLESS_PAUSE_S = 65_536, 0.01
+CHUNKS = b"1\r\nx\r\n" * 10_000
 
 
 class ServerSpec(NamedTuple):
@@ -44,6 +45,7 @@
     answer_s: float = 0.0
     event_s: float = 0.04
     events: int = 60
+    in_chunks: bool = False
 
 
 class RemoteStore:
@@ -63,8 +65,9 @@
 class LoggingServer(ModelServerStandin):
     """A server that logs each request that it begins to run.
 
-    While ``is_endless``, the bodies of its answers have no end: ``ENDLESS_BYTES`` each
-    ``ENDLESS_PAUSE_S``, until the caller closes.
+    While ``is_endless``, the bodies of its answers have no end, until the caller closes:
+    ``ENDLESS_BYTES`` each ``ENDLESS_PAUSE_S``, or with ``in_chunks`` chunks of one byte,
+    as fast as they are read.
     """
 
     is_endless = False
@@ -83,6 +86,7 @@
         self.registered_address = spec.registered
         self.answer_s, self.event_s = spec.answer_s, spec.event_s
         self.events = spec.events
+        self._in_chunks = spec.in_chunks
         self._run_log = open(spec.run_log, "a", buffering=1)  # noqa: SIM115
 
     def _new_app(self):
@@ -107,11 +111,16 @@
     def _answer_without_end(self, req):
         """Send the head of an answer, then its body until the caller closes."""
         sock = req.environ["standin.socket"]
+        field, piece, pause_s = (
+            ("Transfer-Encoding: chunked", CHUNKS, 0.0)
+            if self._in_chunks
+            else ("Connection: close", b"x" * ENDLESS_BYTES, ENDLESS_PAUSE_S)
+        )
         with suppress(OSError):
-            sock.sendall(self._response_head(req, "Connection: close"))
+            sock.sendall(self._response_head(req, field))
             while True:
-                sock.sendall(b"x" * ENDLESS_BYTES)
-                gevent.sleep(ENDLESS_PAUSE_S)
+                sock.sendall(piece)
+                gevent.sleep(pause_s)
         sock.close()
         raise gevent.GreenletExit
 
@@ -125,7 +134,7 @@
 
 
 def main():
-    """Serve until the process is killed; SIGUSR1 begins the trouble, SIGUSR2 ends it."""
+    """Serve until killed; SIGUSR1 begins the trouble, SIGUSR2 ends it."""
     server = LoggingServer(ServerSpec(**json.loads(sys.argv[1])))
     gevent.signal_handler(signal.SIGUSR1, server.begin_trouble)
     gevent.signal_handler(signal.SIGUSR2, server.end_trouble)
