--- a/review/lib2/server_process.py
+++ b/review/lib2/server_process.py
@@ -65,9 +65,9 @@
 class LoggingServer(ModelServerStandin):
     """A server that logs each request that it begins to run.
 
-    While ``is_endless``, the bodies of its answers have no end, until the caller closes:
-    ``ENDLESS_BYTES`` each ``ENDLESS_PAUSE_S``, or with ``in_chunks`` chunks of one byte,
-    as fast as they are read.
+    While ``is_endless``, the bodies of its answers have no end, until the caller
+    closes: ``ENDLESS_BYTES`` each ``ENDLESS_PAUSE_S``, or with ``in_chunks`` chunks of
+    one byte, as fast as they are read.
     """
 
     is_endless = False
