--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,12 +1,11 @@
 """A server is cut off, and crashes behind the cut, while its streams are continued."""
 
-import os
 import signal
 import sys
 import threading
 import time
-from pathlib import Path
 
+from review.lib2.case import has_trouble, run
 from review.lib2.deployment import CannotRunError, Deployment
 from review.lib2.proxy import HoldingProxy
 from review.lib2.streams import StreamCaller
@@ -90,39 +89,36 @@
     threading.Timer(RESTART_S, deployment.start_server, (server,)).start()
 
 
-def main():
-    """Return 1 if a stream broke the rule, 0 if none did, 2 if nothing is shown."""
-    has_trouble = os.environ.get("TROUBLE") != "0"
-    lines, callers = [], []
-    try:
-        with Deployment() as deployment:
-            proxies = start(deployment)
-            deployment.wait(
-                lambda: all(c.is_whole for c in run_streams(deployment, "a0")),
-                "groups",
-                30.0,
-            )
-            for number, cut_s in enumerate(CUTS_S):
-                prefix = f"b{number}"
-
-                def cut(prefix=prefix, cut_s=cut_s):
-                    cut_and_crash(deployment, proxies, prefix, cut_s, lines)
-
-                callers += run_streams(deployment, prefix, cut if has_trouble else None)
-                time.sleep(PAUSE_S if has_trouble else 0.0)
-            lines += deployment.runs()
-    except CannotRunError as exc:
-        lines.append(f"could not run: {exc}")
-        code = 2
-    else:
-        broken = [c for c in callers if c.status == 200 and c.repeated]
-        code = 1 if broken else 0
-        lines += [caller.line() for caller in callers]
-        lines.append(f"{len(broken)} of {len(callers)} streams got an event twice")
-    Path(__file__).with_name("record.txt").write_text("\n".join(lines) + "\n")
-    print(lines[-1])
-    return code
+def play(lines):
+    """Return whether a stream had an event twice."""
+    callers = []
+    with Deployment() as deployment:
+        proxies = start(deployment)
+        deployment.wait(
+            lambda: all(c.is_whole for c in run_streams(deployment, "a0")),
+            "groups",
+            30.0,
+        )
+        for number, cut_s in enumerate(CUTS_S):
+            prefix = f"b{number}"
+
+            def cut(prefix=prefix, cut_s=cut_s):
+                cut_and_crash(deployment, proxies, prefix, cut_s, lines)
+
+            callers += run_streams(deployment, prefix, cut if has_trouble() else None)
+            time.sleep(PAUSE_S if has_trouble() else 0.0)
+        lines += deployment.runs()
+    lines += [caller.line() for caller in callers]
+    whole = [caller for caller in callers if caller.is_whole]
+    if not whole:
+        raise CannotRunError("no stream was served")
+    broken = [c for c in callers if c.status == 200 and c.repeated]
+    lines.append(
+        f"{len(callers)} streams, {len(whole)} of them whole; {len(broken)} had an"
+        " event twice"
+    )
+    return bool(broken)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run(play, __file__))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,11 +1,10 @@
 """Servers send chunks without end; requests are held past the route's timeout."""
 
-import os
 import signal
 import sys
 import time
-from pathlib import Path
 
+from review.lib2.case import has_trouble, run
 from review.lib2.deployment import LOOK_TIMEOUT_MS, CannotRunError, Deployment
 from review.lib2.kept import KeptCaller
 
@@ -19,7 +18,7 @@
 MARGIN_S = 0.5
 
 
-def play(deployment, has_trouble, lines):
+def run_callers(deployment, lines):
     """Run the callers; return the outcomes of all their requests."""
     front = deployment.nodes[NODE]["front"]
     callers = [
@@ -29,7 +28,7 @@
     for caller in callers:
         caller.start()
     time.sleep(QUIET_S)
-    for number in range(DESKS_IN_TROUBLE if has_trouble else 0):
+    for number in range(DESKS_IN_TROUBLE if has_trouble() else 0):
         deployment.signal(f"i-desk-{number}", signal.SIGUSR1)
         lines.append(f"{time.time():.3f} i-desk-{number} sends chunks without end")
     time.sleep(TROUBLE_S)
@@ -40,45 +39,37 @@
     return [outcome for caller in callers for outcome in caller.outcomes]
 
 
-def main():
-    """Return 1 if the rule was broken, 0 if it held, 2 if nothing is shown."""
-    lines = []
-    try:
-        with Deployment() as deployment:
-            for number in range(DESKS):
-                deployment.add_server(
-                    f"i-desk-{number}",
-                    "desk",
-                    "",
-                    slots=DESK_SLOTS,
-                    answer_s=0.09,
-                    in_chunks=True,
-                )
-            deployment.add_node(NODE)
-            deployment.wait(lambda: deployment.is_ready(NODE), "node")
-            has_trouble = os.environ.get("TROUBLE") != "0"
-            outcomes = play(deployment, has_trouble, lines)
-            lines += deployment.runs()
-    except CannotRunError as exc:
-        lines.append(f"could not run: {exc}")
-        code = 2
-    else:
-        timeout_s = LOOK_TIMEOUT_MS / 1000
-        took = [(o.ended_at - o.sent_at, o.status) for o in outcomes]
-        open_ones = [entry for entry in took if entry[0] > timeout_s]
-        held = [entry for entry in open_ones if entry[0] > timeout_s + MARGIN_S]
-        never = [entry for entry in held if not entry[1]]
-        code = 1 if len(held) > len(open_ones) / 2 else 0
-        lines += [outcome.line() for outcome in outcomes]
-        lines.append(
-            f"{len(outcomes)} requests, {len(open_ones)} unanswered after"
-            f" {timeout_s} s, {len(held)} of them {MARGIN_S} s later, and {len(never)}"
-            f" until the caller left after {DEADLINE_MS / 1000 + 1} s"
-        )
-    Path(__file__).with_name("record.txt").write_text("\n".join(lines) + "\n")
-    print(lines[-1])
-    return code
+def play(lines):
+    """Return whether over half of the late requests were held for longer still."""
+    with Deployment() as deployment:
+        for number in range(DESKS):
+            deployment.add_server(
+                f"i-desk-{number}",
+                "desk",
+                "",
+                slots=DESK_SLOTS,
+                answer_s=0.09,
+                in_chunks=True,
+            )
+        deployment.add_node(NODE)
+        deployment.wait(lambda: deployment.is_ready(NODE), "node")
+        outcomes = run_callers(deployment, lines)
+        lines += deployment.runs()
+    lines += [outcome.line() for outcome in outcomes]
+    if not any(outcome.status == 200 for outcome in outcomes):
+        raise CannotRunError("nothing was served")
+    timeout_s = LOOK_TIMEOUT_MS / 1000
+    took = [(o.ended_at - o.sent_at, o.status) for o in outcomes]
+    late = [entry for entry in took if entry[0] > timeout_s]
+    held = [entry for entry in late if entry[0] > timeout_s + MARGIN_S]
+    never = [entry for entry in held if not entry[1]]
+    lines.append(
+        f"{len(outcomes)} requests, {len(late)} unanswered after {timeout_s} s,"
+        f" {len(held)} of them {MARGIN_S} s later, and {len(never)} until the caller"
+        f" left after {DEADLINE_MS / 1000 + 1} s"
+    )
+    return len(held) > len(late) / 2
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run(play, __file__))
--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -189,8 +189,12 @@
 
     def start_node(self, name):
         """Start a node, again with its settings if it has ended."""
-        path = str(self.out / f"{name}.conf")
-        self.start(name, ["-m", "auburnwall.platform"], AUBURNWALL_SETTINGS=path)
+        path = self.out / f"{name}.conf"
+        if name in self.processes:
+            # The system does not start for the first time any more.
+            text = path.read_text("utf-8")
+            path.write_text(text.replace("Bootstrap=true", "Bootstrap=false"), "utf-8")
+        self.start(name, ["-m", "auburnwall.platform"], AUBURNWALL_SETTINGS=str(path))
 
     def resident_bytes(self, name):
         """Return the resident memory of a process, 0 if it has ended."""
@@ -267,10 +271,6 @@
         path = self.out / "runs.txt"
         return path.read_text("utf-8").splitlines() if path.exists() else []
 
-    def logs(self, name):
-        """Return what a process has written."""
-        return (self.out / f"{name}.log").read_text("utf-8", "replace")
-
     def _end_all(self):
         for process in self.processes.values():
             if process.poll() is None:
