--- a/review/8/case.py
+++ b/review/8/case.py
@@ -5,7 +5,7 @@
 import time
 
 from review.lib2.case import has_trouble, run
-from review.lib2.deployment import LOOK_TIMEOUT_MS, CannotRunError, Deployment
+from review.lib2.deployment import CannotRunError, Deployment
 from review.lib2.kept import KeptCaller
 
 NODE = "edge-norte-1"
@@ -13,7 +13,7 @@
 CALLERS = 30
 QUIET_S, TROUBLE_S = 5.0, 25.0
 # The callers wait for twice the route's timeout.
-DEADLINE_MS = 2 * LOOK_TIMEOUT_MS
+TIMEOUT_MS, DEADLINE_MS = 4000, 8000
 # Time after the route's timeout in which at least half must have an answer.
 MARGIN_S = 0.5
 
@@ -41,7 +41,7 @@
 
 def play(lines):
     """Return whether over half of the late requests were held for longer still."""
-    with Deployment() as deployment:
+    with Deployment(TIMEOUT_MS) as deployment:
         for number in range(DESKS):
             deployment.add_server(
                 f"i-desk-{number}",
@@ -58,7 +58,7 @@
     lines += [outcome.line() for outcome in outcomes]
     if not any(outcome.status == 200 for outcome in outcomes):
         raise CannotRunError("nothing was served")
-    timeout_s = LOOK_TIMEOUT_MS / 1000
+    timeout_s = TIMEOUT_MS / 1000
     took = [(o.ended_at - o.sent_at, o.status) for o in outcomes]
     late = [entry for entry in took if entry[0] > timeout_s]
     held = [entry for entry in late if entry[0] > timeout_s + MARGIN_S]
--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -19,7 +19,6 @@
 # Below the range from which the kernel takes ports for outgoing connections.
 PORTS = (12_000, 32_000)
 START_S = 20.0
-LOOK_TIMEOUT_MS = 4000
 SETTINGS = """Node={node}
 Role=node
 MachineClass=edge
@@ -71,8 +70,11 @@
     }
 
 
-def configuration(version=1):
-    """Return a configuration with a streaming, a mutating and an idempotent route."""
+def configuration(look_timeout_ms):
+    """Return a configuration with four routes to three services.
+
+    ``look_timeout_ms`` is the ``TimeoutMs`` of the route "look".
+    """
     engine = {
         "BatchSlots": 9,
         "KvCapacity": 984_705,
@@ -89,11 +91,11 @@
         "loads_at_once": 7,
     }
     return {
-        "Version": version,
+        "Version": 1,
         "Routes": [
             route("ask", "streaming", "assist", Resumable=True, Affinity=True),
             route("book", "mutating", "desk", Attempts=1, TimeoutMs=2000),
-            route("look", "idempotent", "desk", TimeoutMs=LOOK_TIMEOUT_MS),
+            route("look", "idempotent", "desk", TimeoutMs=look_timeout_ms),
             route("certify", "mutating", "ledger", Attempts=1, TimeoutMs=4000),
         ],
         "Services": [
@@ -129,7 +131,8 @@
     set.
     """
 
-    def __init__(self):
+    def __init__(self, look_timeout_ms=4000):
+        self._look_timeout_ms = look_timeout_ms
         self.processes, self.nodes, self.specs = {}, {}, {}
         self._reserved, self._stack = [], ExitStack()
 
@@ -140,7 +143,7 @@
         self.store = self.free_address()
         self.start("store", ["-m", "review.lib2.store_process", self.store])
         self.wait(lambda: self.post("/standin/trouble", {"trouble": ""}), "store")
-        self.put("keyed.op", "config", configuration())
+        self.put("keyed.op", "config", configuration(self._look_timeout_ms))
         return self
 
     def __exit__(self, *exc_info):
