--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -137,13 +137,17 @@
         self._reserved, self._stack = [], ExitStack()
 
     def __enter__(self):
-        out = self._stack.enter_context(tempfile.TemporaryDirectory())
-        self.out = Path(out)
-        self._stack.callback(self._end_all)
-        self.store = self.free_address()
-        self.start("store", ["-m", "review.lib2.store_process", self.store])
-        self.wait(lambda: self.post("/standin/trouble", {"trouble": ""}), "store")
-        self.put("keyed.op", "config", configuration(self._look_timeout_ms))
+        with ExitStack() as stack:
+            out = stack.enter_context(tempfile.TemporaryDirectory())
+            self.out = Path(out)
+            stack.callback(self._end_all)
+            self._stack = stack
+            self.store = self.free_address()
+            self.start("store", ["-m", "review.lib2.store_process", self.store])
+            self.wait(lambda: self.post("/standin/trouble", {"trouble": ""}), "store")
+            self.put("keyed.op", "config", configuration(self._look_timeout_ms))
+            # Nothing has failed, so the processes live on.
+            self._stack = stack.pop_all()
         return self
 
     def __exit__(self, *exc_info):
