Keep what has begun elsewhere until the first server's bytes are read

The same wait as after a search now follows an interrupt that comes too late, and lasts until nothing lies unread.

--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -327,30 +327,42 @@
             if not goes_on and exchange.is_lost is None:
                 attempt = exchange.begin_elsewhere(placement)
                 goes_on = self._goes_on(exchange, began_at, waits)
-            if goes_on:
-                self._keep(exchange, placement, attempt)
-                self._log_kept(exchange, f"{why}; it goes on")
-                return
         except RequestError as exc:
             self._log_kept(exchange, f"{why}; {exc.detail}")
             return
         finally:
             exchange.search = None
             exchange.next_search_at = self._clock.monotonic() + SEARCH_RETRY_S
+        if goes_on:
+            self._drop(exchange, placement, attempt)
+            self._log_kept(exchange, f"{why}; it goes on")
+            return
         error = StalledError(why, step="wait", placement=placement, attempt=attempt)
         self._interrupt(exchange, error, self._clock.monotonic())
 
-    def _keep(self, exchange, placement, attempt):
+    def _drop(self, exchange, placement, attempt):
         """End what was to follow an exchange that goes on.
 
-        What has begun elsewhere remains for a moment: behind the bytes that have
-        arrived may be the end of the connection, and the request goes on there then.
+        What has begun elsewhere remains until the bytes that have arrived are read, for
+        up to ``MAX_UNREAD_S``: behind them may be the end of the connection, and the
+        request goes on there then.
         """
-        try:
-            if attempt is not None:
-                self._clock.sleep(CHECK_INTERVAL_S)
-        finally:
-            _drop(exchange, placement, attempt)
+        if attempt is None:
+            if placement is not None:
+                exchange.give_back(placement)
+        elif exchange in self._exchanges:
+            exchange.search = gevent.spawn(self._wait_until_read, exchange)
+            # Also called if the exchange ends first.
+            exchange.search.link(lambda search: exchange.end_elsewhere(attempt))
+        else:
+            exchange.end_elsewhere(attempt)
+
+    def _wait_until_read(self, exchange):
+        checks_left = round(MAX_UNREAD_S / CHECK_INTERVAL_S)
+        while checks_left:
+            self._clock.sleep(CHECK_INTERVAL_S)
+            checks_left = checks_left - 1 if exchange.has_unread() else 0
+        exchange.search = None
 
     def _goes_on(self, exchange, since, waits):
         """Return whether a stalled exchange is found not to be stalled any more.
@@ -404,9 +416,21 @@
             why=error.detail,
         )
         gevent.get_hub().loop.run_callback(
-            _raise_if_awaiting, exchange, exchange.waits, error
+            self._raise_if_awaiting, exchange, exchange.waits, error
         )
 
+    def _raise_if_awaiting(self, exchange, wait, error):
+        """Raise an error in an exchange's task if that still awaits its server.
+
+        Called by the event loop, while no task runs. The server may have sent something
+        since the interrupt was decided, and the task may be at something else already.
+        """
+        if exchange.awaiting_server and exchange.waits == wait:
+            exchange.awaiting_server = False
+            exchange.task.throw(error)
+        elif isinstance(error, StalledError):
+            self._drop(exchange, error.placement, error.attempt)
+
 
 def _log(exchange, name, **fields):
     """Log an event of an exchange, with its request, server and group."""
@@ -434,24 +458,3 @@
     is_kept = has_arrived and not exchange.was_kept_for_bytes
     exchange.was_kept_for_bytes |= has_arrived
     return is_kept
-
-
-def _raise_if_awaiting(exchange, wait, error):
-    """Raise an error in an exchange's task if that still awaits its server.
-
-    Called by the event loop, while no task runs. The server may have sent something
-    since the interrupt was decided, and the task may be at something else already.
-    """
-    if exchange.awaiting_server and exchange.waits == wait:
-        exchange.awaiting_server = False
-        exchange.task.throw(error)
-    elif isinstance(error, StalledError):
-        _drop(exchange, error.placement, error.attempt)
-
-
-def _drop(exchange, placement, attempt):
-    """End what was to follow an exchange that is kept."""
-    if attempt is not None:
-        exchange.end_elsewhere(attempt)
-    elif placement is not None:
-        exchange.give_back(placement)
