Limit the memory that all messages of a node hold together

Cause: each answer and each caller's body had a limit, their sum had none. Besides, a request with its body remained until a garbage collection, as its attempt and its exchange referred to each other, and answers and incomplete events were held several times while they grew.

Change: one budget of a quarter of memory_mb counts answers until they are written, incomplete events, long heads, callers' bodies, frames of peers and what probes, orders and the store answer. Over it the request whose answers hold most ends. Larger bodies of callers wait for half of the budget, unread, and must arrive within their caller's time.

--- a/packages/auburnwall-base/src/auburnwall/base/http.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http.py
@@ -8,6 +8,8 @@
 import urllib3
 from urllib3.exceptions import HTTPError, NewConnectionError
 
+from . import memory
+from .body_buffer import BodyBuffer
 from .http_reader import ConnectionPools
 
 JSON_HEADERS = {"Content-Type": "application/json"}
@@ -128,22 +130,27 @@
     """Return the complete ``Response`` and give the connection back to its pool.
 
     ``resp`` is a response of ``urllib3`` whose head has been read. Closes the
-    connection and raises ``urllib3.exceptions.HTTPError`` if the body is cut short or
-    has over ``max_bytes`` bytes.
+    connection and raises ``urllib3.exceptions.HTTPError`` if the body is cut short, has
+    over ``max_bytes`` bytes or is too large beside other messages of this process.
     """
-    complete, chunks, size = False, [], 0
+    complete, body = False, BodyBuffer()
+    errors, account = [], memory.budget.open()
+    account.add_ender(errors.append)
     try:
         for chunk in resp.stream(READ_BYTES, decode_content=False):
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > max_bytes:
+            account.add(len(chunk))
+            if errors:
+                raise ResponseTooLargeError(str(errors[0]))
+            body.add(chunk)
+            if body.size > max_bytes:
                 raise ResponseTooLargeError(f"the body has over {max_bytes} bytes")
         complete = True
     finally:
+        account.close()
         if not complete:
             resp.close()
         resp.release_conn()
-    return Response(resp.status, resp.headers, b"".join(chunks))
+    return Response(resp.status, resp.headers, body.take())
 
 
 def exchange_json(pool, method, url, body=None, *, connect_s=1.0, read_s=2.0):
--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -22,6 +22,7 @@
 from urllib3 import HTTPConnectionPool, PoolManager
 from urllib3.connection import HTTPConnection
 
+from . import memory
 from .digits import parse_digits
 from .turns import MAX_TURN_S, turns
 
@@ -34,6 +35,8 @@
 # Largest total size of lines that follow each other without data, in bytes: those of a
 # head with its interim responses, or those between two pieces of a body.
 MAX_LINES_BYTES = 256 * 1024
+# Size from which lines count in the memory of this process, in bytes.
+COUNTED_LINES_BYTES = 16 * 1024
 # Bytes behind a response that are kept, to see whether a response begins there.
 MAX_UNREAD_BYTES = 64
 # Responses to earlier requests that are read past before the one that is due.
@@ -163,6 +166,8 @@
         self.unread = b""
         self.last_line = b""
         self._lines_bytes = 0
+        self._lines_memory = None
+        self._memory_errors = []
         self._lines_left = LINES_PER_CHECK
         self._begun = False
         self._chunk_left = None
@@ -174,7 +179,7 @@
         Reads beyond that raise ``MessageTooLongError``.
         """
         self._socket_reader.bytes_left = max_bytes
-        self._lines_bytes = 0
+        self._release_lines()
         self._begun = False
 
     def begin_chunks(self):
@@ -214,6 +219,8 @@
         self._lines_bytes += len(line)
         if self._lines_bytes > MAX_LINES_BYTES:
             raise MessageTooLongError(f"over {MAX_LINES_BYTES} bytes without data")
+        if self._lines_bytes > COUNTED_LINES_BYTES:
+            self._count_lines()
         if b"\r" in line.removesuffix(b"\n").removesuffix(b"\r"):
             raise FramingError(f"a CR within a line: {line[-64:]!r}")
         if line.startswith(b"From "):
@@ -228,7 +235,7 @@
 
     def read(self, size=-1):
         """Return up to ``size`` bytes of data, fewer only at the connection's end."""
-        self._lines_bytes = 0
+        self._release_lines()
         data = _read(self, size)
         if self._chunk_left is not None:
             self._chunk_left -= len(data)
@@ -236,6 +243,21 @@
                 raise FramingError(f"a chunk ends with {data[-2:]!r}")
         return data
 
+    def _count_lines(self):
+        """Count the lines of a long head; raises ``MessageTooLongError``."""
+        if self._lines_memory is None:
+            self._lines_memory = memory.budget.open()
+            self._lines_memory.add_ender(self._memory_errors.append)
+        self._lines_memory.add(self._lines_bytes - self._lines_memory.held_bytes)
+        if self._memory_errors:
+            raise MessageTooLongError(str(self._memory_errors[0]))
+
+    def _release_lines(self):
+        self._lines_bytes = 0
+        if self._lines_memory is not None:
+            self._lines_memory.close()
+            self._lines_memory = None
+
     def _begin_chunk(self, line):
         match = _CHUNK_LINE.fullmatch(line)
         if match is None:
@@ -248,6 +270,7 @@
     def close(self):
         """Close the reader, and the socket's file object below it."""
         if not self.closed:
+            self._release_lines()
             self._socket_reader.is_at_end = True
             self.unread = self.peek(1)[:MAX_UNREAD_BYTES]
         super().close()
--- a/packages/auburnwall-node/src/auburnwall/node/__main__.py
+++ b/packages/auburnwall-node/src/auburnwall/node/__main__.py
@@ -18,7 +18,7 @@
 from cleo.commands.command import Command  # noqa: E402
 from cleo.helpers import option  # noqa: E402
 
-from auburnwall.base import logs  # noqa: E402
+from auburnwall.base import logs, memory  # noqa: E402
 from auburnwall.base.exceptions import SettingsError  # noqa: E402
 from auburnwall.base.settings import describe, flag_name, load  # noqa: E402
 from auburnwall.base.tasks import TaskGroup  # noqa: E402
@@ -38,6 +38,7 @@
 def run_node(cfg):
     """Run a node until its graceful shutdown, started by a signal or request, ends."""
     writer = logs.set_up(cfg.log_format, cfg.log_level, cfg.node)
+    memory.budget.limit_to(cfg.memory_mb * 2**20)
     with ExitStack() as stack:
         tasks = stack.enter_context(TaskGroup())
         components = NodeComponents(cfg, new_external_deps(cfg, stack), tasks)
--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -98,12 +98,17 @@
         """Return up to ``length`` bytes; raises ``OSError`` for a bad body."""
         try:
             return super().read(length)
-        except (OSError, ValueError) as exc:
-            self.is_broken = self._chunked_input_error = True
-            if isinstance(exc, OSError):
-                raise
+        except ValueError as exc:
+            self.give_up()
             # The base class takes a line without a digit for a chunk's size.
             raise FramingError("a chunk without a size") from exc
+        except BaseException:
+            self.give_up()
+            raise
+
+    def give_up(self):
+        """Read nothing more of the body, so that no other request can follow it."""
+        self.is_broken = self._chunked_input_error = True
 
 
 class _ChunkReader:
--- a/packages/auburnwall-node/src/auburnwall/node/http.py
+++ b/packages/auburnwall-node/src/auburnwall/node/http.py
@@ -19,6 +19,7 @@
     PROBLEM_TYPE,
     SSE_TYPE,
     CountedApp,
+    memory_of,
     new_server,
     read_body,
 )
@@ -180,7 +181,11 @@
         req, max_bytes = bottle.request, self._components.cfg.most_body_bytes
         with self._components.drain.stop_time.limit_body():
             # The framework decodes chunks once more, and reads on beyond the limit.
-            return read_body(req.environ["wsgi.input"], req.content_length, max_bytes)
+            stream, add_body = (
+                req.environ["wsgi.input"],
+                memory_of(req.environ).add_body,
+            )
+            return read_body(stream, req.content_length, max_bytes, add_body)
 
     def _problem(self, exc):
         gateway = self._components.gateway
@@ -275,6 +280,7 @@
     for name, value in answer.headers.items():
         bottle.response.headers[name] = value
     bottle.response.headers["X-Request-Id"] = request.request_id
+    memory_of(bottle.request.environ).add(len(answer.body))
     return answer.body
 
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -23,7 +23,14 @@
     make_handler,
     watch_disconnect,
 )
-from ..webserver import PROBLEM_TYPE, CountedApp, new_listener, new_server, read_body
+from ..webserver import (
+    PROBLEM_TYPE,
+    CountedApp,
+    body_too_slow_error,
+    new_listener,
+    new_server,
+    read_body,
+)
 from .connections import (
     AWAIT_SERVER,
     BAD_HEAD,
@@ -62,6 +69,7 @@
         running = environ[HANDLER_KEY].running
         call = self._read_head(environ)
         request_id = running.request_id = self._gateway.request_id(call)
+        running.memory.request_id = request_id
         with ExitStack() as stack:
             try:
                 call = self._read_body(environ, call)
@@ -92,20 +100,31 @@
                     500, "Internal error", repr(exc), ran=UNKNOWN, step="serve"
                 )
                 return self._respond_with_problem(start_response, error, request_id)
+            running.memory.add_ender(environ[HANDLER_KEY].end_write)
             return self._respond(start_response, reply, request, running, stack)
 
     def _read_head(self, environ):
         handler = environ[HANDLER_KEY]
         headers = tuple(handler.headers.items())
         now = self._clock.monotonic()
-        return Call(handler.command, handler.path, headers, b"", now)
+        memory = handler.running.memory
+        return Call(handler.command, handler.path, headers, b"", now, memory)
 
     def _read_body(self, environ, call):
-        handler, limits = environ[HANDLER_KEY], self._gateway.limits()
-        with self._gateway.stop_time.limit_body():
-            body = read_body(
-                environ["wsgi.input"], handler.content_length or 0, limits.body_bytes
-            )
+        handler, stream, body = environ[HANDLER_KEY], environ["wsgi.input"], b""
+        length = handler.content_length or 0
+        if length or stream.chunked_input:
+            time_s = self._gateway.body_time_s(call)
+            with (
+                self._gateway.stop_time.limit_body(),
+                ReadTimeout(handler.socket, time_s, body_too_slow_error(time_s)),
+            ):
+                body = read_body(
+                    stream,
+                    length,
+                    self._gateway.limits().body_bytes,
+                    call.memory.add_body,
+                )
         return call._replace(body=body, arrived_at=self._clock.monotonic())
 
     def _respond(self, start_response, reply, request, running, stack):
@@ -312,6 +331,12 @@
         # After an error the step stays, as it tells where that happened.
         self.running.step = AWAIT_SERVER
 
+    def end_write(self, error):
+        """End a write that waits for the caller; called by the event loop."""
+        running = self.running
+        if running is not None and running.step == WRITE:
+            running.task.throw(CallerStalledError(error.detail))
+
     def _limit_write(self):
         """Return a context that ends a write which lasts beyond ``write_by``."""
         write_by, error = self.running.write_by, CallerStalledError("out of time")
--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -21,6 +21,8 @@
 
 # Largest deadline of a caller, in milliseconds; a route has a limit of its own.
 MAX_DEADLINE_MS = 10**9
+# Longest time for the body of a request, in seconds; it has less if its caller has.
+MAX_BODY_TIME_S = 60.0
 
 
 class Gateway:
@@ -185,6 +187,11 @@
             return None
         return call.arrived_at + left_ms / 1000 - self._clock.monotonic()
 
+    def body_time_s(self, call):
+        """Return the time that a caller has to send its body, in seconds."""
+        left_s = self._stated_time_left_s(call)
+        return MAX_BODY_TIME_S if left_s is None else min(left_s, MAX_BODY_TIME_S)
+
     def _deadline(self, route, call):
         """Return the deadline and the estimated seconds since the caller's first try.
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -3,6 +3,7 @@
 from prometheus_client import Counter
 from prometheus_client.core import GaugeMetricFamily
 
+from auburnwall.base import memory
 from auburnwall.base.metrics import DurationHistograms, MetricsRegistry
 from auburnwall.routing.rank_counts import RankCounts
 
@@ -142,6 +143,11 @@
             "Open connections of callers.",
             lambda: node.connections.open_count,
         ),
+        (
+            "held_bytes",
+            "Bytes of answers and of callers' bodies that this node holds.",
+            lambda: memory.budget.held_bytes,
+        ),
         (
             "late_seconds",
             "Largest lateness of the event loop in the last seconds.",
--- a/packages/auburnwall-node/src/auburnwall/node/routed/run.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/run.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from auburnwall.base import logs
+from auburnwall.base import logs, memory
 from auburnwall.base.tasks import TaskGroup
 
 from .node import RoutedNode
@@ -23,6 +23,7 @@
     the ``StartStages`` of this start.
     """
     writer = logs.set_up(cfg.log_format, cfg.log_level, cfg.node, max_recent_events=0)
+    memory.budget.limit_to(cfg.memory_mb * 2**20)
     with ExitStack() as stack:
         tasks = stack.enter_context(TaskGroup())
         platform = new_platform(stack)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
@@ -27,6 +27,7 @@
     pulse_s: float = 0.12
     max_mesh_nodes: int = 12
     cores: float = 1.0
+    memory_mb: float = 0.0
     drain_notice_s: float = 2.0
     config_notice_s: float = 3.0
     repeat_share: float = 0.1
@@ -81,6 +82,9 @@
         64,
     ),
     "cores": SettingSpec("Processor of this VM, in cores", "", 0.01, 1_024.0),
+    "memory_mb": SettingSpec(
+        "Memory that this process may use, 0 if that is not limited", "MiB", 0.0, 1e9
+    ),
     "drain_notice_s": SettingSpec(
         "Time in which a leaving server must get no more requests", "s", 0.5, 60.0
     ),
--- a/packages/auburnwall-node/src/auburnwall/node/routed/settings_reload.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/settings_reload.py
@@ -18,6 +18,7 @@
         "pulse_s",
         "first_start",
         "max_mesh_nodes",
+        "memory_mb",
         "cores",
         "drain_notice_s",
     }
--- a/packages/auburnwall-node/src/auburnwall/node/settings.py
+++ b/packages/auburnwall-node/src/auburnwall/node/settings.py
@@ -40,6 +40,7 @@
     most_groups: int = 32
     most_waiting: int = 256
     most_body_bytes: int = 4_194_304
+    memory_mb: float = 0.0
     write_stall_s: float = 20.0
     retry_share: float = 0.1
     retry_reserve: float = 10.0
@@ -109,6 +110,9 @@
     "most_body_bytes": SettingSpec(
         "Largest body of a request", "bytes", 1_024, 1 << 30
     ),
+    "memory_mb": SettingSpec(
+        "Memory that this process may use, 0 if that is not limited", "MiB", 0.0, 1e9
+    ),
     "write_stall_s": SettingSpec(
         "Time that a caller may stop reading", "s", 0.1, 600.0
     ),
--- a/packages/auburnwall-node/src/auburnwall/node/webserver.py
+++ b/packages/auburnwall-node/src/auburnwall/node/webserver.py
@@ -6,14 +6,28 @@
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
 
+from auburnwall.base import memory
+from auburnwall.base.body_buffer import BodyBuffer
 from auburnwall.base.http_reader import MessageTooLongError
 from auburnwall.base.logs import event
-from auburnwall.routing.exceptions import BadRequestError
-
+from auburnwall.base.memory import NoMemoryError
+from auburnwall.routing.exceptions import (
+    NOT_RUN,
+    BadRequestError,
+    OverloadedError,
+    RequestError,
+)
+
+# Where the ``MemoryAccount`` of a request is, if it holds anything.
+MEMORY_KEY = "auburnwall.memory"
 PROBLEM_TYPE = "application/problem+json"
 JSON_TYPE = "application/json"
 SSE_TYPE = "text/event-stream"
 METRICS_TYPE = "text/plain; version=0.0.4"
+# Largest read from a body whose length is not stated, in bytes.
+READ_BYTES = 65_536
+# Time after which a caller retries whose body finds no memory, in seconds.
+MEMORY_RETRY_AFTER_S = 0.5
 
 
 class ServerErrorLog:
@@ -46,12 +60,23 @@
             return self._app(environ, start_response)
         with ExitStack() as stack:
             stack.enter_context(self._gateway)
+            stack.callback(_release_memory, environ)
             body = self._app(environ, start_response)
             if hasattr(body, "close"):
                 stack.callback(body.close)
             return _CountedBody(body, stack.pop_all())
 
 
+def memory_of(environ):
+    """Return the ``MemoryAccount`` of a request, until its response is written."""
+    return environ.setdefault(MEMORY_KEY, memory.budget.open())
+
+
+def _release_memory(environ):
+    if (account := environ.pop(MEMORY_KEY, None)) is not None:
+        account.close()
+
+
 class _CountedBody:
     """The body of a response, until whose ``close`` its request is running."""
 
@@ -94,15 +119,23 @@
     )
 
 
-def read_body(stream, length, max_bytes):
+def read_body(stream, length, max_bytes, add_body=lambda size: None):
     """Return the body of a request.
 
-    ``length`` is the length that the request states, negative if it states none.
-    Raises ``BadRequestError``: with status 413 if the body has over ``max_bytes`` bytes
-    or its chunks have no end, with status 400 if it is cut off or its chunks are bad.
+    ``length`` is the length that the request states, 0 or less if it states none.
+    ``add_body(size)`` counts what is to be held of it. Raises ``BadRequestError``: with
+    status 413 if the body has over ``max_bytes`` bytes or its chunks have no end, with
+    status 400 if it is cut off or its chunks are bad. Raises ``OverloadedError`` if
+    there is no memory for it.
     """
     try:
-        body = b"" if length > max_bytes else stream.read(max_bytes + 1)
+        if 0 < length <= max_bytes:
+            add_body(length)
+            return stream.read(length)
+        body = b"" if length > 0 else _read_pieces(stream, max_bytes, add_body)
+    except NoMemoryError as exc:
+        stream.give_up()
+        raise OverloadedError(exc.detail, MEMORY_RETRY_AFTER_S, step=exc.step) from exc
     except MessageTooLongError as exc:
         raise _too_large(str(exc)) from exc
     except OSError as exc:
@@ -112,5 +145,20 @@
     return body
 
 
+def _read_pieces(stream, max_bytes, add_body):
+    """Return a body whose length is not stated, or its first bytes over a limit."""
+    with BodyBuffer() as body:
+        while body.size <= max_bytes and (data := stream.read(READ_BYTES)):
+            add_body(len(data))
+            body.add(data)
+        return body.take()
+
+
+def body_too_slow_error(time_s):
+    """Return the error for a body that is not complete after ``time_s`` seconds."""
+    detail = f"the body is not complete after {time_s:.1f} s"
+    return RequestError(408, "Body too slow", detail, ran=NOT_RUN, step="read body")
+
+
 def _too_large(detail):
     return BadRequestError(detail, status=413, title="Body too large")
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -6,6 +6,8 @@
 from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
+from auburnwall.base import memory
+from auburnwall.base.body_buffer import BodyBuffer
 from auburnwall.base.http import READ_BYTES
 from auburnwall.base.http_reader import STATUS_LINE
 from auburnwall.base.logs import event
@@ -74,6 +76,9 @@
         self._channel = None
         self._resp = None
         self._complete = False
+        self._held_bytes = 0
+        self._memory = request.call.memory or memory.budget.open(request.request_id)
+        self._memory.add_ender(self._end_for_memory)
         self.exchange = deps.in_flight.begin(request, placement.candidate)
         self.exchange.has_unread = self._has_unread
         self.exchange.has_unread_bytes = self._has_unread_bytes
@@ -156,21 +161,23 @@
         self._deps.in_flight.make_suspect(self.candidate.name)
 
     def read_body(self):
-        """Return the complete body.
+        """Return the complete body, which the request's memory account holds.
 
-        Raises ``ExchangeError`` if it is cut short or larger than
-        ``MAX_ANSWER_BYTES``.
+        Raises ``ExchangeError`` if it is cut short, larger than ``MAX_ANSWER_BYTES`` or
+        too large beside the other messages of this node.
         """
-        chunks, size = [], 0
-        for data in self._chunks():
-            self._deps.in_flight.note_bytes(self.exchange)
-            chunks.append(data)
-            size += len(data)
-            if size > MAX_ANSWER_BYTES:
-                raise self._error("the answer is too large", "read answer")
-        body = b"".join(chunks)
+        with BodyBuffer() as received:
+            for data in self._chunks():
+                self._deps.in_flight.note_bytes(self.exchange)
+                received.add(data)
+                if received.size > MAX_ANSWER_BYTES:
+                    raise self._error("the answer is too large", "read answer")
+                self._hold(received.size)
+            body = received.take()
         if self._holds_answer(body) or self._begins_answer(body):
             raise self._error("another answer is within this one", "read answer")
+        # From now on the request holds it.
+        self._held_bytes = 0
         return body
 
     def events(self):
@@ -183,6 +190,7 @@
         """
         exchange, deadline, late_since = self.exchange, self._request.deadline, None
         for data in self._chunks():
+            self._hold(len(data) + self.splitter.pending_bytes)
             if events := self.splitter.feed(data):
                 self._deps.in_flight.note_progress(exchange)
                 if exchange.progress_at >= deadline:
@@ -215,6 +223,7 @@
         Otherwise the channel is closed.
         """
         self._deps.in_flight.end(self.exchange)
+        self._release_memory()
         if (placement := self.detach_placement()) is not None:
             self._deps.placer.release_slot(placement)
         channel, self._channel = self._channel, None
@@ -231,6 +240,23 @@
                 self._resp.close()
             channel.close()
 
+    def _hold(self, size):
+        """Count ``size`` bytes of the response as held, unless that many are."""
+        if size > self._held_bytes:
+            added, self._held_bytes = size - self._held_bytes, size
+            self._memory.add(added)
+
+    def _release_memory(self):
+        account, self._memory = self._memory, None
+        if account is not None:
+            account.remove_ender(self._end_for_memory)
+            account.release(self._held_bytes)
+
+    def _end_for_memory(self, error):
+        self._deps.in_flight.fail(
+            self.exchange, self._error(error.detail, "read answer")
+        )
+
     def _connect(self):
         candidate, channels = self.candidate, self._deps.channels
         try:
--- a/packages/auburnwall-routing/src/auburnwall/routing/call.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/call.py
@@ -21,7 +21,8 @@
     """A request as the caller sent it.
 
     ``path`` is as written, with its query; ``headers`` are pairs in their order.
-    ``arrived_at`` is on the node's monotonic clock.
+    ``arrived_at`` is on the node's monotonic clock. What is held of the call and of its
+    response counts in ``memory``, a ``MemoryAccount``.
     """
 
     method: str
@@ -29,6 +30,7 @@
     headers: tuple
     body: bytes
     arrived_at: float
+    memory: object = None
 
     def header(self, name):
         """Return the first value of a header, or ``None``."""
--- a/packages/auburnwall-routing/src/auburnwall/routing/completions.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/completions.py
@@ -7,10 +7,11 @@
 """
 
 import json
-from contextlib import contextmanager
+from contextlib import closing, contextmanager
 
 import gevent
 
+from auburnwall.base import memory
 from auburnwall.base.http import READ_BYTES
 from auburnwall.base.logs import event
 
@@ -66,7 +67,12 @@
         Raises ``RequestError`` only before the first event. A later error is yielded
         as the last event.
         """
-        retry_state, sent_events = _RetryState(self, request), []
+        with closing(memory.budget.open(request.request_id)) as account:
+            yield from self._stream(request, dispatcher, account)
+
+    def _stream(self, request, dispatcher, account):
+        retry_state, sent_events, errors = _RetryState(self, request), [], []
+        account.add_ender(errors.append)
         while True:
             try:
                 with (
@@ -76,8 +82,12 @@
                     retry_state.group_view = slot.group_view
                     try:
                         for events in self._events(request, slot, sent_events):
+                            # All are needed to resume the stream.
                             sent_events.append(events)
+                            account.add(len(events))
                             yield events
+                            if errors:
+                                raise _too_large_error(errors[0], slot)
                         return
                     except ExchangeError as exc:
                         # The caller already has the whole stream.
@@ -257,6 +267,17 @@
             ) from exc
 
 
+def _too_large_error(exc, slot):
+    return RequestError(
+        502,
+        "Stream too large",
+        exc.detail,
+        ran=UNKNOWN,
+        step=exc.step,
+        peer=slot.group_view.name,
+    )
+
+
 def _resume_body(body, sent_events):
     """Return the request body that makes a group continue after ``sent_events``."""
     text, pieces = text_of(sent_events)
--- a/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from auburnwall.base.body_buffer import BodyBuffer
+
 # Digits of the longest id of an event that is taken for a number.
 MAX_ID_DIGITS = 18
 # Characters of an unexpected id that are logged.
@@ -31,7 +33,8 @@
     """
 
     def __init__(self):
-        self._incomplete = b""
+        self._incomplete = BodyBuffer()
+        self._last_byte = b""
 
     @property
     def pending(self):
@@ -39,22 +42,33 @@
 
         An empty line by itself is none.
         """
-        return bool(self._incomplete.strip(b"\n"))
+        return bool(self._incomplete.take().strip(b"\n"))
 
     @property
     def pending_bytes(self):
         """Return the size of the incomplete event."""
-        return len(self._incomplete)
+        return self._incomplete.size
 
     def feed(self, data):
         """Return the bytes of all events that are complete now, possibly none."""
-        buffered = self._incomplete + data
-        end = buffered.rfind(_EVENT_END)
-        if end < 0:
-            self._incomplete = buffered
+        has_end = _EVENT_END in data or (
+            self._last_byte == b"\n" and data.startswith(b"\n")
+        )
+        if not has_end:
+            self._keep(data)
             return b""
-        complete, self._incomplete = buffered[: end + 2], buffered[end + 2 :]
-        return complete
+        if self._incomplete.size:
+            data = self._incomplete.take() + data
+            self._incomplete = BodyBuffer()
+        end = data.rfind(_EVENT_END) + len(_EVENT_END)
+        self._last_byte = b""
+        self._keep(data[end:])
+        return data[:end]
+
+    def _keep(self, data):
+        if data:
+            self._incomplete.add(data)
+            self._last_byte = data[-1:]
 
 
 class StreamPosition(NamedTuple):
--- a/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/in_flight.py
@@ -133,6 +133,14 @@
         self.reroute_delay_s = REROUTE_DELAY_S
         self.task = gevent.getcurrent()
 
+    def forget(self):
+        """Drop what refers to the attempt, which refers to this exchange.
+
+        The request, with its body, would remain until the next garbage collection.
+        """
+        self.has_unread = self.has_unread_bytes = bool
+        self.place_elsewhere = self.begin_elsewhere = self.final_error = None
+
     def note_bytes(self, now):
         """Record that bytes of an answer have arrived."""
         self.progress_at = now
@@ -199,9 +207,21 @@
         self._exchanges.discard(exchange)
         if exchange.timing is not None:
             exchange.timing.end()
-        if exchange.search is not None:
+        if exchange.search is None:
+            exchange.forget()
+        else:
+            exchange.search.link(lambda search: exchange.forget())
             exchange.search.kill(block=False)
 
+    def fail(self, exchange, error):
+        """End an exchange with an error; called by the event loop.
+
+        The error is raised in its task now, or where that next waits for its server.
+        """
+        if exchange.final_error is None:
+            exchange.final_error = error
+            self._raise_if_awaiting(exchange, exchange.waits, error)
+
     def take_slot(self, name):
         """Count one more slot in use at a candidate; does not check for a free one."""
         self.slots_in_use[name] = self.slots_in_use.get(name, 0) + 1
--- a/packages/auburnwall-wire/src/auburnwall/wire/client.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/client.py
@@ -2,12 +2,12 @@
 
 import gevent
 from thrift.Thrift import TException
-from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TFramedTransport, TTransportException
 
 from auburnwall.base.sockets import has_unread
 
 from .exceptions import PeerUnavailableError
+from .frames import FrameSocket
 from .peer import Peer
 from .peer.ttypes import PeerError
 from .server import PROTOCOL_FACTORY
@@ -18,7 +18,7 @@
 MAX_IDLE_CLIENTS = 8
 
 
-class _PeerSocket(TSocket):
+class _PeerSocket(FrameSocket):
     """A socket on which bytes that have arrived count even after the timeout.
 
     When this process goes on after a pause, timeouts end before sockets are looked at.
--- a/packages/auburnwall-wire/src/auburnwall/wire/server.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/server.py
@@ -6,11 +6,11 @@
 from gevent.server import StreamServer
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
 from thrift.Thrift import TException
-from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TFramedTransport
 
 from auburnwall.base.logs import event
 
+from .frames import FrameSocket
 from .peer import Peer
 
 PROTOCOL_FACTORY = TBinaryProtocolAcceleratedFactory()
@@ -37,7 +37,7 @@
 
     def _serve(self, sock, address):
         sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-        transport = TSocket()
+        transport = FrameSocket()
         transport.setHandle(sock)
         protocol = PROTOCOL_FACTORY.getProtocol(TFramedTransport(transport))
         with closing(sock):
