Take a response only with a status from 200 to 599

Callers got the statuses 600, 601, 700 and 999 of a server in trouble as its answers, with its seal (MIXED), on all four kinds of route; also a 200 behind two spaces or with HTTP/0.9. 000 to 099 and 101 were 502 already.

Cause: the standard library's parser takes 100 to 999 and other spaces, and the check behind it used the generous pattern that finds heads within bodies.

Change: the first line of a response must have the protocol's form and a status from 100 to 599. The reader serves servers, probes, orders, the store and engines.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -53,6 +53,9 @@
 _CHUNK_END = b"\r\n"
 # The begin of a response, also where something else is due.
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d +\d{3}")
+# The first line of a response, whose status is interim or final. Other classes mean
+# nothing, and the parser also takes other spaces and forms of a number.
+_FIRST_LINE = re.compile(rb"HTTP/1\.\d [1-5]\d\d(?: [^\r\n]*)?\r?\n")
 # The pattern of a method or of the name of a field.
 TOKEN = r"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 # What may follow the last chunk: fields, and the empty line at the end.
@@ -357,16 +360,14 @@
     def _read_status(self):
         """Return version, status and reason of the next answer that is not interim.
 
-        The base class skips 100 only, and whatever stands where its fields are due. It
-        also takes other spaces, and signs and underscores for parts of the status.
+        The base class skips 100 only, and whatever stands where its fields are due.
         """
         while True:
             version, status, reason = super()._read_status()
             line = self.fp.last_line
-            match = STATUS_LINE.match(line)
-            if match is None or line[match.end()] not in b" \r\n":
+            if not _FIRST_LINE.fullmatch(line) or status == SWITCHING_PROTOCOLS:
                 raise FramingError(f"bad status line: {line[:64]!r}")
-            if status == SWITCHING_PROTOCOLS or not 100 <= status < 200:
+            if status >= 200:
                 return version, status, reason
             _check_head(parse_headers(self.fp), reason)
 
