End a write for memory only while it is under way

By reading: the step of a request stays 'write to caller' after an error of a write, so that it can be logged, and the clean-up after that error could have been broken off by a further one.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -215,6 +215,7 @@
     """
 
     gateway = clock = connections = running = None
+    _is_writing = False
     close_reason = CALLER_CLOSED
 
     def __init__(self, sock, *args, **kwargs):
@@ -325,17 +326,19 @@
         )
 
     def _sendall(self, data):
-        self.running.step = WRITE
-        with self._limit_write():
-            super()._sendall(data)
+        self.running.step, self._is_writing = WRITE, True
+        try:
+            with self._limit_write():
+                super()._sendall(data)
+        finally:
+            self._is_writing = False
         # After an error the step stays, as it tells where that happened.
         self.running.step = AWAIT_SERVER
 
     def end_write(self, error):
         """End a write that waits for the caller; called by the event loop."""
-        running = self.running
-        if running is not None and running.step == WRITE:
-            running.task.throw(CallerStalledError(error.detail))
+        if self._is_writing:
+            self.running.task.throw(CallerStalledError(error.detail))
 
     def _limit_write(self):
         """Return a context that ends a write which lasts beyond ``write_by``."""
