Spend less processor time on each event of a stream

The fixes of this issue had each write of a stream set a second timer, and each read call two more functions. One timer with the shorter limit is set now, and the checks of a read are inline.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -115,8 +115,11 @@
         """Read available data, or wait for some; return the number of bytes."""
         if self.is_at_end:
             return 0
-        self._note_iteration()
-        if self._reads >= MAX_READS_PER_TURN:
+        iteration = self._loop.iteration
+        if iteration != self._loop_iteration:
+            # The event loop has run since, so other tasks had their turn.
+            self._loop_iteration, self._reads, self._began_at = iteration, 0, None
+        elif self._reads >= MAX_READS_PER_TURN:
             self._wait_for_turn()
         self._reads += 1
         count = self._recv_into(buffer)
@@ -128,18 +131,12 @@
 
     def check_turn(self):
         """Let other tasks run if this turn has lasted for ``MAX_TURN_S``."""
-        self._note_iteration()
         now = time.perf_counter()
-        if self._began_at is None:
-            self._began_at = now
+        if self._began_at is None or self._loop.iteration != self._loop_iteration:
+            self._begin_turn(now)
         elif now - self._began_at > MAX_TURN_S:
             self._wait_for_turn()
 
-    def _note_iteration(self):
-        """Begin a turn if the event loop has run, as other tasks had theirs then."""
-        if self._loop.iteration != self._loop_iteration:
-            self._begin_turn(None)
-
     def _wait_for_turn(self):
         turns.wait()
         self._begin_turn(time.perf_counter())
@@ -238,7 +235,9 @@
 
     def read(self, size=-1):
         """Return up to ``size`` bytes of data, fewer only at the connection's end."""
-        self._release_lines()
+        self._lines_bytes = 0
+        if self._lines_memory is not None:
+            self._release_lines()
         data = _read(self, size)
         if self._chunk_left is not None:
             self._chunk_left -= len(data)
--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -274,9 +274,13 @@
             head = f"HTTP/1.1 {status} {responses[status]}\r\nConnection: close\r\n"
             return str(status), (head + "Content-Length: 0\r\n\r\n").encode()
 
+        def write_limit_s(self):
+            """Return how long the next write may take, in seconds."""
+            return write_stall_s
+
         def _sendall(self, data):
             with gevent.Timeout(
-                write_stall_s, CallerStalledError("the caller stopped reading")
+                self.write_limit_s(), CallerStalledError("the caller stopped reading")
             ):
                 super()._sendall(data)
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -1,7 +1,7 @@
 """HTTP server for callers: checks and routes requests and relays the responses."""
 
 import json
-from contextlib import ExitStack, nullcontext
+from contextlib import ExitStack
 from http.client import responses
 
 import gevent
@@ -328,8 +328,7 @@
     def _sendall(self, data):
         self.running.step, self._is_writing = WRITE, True
         try:
-            with self._limit_write():
-                super()._sendall(data)
+            super()._sendall(data)
         finally:
             self._is_writing = False
         # After an error the step stays, as it tells where that happened.
@@ -340,14 +339,15 @@
         if self._is_writing:
             self.running.task.throw(CallerStalledError(error.detail))
 
-    def _limit_write(self):
-        """Return a context that ends a write which lasts beyond ``write_by``."""
-        write_by, error = self.running.write_by, CallerStalledError("out of time")
+    def write_limit_s(self):
+        """Return how long the next write may take: until ``write_by``, if that is set.
+
+        What is ready is written once more, also late.
+        """
+        write_by = self.running.write_by
         if write_by is None:
-            return nullcontext()
-        # What is ready is written once more, also late.
-        left_s = max(write_by - self.clock.monotonic(), MIN_WRITE_S)
-        return gevent.Timeout(left_s, error)
+            return WRITE_STALL_S
+        return min(max(write_by - self.clock.monotonic(), MIN_WRITE_S), WRITE_STALL_S)
 
     def handle_error(self, kind, value, traceback):
         """Close the connection, so that a truncated response cannot look complete."""
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -190,7 +190,8 @@
         """
         exchange, deadline, late_since = self.exchange, self._request.deadline, None
         for data in self._chunks():
-            self._hold(len(data) + self.splitter.pending_bytes)
+            if (size := len(data) + self.splitter.pending_bytes) > self._held_bytes:
+                self._hold(size)
             if events := self.splitter.feed(data):
                 self._deps.in_flight.note_progress(exchange)
                 if exchange.progress_at >= deadline:
@@ -241,10 +242,9 @@
             channel.close()
 
     def _hold(self, size):
-        """Count ``size`` bytes of the response as held, unless that many are."""
-        if size > self._held_bytes:
-            added, self._held_bytes = size - self._held_bytes, size
-            self._memory.add(added)
+        """Count ``size`` bytes of the response as held, more than until now."""
+        added, self._held_bytes = size - self._held_bytes, size
+        self._memory.add(added)
 
     def _release_memory(self):
         account, self._memory = self._memory, None
--- a/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
@@ -51,24 +51,24 @@
 
     def feed(self, data):
         """Return the bytes of all events that are complete now, possibly none."""
-        has_end = _EVENT_END in data or (
-            self._last_byte == b"\n" and data.startswith(b"\n")
-        )
-        if not has_end:
+        end = data.rfind(_EVENT_END)
+        is_within = self._last_byte == b"\n" and data.startswith(b"\n")
+        if end < 0 and not is_within:
             self._keep(data)
             return b""
         if self._incomplete.size:
             data = self._incomplete.take() + data
             self._incomplete = BodyBuffer()
-        end = data.rfind(_EVENT_END) + len(_EVENT_END)
+            end = data.rfind(_EVENT_END)
+        end += len(_EVENT_END)
         self._last_byte = b""
-        self._keep(data[end:])
+        if end < len(data):
+            self._keep(data[end:])
         return data[:end]
 
     def _keep(self, data):
-        if data:
-            self._incomplete.add(data)
-            self._last_byte = data[-1:]
+        self._incomplete.add(data)
+        self._last_byte = data[-1:]
 
 
 class StreamPosition(NamedTuple):
