Give calls of peers two seconds in all, and count a failed follower once

The limit on the whole time of a call, three times its timeout, was 0.36 s for calls to brokers: less than a pause of a node, after which a response that lies in the socket should count. In a run of the routed tests beside other parts at a load of 10, test_peer_that_is_silent_after_a_part_is_found got this limit in place of its timeout. It is 2 s at least now.

By reading: if what has begun elsewhere has failed and its failure is still being recorded while the first server ends, its server was counted as one that may be used again. No run has shown it.

--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -334,6 +334,9 @@
         whether the request may be sent again.
         """
         placement = following.detach_placement()
+        if placement is None:
+            # It has failed by itself, and is recorded by the task that opens it.
+            return False
         try:
             if search is None:
                 following.close()
--- a/packages/auburnwall-wire/src/auburnwall/wire/client.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/client.py
@@ -12,8 +12,9 @@
 from .peer.ttypes import PeerError
 from .server import PROTOCOL_FACTORY
 
-# Ratio of the longest time for a whole call to the longest silence within it.
-TOTAL_FACTOR = 3
+# Ratio of the longest time for a whole call to the longest silence within it, and least
+# such time, in seconds: this process may be paused while the response arrives.
+TOTAL_FACTOR, MIN_TOTAL_S = 3, 2.0
 # Largest number of idle connections kept per peer.
 MAX_IDLE_CLIENTS = 8
 
@@ -102,11 +103,12 @@
 
         The pool's timeout limits each wait for bytes, ``total_s`` the whole call, as a
         peer whose link is saturated sends a few bytes now and then; without it, the
-        call may take ``TOTAL_FACTOR`` times the timeout. Raises
-        ``PeerUnavailableError`` and forgets the idle connections to this peer.
+        call may take ``TOTAL_FACTOR`` times the timeout, and ``MIN_TOTAL_S`` in any
+        case. Raises ``PeerUnavailableError`` and forgets the idle connections to this
+        peer.
         """
         if total_s is None:
-            total_s = TOTAL_FACTOR * self._timeout_s
+            total_s = max(TOTAL_FACTOR * self._timeout_s, MIN_TOTAL_S)
         idle = self._idle.setdefault(address, [])
         client = idle.pop() if idle else self._new_client(address)
         too_slow = PeerUnavailableError(
