--- a/packages/auburnwall-base/src/auburnwall/base/http.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http.py
@@ -133,14 +133,12 @@
     connection and raises ``urllib3.exceptions.HTTPError`` if the body is cut short, has
     over ``max_bytes`` bytes or is too large beside other messages of this process.
     """
-    complete, body = False, BodyBuffer()
-    errors, account = [], memory.budget.open()
-    account.add_ender(errors.append)
+    complete, body, account = False, BodyBuffer(), memory.budget.open()
     try:
         for chunk in resp.stream(READ_BYTES, decode_content=False):
             account.add(len(chunk))
-            if errors:
-                raise ResponseTooLargeError(str(errors[0]))
+            if account.error:
+                raise ResponseTooLargeError(str(account.error))
             body.add(chunk)
             if body.size > max_bytes:
                 raise ResponseTooLargeError(f"the body has over {max_bytes} bytes")
--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -167,7 +167,6 @@
         self.last_line = b""
         self._lines_bytes = 0
         self._lines_memory = None
-        self._memory_errors = []
         self._lines_left = LINES_PER_CHECK
         self._begun = False
         self._chunk_left = None
@@ -249,10 +248,10 @@
         """Count the lines of a long head; raises ``MessageTooLongError``."""
         if self._lines_memory is None:
             self._lines_memory = memory.budget.open()
-            self._lines_memory.add_ender(self._memory_errors.append)
-        self._lines_memory.add(self._lines_bytes - self._lines_memory.held_bytes)
-        if self._memory_errors:
-            raise MessageTooLongError(str(self._memory_errors[0]))
+        account = self._lines_memory
+        account.add(self._lines_bytes - account.held_bytes)
+        if account.error:
+            raise MessageTooLongError(str(account.error))
 
     def _release_lines(self):
         self._lines_bytes = 0
--- a/packages/auburnwall-base/src/auburnwall/base/memory.py
+++ b/packages/auburnwall-base/src/auburnwall/base/memory.py
@@ -48,9 +48,9 @@
         """Set the limit of a process that may use ``process_bytes``, 0 for none."""
         self.limit_bytes = MESSAGES_SHARE * process_bytes or math.inf
 
-    def open(self, request_id=""):
+    def open(self, request_id="", *, may_end=True):
         """Return the ``MemoryAccount`` of a request, to be closed at its end."""
-        return MemoryAccount(self, request_id)
+        return MemoryAccount(self, request_id, may_end)
 
     def count(self, account, size):
         """Count ``size`` more bytes for an account, fewer if it is negative."""
@@ -90,9 +90,9 @@
     def _make_room(self):
         if self.held_bytes <= self.limit_bytes:
             return
-        left = self.held_bytes - sum(a.held_bytes for a in self._accounts if a.is_ended)
+        left = self.held_bytes - sum(a.held_bytes for a in self._accounts if a.error)
         while left > self.limit_bytes:
-            accounts = [a for a in self._accounts if a.may_end and not a.is_ended]
+            accounts = [a for a in self._accounts if a.may_end and not a.error]
             if not accounts:
                 return
             largest = max(accounts, key=lambda account: account.held_bytes)
@@ -110,23 +110,21 @@
 class MemoryAccount:
     """What the messages of one request hold: ``held_bytes`` without its body.
 
-    Whoever holds some of it registers with ``add_ender`` how it can be made to release
-    that. ``is_ended`` is set once it has been, until something is released.
+    Once it is ended, ``error`` is a ``NoMemoryError`` until something is released.
+    Whoever holds some of it looks at that after each ``add``, or registers with
+    ``add_ender`` how it can be made to release it while it waits. An account that may
+    not end, without ``may_end``, only counts.
     """
 
-    def __init__(self, budget, request_id):
+    def __init__(self, budget, request_id, may_end):
         self.request_id = request_id
+        self.may_end = may_end
         self.held_bytes = 0
-        self.is_ended = False
+        self.error = None
         self._budget = budget
         self._body_bytes = 0
         self._enders = []
 
-    @property
-    def may_end(self):
-        """Return whether the account can be ended."""
-        return bool(self._enders)
-
     def add(self, size):
         """Count further bytes, which may end accounts, also this one."""
         self.held_bytes += size
@@ -135,7 +133,7 @@
     def release(self, size):
         """Count ``size`` bytes less."""
         if size:
-            self.is_ended = False
+            self.error = None
             self.held_bytes -= size
             self._budget.count(self, -size)
 
@@ -161,13 +159,12 @@
 
     def end(self):
         """Let those who hold something of the account release it."""
-        self.is_ended = True
-        error = NoMemoryError(
+        self.error = NoMemoryError(
             f"{self.held_bytes} bytes are too many beside others", step="memory"
         )
         for end in self._enders:
             # The task of the account may be the one that runs now.
-            gevent.get_hub().loop.run_callback(end, error)
+            gevent.get_hub().loop.run_callback(end, self.error)
 
 
 budget = MemoryBudget()
--- a/packages/auburnwall-node/src/auburnwall/node/http.py
+++ b/packages/auburnwall-node/src/auburnwall/node/http.py
@@ -181,11 +181,8 @@
         req, max_bytes = bottle.request, self._components.cfg.most_body_bytes
         with self._components.drain.stop_time.limit_body():
             # The framework decodes chunks once more, and reads on beyond the limit.
-            stream, add_body = (
-                req.environ["wsgi.input"],
-                memory_of(req.environ).add_body,
-            )
-            return read_body(stream, req.content_length, max_bytes, add_body)
+            stream, account = req.environ["wsgi.input"], _memory()
+            return read_body(stream, req.content_length, max_bytes, account.add_body)
 
     def _problem(self, exc):
         gateway = self._components.gateway
@@ -267,6 +264,11 @@
     return environ[REQUEST_ID_KEY]
 
 
+def _memory():
+    """Return the ``MemoryAccount`` of the current request, whose answer is whole."""
+    return memory_of(bottle.request.environ, may_end=False)
+
+
 def _model_of(fields):
     model = fields.get("model")
     if not isinstance(model, str) or not model:
@@ -280,7 +282,7 @@
     for name, value in answer.headers.items():
         bottle.response.headers[name] = value
     bottle.response.headers["X-Request-Id"] = request.request_id
-    memory_of(bottle.request.environ).add(len(answer.body))
+    _memory().add(len(answer.body))
     return answer.body
 
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/connections.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/connections.py
@@ -9,7 +9,6 @@
 
 import gevent
 
-from auburnwall.base import memory
 from auburnwall.base.logs import warn
 
 from .start_stages import FIRST_REQUEST_PLACED
@@ -35,14 +34,13 @@
 
     ``request_id`` is empty until it is known. ``step`` is what it is at. Its response
     must be written by ``write_by`` on the monotonic clock, ``None`` without a limit.
-    ``memory`` is the ``MemoryAccount`` of what is held for it, ``task`` serves it.
+    ``task`` serves it.
     """
 
     def __init__(self, handler, clock):
         self.request_id = ""
         self.step = READ_BODY
         self.write_by = None
-        self.memory = memory.budget.open()
         self.began_at = clock.monotonic()
         self.task = gevent.getcurrent()
         self._handler = handler
@@ -91,7 +89,6 @@
             yield request
         finally:
             del self._running[task]
-            request.memory.close()
 
     def current(self):
         """Return the request that the current task serves, or ``None``."""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -27,6 +27,7 @@
     PROBLEM_TYPE,
     CountedApp,
     body_too_slow_error,
+    memory_of,
     new_listener,
     new_server,
     read_body,
@@ -69,7 +70,7 @@
         running = environ[HANDLER_KEY].running
         call = self._read_head(environ)
         request_id = running.request_id = self._gateway.request_id(call)
-        running.memory.request_id = request_id
+        call.memory.request_id = request_id
         with ExitStack() as stack:
             try:
                 call = self._read_body(environ, call)
@@ -100,15 +101,15 @@
                     500, "Internal error", repr(exc), ran=UNKNOWN, step="serve"
                 )
                 return self._respond_with_problem(start_response, error, request_id)
-            running.memory.add_ender(environ[HANDLER_KEY].end_write)
+            call.memory.add_ender(environ[HANDLER_KEY].end_write)
             return self._respond(start_response, reply, request, running, stack)
 
     def _read_head(self, environ):
         handler = environ[HANDLER_KEY]
         headers = tuple(handler.headers.items())
         now = self._clock.monotonic()
-        memory = handler.running.memory
-        return Call(handler.command, handler.path, headers, b"", now, memory)
+        account = memory_of(environ)
+        return Call(handler.command, handler.path, headers, b"", now, account)
 
     def _read_body(self, environ, call):
         handler, stream, body = environ[HANDLER_KEY], environ["wsgi.input"], b""
--- a/packages/auburnwall-node/src/auburnwall/node/webserver.py
+++ b/packages/auburnwall-node/src/auburnwall/node/webserver.py
@@ -8,9 +8,9 @@
 
 from auburnwall.base import memory
 from auburnwall.base.body_buffer import BodyBuffer
+from auburnwall.base.http import READ_BYTES
 from auburnwall.base.http_reader import MessageTooLongError
 from auburnwall.base.logs import event
-from auburnwall.base.memory import NoMemoryError
 from auburnwall.routing.exceptions import (
     NOT_RUN,
     BadRequestError,
@@ -24,8 +24,6 @@
 JSON_TYPE = "application/json"
 SSE_TYPE = "text/event-stream"
 METRICS_TYPE = "text/plain; version=0.0.4"
-# Largest read from a body whose length is not stated, in bytes.
-READ_BYTES = 65_536
 # Time after which a caller retries whose body finds no memory, in seconds.
 MEMORY_RETRY_AFTER_S = 0.5
 
@@ -67,9 +65,11 @@
             return _CountedBody(body, stack.pop_all())
 
 
-def memory_of(environ):
+def memory_of(environ, *, may_end=True):
     """Return the ``MemoryAccount`` of a request, until its response is written."""
-    return environ.setdefault(MEMORY_KEY, memory.budget.open())
+    if MEMORY_KEY not in environ:
+        environ[MEMORY_KEY] = memory.budget.open(may_end=may_end)
+    return environ[MEMORY_KEY]
 
 
 def _release_memory(environ):
@@ -133,7 +133,7 @@
             add_body(length)
             return stream.read(length)
         body = b"" if length > 0 else _read_pieces(stream, max_bytes, add_body)
-    except NoMemoryError as exc:
+    except memory.NoMemoryError as exc:
         stream.give_up()
         raise OverloadedError(exc.detail, MEMORY_RETRY_AFTER_S, step=exc.step) from exc
     except MessageTooLongError as exc:
--- a/packages/auburnwall-routing/src/auburnwall/routing/completions.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/completions.py
@@ -71,8 +71,7 @@
             yield from self._stream(request, dispatcher, account)
 
     def _stream(self, request, dispatcher, account):
-        retry_state, sent_events, errors = _RetryState(self, request), [], []
-        account.add_ender(errors.append)
+        retry_state, sent_events = _RetryState(self, request), []
         while True:
             try:
                 with (
@@ -86,8 +85,8 @@
                             sent_events.append(events)
                             account.add(len(events))
                             yield events
-                            if errors:
-                                raise _too_large_error(errors[0], slot)
+                            if account.error:
+                                raise _too_large_error(account.error, slot)
                         return
                     except ExchangeError as exc:
                         # The caller already has the whole stream.
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -417,14 +417,14 @@
 
     def _start_attempt(self):
         placement, self._next_placement = self._next_placement, None
-        if placement is None:
-            self._stream.check_resumable()
-            placement = self._place_or_fail()
         try:
             self._stream.check_resumable()
+            if placement is None:
+                placement = self._place_or_fail()
             self._check_placed()
         except RequestError:
-            self._deps.placer.release_slot(placement)
+            if placement is not None:
+                self._deps.placer.release_slot(placement)
             raise
         attempt = self._new_attempt(placement, self._servers_left)
         self._allow_reroute(attempt)
--- a/packages/auburnwall-wire/src/auburnwall/wire/frames.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/frames.py
@@ -22,7 +22,7 @@
             )
         if sz < COUNTED_FRAME_BYTES:
             return super().readAll(sz)
-        account = memory.budget.open("peer")
+        account = memory.budget.open("peer", may_end=False)
         account.add(sz)
         try:
             return super().readAll(sz)
--- a/tests/routed/memory_node.py
+++ b/tests/routed/memory_node.py
@@ -34,7 +34,6 @@
 FIELDS = b"X-Attempt-Id: %b\r\nX-Server-Seal: seal\r\n"
 STREAM = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
 CHUNK = b"10000\r\n%b\r\n" % PIECE
-EVENT = b"id: %d\ndata: " + b"x" * 900_000 + b"\n\n"
 # What the servers of a case send after their head, and the path of the callers.
 CASES = {
     "unframed": (b"\r\n", PIECE, "/look/x"),
--- a/tests/routed/test_memory.py
+++ b/tests/routed/test_memory.py
@@ -20,10 +20,10 @@
 
 
 class MemoryTests(unittest.TestCase):
-    def play(self, case, limit_mb=LIMIT_MB):
+    def play(self, case):
         command = [sys.executable, "-m", "tests.routed.memory_node", case]
         run = subprocess.run(
-            [*command, str(limit_mb)], cwd=ROOT, capture_output=True, timeout=60.0
+            [*command, str(LIMIT_MB)], cwd=ROOT, capture_output=True, timeout=60.0
         )
         self.assertEqual(run.returncode, 0, run.stderr.decode()[-2000:])
         return json.loads(run.stdout.splitlines()[-1])
--- a/tests/routed/test_time_limits.py
+++ b/tests/routed/test_time_limits.py
@@ -24,6 +24,7 @@
 from auburnwall.wire.exceptions import PeerUnavailableError  # noqa: E402
 
 from .raw_server import RawServer, attempt_id, read_request  # noqa: E402
+from .scripted_server import HEAD  # noqa: E402
 from .support import KEY, FrontWithServers, config, wait_until  # noqa: E402
 from .test_endless_senders import LongestPause, endless_server  # noqa: E402
 
@@ -33,10 +34,6 @@
 REQUESTS = 18
 FORMS = ("chunks", "events", "headers", "interim responses", "trailers")
 PATHS = ("/book/x", "/look/x", "/ask/x", "/once/x")
-STREAM_HEAD = (
-    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Seal: seal\r\n"
-    b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-)
 
 
 def short_config():
@@ -99,7 +96,7 @@
     """Sends large events one after the other, as long as they are read."""
 
     def serve(self, sock):
-        head = STREAM_HEAD % attempt_id(read_request(sock))
+        head = HEAD % attempt_id(read_request(sock))
         sock.sendall(head)
         for number in range(1, 100_000):
             event = b"id: %d\ndata: %b\n\n" % (number, b"x" * 60_000)
