Share the turns of one iteration of the event loop

Cause: tasks that always have bytes to read were given turns at set times. When the bytes of 18 connections arrived at once, all 18 turns of 5 ms ran in one iteration, after which the times of all of them had passed, and so on. Ruled out: a slow machine with turns in order; the waits were 0.10 to 0.13 s on a quiet machine, 18 turns each, and 0.15 to 0.22 s beside 12 busy processes on 8 cores, during the whole exchange.

Change: all turns of an iteration share 5 ms; the waiting tasks are woken in their order, as many as fit in that time.

test_other_tasks_do_not_wait_for_all_readers failed before: 0.107 s of processor time between two runs of another task, with 20 readers. After: other tasks of the node wait 0.02 to 0.036 s on the quiet machine, 0.028 to 0.07 s beside 12 busy processes, once 0.155 s at the start of an exchange.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -8,7 +8,6 @@
 
 import io
 import re
-import time
 from collections import deque
 from email import errors
 from http.client import (
@@ -24,7 +23,7 @@
 
 from . import memory
 from .digits import parse_digits
-from .turns import MAX_TURN_S, turns
+from .turns import turns
 
 # Reads of a socket in a row, none of which waited for data, after which a task waits
 # for its next turn so that others can run.
@@ -101,7 +100,7 @@
         self._raw = raw
         self._recv_into = sock.recv_into
         self._loop = gevent.get_hub().loop
-        self._begin_turn(None)
+        self._loop_iteration, self._reads = self._loop.iteration, 0
 
     def readable(self):
         """Return true."""
@@ -118,7 +117,7 @@
         iteration = self._loop.iteration
         if iteration != self._loop_iteration:
             # The event loop has run since, so other tasks had their turn.
-            self._loop_iteration, self._reads, self._began_at = iteration, 0, None
+            self._loop_iteration, self._reads = iteration, 0
         elif self._reads >= MAX_READS_PER_TURN:
             self._wait_for_turn()
         self._reads += 1
@@ -130,20 +129,13 @@
         return count
 
     def check_turn(self):
-        """Let other tasks run if this turn has lasted for ``MAX_TURN_S``."""
-        now = time.perf_counter()
-        if self._began_at is None or self._loop.iteration != self._loop_iteration:
-            self._begin_turn(now)
-        elif now - self._began_at > MAX_TURN_S:
+        """Let other tasks run if the turns of this iteration must end."""
+        if turns.is_over():
             self._wait_for_turn()
 
     def _wait_for_turn(self):
         turns.wait()
-        self._begin_turn(time.perf_counter())
-
-    def _begin_turn(self, began_at):
         self._loop_iteration, self._reads = self._loop.iteration, 0
-        self._began_at = began_at
 
     def close(self):
         """Close this reader and the socket's file object."""
--- a/packages/auburnwall-base/src/auburnwall/base/turns.py
+++ b/packages/auburnwall-base/src/auburnwall/base/turns.py
@@ -2,45 +2,72 @@
 
 Failure pattern: some dozens of connections always have bytes to read. Each of their
 tasks reads for a short time and then lets others run, but together they take a part of
-a second for each round, in which timers and the other connections wait.
+a second for each round, in which timers and the other connections wait. It begins when
+the bytes of all of them arrive at once, and goes on if a task's next turn is due at a
+set time: after one long round, all turns are due.
 """
 
 import time
+from collections import deque
 
 import gevent
+from gevent.hub import Waiter
 
-# Time after which a turn ends, and shortest pause of the event loop between two turns,
-# in seconds. With a sleep of 0 the loop would run a task again and again before it
-# looks at any socket.
+# Time after which the turns of one iteration of the event loop end, and shortest pause
+# of the loop between such turns, in seconds. With a sleep of 0 the loop would run a
+# task again and again before it looks at any socket.
 MAX_TURN_S = 0.005
 TURN_PAUSE_S = 0.001
 
 
 class Turns:
-    """Gives one turn after the other to the tasks of a process.
+    """Shares out a part of each iteration of the event loop to the tasks of a process.
 
-    However many tasks there are, the event loop runs between any two turns.
+    However many tasks there are, together they have ``MAX_TURN_S`` in an iteration,
+    and those that have to wait get their turns in the order in which they came.
     """
 
     def __init__(self):
-        self._waiting = 0
-        self._free_at = 0.0
+        self._waiters = deque()
+        self._timer = None
+        self._iteration = None
+        self._began_at = 0.0
+
+    def is_over(self):
+        """Return whether the turns of this iteration of the event loop must end."""
+        iteration, now = gevent.get_hub().loop.iteration, time.perf_counter()
+        if iteration != self._iteration:
+            self._iteration, self._began_at = iteration, now
+        return now - self._began_at > MAX_TURN_S
 
     def wait(self):
         """Wait for the next turn of the current task.
 
         Timeouts and interrupts of the task take effect meanwhile.
         """
-        now = time.perf_counter()
-        begins_at = now + TURN_PAUSE_S
-        if self._waiting:
-            begins_at = max(begins_at, self._free_at)
-        self._free_at = begins_at + MAX_TURN_S + TURN_PAUSE_S
-        self._waiting += 1
+        waiter = Waiter()
+        self._waiters.append(waiter)
+        self._start_timer()
         try:
-            gevent.sleep(begins_at - now)
-        finally:
-            self._waiting -= 1
+            waiter.get()
+        except BaseException:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+            raise
+
+    def _start_timer(self):
+        if self._timer is None:
+            self._timer = gevent.get_hub().loop.timer(TURN_PAUSE_S)
+        if not self._timer.active:
+            # The loop's time may be that of the begin of this iteration.
+            self._timer.start(self._run, update=True)
+
+    def _run(self):
+        """Let tasks run that wait; called by the event loop."""
+        while self._waiters and not self.is_over():
+            self._waiters.popleft().switch(None)
+        if self._waiters:
+            self._start_timer()
 
 
 turns = Turns()
