Let readers of single bytes take turns as well

Callers saw: with 18 callers whose chunks of one byte never end, everybody else waited for up to 0.39 s at a time, with endless trailers 0.2 s (on a quiet machine).

Cause: the parser of a caller's chunks reads byte by byte, and a task looked at its turn only after lines: so after two reads of its socket, 16 KB, which are 16,000 such reads.

Change: single reads count like lines.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -28,9 +28,9 @@
 # Reads of a socket in a row, none of which waited for data, after which a task waits
 # for its next turn so that others can run.
 MAX_READS_PER_TURN = 2
-# Lines after which a task looks whether its turn has lasted too long: chunks of one
-# byte take a thousand times as long as their bytes in one piece.
-LINES_PER_CHECK = 64
+# Calls after which a task looks whether its turn has lasted too long: bytes that are
+# read one by one take a thousand times as long as in one piece.
+CALLS_PER_CHECK = 64
 # Largest total size of lines that follow each other without data, in bytes: those of a
 # head with its interim responses, or those between two pieces of a body.
 MAX_LINES_BYTES = 256 * 1024
@@ -159,7 +159,7 @@
         self.last_line = b""
         self._lines_bytes = 0
         self._lines_memory = None
-        self._lines_left = LINES_PER_CHECK
+        self._calls_left = CALLS_PER_CHECK
         self._begun = False
         self._chunk_left = None
         self._is_in_trailer = False
@@ -191,10 +191,9 @@
         holds a CR by itself, which the parser of fields takes for the end of a line, or
         if it begins a mail in a mailbox, which that parser may leave out.
         """
-        self._lines_left -= 1
-        if not self._lines_left:
-            self._lines_left = LINES_PER_CHECK
-            self._socket_reader.check_turn()
+        self._calls_left -= 1
+        if not self._calls_left:
+            self._check_turn()
         max_bytes = MAX_LINES_BYTES - self._lines_bytes + 1
         if 0 <= size < max_bytes:
             max_bytes = size
@@ -226,8 +225,10 @@
 
     def read(self, size=-1):
         """Return up to ``size`` bytes of data, fewer only at the connection's end."""
-        self._lines_bytes = 0
-        if self._lines_memory is not None:
+        self._calls_left -= 1
+        if not self._calls_left:
+            self._check_turn()
+        if self._lines_bytes:
             self._release_lines()
         data = _read(self, size)
         if self._chunk_left is not None:
@@ -236,6 +237,10 @@
                 raise FramingError(f"a chunk ends with {data[-2:]!r}")
         return data
 
+    def _check_turn(self):
+        self._calls_left = CALLS_PER_CHECK
+        self._socket_reader.check_turn()
+
     def _count_lines(self):
         """Count the lines of a long head; raises ``MessageTooLongError``."""
         if self._lines_memory is None:
--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -126,10 +126,10 @@
     def read(self, size):
         """Return up to ``size`` bytes; raises ``FramingError`` for a bad line."""
         data = self._read(size)
-        body = self._body
-        is_in_line = body.position >= body.chunk_length
-        if data == b"\n" and is_in_line and self._last != b"\r":
-            raise FramingError("a line feed within the line of a chunk")
+        if data == b"\n" and self._last != b"\r":
+            body = self._body
+            if body.position >= body.chunk_length:
+                raise FramingError("a line feed within the line of a chunk")
         self._last = data
         return data
 
--- a/tests/base/test_turns.py
+++ b/tests/base/test_turns.py
@@ -35,8 +35,10 @@
 
 
 class ReaderTests(unittest.TestCase):
+    """Readers of chunks with one byte each."""
+
     def setUp(self):
-        self.chunks = [0] * READERS
+        self.pieces = [0] * READERS
         self.tasks = [gevent.spawn(self.read, number) for number in range(READERS)]
         self.addCleanup(gevent.killall, self.tasks)
 
@@ -44,9 +46,12 @@
         sock = EndlessSocket()
         reader = MessageReader(sock, io.BufferedReader(sock))
         while True:
-            reader.readline()
-            reader.read(3)
-            self.chunks[number] += 1
+            self.read_piece(reader)
+            self.pieces[number] += 1
+
+    def read_piece(self, reader):
+        reader.readline()
+        reader.read(3)
 
     def longest_run_s(self, for_s):
         """Return the longest processor time for which another task has waited."""
@@ -62,17 +67,24 @@
 
     def test_all_readers_go_on(self):
         gevent.sleep(0.5)
-        before = self.chunks[:]
+        before = self.pieces[:]
         gevent.sleep(1.0)
-        read = [now - then for now, then in zip(self.chunks, before, strict=True)]
+        read = [now - then for now, then in zip(self.pieces, before, strict=True)]
         self.assertGreater(min(read), 0)
 
     def test_ended_readers_leave_their_turns_to_others(self):
         gevent.sleep(0.1)
         gevent.killall(self.tasks[1:])
-        before = self.chunks[0]
+        before = self.pieces[0]
         gevent.sleep(0.5)
-        self.assertGreater(self.chunks[0], before)
+        self.assertGreater(self.pieces[0], before)
+
+
+class ByteReaderTests(ReaderTests):
+    """Readers that read byte by byte, as the parser of a caller's chunks does."""
+
+    def read_piece(self, reader):
+        reader.read(1)
 
 
 class TurnsTests(unittest.TestCase):
