--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -228,7 +228,8 @@
         self._calls_left -= 1
         if not self._calls_left:
             self._check_turn()
-        if self._lines_bytes:
+        self._lines_bytes = 0
+        if self._lines_memory is not None:
             self._release_lines()
         data = _read(self, size)
         if self._chunk_left is not None:
--- a/packages/auburnwall-base/src/auburnwall/base/sockets.py
+++ b/packages/auburnwall-base/src/auburnwall/base/sockets.py
@@ -1,4 +1,4 @@
-"""Looks at sockets without waiting for them."""
+"""Looks at sockets and uses them without waiting for them."""
 
 from socket import MSG_PEEK
 
@@ -18,6 +18,17 @@
     return _peek(sock) == b""
 
 
+def send_available(sock, data):
+    """Send what a socket of ``gevent`` has room for; return the number of bytes.
+
+    This is 0 after an error, which the next use of the socket raises.
+    """
+    try:
+        return sock.send(data, 0, 0.0)
+    except OSError:
+        return 0
+
+
 def _peek(sock):
     """Return an unread byte, ``b""`` at an end or an error, or else ``None``.
 
--- a/packages/auburnwall-node/src/auburnwall/node/callers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/callers.py
@@ -18,7 +18,7 @@
     check_fields,
 )
 from auburnwall.base.logs import event
-from auburnwall.base.sockets import has_ended, has_unread
+from auburnwall.base.sockets import has_ended, has_unread, send_available
 
 SOCKET_KEY = "auburnwall.socket"
 # Largest number of bytes in a request for each byte of its body: a chunk with one byte
@@ -279,9 +279,13 @@
             return write_stall_s
 
         def _sendall(self, data):
-            with gevent.Timeout(
-                self.write_limit_s(), CallerStalledError("the caller stopped reading")
-            ):
-                super()._sendall(data)
+            # Most writes have room, and need no timer.
+            sent = send_available(self.socket, data)
+            self.response_length += sent
+            if sent == len(data):
+                return
+            stalled = CallerStalledError("the caller stopped reading")
+            with gevent.Timeout(self.write_limit_s(), stalled):
+                super()._sendall(memoryview(data)[sent:])
 
     return Handler
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -73,6 +73,7 @@
         self._memory = request.call.memory or memory.budget.open(request.request_id)
         self._memory.add_ender(self._end_for_memory)
         self.exchange = deps.in_flight.begin(request, placement.candidate)
+        self._awaiting_server = _AwaitingServer(self.exchange)
         self.exchange.has_unread = self._has_unread
         self.exchange.has_unread_bytes = self._has_unread_bytes
 
@@ -85,7 +86,7 @@
         call, connection = self._request.call, self._channel.connection
         connection.id_header = self._deps.header_names.request_id
         try:
-            with self._awaiting_server():
+            with self._awaiting_server:
                 connection.request(
                     call.method,
                     call.path,
@@ -360,7 +361,7 @@
         chunks = self._resp.read_chunked(READ_BYTES) if chunked else self._unchunked()
         while True:
             try:
-                with self._awaiting_server():
+                with self._awaiting_server:
                     data = next(chunks, None)
             except EXCHANGE_FAILURES as exc:
                 raise self._failure(exc, "read answer") from exc
@@ -412,10 +413,6 @@
         sock = self._channel.connection.sock if self._channel else None
         return sock is not None and has_unread_bytes(sock)
 
-    def _awaiting_server(self):
-        """Return a context in which ``in_flight`` may interrupt the exchange."""
-        return _AwaitingServer(self.exchange)
-
     def _failure(self, exc, step):
         return self._error(str(exc) or repr(exc), step)
 
@@ -426,7 +423,8 @@
 class _AwaitingServer:
     """Marks an exchange as waiting for its server, within a ``with`` block.
 
-    Raises the ``final_error`` of an exchange that has one.
+    There ``in_flight`` may interrupt it. Raises the ``final_error`` of an exchange that
+    has one. It is entered again for each piece of a response.
     """
 
     def __init__(self, exchange):
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt_log.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt_log.py
@@ -35,7 +35,7 @@
             offer=number,
             running=placement.load,
             waited_s=round(waited_s, 3),
-            resume_after=resume_at.last_id if resume_at else None,
+            resume_after=resume_at.id_text if resume_at else None,
             detour=attempt.is_detour or None,
             forwarded_by=request.forwarded_by or None,
         )
@@ -47,9 +47,9 @@
             self._record_start(attempt, now)
             self._first_event_s = now - self._request.call.arrived_at
         else:
-            self._longest_pause_s = max(
-                self._longest_pause_s, now - self._last_events_at
-            )
+            pause_s = now - self._last_events_at
+            if pause_s > self._longest_pause_s:
+                self._longest_pause_s = pause_s
         self._last_events_at = now
 
     def note_response(self, attempt, event_name, attempt_count):
--- a/packages/auburnwall-routing/src/auburnwall/routing/caller_stream.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/caller_stream.py
@@ -18,14 +18,16 @@
 
     >>> stream = CallerStream()
     >>> begun_at = stream.position
-    >>> stream.note_passed_on(StreamPosition("4", True))
+    >>> stream.note_passed_on(StreamPosition(b"4", True))
     >>> stream.goes_on_after(begun_at), stream.goes_on_after(stream.position)
     (False, True)
     """
 
     def __init__(self, last_id=None):
-        # Whether the ids up to there were consecutive is not known.
-        self.position = StreamPosition(last_id, False) if last_id else None
+        self.position = None
+        if last_id:
+            # Whether the ids up to there were consecutive is not known.
+            self.position = StreamPosition(last_id.encode("latin-1", "replace"), False)
         self.has_begun = False
 
     def note_passed_on(self, position):
--- a/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
@@ -33,6 +33,8 @@
     """
 
     def __init__(self):
+        # The size of the incomplete event, in bytes.
+        self.pending_bytes = 0
         self._incomplete = BodyBuffer()
         self._last_byte = b""
 
@@ -44,11 +46,6 @@
         """
         return bool(self._incomplete.take().strip(b"\n"))
 
-    @property
-    def pending_bytes(self):
-        """Return the size of the incomplete event."""
-        return self._incomplete.size
-
     def feed(self, data):
         """Return the bytes of all events that are complete now, possibly none."""
         end = data.rfind(_EVENT_END)
@@ -56,9 +53,9 @@
         if end < 0 and not is_within:
             self._keep(data)
             return b""
-        if self._incomplete.size:
+        if self.pending_bytes:
             data = self._incomplete.take() + data
-            self._incomplete = BodyBuffer()
+            self._incomplete, self.pending_bytes = BodyBuffer(), 0
             end = data.rfind(_EVENT_END)
         end += len(_EVENT_END)
         self._last_byte = b""
@@ -68,6 +65,7 @@
 
     def _keep(self, data):
         self._incomplete.add(data)
+        self.pending_bytes += len(data)
         self._last_byte = data[-1:]
 
 
@@ -77,9 +75,14 @@
     ``is_consecutive`` is whether each id up to there was one more than the last.
     """
 
-    last_id: str | None
+    last_id: bytes | None
     is_consecutive: bool
 
+    @property
+    def id_text(self):
+        """Return the id as text, ``None`` before the first event."""
+        return None if self.last_id is None else self.last_id.decode("latin-1")
+
 
 class NumberedEventSplitter(EventSplitter):
     """Also counts the events and checks their ids, which must increase.
@@ -88,7 +91,8 @@
     belong to the stream. Then ``fault`` says why, and nothing is returned from there
     on. Comments need no id. With ``resumed_at``, a ``StreamPosition``, this is the
     continuation of a stream: also its first event needs an id that follows, and
-    comments before it are left out.
+    comments before it are left out. ``position`` is the ``StreamPosition`` after the
+    last event.
 
     >>> splitter = NumberedEventSplitter()
     >>> splitter.feed(b"id: 4\\ndata: x\\n\\nid: 5\\nda")
@@ -103,23 +107,14 @@
         super().__init__()
         self.count = 0
         self.fault = None
+        self.position = resumed_at or StreamPosition(None, True)
         self._is_resumed = resumed_at is not None
-        self._last_id = self._last_number = None
-        self._is_consecutive = True
-        if resumed_at is not None:
-            self._last_id = resumed_at.last_id.encode("latin-1", "replace")
-            self._last_number = _number_of(self._last_id)
-            self._is_consecutive = resumed_at.is_consecutive
-
-    @property
-    def position(self):
-        """Return the ``StreamPosition`` after the last event."""
-        return StreamPosition(self.last_id, self._is_consecutive)
+        self._last_number = resumed_at and _number_of(resumed_at.last_id)
 
     @property
     def last_id(self):
-        """Return the id of the last event, ``None`` without one."""
-        return None if self._last_id is None else self._last_id.decode("latin-1")
+        """Return the id of the last event as text, ``None`` without one."""
+        return self.position.id_text
 
     def feed(self, data):
         """Return the bytes of all events that are complete now, possibly none."""
@@ -141,31 +136,30 @@
         if event_id is None:
             if _is_comment(event_bytes):
                 return None
-            if self._is_resumed or self._last_id is not None:
+            if self._is_resumed or self.position.last_id is not None:
                 return f"an event without an id after event {self.last_id}"
             self.count += 1
             return None
         number, last = _number_of(event_id), self._last_number
+        last_id, is_consecutive = self.position
         is_next = number is not None and number == (last or 0) + 1
-        if (
-            self._last_id is not None
-            and not is_next
-            and not self._may_skip_to(event_id)
-        ):
+        if last_id is not None and not is_next and not self._may_skip_to(event_id):
             shown_id = event_id[:MAX_LOGGED_ID_CHARS].decode("latin-1")
             return f"event {shown_id} after event {self.last_id}"
-        self._is_consecutive = is_next and (self._is_consecutive or not self.count)
-        self._last_id, self._last_number = event_id, number
+        is_consecutive = is_next and (is_consecutive or not self.count)
+        self.position = StreamPosition(event_id, is_consecutive)
+        self._last_number = number
         self.count += 1
         return None
 
     def _may_skip_to(self, event_id):
         """Return whether an event that is not the next number may follow."""
         number, last = _number_of(event_id), self._last_number
+        last_id, is_consecutive = self.position
         if number is None or last is None:
             # Ids of another form have no order.
-            return number is None and last is None and event_id != self._last_id
-        if self._is_resumed and not self.count and self._is_consecutive:
+            return number is None and last is None and event_id != last_id
+        if self._is_resumed and not self.count and is_consecutive:
             return False
         return number > last
 
--- a/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/forwarder.py
@@ -119,8 +119,6 @@
             try:
                 try:
                     for event_bytes in attempt.events():
-                        if not attempts.has_events:
-                            attempts.keep_first_head(attempt)
                         attempts.record_events(attempt)
                         yield event_bytes
                     if not attempts.has_events:
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_attempts.py
@@ -78,6 +78,8 @@
 
     def record_events(self, attempt):
         """Record that events of an attempt are passed on to the caller now."""
+        if not self._stream.has_begun:
+            self.keep_first_head(attempt)
         self._stream.note_passed_on(attempt.splitter.position)
         self._log.note_events(attempt)
 
@@ -333,8 +335,8 @@
             self._log.write(
                 following,
                 "continuation out of date",
-                resume_after=following.resume_at and following.resume_at.last_id,
-                last_event=self._stream.position.last_id,
+                resume_after=following.resume_at and following.resume_at.id_text,
+                last_event=self._stream.position.id_text,
                 sent_again=is_sent,
             )
             if is_sent:
--- a/packages/auburnwall-routing/src/auburnwall/routing/request_head.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/request_head.py
@@ -18,7 +18,7 @@
     def __init__(self, deps, request, resume_at):
         self._deps = deps
         self._request = request
-        self._last_id = resume_at.last_id if resume_at else None
+        self._last_id = resume_at.id_text if resume_at else None
 
     def for_server(self, server):
         """Return the headers for a server."""
--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -12,9 +12,9 @@
 
 import openai
 import urllib3
-from gevent.pywsgi import WSGIHandler
 from uuid6 import uuid7
 
+from auburnwall.node import callers
 from standins.engine import response_words
 
 from .support import KEY, MODEL, LiveNode
@@ -64,13 +64,13 @@
 
     def test_answer_counts_as_running_until_it_is_written(self):
         gateway, states = self.node.components.gateway, []
-        write = WSGIHandler._sendall
+        write = callers.send_available
 
-        def record(handler, data):
+        def record(sock, data):
             states.append(gateway.running())
-            write(handler, data)
+            return write(sock, data)
 
-        with mock.patch.object(WSGIHandler, "_sendall", record):
+        with mock.patch.object(callers, "send_available", record):
             resp, _ = self.send("GET", "/v1/models")
             self.assertEqual(resp.status, 200)
             resp, _ = self.send("GET", "/admin/status")
--- a/tests/routed/test_caller_connections.py
+++ b/tests/routed/test_caller_connections.py
@@ -12,11 +12,10 @@
 
 import gevent  # noqa: E402
 from absl import logging  # noqa: E402
-from gevent.pywsgi import WSGIHandler  # noqa: E402
 
 from auburnwall.base.clock import SystemClock  # noqa: E402
 from auburnwall.node import callers  # noqa: E402
-from auburnwall.node.callers import CallerStalledError  # noqa: E402
+from auburnwall.node.routed import front  # noqa: E402
 from auburnwall.node.routed.connections import (  # noqa: E402
     MAX_CUT_OFF_LINES,
     CallerConnections,
@@ -147,10 +146,13 @@
         self.assertIn("[Errno", line["why"])
 
     def test_caller_that_stops_reading(self):
-        error = CallerStalledError("the caller stopped reading")
-        with mock.patch.object(WSGIHandler, "_sendall", side_effect=error):
+        for server in self.front.desks:
+            server.body_bytes = BODY_BYTES
+        with mock.patch.object(front, "WRITE_STALL_S", 0.2):
             self.send("/look/x")
-            line = self.assert_line("caller connection closed", by="caller")
+            line = self.assert_line(
+                "caller connection closed", by="caller", step="write to caller"
+            )
         self.assertEqual(line["why"], "the caller stopped reading")
 
     def test_stream_that_the_node_breaks_off(self):
--- a/tests/routing/test_searches.py
+++ b/tests/routing/test_searches.py
@@ -45,7 +45,7 @@
     budget = SimpleNamespace(may_take=lambda: True, take=lambda: True)
     attempts = RequestAttempts(deps, request, budget)
     if has_begun:
-        attempts._stream.note_passed_on(StreamPosition("id-1", True))
+        attempts._stream.note_passed_on(StreamPosition(b"id-1", True))
     attempt = SimpleNamespace(candidate=SimpleNamespace(server=server))
     try:
         return attempts.place_elsewhere(attempt)
