Wake one task that waits for its turn in any iteration

A task that always has bytes to read would not go on if others had used up each iteration's time before the event loop looks at the timer of the turns. By reading of the loop's order this cannot happen with the present event loop, which looks at timers first; it was not seen.

test_tasks_go_on_where_others_use_up_all_iterations failed before. tests.base.test_turns: 9 passed, 0 failed.

--- a/packages/auburnwall-base/src/auburnwall/base/turns.py
+++ b/packages/auburnwall-base/src/auburnwall/base/turns.py
@@ -63,9 +63,11 @@
             self._timer.start(self._run, update=True)
 
     def _run(self):
-        """Let tasks run that wait; called by the event loop."""
-        while self._waiters and not self.is_over():
+        """Let tasks run that wait, one at least; called by the event loop."""
+        is_over = False
+        while self._waiters and not is_over:
             self._waiters.popleft().switch(None)
+            is_over = self.is_over()
         if self._waiters:
             self._start_timer()
 
--- a/tests/base/test_turns.py
+++ b/tests/base/test_turns.py
@@ -10,6 +10,7 @@
 import io  # noqa: E402
 import time  # noqa: E402
 import unittest  # noqa: E402
+from unittest import mock  # noqa: E402
 
 import gevent  # noqa: E402
 
@@ -98,6 +99,13 @@
         gevent.joinall([gevent.spawn(work, number) for number in range(10)])
         self.assertEqual(order, list(range(10)))
 
+    def test_tasks_go_on_where_others_use_up_all_iterations(self):
+        turns = Turns()
+        with mock.patch.object(turns, "is_over", lambda: True):
+            tasks = [gevent.spawn(turns.wait) for _ in range(10)]
+            gevent.joinall(tasks, timeout=1.0)
+        self.assertTrue(all(task.ready() for task in tasks))
+
     def test_interrupted_task_is_passed_over(self):
         turns, ended = Turns(), []
 
