Let callers' bodies in chunks wait for memory

Callers saw: 48 bodies of 3 MB in chunks took a process that may hold 24 MB of messages from 44 to 189 MB, which ends a node for its memory with the requests of others; some requests at the sound service got no answer. Found by reading read_body.

Cause: each piece of a body in chunks was counted by itself, as a small body of up to 64 KB, and those did not wait. Small bodies had no limit at all.

Change: a body that goes on after its first piece counts as long as it may be until it is read; several that each hold a part would wait for each other. Small bodies wait where all bodies together reach the limit.

The case "callers' chunked bodies" of test_memory (146 MB more, of 48) and tests.base.test_memory failed before. After: 73 MB at the peak, 200 for all. Five modules around it: 46 passed, 0 failed.

--- a/packages/auburnwall-base/src/auburnwall/base/memory.py
+++ b/packages/auburnwall-base/src/auburnwall/base/memory.py
@@ -17,12 +17,12 @@
 # Part of the process's memory that messages may use together. The rest is for the
 # interpreter and the tables, and for copies of a message that are made for a moment.
 MESSAGES_SHARE = 0.25
-# Part of that which bodies of callers may use. They are waited for; if answers need
+# Part of that which bodies of callers may use before large ones wait. If answers need
 # more than is left, the request that holds most of them ends.
 BODIES_SHARE = 0.5
-# Bodies up to this size are read without a wait, in bytes.
+# Bodies up to this size wait only if all bodies together reach the limit, in bytes.
 SMALL_BODY_BYTES = 65_536
-# Longest time that a larger one waits for memory, in seconds.
+# Longest time that a body waits for memory, in seconds.
 BODY_WAIT_S = 1.0
 
 
@@ -65,11 +65,13 @@
     def count_body(self, size):
         """Count ``size`` more bytes of a caller's body, fewer if it is negative.
 
-        Large ones wait for memory before. Raises ``NoMemoryError`` if there is none
-        after ``BODY_WAIT_S``.
+        Waits for memory before. Raises ``NoMemoryError`` if there is none after
+        ``BODY_WAIT_S``.
         """
-        if size > SMALL_BODY_BYTES:
-            self._wait_for_room(size)
+        is_large = size > SMALL_BODY_BYTES
+        limit = self.largest_body_bytes if is_large else self.limit_bytes
+        if size > 0 and self.bodies_bytes + size > limit:
+            self._wait_for_room(size, limit)
         self.bodies_bytes += size
         self.held_bytes += size
         if size > 0:
@@ -77,8 +79,12 @@
         else:
             self._room.set()
 
-    def _wait_for_room(self, size):
-        limit = BODIES_SHARE * self.limit_bytes
+    @property
+    def largest_body_bytes(self):
+        """Return the size of the largest body that there is memory for, in bytes."""
+        return BODIES_SHARE * self.limit_bytes
+
+    def _wait_for_room(self, size, limit):
         with gevent.Timeout(BODY_WAIT_S if size <= limit else 0, False):
             while self.bodies_bytes + size > limit:
                 self._room.clear()
--- a/packages/auburnwall-node/src/auburnwall/node/webserver.py
+++ b/packages/auburnwall-node/src/auburnwall/node/webserver.py
@@ -146,11 +146,22 @@
 
 
 def _read_pieces(stream, max_bytes, add_body):
-    """Return a body whose length is not stated, or its first bytes over a limit."""
+    """Return a body whose length is not stated, or its first bytes over a limit.
+
+    If it does not end with its first piece, it counts as long as it may be before more
+    of it is read: several that each hold a part would wait for each other.
+    """
+    most_bytes = int(min(max_bytes, memory.budget.largest_body_bytes))
+    counted = min(READ_BYTES, max_bytes)
+    add_body(counted)
     with BodyBuffer() as body:
         while body.size <= max_bytes and (data := stream.read(READ_BYTES)):
-            add_body(len(data))
             body.add(data)
+            if body.size >= counted:
+                more = max(most_bytes - counted, READ_BYTES)
+                add_body(more)
+                counted += more
+        add_body(body.size - counted)
         return body.take()
 
 
--- a/tests/routed/memory_node.py
+++ b/tests/routed/memory_node.py
@@ -34,6 +34,11 @@
 FIELDS = b"X-Attempt-Id: %b\r\nX-Server-Seal: seal\r\n"
 STREAM = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
 CHUNK = b"10000\r\n%b\r\n" % PIECE
+LAST_CHUNK_BYTES = BODY_BYTES % len(PIECE)
+CHUNKED_BODY = CHUNK * (BODY_BYTES // len(PIECE)) + b"%x\r\n%b\r\n0\r\n\r\n" % (
+    LAST_CHUNK_BYTES,
+    PIECE[:LAST_CHUNK_BYTES],
+)
 # What the servers of a case send after their head, and the path of the callers.
 CASES = {
     "unframed": (b"\r\n", PIECE, "/look/x"),
@@ -89,12 +94,16 @@
     return body
 
 
-def call(front, path, number, body=b"", reads=True):
-    """Send a request; return its status, 0 without a whole answer."""
+def call(front, path, number, body=b"", framing="", reads=True):
+    """Send a request; return its status, 0 without a whole answer.
+
+    ``framing`` is the field for its body, by default for one with a length.
+    """
     host, _, port = front.address.rpartition(":")
     head = (
         f"POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: r-{number}\r\n"
-        f"Authorization: Bearer {KEY}\r\nContent-Length: {len(body)}\r\n\r\n"
+        f"Authorization: Bearer {KEY}\r\n"
+        f"{framing or f'Content-Length: {len(body)}'}\r\n\r\n"
     )
     with suppress(OSError), socket.create_connection((host, int(port)), 20.0) as sock:
         sock.sendall(head.encode())
@@ -120,17 +129,19 @@
 
 def play(front, case):
     """Play one case; return the statuses of its requests."""
-    body, reads, path = b"", True, "/look/x"
+    body, framing, reads, path = b"", "", True, "/look/x"
     if case in CASES:
         head, piece, path = CASES[case]
         replace(front, path, lambda server: Sender(server, head, piece))
     elif case == "callers' bodies":
         body = b"x" * BODY_BYTES
+    elif case == "callers' chunked bodies":
+        body, framing = CHUNKED_BODY, "Transfer-Encoding: chunked"
     elif case == "callers that do not read":
         reads = False
         replace(front, path, LargeAnswers)
     calls = [
-        gevent.spawn(call, front, path, n, body, reads)
+        gevent.spawn(call, front, path, n, body, framing, reads)
         for n in range(2 * CALLERS if body else CALLERS)
     ]
     gevent.joinall(calls, timeout=SECONDS + 1.0)
--- a/tests/routed/test_memory.py
+++ b/tests/routed/test_memory.py
@@ -46,8 +46,10 @@
 
     def test_large_bodies_of_callers_wait_for_memory(self):
         """Also against bodies that are refused though there is memory soon."""
-        result = self.check("callers' bodies")
-        self.assertEqual(set(result["others"]), {200}, result)
+        for case in ("callers' bodies", "callers' chunked bodies"):
+            with self.subTest(case=case):
+                result = self.check(case)
+                self.assertEqual(set(result["others"]), {200}, result)
 
 
 if __name__ == "__main__":
