Drop a second count, an idle shortcut and a repeated reset

Cause: a reading of the change as a whole. The size of an incomplete event was kept beside the buffer that has it; the limit of a write was spelled out to save time where writes with room no longer ask for it; the begin of a reader's turn was written three times; a test kept a list that nothing looked at; "_new_head" read like a factory.

Change: the size is the buffer's again, the limit is the expression that it was, the begin of a turn is one method, the head is "_request_head". No behaviour changes, no assertion either.

--- a/packages/auburnwall-base/src/auburnwall/base/http_reader.py
+++ b/packages/auburnwall-base/src/auburnwall/base/http_reader.py
@@ -100,7 +100,7 @@
         self._raw = raw
         self._recv_into = sock.recv_into
         self._loop = gevent.get_hub().loop
-        self._loop_iteration, self._reads = self._loop.iteration, 0
+        self._begin_turn()
 
     def readable(self):
         """Return true."""
@@ -114,10 +114,9 @@
         """Read available data, or wait for some; return the number of bytes."""
         if self.is_at_end:
             return 0
-        iteration = self._loop.iteration
-        if iteration != self._loop_iteration:
+        if self._loop.iteration != self._loop_iteration:
             # The event loop has run since, so other tasks had their turn.
-            self._loop_iteration, self._reads = iteration, 0
+            self._begin_turn()
         elif self._reads >= MAX_READS_PER_TURN:
             self._wait_for_turn()
         self._reads += 1
@@ -135,6 +134,9 @@
 
     def _wait_for_turn(self):
         turns.wait()
+        self._begin_turn()
+
+    def _begin_turn(self):
         self._loop_iteration, self._reads = self._loop.iteration, 0
 
     def close(self):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -348,8 +348,7 @@
         write_by = self.running.write_by
         if write_by is None:
             return WRITE_STALL_S
-        left_s = write_by - self.clock.monotonic()
-        return WRITE_STALL_S if left_s > WRITE_STALL_S else max(left_s, MIN_WRITE_S)
+        return min(max(write_by - self.clock.monotonic(), MIN_WRITE_S), WRITE_STALL_S)
 
     def handle_error(self, kind, value, traceback):
         """Close the connection, so that a truncated response cannot look complete."""
--- a/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/attempt.py
@@ -64,7 +64,7 @@
         self._deps = deps
         self._request = request
         self._placement = placement
-        self._new_head = RequestHead(deps, request, resume_at)
+        self._request_head = RequestHead(deps, request, resume_at)
         self._servers_left = servers_left
         self._channel = None
         self._resp = None
@@ -274,7 +274,7 @@
         self._deps.reach.note_connected(self._request.service)
 
     def _sent_headers(self):
-        return self._new_head.for_server(self.candidate.server)
+        return self._request_head.for_server(self.candidate.server)
 
     def _log_stale_answers(self, heads):
         for headers in heads:
--- a/packages/auburnwall-routing/src/auburnwall/routing/detour.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/detour.py
@@ -144,4 +144,4 @@
         """Record nothing: what a server says of itself concerns the peer."""
 
     def _sent_headers(self):
-        return self._new_head.for_peer(self._servers_left)
+        return self._request_head.for_peer(self._servers_left)
--- a/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/event_stream.py
@@ -33,8 +33,6 @@
     """
 
     def __init__(self):
-        # The size of the incomplete event, in bytes.
-        self.pending_bytes = 0
         self._incomplete = BodyBuffer()
         self._last_byte = b""
 
@@ -46,6 +44,11 @@
         """
         return bool(self._incomplete.take().strip(b"\n"))
 
+    @property
+    def pending_bytes(self):
+        """Return the size of the incomplete event."""
+        return self._incomplete.size
+
     def feed(self, data):
         """Return the bytes of all events that are complete now, possibly none."""
         end = data.rfind(_EVENT_END)
@@ -53,9 +56,9 @@
         if end < 0 and not is_within:
             self._keep(data)
             return b""
-        if self.pending_bytes:
+        if self._incomplete.size:
             data = self._incomplete.take() + data
-            self._incomplete, self.pending_bytes = BodyBuffer(), 0
+            self._incomplete = BodyBuffer()
             end = data.rfind(_EVENT_END)
         end += len(_EVENT_END)
         self._last_byte = b""
@@ -65,7 +68,6 @@
 
     def _keep(self, data):
         self._incomplete.add(data)
-        self.pending_bytes += len(data)
         self._last_byte = data[-1:]
 
 
--- a/tests/base/test_turns.py
+++ b/tests/base/test_turns.py
@@ -107,12 +107,11 @@
         self.assertTrue(all(task.ready() for task in tasks))
 
     def test_interrupted_task_is_passed_over(self):
-        turns, ended = Turns(), []
+        turns = Turns()
 
         def work():
             with gevent.Timeout(0.0, False):
                 turns.wait()
-                ended.append("turn")
 
         tasks = [gevent.spawn(work), gevent.spawn(turns.wait)]
         gevent.joinall(tasks, timeout=1.0)
