Name the version, its offset, age and source in answers of 404 and 401

Callers got 404 or 401 by a configuration of unknown age; neither the response nor the log said by which version, so an age without an owner, a version that was not applied and a route that was not found could not be told apart.

The answer and its log line now name the version, its offset, the age of the node's copy and where the version was read. Each version that is read has one line: in force (with the age that the copy had before, and whether that is over the limit), skipped or refused. Metrics: table ages, version in force, whether the newest one is refused, and versions by outcome.

No decision changes. Nothing changes on the wire between nodes.

--- a/packages/auburnwall-cli/src/auburnwall/cli/nodelogs.py
+++ b/packages/auburnwall-cli/src/auburnwall/cli/nodelogs.py
@@ -5,6 +5,22 @@
 
 from .exceptions import BadInputError
 
+# Events of the tables and of the configuration, which explain an answer that names the
+# version of the configuration by which it was given.
+_CONFIGURATION_EVENTS = {
+    "bad configuration",
+    "configuration in force",
+    "old configuration",
+    "paused",
+    "table copy failed",
+    "table copy outdated",
+    "table lost",
+    "table read",
+    "table refreshed",
+    "table stale",
+}
+# How many of them are shown, the newest before the answer.
+_MAX_CONFIGURATION_EVENTS = 12
 # Fields left out of the detail column: most have their own column, and the level and
 # the request id add nothing to it.
 _NOT_IN_DETAIL = {"time", "level", "node", "event", "group", "peer", "request"}
@@ -33,7 +49,8 @@
     Events of a group count only from the first to the last event of the request.
     Either ``request`` or ``group`` may be empty. Without events of the request, all
     events of the group are returned that belong to no request. For a request that was
-    refused for a part of its prompt, the events about that part are added.
+    refused for a part of its prompt, the events about that part are added; for one that
+    was refused by the configuration, the events that show how old that was.
     """
     request_events = [
         event for event in events if request and event.get("request") == request
@@ -45,11 +62,13 @@
     refusals = {(e.get("node"), e["part"]) for e in request_events if e.get("part")}
     # "9" sorts after all timestamps.
     last_time = request_events[-1]["time"] if request_events else "9"
+    configuration_events = _configuration_events(events, request_events)
     selected = [
         event
         for event in events
         if event in request_events
         or (event.get("time", "") <= last_time and _explains_refusal(event, refusals))
+        or event in configuration_events
         or (
             event.get("group") in groups
             and "request" not in event
@@ -59,6 +78,23 @@
     return [_event_row(event) for event in selected]
 
 
+def _configuration_events(events, request_events):
+    """Return the node's last events about its tables before it refused a request."""
+    answers = [event for event in request_events if "config_version" in event]
+    if not answers:
+        return []
+    node, time = answers[-1].get("node"), answers[-1].get("time", "")
+    known = [
+        event
+        for event in events
+        if event["event"] in _CONFIGURATION_EVENTS
+        and event.get("node") == node
+        and event.get("table", "operator") == "operator"
+        and event.get("time", "") <= time
+    ]
+    return known[-_MAX_CONFIGURATION_EVENTS:]
+
+
 def _explains_refusal(event, refusals):
     """Return whether an event tells why a request was refused for a part of its prompt.
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/front.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/front.py
@@ -154,6 +154,7 @@
             ran=exc.ran,
             why=exc.detail,
             retry_after_s=exc.retry_after_s and round(exc.retry_after_s, 2),
+            **exc.provenance,
         )
         body = json.dumps(problem_of(exc, request_id)).encode()
         headers = [
--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -118,7 +118,7 @@
         path = call.path.partition("?")[0]
         route = table.find(call.header("Host") or "", path)
         if route is None:
-            raise RequestError(404, "No such route", path, step="find route")
+            raise self._denied(404, "No such route", path, step="find route")
         team = self._team(table.config, route, call)
         return self._new_request(table.config, route, team, call)
 
@@ -127,9 +127,15 @@
             return None
         team = config.team_of(key_of(call))
         if team is None:
-            raise RequestError(401, "Unknown key", "", step="check key")
+            raise self._denied(401, "Unknown key", "", step="check key")
         return team
 
+    def _denied(self, status, title, detail, step):
+        """Return the error for a request that the configuration does not allow."""
+        return RequestError(
+            status, title, detail, step=step, provenance=self._source.provenance()
+        )
+
     def _new_request(self, config, route, team, call):
         if not call.header(self._header_names.request_id):
             # Servers refuse such a request, and no response could be told to be its.
--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -43,6 +43,12 @@
             ["reason"],
             registry=self.registry,
         )
+        self._versions = Counter(
+            "auburnwall_configurations",
+            "Versions of the configuration that were read, by what became of them.",
+            ["outcome"],
+            registry=self.registry,
+        )
         self._durations = DurationHistograms(
             "auburnwall_answer_seconds", "Time to the end of the answer.", ["route"]
         )
@@ -57,6 +63,10 @@
         """Record an error response of this node."""
         self._refusals.labels(str(status), step).inc()
 
+    def record_version(self, outcome):
+        """Record what became of a version of the configuration."""
+        self._versions.labels(outcome).inc()
+
     def record_refusal(self, rank):
         """Record that a request got no slot and was refused."""
         self._place_refusals.labels(str(rank)).inc()
@@ -70,6 +80,29 @@
         self._connections_closed.labels(reason).inc()
 
 
+class TableAges:
+    """A collector of the age of each table's copy; ``replicas`` are these, by name.
+
+    A copy whose age is not known has none.
+    """
+
+    def __init__(self, replicas):
+        self._replicas = replicas
+
+    def collect(self):
+        """Yield the gauge, with a sample for each table."""
+        ages = GaugeMetricFamily(
+            "auburnwall_table_age_seconds",
+            "Time since the copy of a table was known to be complete.",
+            labels=["table"],
+        )
+        for name, replica in self._replicas.items():
+            age_s = replica.age_s()
+            if age_s is not None:
+                ages.add_metric([name], age_s)
+        yield ages
+
+
 class CapacityGauges:
     """A collector of the demand and the coverage of each model.
 
@@ -108,9 +141,20 @@
             lambda: list(report.models.values()) if node.writer.is_planner() else []
         )
     )
+    metrics.registry.register(TableAges(node.replicas))
     channels, broker = node.channels, node.placing.broker
     for name, documentation, function in (
         ("running", "Requests under way.", lambda: node.gateway.running),
+        (
+            "configuration_version",
+            "Version of the configuration in force, 0 if there is none.",
+            lambda: node.source.config.version if node.source.config else 0,
+        ),
+        (
+            "configuration_refused",
+            "1 while the newest version of the configuration could not be decoded.",
+            lambda: int(node.source.refused_offset is not None),
+        ),
         ("waiting", "Requests that wait for a place.", node.placer.waiting_count),
         ("granted", "Slots granted as a broker.", lambda: len(broker)),
         ("groups", "Groups in the fleet's table.", lambda: len(node.fleet.groups)),
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -215,7 +215,13 @@
 
     def _build_fleet(self):
         cfg, platform, clock = self.cfg, self.platform, self.clock
-        self.source = ConfigSource(self.replicas[OPERATOR_TABLE], platform.codec)
+        self.metrics = RoutedMetrics()
+        self.source = ConfigSource(
+            self.replicas[OPERATOR_TABLE],
+            platform.codec,
+            cfg.config_notice_s,
+            self.metrics.record_version,
+        )
         self.registry = Registry(
             self.replicas[SERVER_TABLE], platform.decode_registration, clock
         )
@@ -314,7 +320,6 @@
             self.time_to_start,
             self.notices,
         )
-        self.metrics = RoutedMetrics()
         self.placing = Placing(self, view_parts, self.in_flight, self._stack)
         self.stop_time.expected_s = self.placing.expected_time_s
         self.connections = CallerConnections(clock, self.metrics)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/source.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/source.py
@@ -1,8 +1,23 @@
 """The current configuration and the data centres that are out of service."""
 
-from auburnwall.base.logs import event
+from typing import NamedTuple
+
+from auburnwall.base.logs import event, warn
 from auburnwall.routing.routes import RouteTable
 
+# What becomes of a version of the configuration.
+IN_FORCE, IN_FORCE_LATE, REFUSED, SKIPPED = "in force", "late", "refused", "skipped"
+
+
+class ConfigOrigin(NamedTuple):
+    """Where the configuration in force was read: its offset, and the source.
+
+    ``source`` is as in ``TableReplica``.
+    """
+
+    offset: int
+    source: str
+
 
 class ConfigSource:
     """Keep the configuration and the evacuated data centres of the operators' table.
@@ -12,13 +27,23 @@
     of service, or ``None``. ``codec.is_config(key)`` returns whether a record holds the
     configuration. ``codec.decode_config(value)`` returns it as a ``RoutingConfig`` or
     raises an error, usually ``ValueError``. A configuration is applied only if its
-    version is higher than the current one.
+    version is higher than the current one, and must be in force ``notice_s`` seconds
+    after it was written; ``None`` is no limit. ``record_version(outcome)`` is called
+    for each version that is read.
+
+    ``refused_offset`` is the offset of the newest version that could not be decoded, if
+    none that came after it is in force; otherwise ``None``.
     """
 
-    def __init__(self, replica, codec):
+    def __init__(self, replica, codec, notice_s=None, record_version=lambda o: None):
         self.table = None
+        self.origin = None
+        self.refused_offset = None
         self.evacuated_data_centers = set()
+        self._replica = replica
         self._codec = codec
+        self._notice_s = notice_s
+        self._record_version = record_version
         replica.listeners.append(self._apply)
 
     @property
@@ -26,6 +51,22 @@
         """Return the current ``RoutingConfig``, or ``None``."""
         return self.table.config if self.table else None
 
+    def provenance(self):
+        """Return what this node goes by, as fields of a log line or an error response.
+
+        ``config_age_s`` is the time since the copy of the operators' table was known to
+        be complete: a version that is younger may be missing.
+        """
+        if self.table is None:
+            return {}
+        age_s = self._replica.age_s()
+        return {
+            "config_version": self.config.version,
+            "config_offset": self.origin.offset,
+            "config_age_s": None if age_s is None else round(age_s, 3),
+            "config_source": self.origin.source,
+        }
+
     def _apply(self, record):
         data_center = self._codec.evacuated_data_center(record.key)
         if data_center is not None:
@@ -50,17 +91,51 @@
             config = self._codec.decode_config(record.value)
         except Exception as exc:
             # The configuration in force stays, and later ones must still be read.
-            event("bad configuration", offset=record.offset, why=str(exc) or repr(exc))
+            self._refuse(record, exc)
             return
         current = self.config
         if current is not None and config.version <= current.version:
-            event("old configuration", offset=record.offset, version=config.version)
+            self._record_version(SKIPPED)
+            event(
+                "old configuration",
+                offset=record.offset,
+                version=config.version,
+                source=self._replica.source,
+                in_force=current.version,
+                in_force_offset=self.origin.offset,
+            )
             return
         self.table = RouteTable(config)
+        self.origin = ConfigOrigin(record.offset, self._replica.source)
+        self.refused_offset = None
+        self._log_in_force(current)
+
+    def _refuse(self, record, exc):
+        self._record_version(REFUSED)
+        self.refused_offset = record.offset
+        warn(
+            "bad configuration",
+            offset=record.offset,
+            source=self._replica.source,
+            why=str(exc) or repr(exc),
+            in_force=self.config.version if self.config else None,
+        )
+
+    def _log_in_force(self, current):
+        """Log the version in force, and how long ago it was written at the most.
+
+        That is the age of the copy before this version was read.
+        """
+        age_s = self._replica.age_s()
+        is_late = None not in (age_s, self._notice_s) and age_s > self._notice_s
+        self._record_version(IN_FORCE_LATE if is_late else IN_FORCE)
         event(
             "configuration in force",
-            version=config.version,
-            offset=record.offset,
-            routes=len(config.routes),
+            version=self.config.version,
+            offset=self.origin.offset,
+            routes=len(self.config.routes),
             instead_of=current.version if current else None,
+            source=self.origin.source,
+            at_most_s=None if age_s is None else round(age_s, 3),
+            late=is_late,
         )
--- a/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
@@ -304,14 +304,14 @@
         answered_at = self._clock.monotonic()
         if max_age_s is not None and not 0 <= rows.age_ms <= 1000 * max_age_s:
             return False
-        if not learn_from_peer(replica, rows, asked_at, answered_at):
+        if not learn_from_peer(replica, rows, asked_at, answered_at, name):
             return False
         self._on_read()
         return True
 
 
-def learn_from_peer(replica, rows, asked_at, answered_at):
-    """Apply the ``TableRows`` of a peer to this node's copy and return ``True``.
+def learn_from_peer(replica, rows, asked_at, answered_at, peer=""):
+    """Apply the ``TableRows`` of ``peer`` to this node's copy and return ``True``.
 
     Nothing changes if the peer's copy ends before this one, which was read from the
     store in between. Returns ``False`` if the peer's copy is of an earlier era or its
@@ -329,7 +329,7 @@
     waited_s = (rows.waited_ms or 0) / 1000
     complete_at = min(asked_at + waited_s, answered_at) - rows.age_ms / 1000
     if rows.whole:
-        replica.replace(records, rows.end, complete_at, era)
+        replica.replace(records, rows.end, complete_at, era, peer)
     elif era == replica.era:
-        replica.apply_records(records, rows.end, complete_at)
+        replica.apply_records(records, rows.end, complete_at, peer)
     return True
--- a/packages/auburnwall-routing/src/auburnwall/routing/exceptions.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/exceptions.py
@@ -13,17 +13,28 @@
 
     ``ran`` is ``NOT_RUN`` only if nothing of the request was sent to any backend
     server, or if every server that got it stated that it did not run it. Otherwise it
-    is ``UNKNOWN``. After ``retry_after_s`` the caller may retry.
+    is ``UNKNOWN``. After ``retry_after_s`` the caller may retry. ``provenance`` tells
+    by which configuration the request was refused, by the name of the field.
     """
 
     def __init__(
-        self, status, title, detail, *, ran=NOT_RUN, step, peer="", retry_after_s=None
+        self,
+        status,
+        title,
+        detail,
+        *,
+        ran=NOT_RUN,
+        step,
+        peer="",
+        retry_after_s=None,
+        provenance=None,
     ):
         super().__init__(detail, step=step, peer=peer)
         self.status = status
         self.title = title
         self.ran = ran
         self.retry_after_s = retry_after_s
+        self.provenance = provenance or {}
 
 
 class BadRequestError(RequestError):
--- a/packages/auburnwall-routing/src/auburnwall/routing/problem.py
+++ b/packages/auburnwall-routing/src/auburnwall/routing/problem.py
@@ -17,6 +17,10 @@
     request_id: str
     retry_after_s: int
     use_instead: list
+    config_version: int
+    config_offset: int
+    config_age_s: float | None
+    config_source: str
 
 
 def problem_of(exc, request_id, use_instead=()):
@@ -33,6 +37,7 @@
         step=exc.step,
         peer=exc.peer,
         request_id=request_id,
+        **exc.provenance,
     )
     if exc.retry_after_s is not None:
         problem["retry_after_s"] = math.ceil(exc.retry_after_s)
--- a/packages/auburnwall-state/src/auburnwall/state/table/replica.py
+++ b/packages/auburnwall-state/src/auburnwall/state/table/replica.py
@@ -21,6 +21,8 @@
 # Time in which operators and servers have written again what the store has lost, in
 # seconds.
 SETTLE_S = 2.0
+# Source of records that were read from the store; else it is the name of a peer.
+STORE = "store"
 # Offset of an entry from an earlier era; any record of the new era replaces it.
 EARLIER_ERA_OFFSET = -1
 
@@ -31,6 +33,7 @@
     The replica reflects all records before the offset ``end``, which is -1 before the
     first read; it holds the newest one of each key. ``complete_at`` is the last time at
     which it was known to be complete, on the node's monotonic clock, or ``None``.
+    ``source`` is where the last records came from, ``STORE`` or the name of a peer.
 
     ``era`` is the store's era of these offsets. ``unsettled`` maps each key that an
     older copy of the store has changed to its record there, ``None`` if it has none;
@@ -61,6 +64,7 @@
         self.end = -1
         self.era = 0
         self.complete_at = None
+        self.source = STORE
         self.reloading = False
         self.unsettled = {}
         self.listeners = []
@@ -113,13 +117,14 @@
             self.apply_records(batch.records, batch.end, complete_at)
         self.settle_due()
 
-    def apply_records(self, records, end, complete_at):
+    def apply_records(self, records, end, complete_at, source=STORE):
         """Apply records in order of offset, from the table or from a peer's replica.
 
         ``end`` is the offset after them. ``complete_at`` is the monotonic time at which
         they were known to be complete up to there. Records before the replica's own end
         are skipped. If ``end`` is before the replica's own, nothing changes.
         """
+        self.source = source
         for record in dropwhile(lambda r: r.offset < self.end, records):
             self._apply(record)
         if end >= self.end:
@@ -165,7 +170,7 @@
                 return list(dropwhile(lambda r: r.offset < offset, recent)), False
         return sorted(self.entries.values()), True
 
-    def replace(self, records, end, complete_at, era=0):
+    def replace(self, records, end, complete_at, era=0, source=STORE):
         """Replace all entries by ``records``, the newest record of each key.
 
         Keys that are not among them are removed. Has no effect if ``end`` is older than
@@ -173,6 +178,7 @@
         """
         if era < self.era or (era == self.era and end < self.end):
             return
+        self.source = source
         if era > self.era and self.end >= 0:
             if self.complete_at is not None or self._survives_pause:
                 self._enter_era(records, end, complete_at, era)
--- a/tests/cli/test_explain_logs.py
+++ b/tests/cli/test_explain_logs.py
@@ -25,6 +25,12 @@
     ("10:01:00.500", "n3", "prompt part blocked", {"part": "bad"}),
     ("10:01:01.000", "n2", "request refused", {"request": "r5", "part": "bad"}),
     ("10:01:02.000", "n2", "prompt part unblocked", {"part": "bad"}),
+    ("10:02:00.000", "n1", "configuration in force", {"version": 7}),
+    ("10:02:00.100", "n1", "table lost", {"table": "servers"}),
+    ("10:02:00.200", "n1", "table lost", {"table": "operator"}),
+    ("10:02:00.300", "n2", "bad configuration", {"offset": 9}),
+    ("10:02:01.000", "n1", "request failed", {"request": "r6", "config_version": 7}),
+    ("10:02:02.000", "n1", "configuration in force", {"version": 8}),
 ]
 
 
@@ -65,6 +71,18 @@
             ],
         )
 
+    def test_request_refused_by_the_configuration_with_the_node_s_last_reads(self):
+        _, output, _ = self.run_command("--request r6")
+        shown = [(row["node"], row["event"]) for row in json.loads(output)]
+        self.assertEqual(
+            shown,
+            [
+                ("n1", "configuration in force"),
+                ("n1", "table lost"),
+                ("n1", "request failed"),
+            ],
+        )
+
     def test_request_with_events_of_its_groups_meanwhile(self):
         code, output, _ = self.run_command("--request r1")
         shown = [(row["node"], row["event"]) for row in json.loads(output)]
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -96,6 +96,9 @@
     def config(self):
         return self.table.config
 
+    def provenance(self):
+        return {"config_version": self.config.version}
+
 
 class StandinView:
     """The placer's view; its candidates are the stand-in servers."""
@@ -263,10 +266,11 @@
 
 def send_call(address, method, path, request_id, **headers):
     """Return status, headers and body of one exchange on a new connection."""
-    headers |= {
+    headers = {
         "Host": "shop.example",
         "X-Attempt-Id": request_id,
         "Authorization": f"Bearer {KEY}",
+        **headers,
     }
     with closing(http.client.HTTPConnection(address, timeout=6.0)) as conn:
         conn.request(method, path, headers=headers)
