--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -32,6 +32,7 @@
     parser.add_argument("--address", required=True)
     parser.add_argument("--weight-store-url", default="")
     parser.add_argument("--members", default="", help="vm=host:port,...")
+    parser.add_argument("--doors", default="", help="further addresses of the store")
     parser.add_argument("--token-s", type=float, default=0.01)
     parser.add_argument("--warm-up-s", type=float, default=2.0)
     args = parser.parse_args()
@@ -45,13 +46,14 @@
         for member in filter(None, args.members.split(",")):
             vm, _, address = member.partition("=")
             standin.add(vm, address)
+    elif args.name == "users-platform":
+        standin = UsersPlatform(args.address, list(filter(None, args.doors.split(","))))
     else:
         standin = {
             "log": LogStandin,
             "vm-list": VmListStandin,
             "weight-store": WeightStoreStandin,
             "booking": BookingService,
-            "users-platform": UsersPlatform,
         }[args.name](args.address)
     standin.server.start()
     Event().wait()
--- a/standins/store.py
+++ b/standins/store.py
@@ -3,7 +3,9 @@
 import base64
 import json
 import struct
+import time
 from collections import defaultdict
+from weakref import WeakKeyDictionary
 
 import bottle
 import gevent
@@ -12,6 +14,17 @@
 from .server import StandinServer
 
 PAGE_ENTRIES = 500
+# Bytes of a response that are sent at once through a slow door, and pause after them.
+SLOW_BYTES, SLOW_INTERVAL_S = 400, 0.05
+
+
+class Door:
+    """One more address of the store; its connections fell silent at ``hushed_at``."""
+
+    def __init__(self, server):
+        self.server = server
+        self.trouble = ""
+        self.hushed_at = 0.0
 
 
 class StoreStandin:
@@ -22,6 +35,12 @@
     are applied ``late_s`` seconds later and get no response). "No response" means none
     within 60 seconds.
 
+    ``doors`` are further addresses of the store, each with a trouble of its own, so
+    that the store can treat its callers differently. ``"many"`` answers 429 there,
+    ``"slow"`` sends ``SLOW_BYTES`` bytes each ``SLOW_INTERVAL_S``, and ``"refuse"``
+    takes no connections. ``"hushed"`` sends nothing more on the connections that are
+    open then.
+
     ``keep_copy`` and ``go_back`` play a store that loses its newest records: it
     continues from the copy in a new era, and gives the offsets of the lost records out
     again.
@@ -35,6 +54,8 @@
         self._topics = defaultdict(list)
         self._first_offset = defaultdict(int)
         self._appended = Event()
+        self.doors = {}
+        self._first_seen = WeakKeyDictionary()
         self.app = app = bottle.Bottle()
         app.route("/-/log-append", "POST", self._append)
         app.route("/-/log-read", "GET", self._read)
@@ -42,10 +63,15 @@
         app.route("/standin/trouble", "POST", self._set_trouble)
         app.route("/standin/put", "POST", self._put_record)
         app.route("/standin/newest", "POST", self._get_newest)
+        app.route("/standin/door", "POST", self._set_door)
         app.route("/standin/copy", "POST", self.keep_copy)
         app.route("/standin/back", "POST", self.go_back)
         self.server = StandinServer(app, address)
 
+    def open_door(self, address):
+        """Serve the store at one more address."""
+        self.doors[address] = Door(StandinServer(self.app, address).start())
+
     def put(self, topic, key, value):
         """Append ``value`` for ``key``: bytes, a JSON object, or ``None`` to remove."""
         if value is not None and not isinstance(value, bytes):
@@ -82,11 +108,50 @@
 
     def _apply_trouble(self):
         bottle.response.headers["Store-Era"] = str(self.era)
-        if self.trouble == "busy":
-            bottle.abort(503, "busy")
-        if self.trouble == "silent":
+        door = self._door()
+        for trouble in (self.trouble, door.trouble if door else ""):
+            if trouble == "busy":
+                bottle.abort(503, "busy")
+            if trouble == "many":
+                bottle.abort(429, "too many calls")
+            if trouble == "silent":
+                gevent.sleep(60)
+        self._hold_if_hushed()
+
+    def _door(self):
+        environ = bottle.request.environ
+        port = environ["SERVER_PORT"]
+        return next((d for a, d in self.doors.items() if a.endswith(f":{port}")), None)
+
+    def _hold_if_hushed(self):
+        """Send nothing on a connection that was open when its door was hushed."""
+        sock = bottle.request.environ["standin.socket"]
+        first_seen = self._first_seen.setdefault(sock, time.monotonic())
+        door = self._door()
+        if door is not None and first_seen < door.hushed_at:
             gevent.sleep(60)
 
+    def _body(self, data):
+        """Return a response body, which trickles if the caller's door is slow."""
+        self._hold_if_hushed()
+        door = self._door()
+        if door is None or door.trouble != "slow":
+            return data
+        bottle.response.content_length = len(data)
+        return _trickle(data)
+
+    def _set_door(self):
+        body = bottle.request.json
+        door = self.doors[body["address"]]
+        if body["trouble"] == "hushed":
+            door.hushed_at = time.monotonic()
+            return
+        if body["trouble"] == "refuse":
+            door.server.shut_down()
+        else:
+            door.server.start()
+        door.trouble = body["trouble"]
+
     def _append(self):
         self._apply_trouble()
         query = bottle.request.query
@@ -129,7 +194,7 @@
         if start > len(records):
             return _json_response({"First": self._first_offset[topic]}, 410)
         body = struct.pack(">QQ", len(records), self._first_offset[topic])
-        return body + b"".join(map(_frame, records[start:]))
+        return self._body(body + b"".join(map(_frame, records[start:])))
 
     def _list_newest(self):
         self._apply_trouble()
@@ -141,13 +206,12 @@
             {"Key": key, "Value": base64.b64encode(value).decode(), "Offset": offset}
             for key, (offset, value) in entries[:PAGE_ENTRIES]
         ]
-        return _json_response(
-            {
-                "Entries": page,
-                "HasMore": len(entries) > PAGE_ENTRIES,
-                "End": len(self._topics[query["Topic"]]),
-            }
-        )
+        answer = {
+            "Entries": page,
+            "HasMore": len(entries) > PAGE_ENTRIES,
+            "End": len(self._topics[query["Topic"]]),
+        }
+        return self._body(_json_response(answer))
 
     def _set_trouble(self):
         self.trouble = bottle.request.json["trouble"]
@@ -163,6 +227,12 @@
         self.put(body["topic"], body["key"], value)
 
 
+def _trickle(data):
+    for start in range(0, len(data), SLOW_BYTES):
+        gevent.sleep(SLOW_INTERVAL_S)
+        yield data[start : start + SLOW_BYTES]
+
+
 def _json_response(value, status=200):
     bottle.response.status = status
     bottle.response.content_type = "application/json"
--- a/standins/usersplatform.py
+++ b/standins/usersplatform.py
@@ -35,8 +35,10 @@
     /standin/addresses`` returns the servers' addresses.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, doors=()):
         self.store = StoreStandin(address)
+        for door in doors:
+            self.store.open_door(door)
         self.server = self.store.server
         self.servers = {}
         for number in range(ENGINE_SERVERS):
--- /dev/null
+++ b/tests/processes/test_configuration_age.py
@@ -0,0 +1,79 @@
+"""The store fails for some nodes in the middle of a series of configurations.
+
+Guards against nodes that answer by an older version than their peers have, since the
+one way on which a version comes to them hangs, fails or trickles.
+"""
+
+import time
+
+from .configuration_run import (
+    CONFIG_S,
+    CONTACT_S,
+    NODE_ENV,
+    NODES,
+    ConfigurationRun,
+    DoorsCluster,
+)
+from .support import PlatformClusterTestCase
+
+BEFORE_S, TROUBLE_S, AFTER_S, LAST_VERSION_S = 2.0, 6.0, 4.0, 1.0
+
+
+class ConfigurationAgeTests(PlatformClusterTestCase):
+    NODES = NODES
+    NODE_ENV = NODE_ENV
+    CLUSTER_CLASS = DoorsCluster
+
+    def play(self, trouble, count):
+        """Play a series of versions with a trouble at ``count`` nodes; return it."""
+        with ConfigurationRun(self.cluster) as run:
+            time.sleep(BEFORE_S)
+            for name in self.names[:count]:
+                self.cluster.set_door(name, trouble)
+            time.sleep(TROUBLE_S)
+            for name in self.names[:count]:
+                self.cluster.set_door(name, "")
+            time.sleep(AFTER_S)
+            run.stop_writing()
+            time.sleep(LAST_VERSION_S)
+        return run
+
+    def check(self, trouble, count):
+        run = self.play(trouble, count)
+        late_s = run.lateness()
+        worst = sorted(late_s.items(), key=lambda item: -item[1])[:3]
+        self.assertLessEqual(max(late_s.values(), default=0.0), CONFIG_S, worst)
+        self.assertEqual(run.returned(), [])
+        self.assertEqual(run.not_in_force(), {})
+
+    def test_silent_store_for_all(self):
+        """Nodes have nobody to ask, but go by all versions soon after its return."""
+        with ConfigurationRun(self.cluster) as run:
+            time.sleep(BEFORE_S)
+            for name in self.names:
+                self.cluster.set_door(name, "silent")
+            time.sleep(TROUBLE_S)
+            for name in self.names:
+                self.cluster.set_door(name, "")
+            ended_at = time.monotonic()
+            time.sleep(AFTER_S)
+            run.stop_writing()
+            time.sleep(LAST_VERSION_S)
+        late_s = run.late_after(ended_at)
+        self.assertLessEqual(max(late_s.values(), default=0.0), CONTACT_S, late_s)
+        self.assertEqual(run.not_in_force(), {})
+
+    def test_silent_store(self):
+        self.check("silent", 2)
+
+    def test_silent_store_for_all_but_one(self):
+        self.check("silent", 6)
+
+    def test_store_whose_answers_trickle(self):
+        self.check("slow", 2)
+
+    def test_store_that_turns_calls_away(self):
+        self.check("many", 3)
+
+    def test_connections_to_the_store_that_fall_silent(self):
+        self.check("hushed", NODES)
