Bound the age of each table's copy at a node, whatever its source does

Cause: a TableReader has one source at a time, and each source its own time limits: 0.7 s to connect, a read of 2.8 s or, while bytes arrive, 9.1 s, a call of a peer 0.8 s, a pause of up to 1 s. Nothing derived from the bound, and no place owned their sum. Peers were asked after the read had failed, one of them, drawn at random. Versions wake the reads of all nodes at once, so that all of them time out, and refuse, together.

TableKeeper now owns the age of each copy. 0.8 s before the end of its bound, or once a peer has told in its heartbeats that it has read further, it asks the store on a new connection and two peers at a time, beside whatever the reader waits for. A copy that brings nothing younger is no help. A read waits for records for half of the bound at the most, so that a copy of a reader that works is never near it. Where a copy is older than its bound all the same, a request that it does not allow gets 503, not run, with a time to come back, in place of a final 404 or 401.

Nothing changes on the wire; heartbeats told the ends before.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/gateway.py
@@ -118,7 +118,7 @@
         path = call.path.partition("?")[0]
         route = table.find(call.header("Host") or "", path)
         if route is None:
-            raise self._denied(404, "No such route", path, step="find route")
+            raise self._denied(call, 404, "No such route", path, step="find route")
         team = self._team(table.config, route, call)
         return self._new_request(table.config, route, team, call)
 
@@ -127,13 +127,26 @@
             return None
         team = config.team_of(key_of(call))
         if team is None:
-            raise self._denied(401, "Unknown key", "", step="check key")
+            raise self._denied(call, 401, "Unknown key", "", step="check key")
         return team
 
-    def _denied(self, status, title, detail, step):
-        """Return the error for a request that the configuration does not allow."""
+    def _denied(self, call, status, title, detail, step):
+        """Return the error for a request that the configuration does not allow.
+
+        Callers do not come back after it. So while a newer version may have been in
+        force for longer than allowed, the request is refused as not run instead.
+        """
+        provenance = self._source.provenance()
+        if self._source.is_current():
+            return RequestError(status, title, detail, step=step, provenance=provenance)
+        retry_after_s = self._start_gate.retry_after_s(self._stated_time_left_s(call))
         return RequestError(
-            status, title, detail, step=step, provenance=self._source.provenance()
+            503,
+            "Configuration out of date",
+            f"{title} in a configuration that may be out of date",
+            step=step,
+            retry_after_s=retry_after_s,
+            provenance=provenance,
         )
 
     def _new_request(self, config, route, team, call):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -47,10 +47,12 @@
 from .start_gate import StartGate
 from .start_stages import SOCKETS_OPEN, StartStages, checks_of
 from .start_times import SLOW_CHECK_INTERVAL_S, StartTimes
+from .table_keeper import CHECK_INTERVAL_S as AGE_CHECK_INTERVAL_S
 from .table_readers import (
     FLEET_TABLE,
     OPERATOR_TABLE,
     SERVER_TABLE,
+    build_keepers,
     build_readers,
     build_replicas,
 )
@@ -186,6 +188,7 @@
             (SLOW_CHECK_INTERVAL_S, self.start_times.log_changes, "paces"),
             (CRASH_EVIDENCE_INTERVAL_S, self.blocked_parts.step, "crash evidence"),
             (SETTINGS_INTERVAL_S, self.settings.check, "settings"),
+            (AGE_CHECK_INTERVAL_S, self._check_table_ages, "table ages"),
         ):
             spawn(run_periodically, self.clock, delay_s, function, name)
         spawn(self._join_fleet)
@@ -280,6 +283,8 @@
             self.tasks,
         )
         self.readers = build_readers(self)
+        self.keepers = build_keepers(self)
+        self.source.is_current = self.keepers[OPERATOR_TABLE].is_in_time
 
     def _build_routing(self):
         cfg, clock = self.cfg, self.clock
@@ -421,6 +426,10 @@
             for replica in self.replicas.values():
                 replica.complete_at = None
 
+    def _check_table_ages(self):
+        for keeper in self.keepers.values():
+            keeper.check()
+
     def _announce_node(self):
         if not self.gateway.stop_begun:
             self.announcement.announce()
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -274,6 +274,18 @@
         """Return the names of the live peers that reach the model servers."""
         return [name for name, status in self.live().items() if not status.cut_off]
 
+    def table_ends(self, table):
+        """Return up to which offset the peers have read a table, by live peer.
+
+        Only peers that exchange heartbeats with this node are known.
+        """
+        live = self.live()
+        return {
+            heartbeat.pulse.node: heartbeat.pulse.table_ends[table]
+            for heartbeat in self._recent_heartbeats()
+            if heartbeat.pulse.node in live and table in heartbeat.pulse.table_ends
+        }
+
     def load(self, name):
         """Return how many requests the peers report in flight at a group or server."""
         return self._cached("running", self._sum_running).get(name, 0)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/source.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/source.py
@@ -31,8 +31,9 @@
     after it was written; ``None`` is no limit. ``record_version(outcome)`` is called
     for each version that is read.
 
-    ``refused_offset`` is the offset of the newest version that could not be decoded, if
-    none that came after it is in force; otherwise ``None``.
+    ``is_current()`` returns whether the copy of the operators' table is no older than
+    allowed. ``refused_offset`` is the offset of the newest version that could not be
+    decoded, if none that came after it is in force; otherwise ``None``.
     """
 
     def __init__(self, replica, codec, notice_s=None, record_version=lambda o: None):
@@ -40,6 +41,7 @@
         self.origin = None
         self.refused_offset = None
         self.evacuated_data_centers = set()
+        self.is_current = lambda: True
         self._replica = replica
         self._codec = codec
         self._notice_s = notice_s
--- a/packages/auburnwall-node/src/auburnwall/node/routed/start_gate.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/start_gate.py
@@ -81,7 +81,7 @@
             "Starting",
             detail,
             step="find route",
-            retry_after_s=self._retry_after_s(time_left_s),
+            retry_after_s=self.retry_after_s(time_left_s),
         )
 
     def check_servers(self, has_models, time_left_s):
@@ -94,7 +94,7 @@
             return
         raise self.starting_error("this node knows no servers yet", time_left_s)
 
-    def _retry_after_s(self, time_left_s):
+    def retry_after_s(self, time_left_s):
         """Return when a caller should come back; callers are spread over that time."""
         is_first = self._clock.monotonic() - self._opened_at < FIRST_S
         if time_left_s is None:
--- a/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
@@ -1,11 +1,13 @@
-"""Builds a node's copies of the platform's tables and the readers that update them."""
+"""Builds a node's copies of the platform's tables, their readers and their keepers."""
 
 from auburnwall.state.table.replica import TableReplica
 
+from .table_keeper import TableKeeper
 from .tables import (
     LONG_POLL_S,
     MAX_FLEET_AGE_S,
     MAX_FOLLOWED_AGE_S,
+    MAX_LONG_POLL_FRACTION,
     MAX_OPERATOR_AGE_S,
     MAX_RELAYED_AGE_FRACTION,
     RELAYED_LONG_POLL_S,
@@ -62,7 +64,7 @@
     return {
         OPERATOR_TABLE: reader(
             OPERATOR_TABLE,
-            lambda: LONG_POLL_S if node.peers.is_mesh else RELAYED_LONG_POLL_S,
+            lambda: _operator_wait_s(node),
             lambda: 0.0,
             MAX_OPERATOR_AGE_S,
             reader_choice.peer_to_follow_in_large_fleet,
@@ -90,6 +92,40 @@
     }
 
 
+def build_keepers(node):
+    """Return the ``TableKeeper`` of each table of a ``RoutedNode``, by name."""
+
+    def drop_connections():
+        node.platform.store.drop_idle_connections()
+
+    def keeper(table, bound_s, **kwargs):
+        return TableKeeper(
+            node.replicas[table],
+            node.peers,
+            node.clock,
+            node.rng,
+            node.tasks.spawn,
+            bound_s,
+            drop_connections=drop_connections,
+            **kwargs,
+        )
+
+    cfg = node.cfg
+    return {
+        OPERATOR_TABLE: keeper(OPERATOR_TABLE, cfg.config_notice_s, catches_up=True),
+        SERVER_TABLE: keeper(
+            SERVER_TABLE, cfg.drain_notice_s, on_read=node.registry.record_read
+        ),
+        FLEET_TABLE: keeper(FLEET_TABLE, MAX_FLEET_AGE_S),
+    }
+
+
+def _operator_wait_s(node):
+    """Return how long a read of the operators' table waits for records, in seconds."""
+    longest_s = LONG_POLL_S if node.peers.is_mesh else RELAYED_LONG_POLL_S
+    return min(longest_s, MAX_LONG_POLL_FRACTION * node.cfg.config_notice_s)
+
+
 def _registry_pause_s(node):
     cfg = node.cfg
     return cfg.planner_registry_s if node.writer.is_planner() else cfg.registry_s
--- a/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
@@ -6,16 +6,13 @@
 from auburnwall.state.table.base import TableRecord
 from auburnwall.wire.exceptions import PeerUnavailableError
 
-# Maximum time that one read waits for new records, in seconds. A read on an
-# unresponsive connection times out shortly after this time. It is short, so that a new
-# configuration arrives within its time limit even after such a timeout.
-LONG_POLL_S = 2.0
+# Maximum time that one read waits for new records, in seconds, and the same as a
+# fraction of the time in which the records must be noticed. The copy is as old as the
+# wait is long, and a ``TableKeeper`` asks others before its time is over.
+LONG_POLL_S, MAX_LONG_POLL_FRACTION = 2.0, 0.5
 # The same for the operators' table in a fleet with relays, where few nodes read it and
 # the others depend on them.
 RELAYED_LONG_POLL_S = 1.0
-# If its own read of the store fails, a node copies from any peer once its table copy is
-# this old, in seconds.
-MIN_FALLBACK_AGE_S = 1.0
 # Pause between two copies from the peer that reads the store for this node, and maximum
 # age of that peer's copy, in seconds. The age is more than the default ``registry_s``,
 # the pause between two reads of the registrations. Interval plus age is below the 2 s
@@ -166,10 +163,7 @@
             self.step()
 
     def step(self):
-        """Read once, from the peer that reads for this node or else from the store.
-
-        If the store is unavailable, copy from any peer that can read it.
-        """
+        """Read once, from the peer that reads for this node or else from the store."""
         self.replica.settle_due()
         if self._may_copy_first():
             if not self._copy_first():
@@ -182,7 +176,6 @@
             self.replica.refresh(self._wait_s())
         except LogUnavailableError as exc:
             self._record_store_failure(exc)
-            self._copy_from_any_peer()
             self._clock.sleep(self._rng.uniform(0.5, 1.0) * self._backoff_s)
             self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
             return
@@ -268,46 +261,48 @@
             )
         self.reads_store = False
 
-    def _copy_from_any_peer(self):
-        """Copy from a random peer that reads the store, unless this copy is recent."""
-        age_s = self.replica.age_s()
-        if age_s is not None and age_s < MIN_FALLBACK_AGE_S:
-            return
-        readers = [
-            name for name, status in self._peers.live().items() if status.reads_tables
-        ]
-        if readers:
-            self._copy_from_peer(self._rng.choice(sorted(readers)))
-
     def _copy_from_peer(self, name, max_age_s=None, wait_s=0.0, total_s=None):
-        """Copy from a peer unless its copy is too old; return whether it succeeded.
+        copied = copy_from_peer(
+            self.replica,
+            self._peers,
+            self._clock,
+            name,
+            max_age_s=max_age_s,
+            wait_s=wait_s,
+            total_s=total_s,
+        )
+        if copied:
+            self._on_read()
+        return copied
 
-        The peer waits up to ``wait_s`` for a new record, and the whole call takes at
-        most ``total_s``.
-        """
-        replica = self.replica
-        asked_at = self._clock.monotonic()
-        try:
-            address = self._peers.address(name)
-            rows = self._peers.call(
-                address,
-                "rows",
-                replica.table,
-                replica.end,
-                int(1000 * wait_s),
-                replica.era,
-                total_s=total_s,
-            )
-        except PeerUnavailableError as exc:
-            event("table copy failed", table=replica.table, peer=name, why=exc.detail)
-            return False
-        answered_at = self._clock.monotonic()
-        if max_age_s is not None and not 0 <= rows.age_ms <= 1000 * max_age_s:
-            return False
-        if not learn_from_peer(replica, rows, asked_at, answered_at, name):
-            return False
-        self._on_read()
-        return True
+
+def copy_from_peer(
+    replica, peers, clock, name, *, max_age_s=None, wait_s=0.0, total_s=None
+):
+    """Copy a table from a peer unless its copy is too old; return whether it succeeded.
+
+    The peer waits up to ``wait_s`` for a new record, and the whole call takes at most
+    ``total_s``. Its copy may be ``max_age_s`` old. All are in seconds.
+    """
+    asked_at = clock.monotonic()
+    try:
+        address = peers.address(name)
+        rows = peers.call(
+            address,
+            "rows",
+            replica.table,
+            replica.end,
+            int(1000 * wait_s),
+            replica.era,
+            total_s=total_s,
+        )
+    except PeerUnavailableError as exc:
+        event("table copy failed", table=replica.table, peer=name, why=exc.detail)
+        return False
+    answered_at = clock.monotonic()
+    if max_age_s is not None and not 0 <= rows.age_ms <= 1000 * max_age_s:
+        return False
+    return learn_from_peer(replica, rows, asked_at, answered_at, name)
 
 
 def learn_from_peer(replica, rows, asked_at, answered_at, peer=""):
--- a/packages/auburnwall-state/src/auburnwall/state/table/base.py
+++ b/packages/auburnwall-state/src/auburnwall/state/table/base.py
@@ -35,6 +35,9 @@
 class TableClient(ABC):
     """Read and write named tables. All methods raise ``LogUnavailableError``."""
 
+    def drop_idle_connections(self):  # noqa: B027
+        """Let the next calls open new connections, as idle ones may be dead."""
+
     @abstractmethod
     def newest(self, table):
         """Return a batch with the newest record of each key.
--- a/tests/routed/support.py
+++ b/tests/routed/support.py
@@ -85,7 +85,9 @@
 
 
 class FixedSource:
-    """A source whose configuration never changes."""
+    """A source whose configuration never changes; ``current`` is whether it may."""
+
+    current = True
 
     def __init__(self, body):
         self.table = RouteTable(
@@ -96,6 +98,9 @@
     def config(self):
         return self.table.config
 
+    def is_current(self):
+        return self.current
+
     def provenance(self):
         return {"config_version": self.config.version}
 
--- a/tests/routed/test_configuration_answers.py
+++ b/tests/routed/test_configuration_answers.py
@@ -35,6 +35,13 @@
         event.assert_called_once()
         self.assertEqual(event.call_args.kwargs["config_version"], 3)
 
+    def test_outdated_configuration_is_no_reason_for_a_final_answer(self):
+        self.front.gateway._source.current = False
+        self.check(503, "/nowhere/x")
+        self.check(503, "/look/x", Authorization="Bearer other")
+        status, _, _ = send_call(self.front.address, "GET", "/look/x", "c-2")
+        self.assertEqual(status, 200)
+
     def test_unknown_route(self):
         self.check(404, "/nowhere/x")
 
--- a/tests/routed/test_tables.py
+++ b/tests/routed/test_tables.py
@@ -6,12 +6,12 @@
 
 from auburnwall.base.rendezvous import ranked
 from auburnwall.node.routed.handler import RoutedHandler
+from auburnwall.node.routed.table_keeper import TableKeeper
 from auburnwall.node.routed.tables import (
     FIRST_COPY_S,
     FLEET_WAIT_S,
     MAX_FOLLOWED_AGE_S,
     MAX_OPERATOR_AGE_S,
-    MIN_FALLBACK_AGE_S,
     RELAYED_LONG_POLL_S,
     StoreReaderChoice,
     TableReader,
@@ -29,6 +29,10 @@
 }
 
 
+# The time in which a leaving server must be noticed on the users' pages, in seconds.
+DRAIN_NOTICE_S = 2.0
+
+
 class CountingTable(FakeTable):
     """A table that counts reads and fails for the nodes in ``unreachable_for``."""
 
@@ -81,6 +85,15 @@
             on_read=self.count_read,
             peer_to_follow=choice.peer_to_follow,
         )
+        self.keeper = TableKeeper(
+            self.replica,
+            self,
+            clock,
+            random.Random(2),
+            lambda function, *args: function(*args),
+            DRAIN_NOTICE_S,
+            on_read=self.count_read,
+        )
         self._clock = clock
 
     def count_read(self):
@@ -130,6 +143,7 @@
                 if node.alive:
                     self.clock.now = at
                     node.reader.step()
+                    node.keeper.check()
             self.clock.now = at + 0.3
 
     def store_readers(self):
@@ -192,7 +206,7 @@
         self.table.unreachable_for.add(best)
         self.run_rounds(4)
         self.table.write("b", b"2")
-        self.run_rounds(int(MIN_FALLBACK_AGE_S / 0.3) + 2)
+        self.run_rounds(int(DRAIN_NOTICE_S / 0.3))
         self.assertNotIn(best, self.store_readers())
         for node in self.nodes.values():
             self.assertIn("b", node.replica.entries)
