Do not count a copy as complete before a read reaches the table's end

A read of the store ends at 1 MB. The copy counted as complete at the time of the call all the same, so a node that was some versions behind took itself for up to date, and would have answered 404 by the age it claimed. Test: a read that stops short of the end left an age of 0.0 s in place of 1.0 s before.

--- a/packages/auburnwall-state/src/auburnwall/state/table/base.py
+++ b/packages/auburnwall-state/src/auburnwall/state/table/base.py
@@ -18,11 +18,13 @@
     This is the end of the table, or the offset after the last of ``records`` if the
     response reached its size limit. ``era`` rises each time the store comes back from
     an older copy: it has then lost records, and gives their offsets out again.
+    ``at_end`` is whether the table ended there.
     """
 
     records: list
     end: int
     era: int = 0
+    at_end: bool = True
 
 
 class AppendResult(NamedTuple):
--- a/packages/auburnwall-state/src/auburnwall/state/table/replica.py
+++ b/packages/auburnwall-state/src/auburnwall/state/table/replica.py
@@ -114,6 +114,8 @@
         else:
             waited = self._clock.monotonic() - asked_at >= wait_s and not batch.records
             complete_at = asked_at + wait_s if waited else asked_at
+            if not batch.at_end:
+                complete_at = None
             self.apply_records(batch.records, batch.end, complete_at)
         self.settle_due()
 
@@ -121,15 +123,17 @@
         """Apply records in order of offset, from the table or from a peer's replica.
 
         ``end`` is the offset after them. ``complete_at`` is the monotonic time at which
-        they were known to be complete up to there. Records before the replica's own end
-        are skipped. If ``end`` is before the replica's own, nothing changes.
+        they were known to be complete up to there, ``None`` if more follow. Records
+        before the replica's own end are skipped. If ``end`` is before the replica's
+        own, nothing changes.
         """
         self.source = source
         for record in dropwhile(lambda r: r.offset < self.end, records):
             self._apply(record)
         if end >= self.end:
             self.end = end
-            self.complete_at = max(self.complete_at or complete_at, complete_at)
+            if complete_at is not None:
+                self.complete_at = max(self.complete_at or complete_at, complete_at)
 
     def apply_written(self, result, entries, complete_at):
         """Apply the records that a conditional write of this node has appended.
--- a/tests/state/test_table.py
+++ b/tests/state/test_table.py
@@ -32,6 +32,7 @@
         self.records = []
         self.first = 0
         self.page_end = None
+        self.most_records = None
 
     def write(self, key, value):
         self.records.append(TableRecord(len(self.records), key, value))
@@ -45,7 +46,9 @@
     def read(self, table, offset, *, wait_s):
         if offset < self.first:
             raise LogTruncatedError(self.first)
-        return TableBatch(self.records[offset:], len(self.records))
+        records = self.records[offset:][: self.most_records]
+        end = offset + len(records)
+        return TableBatch(records, end, at_end=end == len(self.records))
 
     def append(self, table, entries, *, at=None):
         raise NotImplementedError
@@ -58,6 +61,20 @@
         self.notified = []
         self.replica.listeners.append(self.notified.append)
 
+    def test_copy_is_not_complete_before_a_read_reaches_the_end(self):
+        """A read that reached its size limit does not make the copy younger."""
+        self.table.write("a", b"1")
+        self.replica.refresh(0.0)
+        for value in (b"2", b"3", b"4"):
+            self.table.write("a", value)
+        self.table.most_records = 2
+        self.clock.now += 1.0
+        self.replica.refresh(0.0)
+        self.assertEqual(self.replica.entries["a"].value, b"3")
+        self.assertEqual(self.replica.age_s(), 1.0)
+        self.replica.refresh(0.0)
+        self.assertEqual(self.replica.age_s(), 0.0)
+
     def values(self, replica=None):
         entries = (replica or self.replica).entries
         return {key: record.value for key, record in entries.items()}
