--- a/standins/store.py
+++ b/standins/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import random
 import struct
 import time
 from collections import defaultdict
@@ -16,6 +17,8 @@
 PAGE_ENTRIES = 500
 # Bytes of a response that are sent at once through a slow door, and pause after them.
 SLOW_BYTES, SLOW_INTERVAL_S = 400, 0.05
+# Share of the calls that a store short of reads turns away.
+SHORT = 0.7
 
 
 class Door:
@@ -37,6 +40,7 @@
 
     ``doors`` are further addresses of the store, each with a trouble of its own, so
     that the store can treat its callers differently. ``"many"`` answers 429 there,
+    ``"short"`` does so for the share ``SHORT`` of the calls,
     ``"slow"`` sends ``SLOW_BYTES`` bytes each ``SLOW_INTERVAL_S``, and ``"refuse"``
     takes no connections. ``"hushed"`` sends nothing more on the connections that are
     open then.
@@ -112,7 +116,7 @@
         for trouble in (self.trouble, door.trouble if door else ""):
             if trouble == "busy":
                 bottle.abort(503, "busy")
-            if trouble == "many":
+            if trouble == "many" or (trouble == "short" and random.random() < SHORT):
                 bottle.abort(429, "too many calls")
             if trouble == "silent":
                 gevent.sleep(60)
--- a/tests/processes/configuration_run.py
+++ b/tests/processes/configuration_run.py
@@ -138,6 +138,10 @@
         """Write no more versions from now on."""
         self._is_writing.clear()
 
+    def go_on_writing(self):
+        """Write versions again."""
+        self._is_writing.set()
+
     def lateness(self):
         """Return, by node and version, how late the route was last denied, in seconds.
 
@@ -152,16 +156,17 @@
                 late_s[key] = max(at, late_s.get(key, 0.0))
         return late_s
 
-    def late_after(self, ended_at):
+    def late_after(self, ended_at, statuses=(404,)):
         """Return how long each node denied older versions after a time, in seconds.
 
-        These are the versions that were acknowledged before ``ended_at``.
+        These are the versions that were acknowledged before ``ended_at``; answers of
+        ``statuses`` deny them.
         """
         late_s = {}
         for answer in self.answers:
             late = answer.sent_at - ended_at
             if (
-                answer.status == 404
+                answer.status in statuses
                 and late > 0
                 and self.acknowledged_at[answer.version] < ended_at
             ):
@@ -237,7 +242,9 @@
 def main():
     """Play one run and print how late nodes went by new versions."""
     parser = argparse.ArgumentParser(description=main.__doc__)
-    parser.add_argument("--trouble", default="")
+    parser.add_argument("--trouble", default="", help="at the store, or of the nodes")
+    parser.add_argument("--at-return", default="", help="trouble after a kill or stop")
+    parser.add_argument("--delay", type=float, help="seconds from an acknowledgement")
     parser.add_argument("--nodes", type=int, default=2, help="nodes with the trouble")
     parser.add_argument("--seconds", type=float, default=9.0)
     parser.add_argument("--after", type=float, default=5.0)
@@ -255,8 +262,14 @@
             stack.callback(busy.kill)
         run = stack.enter_context(ConfigurationRun(cluster))
         time.sleep(3.0)
-        _begin(cluster, args.trouble, names[: args.nodes])
+        if args.delay is not None:
+            run.stop_writing()
+            time.sleep(VERSION_INTERVAL_S)
+            run.write_version()
+            time.sleep(args.delay)
         began_at = time.monotonic()
+        _begin(cluster, args.trouble, names[: args.nodes], args.at_return)
+        run.go_on_writing()
         time.sleep(args.seconds)
         _end(cluster, args.trouble, names[: args.nodes])
         ended_at = time.monotonic()
@@ -264,7 +277,8 @@
         run.stop_writing()
         time.sleep(1.0)
     late_s = run.lateness()
-    after_s = {n: round(s, 2) for n, s in sorted(run.late_after(ended_at).items())}
+    after_s = _rounded(run.late_after(ended_at))
+    unavailable_s = _rounded(run.late_after(ended_at, (404, 503)))
     print(
         json.dumps(
             {
@@ -276,6 +290,7 @@
                 "late": sum(s > CONFIG_S for s in late_s.values()),
                 "late_at": sorted({n for (n, _), s in late_s.items() if s > CONFIG_S}),
                 "after_end_s": after_s,
+                "unavailable_after_end_s": unavailable_s,
                 "returned": len(run.returned()),
                 "not_in_force": {n: len(v) for n, v in run.not_in_force().items()},
                 "three_at_once": [
@@ -290,17 +305,23 @@
     )
 
 
-def _begin(cluster, trouble, names):
+def _rounded(seconds):
+    return {name: round(value, 2) for name, value in sorted(seconds.items())}
+
+
+SIGNALS = {"pause": signal.SIGSTOP, "kill": signal.SIGKILL, "stop": signal.SIGTERM}
+
+
+def _begin(cluster, trouble, names, at_return):
     for name in names:
-        if trouble == "pause":
-            cluster.signal(name, signal.SIGSTOP)
-        elif trouble == "kill":
-            cluster.signal(name, signal.SIGKILL)
+        if trouble in SIGNALS:
+            cluster.signal(name, SIGNALS[trouble])
         elif trouble:
             cluster.set_door(name, trouble)
-    if trouble == "kill":
+    if trouble in ("kill", "stop"):
         for name in names:
             cluster.process(name).wait(10.0)
+            cluster.set_door(name, at_return)
             cluster.launch_node(name)
 
 
@@ -308,7 +329,7 @@
     for name in names:
         if trouble == "pause":
             cluster.signal(name, signal.SIGCONT)
-        elif trouble not in ("", "kill", "hushed"):
+        elif trouble not in ("", "hushed"):
             cluster.set_door(name, "")
 
 
