Ask the store beside a reader only while the reader's own call hangs

In an outage of the store, each keeper asked it about once a second although its reader did so as well, which would have nearly doubled the calls that the store turns away. A reader whose calls fail soon asks again itself; what it cannot do is to ask while it waits. Rounds in vain now come up to 2 s apart.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/table_keeper.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/table_keeper.py
@@ -21,7 +21,10 @@
 # the same as a fraction of a short bound.
 RESERVE_S, MAX_RESERVE_FRACTION = 0.8, 0.4
 # Initial and maximum time between two rounds of questions, in seconds.
-FIRST_ROUND_S, MAX_ROUND_S = 0.2, 1.0
+FIRST_ROUND_S, MAX_ROUND_S = 0.2, 2.0
+# Age of the reader's call from which on the store is asked beside it, in seconds. A
+# reader whose calls fail sooner asks the store again itself.
+MIN_CALL_AGE_S = 0.3
 # Peers asked in one round, and the longest call to one of them, in seconds.
 PEERS_PER_ROUND, PEER_CALL_S = 2, 0.4
 # Time by which an answer must make the copy younger to count as help, in seconds. Ages
@@ -36,7 +39,8 @@
     ``call(...)`` of ``Peers``. ``spawn(function, *args)`` runs a task beside others.
     With ``catches_up`` a peer that has read further is asked at once, which suits
     tables that all nodes read as soon as they change. ``on_read()`` is called after
-    each answer that makes the copy younger. Call ``check`` every ``CHECK_INTERVAL_S``.
+    each answer that makes the copy younger. ``reader_call_began_at()`` is as in
+    ``TableReader``. Call ``check`` every ``CHECK_INTERVAL_S``.
     """
 
     def __init__(
@@ -51,6 +55,7 @@
         catches_up=False,
         on_read=lambda: None,
         drop_connections=lambda: None,
+        reader_call_began_at=lambda: None,
     ):
         self.bound_s = bound_s
         self._replica = replica
@@ -61,6 +66,7 @@
         self._catches_up = catches_up
         self._on_read = on_read
         self._drop_connections = drop_connections
+        self._reader_call_began_at = reader_call_began_at
         self._began_at = clock.monotonic()
         self._behind_end = -1
         self._rounds = 0
@@ -90,7 +96,7 @@
         round_s = min(FIRST_ROUND_S * 2**self._rounds, MAX_ROUND_S)
         self._next_round_at = now + (FIRST_ROUND_S if ahead else round_s)
         self._rounds += 1
-        if not self._is_reading:
+        if not self._is_reading and self._is_reader_waiting(now):
             self._spawn(self._read_store)
         for name in self._peers_to_ask(ahead):
             self._spawn(self._ask_peer, name)
@@ -107,6 +113,10 @@
             age_s = self._clock.monotonic() - self._began_at
         return age_s is None or age_s > self.bound_s - reserve_s
 
+    def _is_reader_waiting(self, now):
+        began_at = self._reader_call_began_at()
+        return began_at is not None and now - began_at >= MIN_CALL_AGE_S
+
     def _peers_ahead(self):
         """Return the peers that have read further than this node since the last check.
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
@@ -107,6 +107,7 @@
             node.tasks.spawn,
             bound_s,
             drop_connections=drop_connections,
+            reader_call_began_at=lambda: node.readers[table].call_began_at,
             **kwargs,
         )
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
@@ -120,6 +120,8 @@
     possible: after a restart of all nodes, the store would otherwise have to send whole
     tables to each of them at the same moment. ``on_read()`` is called after each
     successful read. ``reads_store`` is true while this node reads the store itself.
+    ``call_began_at`` is the monotonic time at which the call to the current source
+    began, ``None`` between two calls.
     """
 
     def __init__(
@@ -140,6 +142,7 @@
     ):
         self.replica = replica
         self.reads_store = False
+        self.call_began_at = None
         self._peers = peers
         self._clock = clock
         self._rng = rng
@@ -165,25 +168,30 @@
     def step(self):
         """Read once, from the peer that reads for this node or else from the store."""
         self.replica.settle_due()
+        self.call_began_at = self._clock.monotonic()
         if self._may_copy_first():
             if not self._copy_first():
-                self._clock.sleep(FIRST_COPY_PAUSE_S)
+                self._pause(FIRST_COPY_PAUSE_S)
             return
         if self._copy_from_followed_peer():
-            self._clock.sleep(self._follow_pause_s)
+            self._pause(self._follow_pause_s)
             return
         try:
             self.replica.refresh(self._wait_s())
         except LogUnavailableError as exc:
             self._record_store_failure(exc)
-            self._clock.sleep(self._rng.uniform(0.5, 1.0) * self._backoff_s)
+            self._pause(self._rng.uniform(0.5, 1.0) * self._backoff_s)
             self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
             return
         if not self.reads_store:
             event("table read", table=self.replica.table, end=self.replica.end)
         self.reads_store, self._backoff_s = True, FIRST_BACKOFF_S
         self._on_read()
-        self._clock.sleep(self._pause_s())
+        self._pause(self._pause_s())
+
+    def _pause(self, seconds):
+        self.call_began_at = None
+        self._clock.sleep(seconds)
 
     def _may_copy_first(self):
         """Return whether the first copy of this table may still come from a relay."""
--- a/tests/processes/test_configuration_age.py
+++ b/tests/processes/test_configuration_age.py
@@ -5,6 +5,10 @@
 """
 
 import time
+from datetime import datetime
+
+from standins.modelserver import TOPIC
+from standins.platformconfig import registration_entry
 
 from .configuration_run import (
     CONFIG_S,
@@ -16,6 +20,8 @@
 )
 from .support import PlatformClusterTestCase
 
+# Time in which a leaving server must be noticed, and servers that leave in turn.
+DRAIN_S, LEAVING_SERVERS = 2.0, 6
 BEFORE_S, TROUBLE_S, AFTER_S, LAST_VERSION_S = 2.0, 6.0, 4.0, 1.0
 
 
@@ -46,6 +52,40 @@
         self.assertEqual(run.returned(), [])
         self.assertEqual(run.not_in_force(), {})
 
+    def noticed_at(self, name, server):
+        """Return when a node logged that a server drains, in seconds of the day."""
+        for entry in self.cluster.log_events(name):
+            if entry["event"] == "server draining" and server in entry.values():
+                time_text = entry["time"].replace("Z", "+00:00")
+                return datetime.fromisoformat(time_text).timestamp()
+        return None
+
+    def test_leaving_servers_while_the_store_is_silent(self):
+        self.check_leaving_servers("silent")
+
+    def test_leaving_servers_while_answers_trickle(self):
+        self.check_leaving_servers("slow")
+
+    def check_leaving_servers(self, trouble):
+        """Check that nodes notice leaving servers, whose entries come the same way."""
+        entry, late_s = registration_entry(), {}
+        names = [f"i-leaving-{n}" for n in range(LEAVING_SERVERS)]
+        for server in names:
+            self.cluster.put(TOPIC, server, entry)
+        time.sleep(BEFORE_S)
+        for name in self.names[:5]:
+            self.cluster.set_door(name, trouble)
+        for server in names:
+            time.sleep(0.6)
+            self.cluster.put(TOPIC, server, {**entry, "State": "draining"})
+            late_s[server] = time.time()
+        time.sleep(CONTACT_S)
+        for server, acknowledged_at in late_s.items():
+            for name in self.names:
+                noticed_at = self.noticed_at(name, server)
+                self.assertIsNotNone(noticed_at, (name, server))
+                self.assertLessEqual(noticed_at - acknowledged_at, DRAIN_S, name)
+
     def test_silent_store_for_all(self):
         """Nodes have nobody to ask, but go by all versions soon after its return."""
         with ConfigurationRun(self.cluster) as run:
--- a/tests/routed/test_table_keeper.py
+++ b/tests/routed/test_table_keeper.py
@@ -86,7 +86,10 @@
             CONFIG_S,
             catches_up=True,
             drop_connections=self.drop,
+            reader_call_began_at=lambda: self.call_began_at,
         )
+        # The reader hangs in the call that began then.
+        self.call_began_at = self.clock.now
         self.table.write("config", b"0")
         self.replica.refresh(0.0)
         self.peers.read()
@@ -158,10 +161,18 @@
         self.run_for(10.0)
         before = len(self.peers.asked)
         self.run_for(10.0)
-        self.assertLessEqual(len(self.peers.asked) - before, 10 * PEERS_PER_ROUND + 2)
+        self.assertLessEqual(len(self.peers.asked) - before, 5 * PEERS_PER_ROUND + 2)
+
+    def test_store_is_not_asked_beside_a_reader_whose_calls_fail(self):
+        self.access.fails, self.call_began_at = True, None
+        self.peers.blind = set(PEERS)
+        calls = self.access.calls
+        self.run_for(9.0)
+        self.assertEqual(self.access.calls, calls)
 
     def test_node_asks_at_once_after_a_pause(self):
         self.replica.complete_at = None
+        self.peers.read()
         self.keeper.check()
         self.assertTrue(self.keeper.is_in_time())
 
@@ -174,6 +185,7 @@
             random.Random(3),
             lambda function, *args: function(*args),
             CONFIG_S,
+            reader_call_began_at=lambda: self.call_began_at,
         )
         keeper.check()
         self.assertEqual(replica.end, -1)
