Ask at least once a second while a copy is too old

With pauses of up to 2 s, six of seven nodes had the versions of a silence of the store only 1.9 to 2.1 s after its end.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/table_keeper.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/table_keeper.py
@@ -21,7 +21,7 @@
 # the same as a fraction of a short bound.
 RESERVE_S, MAX_RESERVE_FRACTION = 0.8, 0.4
 # Initial and maximum time between two rounds of questions, in seconds.
-FIRST_ROUND_S, MAX_ROUND_S = 0.2, 2.0
+FIRST_ROUND_S, MAX_ROUND_S = 0.2, 1.0
 # Age of the reader's call from which on the store is asked beside it, in seconds. A
 # reader whose calls fail sooner asks the store again itself.
 MIN_CALL_AGE_S = 0.3
