--- a/tests/routed/test_peers.py
+++ b/tests/routed/test_peers.py
@@ -92,6 +92,7 @@
             incarnation=f"{name}-1",
             data_center=network.state.nodes[name].data_center,
         )
+        self.table_ends = {}
         self.peers = Peers(
             identity,
             network.state,
@@ -119,7 +120,7 @@
             reads_tables=self.reads_tables,
             cut_off=self.cut_off,
             lost_services=["assist"] if self.cut_off else [],
-            table_ends={},
+            table_ends=dict(self.table_ends),
             running=dict(self.running),
             demand={"big": 0.5},
             suspects=list(self.suspected),
@@ -139,6 +140,27 @@
         self.peers.call_lost_node()
 
 
+class TableEndsTests(unittest.TestCase):
+    """Heartbeats tell how far peers have read a table; lost peers tell nothing."""
+
+    def test_ends_of_live_peers(self):
+        network = Network()
+        network.run(4.0)
+        relays = [n.peers for n in network.nodes.values() if n.peers.parent() is None]
+        peers = relays[0]
+        self.assertEqual(peers.table_ends("operator"), {})
+        for node in network.nodes.values():
+            node.table_ends = {"operator": 7}
+        network.run(4.0)
+        ends = peers.table_ends("operator")
+        self.assertEqual(set(ends.values()), {7})
+        lost = min(ends)
+        network.down.add(lost)
+        network.run(4.0)
+        self.assertNotIn(lost, peers.table_ends("operator"))
+        self.assertEqual(peers.table_ends("servers"), {})
+
+
 class CrashingPartTests(unittest.TestCase):
     """Crashes that different nodes see become known to all in time."""
 
