--- a/tests/processes/configuration_run.py
+++ b/tests/processes/configuration_run.py
@@ -69,8 +69,8 @@
         self.wait(self._store_responds, "the store answers")
 
     def add_node(self, name, store=None):
-        """Start a node with its own address of the store."""
-        if name not in self.doors:
+        """Start a node, with its own address of the store if ``store`` is not given."""
+        if store is None and name not in self.doors:
             self.doors[name] = next(self._free_doors)
         super().add_node(name, store or self.doors[name])
 
@@ -112,12 +112,9 @@
         self._threads = []
 
     def __enter__(self):
-        for target, *args in (
-            (self._write_versions,),
-            *((self._ask, name) for name in self.names),
-        ):
-            self._threads.append(threading.Thread(target=target, args=args))
-            self._threads[-1].start()
+        self._start(self._write_versions)
+        for name in self.names:
+            self._start(self._ask, name)
         return self
 
     def __exit__(self, *exc_info):
@@ -134,6 +131,16 @@
         self.acknowledged_at[version] = time.monotonic()
         return version
 
+    def add_node(self, name):
+        """Start a new node and ask it from now on."""
+        self.cluster.add_node(name, self.cluster.store)
+        self.names.append(name)
+        self._start(self._ask, name)
+
+    def _start(self, target, *args):
+        self._threads.append(threading.Thread(target=target, args=args))
+        self._threads[-1].start()
+
     def stop_writing(self):
         """Write no more versions from now on."""
         self._is_writing.clear()
@@ -268,7 +275,7 @@
             run.write_version()
             time.sleep(args.delay)
         began_at = time.monotonic()
-        _begin(cluster, args.trouble, names[: args.nodes], args.at_return)
+        _begin(run, args.trouble, names[: args.nodes], args.at_return)
         run.go_on_writing()
         time.sleep(args.seconds)
         _end(cluster, args.trouble, names[: args.nodes])
@@ -309,10 +316,16 @@
     return {name: round(value, 2) for name, value in sorted(seconds.items())}
 
 
-SIGNALS = {"pause": signal.SIGSTOP, "kill": signal.SIGKILL, "stop": signal.SIGTERM}
+SIGNALS = {
+    "pause": signal.SIGSTOP,
+    "kill": signal.SIGKILL,
+    "replace": signal.SIGKILL,
+    "stop": signal.SIGTERM,
+}
 
 
-def _begin(cluster, trouble, names, at_return):
+def _begin(run, trouble, names, at_return):
+    cluster = run.cluster
     for name in names:
         if trouble in SIGNALS:
             cluster.signal(name, SIGNALS[trouble])
@@ -323,13 +336,16 @@
             cluster.process(name).wait(10.0)
             cluster.set_door(name, at_return)
             cluster.launch_node(name)
+    if trouble == "replace":
+        for number, _ in enumerate(names):
+            run.add_node(f"edge-norte-new-{number}")
 
 
 def _end(cluster, trouble, names):
     for name in names:
         if trouble == "pause":
             cluster.signal(name, signal.SIGCONT)
-        elif trouble not in ("", "hushed"):
+        elif trouble not in ("", "hushed", "replace"):
             cluster.set_door(name, "")
 
 
