--- a/tests/processes/configuration_run.py
+++ b/tests/processes/configuration_run.py
@@ -37,6 +37,8 @@
 # acknowledgement, at nodes that have been in touch for this long.
 CONFIG_S, CONTACT_S = 2.0, 3.0
 NODE_ENV = {"AUBURNWALL_CONFIG_NOTICE_S": str(CONFIG_S)}
+# With this, two of the nodes are relays, which read the store for the others.
+RELAYS_ENV = {"AUBURNWALL_MAX_MESH_NODES": "2"}
 # Routes that each version has besides those that came with a version.
 EARLIER_ROUTES = 350
 VERSION_INTERVAL_S, ASK_INTERVAL_S = 0.33, 0.04
@@ -256,11 +258,13 @@
     parser.add_argument("--seconds", type=float, default=9.0)
     parser.add_argument("--after", type=float, default=5.0)
     parser.add_argument("--busy", type=int, default=0, help="busy processes beside")
+    parser.add_argument("--relays", action="store_true", help="as in a large fleet")
     parser.add_argument("--out", help="folder for the logs")
     args = parser.parse_args()
     with ExitStack() as stack:
         out = args.out or stack.enter_context(tempfile.TemporaryDirectory())
-        cluster = stack.enter_context(DoorsCluster(NODES, out, NODE_ENV))
+        node_env = {**NODE_ENV, **(RELAYS_ENV if args.relays else {})}
+        cluster = stack.enter_context(DoorsCluster(NODES, out, node_env))
         names = sorted(cluster.nodes)
         cluster.wait(lambda: all(map(cluster.is_ready, names)), "all nodes are ready")
         for _ in range(args.busy):
--- a/tests/processes/test_configuration_age.py
+++ b/tests/processes/test_configuration_age.py
@@ -15,6 +15,7 @@
     CONTACT_S,
     NODE_ENV,
     NODES,
+    RELAYS_ENV,
     ConfigurationRun,
     DoorsCluster,
 )
@@ -25,7 +26,9 @@
 BEFORE_S, TROUBLE_S, AFTER_S, LAST_VERSION_S = 2.0, 6.0, 4.0, 1.0
 
 
-class ConfigurationAgeTests(PlatformClusterTestCase):
+class AgeTestCase(PlatformClusterTestCase):
+    """Nodes that each have an address of the store for themselves."""
+
     NODES = NODES
     NODE_ENV = NODE_ENV
     CLUSTER_CLASS = DoorsCluster
@@ -52,6 +55,22 @@
         self.assertEqual(run.returned(), [])
         self.assertEqual(run.not_in_force(), {})
 
+
+class RelayedConfigurationAgeTests(AgeTestCase):
+    """Two nodes are relays; the store fails for one of them and for its followers."""
+
+    NODE_ENV = {**NODE_ENV, **RELAYS_ENV}
+
+    def test_silent_store(self):
+        self.check("silent", 4)
+
+    def test_store_whose_answers_trickle(self):
+        self.check("slow", 4)
+
+
+class ConfigurationAgeTests(AgeTestCase):
+    """All nodes exchange heartbeats and read the operators' table themselves."""
+
     def noticed_at(self, name, server):
         """Return when a node logged that a server drains, in seconds of the day."""
         for entry in self.cluster.log_events(name):
