End a read that waits before its copy is taken for nearly too old

A read that gets records makes the copy as old as the read's begin, and the next one waited a second more: 1.3 to 1.4 s, past the 1.2 s at which the keeper asks.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/table_keeper.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/table_keeper.py
@@ -80,10 +80,22 @@
         age_s = self._replica.age_s()
         return age_s is not None and age_s <= self.bound_s
 
+    def time_left_s(self):
+        """Return the seconds until the keeper begins to ask, 0.0 if it does so now.
+
+        A node that starts has the bound for its first read; after a pause of the node
+        the age is not known.
+        """
+        reserve_s = min(RESERVE_S, MAX_RESERVE_FRACTION * self.bound_s)
+        age_s = self._replica.age_s()
+        if age_s is None and self._replica.end < 0:
+            age_s = self._clock.monotonic() - self._began_at
+        return 0.0 if age_s is None else max(self.bound_s - reserve_s - age_s, 0.0)
+
     def check(self):
         """Ask the store and peers if the copy is behind a peer, or nearly too old."""
         ahead = self._peers_ahead()
-        if not ahead and not self._is_overdue():
+        if not ahead and self.time_left_s() > 0.0:
             self._end_rounds()
             return
         now = self._clock.monotonic()
@@ -101,18 +113,6 @@
         for name in self._peers_to_ask(ahead):
             self._spawn(self._ask_peer, name)
 
-    def _is_overdue(self):
-        """Return whether the copy is too old but for the reserve.
-
-        A node that starts has the bound for its first read; after a pause of the node
-        the age is not known.
-        """
-        reserve_s = min(RESERVE_S, MAX_RESERVE_FRACTION * self.bound_s)
-        age_s = self._replica.age_s()
-        if age_s is None and self._replica.end < 0:
-            age_s = self._clock.monotonic() - self._began_at
-        return age_s is None or age_s > self.bound_s - reserve_s
-
     def _is_reader_waiting(self, now):
         began_at = self._reader_call_began_at()
         return began_at is not None and now - began_at >= MIN_CALL_AGE_S
--- a/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
@@ -21,6 +21,8 @@
 # little: a group is used only once its head, the member that takes its requests, has
 # registered, and the registrations are read at longer intervals (``registry_s``).
 FLEET_READ_PAUSE_S = 0.3
+# Time for the answer of a read that waits, and shortest wait, in seconds.
+READ_MARGIN_S, MIN_LONG_POLL_S = 0.1, 0.2
 # Time for which this node keeps what it knows of the fleet after the store has lost
 # records, in seconds. A new planner, if one is needed, has written them again by then.
 FLEET_SETTLE_S = 6.0
@@ -122,9 +124,15 @@
 
 
 def _operator_wait_s(node):
-    """Return how long a read of the operators' table waits for records, in seconds."""
+    """Return how long a read of the operators' table waits for records, in seconds.
+
+    A read that gets records makes the copy as old as that read. The next one ends
+    before the keeper would ask.
+    """
     longest_s = LONG_POLL_S if node.peers.is_mesh else RELAYED_LONG_POLL_S
-    return min(longest_s, MAX_LONG_POLL_FRACTION * node.cfg.config_notice_s)
+    longest_s = min(longest_s, MAX_LONG_POLL_FRACTION * node.cfg.config_notice_s)
+    left_s = node.keepers[OPERATOR_TABLE].time_left_s() - READ_MARGIN_S
+    return min(longest_s, max(left_s, MIN_LONG_POLL_S))
 
 
 def _registry_pause_s(node):
--- a/tests/routed/test_table_keeper.py
+++ b/tests/routed/test_table_keeper.py
@@ -170,6 +170,17 @@
         self.run_for(9.0)
         self.assertEqual(self.access.calls, calls)
 
+    def test_time_left_counts_down_to_the_first_question(self):
+        left_s = self.keeper.time_left_s()
+        self.assertLess(left_s, CONFIG_S)
+        self.clock.now += left_s - 0.01
+        self.keeper.check()
+        self.assertEqual(self.peers.asked, [])
+        self.clock.now += 0.02
+        self.assertEqual(self.keeper.time_left_s(), 0.0)
+        self.keeper.check()
+        self.assertNotEqual(self.peers.asked, [])
+
     def test_node_asks_at_once_after_a_pause(self):
         self.replica.complete_at = None
         self.peers.read()
