--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -41,11 +41,11 @@
         for number in range(self._node_count):
             self.add_node(f"edge-norte-{number + 1}")
 
-    def _start_platform(self):
+    def _start_platform(self, *arguments):
         """Start the process of the stand-ins for the store and the servers."""
         self.store = free_addresses(1)[0]
         command = [sys.executable, "-m", "standins", "users-platform"]
-        self._start("platform", [*command, "--address", self.store], {})
+        self._start("platform", [*command, "--address", self.store, *arguments], {})
         self.wait(self._store_responds, "the store answers")
 
     def add_node(self, name, store=None):
--- a/packages/auburnwall-state/src/auburnwall/state/table/replica.py
+++ b/packages/auburnwall-state/src/auburnwall/state/table/replica.py
@@ -33,7 +33,7 @@
     The replica reflects all records before the offset ``end``, which is -1 before the
     first read; it holds the newest one of each key. ``complete_at`` is the last time at
     which it was known to be complete, on the node's monotonic clock, or ``None``.
-    ``source`` is where the last records came from, ``STORE`` or the name of a peer.
+    ``source`` is where the last answer came from, ``STORE`` or the name of a peer.
 
     ``era`` is the store's era of these offsets. ``unsettled`` maps each key that an
     older copy of the store has changed to its record there, ``None`` if it has none;
@@ -114,9 +114,9 @@
         else:
             waited = self._clock.monotonic() - asked_at >= wait_s and not batch.records
             complete_at = asked_at + wait_s if waited else asked_at
-            if not batch.at_end:
-                complete_at = None
-            self.apply_records(batch.records, batch.end, complete_at)
+            self.apply_records(
+                batch.records, batch.end, complete_at if batch.at_end else None
+            )
         self.settle_due()
 
     def apply_records(self, records, end, complete_at, source=STORE):
--- a/tests/processes/configuration_run.py
+++ b/tests/processes/configuration_run.py
@@ -63,12 +63,9 @@
         self.doors = {}
 
     def _start_platform(self):
-        self.store, *doors = free_addresses(1 + self._node_count)
+        doors = free_addresses(self._node_count)
         self._free_doors = iter(doors)
-        command = [sys.executable, "-m", "standins", "users-platform"]
-        arguments = ["--address", self.store, "--doors", ",".join(doors)]
-        self._start("platform", [*command, *arguments], {})
-        self.wait(self._store_responds, "the store answers")
+        super()._start_platform("--doors", ",".join(doors))
 
     def add_node(self, name, store=None):
         """Start a node, with its own address of the store if ``store`` is not given."""
