Derive whether the configuration is in time from its copy

ConfigSource got a function of the keeper assigned after both were built, and compared the same age with the same bound itself for its log line. The copy answers both now.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -284,7 +284,6 @@
         )
         self.readers = build_readers(self)
         self.keepers = build_keepers(self)
-        self.source.is_current = self.keepers[OPERATOR_TABLE].is_in_time
 
     def _build_routing(self):
         cfg, clock = self.cfg, self.clock
--- a/packages/auburnwall-node/src/auburnwall/node/routed/source.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/source.py
@@ -31,8 +31,7 @@
     after it was written; ``None`` is no limit. ``record_version(outcome)`` is called
     for each version that is read.
 
-    ``is_current()`` returns whether the copy of the operators' table is no older than
-    allowed. ``refused_offset`` is the offset of the newest version that could not be
+    ``refused_offset`` is the offset of the newest version that could not be
     decoded, if none that came after it is in force; otherwise ``None``.
     """
 
@@ -41,7 +40,6 @@
         self.origin = None
         self.refused_offset = None
         self.evacuated_data_centers = set()
-        self.is_current = lambda: True
         self._replica = replica
         self._codec = codec
         self._notice_s = notice_s
@@ -53,6 +51,10 @@
         """Return the current ``RoutingConfig``, or ``None``."""
         return self.table.config if self.table else None
 
+    def is_current(self):
+        """Return whether the copy of the operators' table is no older than allowed."""
+        return self._notice_s is None or self._replica.is_in_time(self._notice_s)
+
     def provenance(self):
         """Return what this node goes by, as fields of a log line or an error response.
 
@@ -129,7 +131,7 @@
         That is the age of the copy before this version was read.
         """
         age_s = self._replica.age_s()
-        is_late = None not in (age_s, self._notice_s) and age_s > self._notice_s
+        is_late = age_s is not None and not self.is_current()
         self._record_version(IN_FORCE_LATE if is_late else IN_FORCE)
         event(
             "configuration in force",
--- a/packages/auburnwall-node/src/auburnwall/node/routed/table_keeper.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/table_keeper.py
@@ -75,11 +75,6 @@
         self._asked = []
         self._last_helper = None
 
-    def is_in_time(self):
-        """Return whether the copy is known to be no older than the bound."""
-        age_s = self._replica.age_s()
-        return age_s is not None and age_s <= self.bound_s
-
     def time_left_s(self):
         """Return the seconds until the keeper begins to ask, 0.0 if it does so now.
 
--- a/packages/auburnwall-state/src/auburnwall/state/table/replica.py
+++ b/packages/auburnwall-state/src/auburnwall/state/table/replica.py
@@ -89,6 +89,11 @@
             return None
         return self._clock.monotonic() - self.complete_at
 
+    def is_in_time(self, bound_s):
+        """Return whether the replica is known to be no older than ``bound_s``."""
+        age_s = self.age_s()
+        return age_s is not None and age_s <= bound_s
+
     def refresh(self, wait_s):
         """Read new records, waiting up to ``wait_s`` seconds for the first one.
 
--- a/tests/routed/test_table_keeper.py
+++ b/tests/routed/test_table_keeper.py
@@ -152,7 +152,7 @@
         self.access.fails = True
         self.peers.blind = set(PEERS)
         self.run_for(4.0)
-        self.assertFalse(self.keeper.is_in_time())
+        self.assertFalse(self.replica.is_in_time(CONFIG_S))
         self.assertIsNone(self.keeper._last_helper)
 
     def test_questions_become_rarer_while_nobody_has_read_further(self):
@@ -185,7 +185,7 @@
         self.replica.complete_at = None
         self.peers.read()
         self.keeper.check()
-        self.assertTrue(self.keeper.is_in_time())
+        self.assertTrue(self.replica.is_in_time(CONFIG_S))
 
     def test_start_leaves_the_first_read_its_time(self):
         replica = TableReplica("operator", self.access, self.clock)
@@ -200,10 +200,10 @@
         )
         keeper.check()
         self.assertEqual(replica.end, -1)
-        self.assertFalse(keeper.is_in_time())
+        self.assertFalse(replica.is_in_time(CONFIG_S))
         self.clock.now += CONFIG_S
         keeper.check()
-        self.assertTrue(keeper.is_in_time())
+        self.assertTrue(replica.is_in_time(CONFIG_S))
 
 
 if __name__ == "__main__":
