Tell a version that the copy holds and that is not in force from an old copy

A refusal named the version in force and the age of the copy, and nothing said that the copy held a newer version: after a loss of the store's records a version is held back without a line. It has one now ("configuration held back"), beside those that are skipped or refused; answers of 404, 401 and their lines name the pending version and the reason, and explain ends with a line that tells the two cases apart. Metrics count them. Lines of builds before this are told as such. No logic is changed.

--- a/packages/auburnwall-cli/src/auburnwall/cli/nodelogs.py
+++ b/packages/auburnwall-cli/src/auburnwall/cli/nodelogs.py
@@ -9,14 +9,18 @@
 # version of the configuration by which it was given.
 _CONFIGURATION_EVENTS = {
     "bad configuration",
+    "configuration held back",
     "configuration in force",
     "old configuration",
     "paused",
+    "store lost records",
     "table copy failed",
     "table copy outdated",
     "table lost",
     "table read",
+    "table history dropped",
     "table refreshed",
+    "table settled",
     "table stale",
 }
 # How many of them are shown, the newest before the answer.
@@ -75,7 +79,36 @@
             and first_time <= event.get("time", "") <= last_time
         )
     ]
-    return [_event_row(event) for event in selected]
+    verdicts = map(_configuration_verdict, request_events)
+    return [*map(_event_row, selected), *filter(None, verdicts)]
+
+
+def _configuration_verdict(event):
+    """Return a row that says what a refusal by the configuration went by, or ``None``.
+
+    A version in the node's copy that was not in force is told from a copy that was old.
+    Nodes of earlier builds do not tell of such a version.
+    """
+    if "config_version" not in event:
+        return None
+    age_s, pending = event.get("config_age_s"), event.get("config_pending_version")
+    why = event.get("config_pending_why")
+    if "config_pending_why" not in event:
+        detail = "the node's build does not tell whether its copy held another version"
+    elif why:
+        version = "one that cannot be read" if pending is None else f"version {pending}"
+        detail = f"the copy held {version}, not in force: {why}"
+    else:
+        detail = "the copy held no other version"
+    age = "of unknown age" if age_s is None else f"{age_s} s old"
+    return {
+        "time": event.get("time", "")[11:23],
+        "node": event.get("node", ""),
+        "event": "went by",
+        "group": "",
+        "peer": event.get("config_source", ""),
+        "detail": f"version {event['config_version']}, copy {age}; {detail}",
+    }
 
 
 def _configuration_events(events, request_events):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/metrics.py
@@ -7,6 +7,8 @@
 from auburnwall.base.metrics import DurationHistograms, MetricsRegistry
 from auburnwall.routing.rank_counts import RankCounts
 
+from .source import HELD, REFUSED
+
 
 class RoutedMetrics(MetricsRegistry, RankCounts):
     """Counters, gauges and timings of a routed node."""
@@ -81,26 +83,33 @@
 
 
 class TableAges:
-    """A collector of the age of each table's copy; ``replicas`` are these, by name.
+    """A collector of each table's copy: its age, and the records it holds back.
 
-    A copy whose age is not known has none.
+    ``replicas`` are the copies, by name. A copy whose age is not known has none.
     """
 
     def __init__(self, replicas):
         self._replicas = replicas
 
     def collect(self):
-        """Yield the gauge, with a sample for each table."""
+        """Yield the two gauges, each with a sample for each table."""
         ages = GaugeMetricFamily(
             "auburnwall_table_age_seconds",
             "Time since the copy of a table was known to be complete.",
             labels=["table"],
         )
+        held_back = GaugeMetricFamily(
+            "auburnwall_table_held_back",
+            "Keys of the copy whose records are not in force yet.",
+            labels=["table"],
+        )
         for name, replica in self._replicas.items():
             age_s = replica.age_s()
             if age_s is not None:
                 ages.add_metric([name], age_s)
+            held_back.add_metric([name], len(replica.unsettled))
         yield ages
+        yield held_back
 
 
 class CapacityGauges:
@@ -133,6 +142,11 @@
         yield coverage
 
 
+def _is_pending(node, why):
+    """Return whether the version that was read last is not in force, for a reason."""
+    return node.source.pending is not None and node.source.pending.why == why
+
+
 def add_gauges(metrics, node):
     """Add the gauges of a ``RoutedNode``."""
     report = node.formation_controller.capacity
@@ -153,7 +167,12 @@
         (
             "configuration_refused",
             "1 while the newest version of the configuration could not be decoded.",
-            lambda: int(node.source.refused_offset is not None),
+            lambda: int(_is_pending(node, REFUSED)),
+        ),
+        (
+            "configuration_held_back",
+            "1 while the copy holds a version back after the store has lost records.",
+            lambda: int(_is_pending(node, HELD)),
         ),
         ("waiting", "Requests that wait for a place.", node.placer.waiting_count),
         ("granted", "Slots granted as a broker.", lambda: len(broker)),
--- a/packages/auburnwall-node/src/auburnwall/node/routed/source.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/source.py
@@ -6,7 +6,8 @@
 from auburnwall.routing.routes import RouteTable
 
 # What becomes of a version of the configuration.
-IN_FORCE, IN_FORCE_LATE, REFUSED, SKIPPED = "in force", "late", "refused", "skipped"
+IN_FORCE, IN_FORCE_LATE = "in force", "late"
+REFUSED, SKIPPED, HELD = "refused", "skipped", "held back"
 
 
 class ConfigOrigin(NamedTuple):
@@ -19,6 +20,19 @@
     source: str
 
 
+class PendingVersion(NamedTuple):
+    """A version in the node's copy that is not in force, and why.
+
+    ``version`` is ``None`` if it cannot be read. ``why`` is ``REFUSED`` (it cannot be
+    decoded), ``SKIPPED`` (a higher one is in force) or ``HELD`` (the copy holds it back
+    after the store has lost records).
+    """
+
+    version: int | None
+    offset: int
+    why: str
+
+
 class ConfigSource:
     """Keep the configuration and the evacuated data centres of the operators' table.
 
@@ -31,20 +45,21 @@
     after it was written; ``None`` is no limit. ``record_version(outcome)`` is called
     for each version that is read.
 
-    ``refused_offset`` is the offset of the newest version that could not be
-    decoded, if none that came after it is in force; otherwise ``None``.
+    ``pending`` is the ``PendingVersion`` that was read last, if none that came after it
+    is in force; otherwise ``None``.
     """
 
     def __init__(self, replica, codec, notice_s=None, record_version=lambda o: None):
         self.table = None
         self.origin = None
-        self.refused_offset = None
+        self.pending = None
         self.evacuated_data_centers = set()
         self._replica = replica
         self._codec = codec
         self._notice_s = notice_s
         self._record_version = record_version
         replica.listeners.append(self._apply)
+        replica.held_listeners.append(self._note_held)
 
     @property
     def config(self):
@@ -59,7 +74,8 @@
         """Return what this node goes by, as fields of a log line or an error response.
 
         ``config_age_s`` is the time since the copy of the operators' table was known to
-        be complete: a version that is younger may be missing.
+        be complete: a version that is younger may be missing. The pending version is
+        one that the copy holds and that is not in force.
         """
         if self.table is None:
             return {}
@@ -69,6 +85,8 @@
             "config_offset": self.origin.offset,
             "config_age_s": None if age_s is None else round(age_s, 3),
             "config_source": self.origin.source,
+            "config_pending_version": self.pending.version if self.pending else None,
+            "config_pending_why": self.pending.why if self.pending else None,
         }
 
     def _apply(self, record):
@@ -99,7 +117,7 @@
             return
         current = self.config
         if current is not None and config.version <= current.version:
-            self._record_version(SKIPPED)
+            self._set_pending(config.version, record, SKIPPED)
             event(
                 "old configuration",
                 offset=record.offset,
@@ -111,12 +129,33 @@
             return
         self.table = RouteTable(config)
         self.origin = ConfigOrigin(record.offset, self._replica.source)
-        self.refused_offset = None
+        self.pending = None
         self._log_in_force(current)
 
+    def _set_pending(self, version, record, why):
+        self._record_version(why)
+        self.pending = PendingVersion(version, record.offset, why)
+
+    def _note_held(self, record):
+        """Log a version that the copy holds and does not apply yet."""
+        if not self._codec.is_config(record.key) or record.value is None:
+            return
+        try:
+            version = self._codec.decode_config(record.value).version
+        except Exception as exc:
+            self._refuse(record, exc)
+            return
+        self._set_pending(version, record, HELD)
+        event(
+            "configuration held back",
+            offset=record.offset,
+            version=version,
+            source=self._replica.source,
+            in_force=self.config.version if self.config else None,
+        )
+
     def _refuse(self, record, exc):
-        self._record_version(REFUSED)
-        self.refused_offset = record.offset
+        self._set_pending(None, record, REFUSED)
         warn(
             "bad configuration",
             offset=record.offset,
--- a/packages/auburnwall-state/src/auburnwall/state/table/replica.py
+++ b/packages/auburnwall-state/src/auburnwall/state/table/replica.py
@@ -45,6 +45,8 @@
     ``None`` then, because the node was paused: others may have written in that era what
     is newer than all that this node knows. ``reset_listeners`` are called before.
 
+    ``held_listeners`` are notified of each record of a new era that is not applied yet.
+
     ``is_repeat(old, new)`` tells whether a value says nothing new. Of such records only
     ``repeat_listeners`` are notified, with the key, and peers do not get them.
     """
@@ -70,6 +72,7 @@
         self.listeners = []
         self.repeat_listeners = []
         self.reset_listeners = []
+        self.held_listeners = []
         self.loaded_at = None
         self._client = client
         self._clock = clock
@@ -253,6 +256,9 @@
         self._settle_at = self._clock.monotonic() + self._settle_s
         self.era, self.end, self.complete_at = era, end, complete_at
         self._forget_recent(end)
+        for record in filter(None, unsettled.values()):
+            for listener in self.held_listeners:
+                listener(record)
 
     def _begin_anew(self, era):
         """Count what is known for nothing against the table of a new era."""
--- a/tests/cli/test_explain_logs.py
+++ b/tests/cli/test_explain_logs.py
@@ -31,6 +31,33 @@
     ("10:02:00.300", "n2", "bad configuration", {"offset": 9}),
     ("10:02:01.000", "n1", "request failed", {"request": "r6", "config_version": 7}),
     ("10:02:02.000", "n1", "configuration in force", {"version": 8}),
+    ("10:03:00.000", "n3", "configuration held back", {"version": 9}),
+    (
+        "10:03:01.000",
+        "n3",
+        "request failed",
+        {
+            "request": "r7",
+            "config_version": 8,
+            "config_age_s": 0.4,
+            "config_source": "store",
+            "config_pending_version": 9,
+            "config_pending_why": "held back",
+        },
+    ),
+    (
+        "10:03:02.000",
+        "n2",
+        "request failed",
+        {
+            "request": "r8",
+            "config_version": 8,
+            "config_age_s": 1.9,
+            "config_source": "n1",
+            "config_pending_version": None,
+            "config_pending_why": None,
+        },
+    ),
 ]
 
 
@@ -80,9 +107,27 @@
                 ("n1", "configuration in force"),
                 ("n1", "table lost"),
                 ("n1", "request failed"),
+                ("n1", "went by"),
             ],
         )
 
+    def went_by(self, request):
+        _, output, _ = self.run_command(f"--request {request}")
+        return json.loads(output)[-1]["detail"]
+
+    def test_version_in_the_copy_is_told_from_a_copy_that_is_old(self):
+        """Also beside nodes of builds that do not tell."""
+        self.assertEqual(
+            self.went_by("r7"),
+            "version 8, copy 0.4 s old; "
+            "the copy held version 9, not in force: held back",
+        )
+        self.assertEqual(
+            self.went_by("r8"),
+            "version 8, copy 1.9 s old; the copy held no other version",
+        )
+        self.assertIn("the node's build does not tell", self.went_by("r6"))
+
     def test_request_with_events_of_its_groups_meanwhile(self):
         code, output, _ = self.run_command("--request r1")
         shown = [(row["node"], row["event"]) for row in json.loads(output)]
--- a/tests/routed/test_configuration_answers.py
+++ b/tests/routed/test_configuration_answers.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 from auburnwall.node.routed.metrics import RoutedMetrics, TableAges
-from auburnwall.node.routed.source import ConfigSource
+from auburnwall.node.routed.source import ConfigSource, PendingVersion
 from auburnwall.platform.operator import OperatorDecoder
 from auburnwall.state.table.base import TableRecord
 from auburnwall.state.table.replica import TableReplica
@@ -85,9 +85,27 @@
                 "config_offset": 4,
                 "config_age_s": 1.5,
                 "config_source": "n2",
+                "config_pending_version": None,
+                "config_pending_why": None,
             },
         )
 
+    def test_version_that_is_held_back_after_a_loss_is_told(self):
+        """It is told from a copy that is old: the copy has the version."""
+        self.put(4, 7)
+        body = json.dumps({**config(), "Version": 9}).encode()
+        record = TableRecord(2, "config", body)
+        for listener in self.replica.held_listeners:
+            listener(record)
+        provenance = self.source.provenance()
+        self.assertEqual(provenance["config_version"], 7)
+        self.assertEqual(provenance["config_pending_version"], 9)
+        self.assertEqual(provenance["config_pending_why"], "held back")
+        self.assertEqual(self.event.call_args.args, ("configuration held back",))
+        self.assertEqual(self.outcomes(), {"in force": 1, "held back": 1})
+        self.put(5, 9)
+        self.assertIsNone(self.source.provenance()["config_pending_why"])
+
     def test_age_is_none_after_a_pause(self):
         self.put(4, 7)
         self.replica.complete_at = None
@@ -107,17 +125,18 @@
     def test_refused_version_is_counted_until_a_later_one_is_in_force(self):
         self.put(0, 1)
         self.put(1, 2, Routes="none")
-        self.assertEqual(self.source.refused_offset, 1)
+        self.assertEqual(self.source.pending, PendingVersion(None, 1, "refused"))
         self.assertEqual(self.warn.call_args.args, ("bad configuration",))
         self.assertEqual(self.source.config.version, 1)
         self.put(2, 3)
-        self.assertIsNone(self.source.refused_offset)
+        self.assertIsNone(self.source.pending)
         self.assertEqual(self.outcomes(), {"in force": 2, "refused": 1})
 
     def test_skipped_version_is_counted(self):
         self.put(0, 5)
         self.put(1, 4)
         self.assertEqual(self.source.config.version, 5)
+        self.assertEqual(self.source.pending, PendingVersion(4, 1, "skipped"))
         self.assertEqual(self.outcomes(), {"in force": 1, "skipped": 1})
 
     def test_ages_of_copies(self):
@@ -126,6 +145,7 @@
         self.metrics.registry.register(TableAges({"operator": self.replica}))
         text = self.metrics.exposition().decode()
         self.assertIn('auburnwall_table_age_seconds{table="operator"} 0.5', text)
+        self.assertIn('auburnwall_table_held_back{table="operator"} 0.0', text)
 
 
 if __name__ == "__main__":
