Show versions that were acknowledged and are not in force, on real processes

On this code:

- the store loses its newest records and acknowledges a version: 404 at several nodes at one moment 2.2 s after it, 2.66 s with relays, while the store serves all of them;
- an older version is written late, after a newer one: a node that starts then goes by it, with and without relays, also one that was paused and whose history is gone;
- a leaving server after such a loss is noticed after 2.91 s of 2.0 s;

The tests fail and are listed.

--- a/demo/platform_cluster.py
+++ b/demo/platform_cluster.py
@@ -125,6 +125,10 @@
         """Let the store lose all records since its last copy."""
         self._post("/standin/back", {})
 
+    def expire_store_history(self, topic):
+        """Let the store forget the records of a topic but the newest of each key."""
+        self._post("/standin/expire", {"topic": topic})
+
     def process(self, node):
         """Return a node's current process."""
         return self._processes[node]
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -33,6 +33,7 @@
     parser.add_argument("--weight-store-url", default="")
     parser.add_argument("--members", default="", help="vm=host:port,...")
     parser.add_argument("--doors", default="", help="further addresses of the store")
+    parser.add_argument("--services", default="", help="further plain services")
     parser.add_argument("--token-s", type=float, default=0.01)
     parser.add_argument("--warm-up-s", type=float, default=2.0)
     args = parser.parse_args()
@@ -47,7 +48,11 @@
             vm, _, address = member.partition("=")
             standin.add(vm, address)
     elif args.name == "users-platform":
-        standin = UsersPlatform(args.address, list(filter(None, args.doors.split(","))))
+        doors, services = (
+            list(filter(None, names.split(",")))
+            for names in (args.doors, args.services)
+        )
+        standin = UsersPlatform(args.address, doors, services)
     else:
         standin = {
             "log": LogStandin,
--- a/standins/store.py
+++ b/standins/store.py
@@ -17,6 +17,8 @@
 PAGE_ENTRIES = 500
 # Bytes of a response that are sent at once through a slow door, and pause after them.
 SLOW_BYTES, SLOW_INTERVAL_S = 400, 0.05
+# Time from the making of a delayed response to its sending.
+DELAY_S = 0.7
 # Share of the calls that a store short of reads turns away.
 SHORT = 0.7
 
@@ -41,9 +43,9 @@
     ``doors`` are further addresses of the store, each with a trouble of its own, so
     that the store can treat its callers differently. ``"many"`` answers 429 there,
     ``"short"`` does so for the share ``SHORT`` of the calls,
-    ``"slow"`` sends ``SLOW_BYTES`` bytes each ``SLOW_INTERVAL_S``, and ``"refuse"``
-    takes no connections. ``"hushed"`` sends nothing more on the connections that are
-    open then.
+    ``"slow"`` sends ``SLOW_BYTES`` bytes each ``SLOW_INTERVAL_S``, ``"delayed"`` sends
+    each response ``DELAY_S`` after it is made, and ``"refuse"`` takes no connections.
+    ``"hushed"`` sends nothing more on the connections that are open then.
 
     ``keep_copy`` and ``go_back`` play a store that loses its newest records: it
     continues from the copy in a new era, and gives the offsets of the lost records out
@@ -70,6 +72,7 @@
         app.route("/standin/door", "POST", self._set_door)
         app.route("/standin/copy", "POST", self.keep_copy)
         app.route("/standin/back", "POST", self.go_back)
+        app.route("/standin/expire", "POST", self._expire)
         self.server = StandinServer(app, address)
 
     def open_door(self, address):
@@ -139,6 +142,8 @@
         """Return a response body, which trickles if the caller's door is slow."""
         self._hold_if_hushed()
         door = self._door()
+        if door is not None and door.trouble == "delayed":
+            gevent.sleep(DELAY_S)
         if door is None or door.trouble != "slow":
             return data
         bottle.response.content_length = len(data)
@@ -217,6 +222,9 @@
         }
         return self._body(_json_response(answer))
 
+    def _expire(self):
+        self.expire_history(bottle.request.json["topic"])
+
     def _set_trouble(self):
         self.trouble = bottle.request.json["trouble"]
 
--- a/standins/usersplatform.py
+++ b/standins/usersplatform.py
@@ -19,7 +19,8 @@
 class UsersPlatform:
     """A store and the servers of two services.
 
-    ``assist`` has model servers in two fabric domains, ``desk`` has plain servers.
+    ``assist`` has model servers in two fabric domains, ``desk`` has plain servers. The
+    services ``further`` have one plain server each.
     ``POST /standin/stop`` with ``{"server": ...}`` stops a server without notice; its
     registration expires as after a crash. ``POST /standin/crash-part`` with ``{"part":
     ...}`` sets the part of prompts that crashes model servers, and returns the times at
@@ -35,7 +36,7 @@
     /standin/addresses`` returns the servers' addresses.
     """
 
-    def __init__(self, address, doors=()):
+    def __init__(self, address, doors=(), further=()):
         self.store = StoreStandin(address)
         for door in doors:
             self.store.open_door(door)
@@ -46,6 +47,8 @@
             self._add_server(f"i-engine-{number}", "assist", domain)
         for number in range(DESK_SERVERS):
             self._add_server(f"i-desk-{number}", "desk", "")
+        for service in further:
+            self._add_server(f"i-{service}-0", service, "")
         self.store.app.route("/standin/stop", "POST", self._stop_server)
         self.store.app.route("/standin/crash-part", "POST", self._set_crash_part)
         self.store.app.route("/standin/limit", "POST", self._set_limit)
--- a/tests/processes/configuration_run.py
+++ b/tests/processes/configuration_run.py
@@ -36,7 +36,6 @@
 # Bounds of the users' pages, in seconds: a version is in force this long after its
 # acknowledgement, at nodes that have been in touch for this long.
 CONFIG_S, CONTACT_S = 2.0, 3.0
-NODE_ENV = {"AUBURNWALL_CONFIG_NOTICE_S": str(CONFIG_S)}
 # With this, two of the nodes are relays, which read the store for the others.
 RELAYS_ENV = {"AUBURNWALL_MAX_MESH_NODES": "2"}
 # Routes that each version has besides those that came with a version.
@@ -58,6 +57,8 @@
 class DoorsCluster(PlatformCluster):
     """A cluster in which each node has an address of the store for itself."""
 
+    PLATFORM_ARGUMENTS = ()
+
     def __init__(self, node_count, out, node_env=()):
         super().__init__(node_count, out, node_env)
         self.doors = {}
@@ -65,7 +66,7 @@
     def _start_platform(self):
         doors = free_addresses(self._node_count)
         self._free_doors = iter(doors)
-        super()._start_platform("--doors", ",".join(doors))
+        super()._start_platform("--doors", ",".join(doors), *self.PLATFORM_ARGUMENTS)
 
     def add_node(self, name, store=None):
         """Start a node, with its own address of the store if ``store`` is not given."""
@@ -260,7 +261,7 @@
     args = parser.parse_args()
     with ExitStack() as stack:
         out = args.out or stack.enter_context(tempfile.TemporaryDirectory())
-        node_env = {**NODE_ENV, **(RELAYS_ENV if args.relays else {})}
+        node_env = RELAYS_ENV if args.relays else {}
         cluster = stack.enter_context(DoorsCluster(NODES, out, node_env))
         names = sorted(cluster.nodes)
         cluster.wait(lambda: all(map(cluster.is_ready, names)), "all nodes are ready")
--- a/tests/processes/test_configuration_age.py
+++ b/tests/processes/test_configuration_age.py
@@ -13,7 +13,6 @@
 from .configuration_run import (
     CONFIG_S,
     CONTACT_S,
-    NODE_ENV,
     NODES,
     RELAYS_ENV,
     ConfigurationRun,
@@ -32,7 +31,6 @@
     """Nodes that each have an address of the store for themselves."""
 
     NODES = NODES
-    NODE_ENV = NODE_ENV
     CLUSTER_CLASS = DoorsCluster
 
     def play(self, trouble, count):
@@ -61,7 +59,7 @@
 class RelayedConfigurationAgeTests(AgeTestCase):
     """Two nodes are relays; the store fails for one of them and for its followers."""
 
-    NODE_ENV = {**NODE_ENV, **RELAYS_ENV}
+    NODE_ENV = RELAYS_ENV
 
     def test_silent_store(self):
         self.check("silent", 4)
--- /dev/null
+++ b/tests/processes/test_configuration_day.py
@@ -0,0 +1,117 @@
+"""Acknowledged versions are in force at all nodes, whatever became of the store's log.
+
+Guards against versions that a node has read and holds back, and against nodes that take
+an older version for the newest since it was written late.
+"""
+
+import signal
+import time
+from datetime import datetime
+
+from standins.modelserver import TOPIC
+from standins.platformconfig import registration_entry
+
+from .configuration_day import Day, DayCluster, draw, play
+from .configuration_run import CONFIG_S, CONTACT_S, NODES, RELAYS_ENV
+from .support import PlatformClusterTestCase
+
+# Time in which a leaving server must be noticed, in seconds.
+DRAIN_S = 2.0
+LOSSES, DAY_S = 3, 18.0
+
+
+class DayTestCase(PlatformClusterTestCase):
+    """Nodes that each have an address of the store for themselves."""
+
+    NODES = NODES
+    CLUSTER_CLASS = DayCluster
+
+    def setUp(self):
+        super().setUp()
+        self.wait_until_served(["/look/x"])
+
+    def check(self, day):
+        breaches = day.breaches()
+        worst = sorted(breaches, key=lambda breach: -breach.late_s)[:2]
+        self.assertEqual(len(breaches), 0, worst)
+
+
+class AcknowledgedVersionTests(DayTestCase):
+    """All nodes exchange heartbeats and read the operators' table themselves."""
+
+    def test_version_acknowledged_right_after_the_store_has_lost_records(self):
+        with Day(self.cluster, 1) as day:
+            for _ in range(LOSSES):
+                day.lose()
+                time.sleep(CONFIG_S + 1.5)
+        self.check(day)
+
+    def test_node_that_starts_after_an_older_version_was_written_late(self):
+        with Day(self.cluster, 1) as day:
+            day.write_late()
+            day.disturb_node(self.names[0], "kill", 0.1)
+            day.disturb_node("", "add", 0.0)
+            time.sleep(CONTACT_S + CONFIG_S)
+        self.check(day)
+
+    def test_node_that_missed_a_version_whose_record_is_gone(self):
+        """The newest record that is left is that of an older version, written late."""
+        with Day(self.cluster, 1) as day:
+            self.cluster.signal(self.names[0], signal.SIGSTOP)
+            day.write_late()
+            day.cluster.expire_store_history("keyed.op")
+            self.cluster.signal(self.names[0], signal.SIGCONT)
+            time.sleep(CONTACT_S + CONFIG_S)
+        self.check(day)
+
+    def test_day_of_many_versions(self):
+        with Day(self.cluster, 14) as day:
+            play(day, draw(14, DAY_S), DAY_S)
+        self.check(day)
+
+    def test_leaving_server_right_after_the_store_has_lost_records(self):
+        entry = registration_entry()
+        self.cluster.put(TOPIC, "i-leaving", entry)
+        time.sleep(1.0)
+        self.cluster.keep_store_copy()
+        time.sleep(1.0)
+        self.cluster.set_store_fault("busy")
+        time.sleep(0.4)
+        self.cluster.send_store_back()
+        self.cluster.put(TOPIC, "i-leaving", {**entry, "State": "draining", "Seqno": 9})
+        self.cluster.set_store_fault("")
+        acknowledged_at = time.time()
+        time.sleep(CONTACT_S + 1.0)
+        for name in self.names:
+            noticed_at = self.noticed_at(name, "i-leaving")
+            self.assertIsNotNone(noticed_at, name)
+            self.assertLessEqual(noticed_at - acknowledged_at, DRAIN_S, name)
+
+    def noticed_at(self, name, server):
+        """Return when a node logged that a server drains, in seconds of the day."""
+        for entry in self.cluster.log_events(name):
+            if entry["event"] == "server draining" and server in entry.values():
+                time_text = entry["time"].replace("Z", "+00:00")
+                return datetime.fromisoformat(time_text).timestamp()
+        return None
+
+
+class RelayedAcknowledgedVersionTests(DayTestCase):
+    """Two nodes are relays, which read the store for the others."""
+
+    NODE_ENV = RELAYS_ENV
+
+    def test_version_acknowledged_right_after_the_store_has_lost_records(self):
+        with Day(self.cluster, 1) as day:
+            for _ in range(LOSSES):
+                day.lose()
+                time.sleep(CONFIG_S + 1.5)
+        self.check(day)
+
+    def test_node_that_starts_after_an_older_version_was_written_late(self):
+        with Day(self.cluster, 1) as day:
+            day.write_late()
+            day.disturb_node(self.names[0], "kill", 0.1)
+            day.disturb_node("", "add", 0.0)
+            time.sleep(CONTACT_S + CONFIG_S)
+        self.check(day)
