Put a version in force that the store has acknowledged after it lost records

Callers saw 404 and 401 for routes and keys of a version that had been acknowledged more than 2 s before, at all nodes at one moment, while the store served them all.

Cause: a copy that enters a new era of the store held every changed key back for SETTLE_S (2.0 s) and until the next read returned, also where its record is plainly newer than what the node has, and counted as complete from the first moment. So its age was young and final answers were given by the older version.

Now a table has a RecordOrder: configurations compare by version, entries of a server by its start and count, an evacuation counts at once. What is newer is in force at once, what is older never is. Only keys whose values do not tell are held back; meanwhile the copy is not complete (complete_at stands still, so that answers of 404 and 401 end after the bound), and the keeper settles them when their time is over, not the next read.

The fleet's table keeps its own protocol: its planner writes again what was lost. Nothing changes on the wire.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -113,9 +113,7 @@
             cfg.peer_address,
             cfg.data_center,
         )
-        self.replicas = build_replicas(
-            platform.store, self.clock, platform.is_same_registration
-        )
+        self.replicas = build_replicas(platform, self.clock)
         self._build_fleet()
         self._build_routing()
         self._pause_detector = PauseDetector(self.clock, MAX_PAUSE_S)
@@ -370,7 +368,7 @@
 
         It reads all of them from the store itself, and its copies are recent.
         """
-        ages = [replica.age_s() for replica in self.replicas.values()]
+        ages = [replica.read_age_s() for replica in self.replicas.values()]
         return (
             all(reader.reads_store for reader in self.readers.values())
             and all(a is not None and a < MAX_PLANNING_AGE_S for a in ages)
@@ -423,7 +421,7 @@
         if self._pause_detector.check_pause():
             logs.warn("paused", step="pause watch")
             for replica in self.replicas.values():
-                replica.complete_at = None
+                replica.read_at = None
 
     def _check_table_ages(self):
         for keeper in self.keepers.values():
--- a/packages/auburnwall-node/src/auburnwall/node/routed/source.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/source.py
@@ -24,8 +24,8 @@
     """A version in the node's copy that is not in force, and why.
 
     ``version`` is ``None`` if it cannot be read. ``why`` is ``REFUSED`` (it cannot be
-    decoded), ``SKIPPED`` (a higher one is in force) or ``HELD`` (the copy holds it back
-    after the store has lost records).
+    decoded), ``SKIPPED`` (one as high or higher is in force) or ``HELD`` (the copy
+    holds it back after the store has lost records).
     """
 
     version: int | None
@@ -40,7 +40,8 @@
     ``codec.evacuated_data_center(key)`` returns the data centre that a record takes out
     of service, or ``None``. ``codec.is_config(key)`` returns whether a record holds the
     configuration. ``codec.decode_config(value)`` returns it as a ``RoutingConfig`` or
-    raises an error, usually ``ValueError``. A configuration is applied only if its
+    raises an error, usually ``ValueError``. ``codec.version(value)`` returns its
+    version, ``None`` if that cannot be read. A configuration is applied only if its
     version is higher than the current one, and must be in force ``notice_s`` seconds
     after it was written; ``None`` is no limit. ``record_version(outcome)`` is called
     for each version that is read.
@@ -117,15 +118,7 @@
             return
         current = self.config
         if current is not None and config.version <= current.version:
-            self._set_pending(config.version, record, SKIPPED)
-            event(
-                "old configuration",
-                offset=record.offset,
-                version=config.version,
-                source=self._replica.source,
-                in_force=current.version,
-                in_force_offset=self.origin.offset,
-            )
+            self._skip(config.version, record)
             return
         self.table = RouteTable(config)
         self.origin = ConfigOrigin(record.offset, self._replica.source)
@@ -137,14 +130,10 @@
         self.pending = PendingVersion(version, record.offset, why)
 
     def _note_held(self, record):
-        """Log a version that the copy holds and does not apply yet."""
+        """Log a version that the copy holds and does not put in force."""
         if not self._codec.is_config(record.key) or record.value is None:
             return
-        try:
-            version = self._codec.decode_config(record.value).version
-        except Exception as exc:
-            self._refuse(record, exc)
-            return
+        version = self._codec.version(record.value)
         self._set_pending(version, record, HELD)
         event(
             "configuration held back",
@@ -154,8 +143,19 @@
             in_force=self.config.version if self.config else None,
         )
 
+    def _skip(self, version, record):
+        self._set_pending(version, record, SKIPPED)
+        event(
+            "old configuration",
+            offset=record.offset,
+            version=version,
+            source=self._replica.source,
+            in_force=self.config.version,
+            in_force_offset=self.origin.offset,
+        )
+
     def _refuse(self, record, exc):
-        self._set_pending(None, record, REFUSED)
+        self._set_pending(self._codec.version(record.value), record, REFUSED)
         warn(
             "bad configuration",
             offset=record.offset,
--- a/packages/auburnwall-node/src/auburnwall/node/routed/table_keeper.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/table_keeper.py
@@ -82,13 +82,14 @@
         the age is not known.
         """
         reserve_s = min(RESERVE_S, MAX_RESERVE_FRACTION * self.bound_s)
-        age_s = self._replica.age_s()
+        age_s = self._replica.read_age_s()
         if age_s is None and self._replica.end < 0:
             age_s = self._clock.monotonic() - self._began_at
         return 0.0 if age_s is None else max(self.bound_s - reserve_s - age_s, 0.0)
 
     def check(self):
         """Ask the store and peers if the copy is behind a peer, or nearly too old."""
+        self._replica.settle_due()
         ahead = self._peers_ahead()
         if not ahead and self.time_left_s() > 0.0:
             self._end_rounds()
@@ -141,7 +142,7 @@
 
     def _read_store(self):
         self._is_reading = True
-        before = self._replica.complete_at
+        before = self._replica.read_at
         try:
             self._replica.refresh(0.0)
         except LogUnavailableError as exc:
@@ -153,7 +154,7 @@
         self._note_answer(before)
 
     def _ask_peer(self, name):
-        before = self._replica.complete_at
+        before = self._replica.read_at
         copied = copy_from_peer(
             self._replica, self._peers, self._clock, name, total_s=PEER_CALL_S
         )
@@ -162,10 +163,10 @@
 
     def _note_answer(self, before):
         """Return whether an answer has made the copy younger than it was before."""
-        complete_at = self._replica.complete_at
-        if complete_at is None:
+        read_at = self._replica.read_at
+        if read_at is None:
             return False
-        if before is not None and complete_at < before + MIN_GAIN_S:
+        if before is not None and read_at < before + MIN_GAIN_S:
             return False
         self._on_read()
         return True
@@ -176,7 +177,7 @@
         self._rounds, self._next_round_at = 0, 0.0
 
     def _log(self, name, **fields):
-        age_s = self._replica.age_s()
+        age_s = self._replica.read_age_s()
         event(
             name,
             table=self._replica.table,
--- a/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
@@ -28,20 +28,25 @@
 FLEET_SETTLE_S = 6.0
 
 
-def build_replicas(store, clock, is_same_registration):
-    """Return the ``TableReplica`` of each table, by name.
-
-    ``is_same_registration`` compares two entries of a server.
-    """
-    replicas = {
-        OPERATOR_TABLE: TableReplica(OPERATOR_TABLE, store, clock),
-        SERVER_TABLE: TableReplica(SERVER_TABLE, store, clock, survives_pause=False),
+def build_replicas(platform, clock):
+    """Return the ``TableReplica`` of each table of a ``Platform``, by name."""
+    store = platform.store
+    return {
+        OPERATOR_TABLE: TableReplica(
+            OPERATOR_TABLE, store, clock, order=platform.operator_order
+        ),
+        SERVER_TABLE: TableReplica(
+            SERVER_TABLE,
+            store,
+            clock,
+            order=platform.registration_order,
+            is_repeat=platform.is_same_registration,
+            survives_pause=False,
+        ),
         FLEET_TABLE: TableReplica(
             FLEET_TABLE, store, clock, settle_s=FLEET_SETTLE_S, survives_pause=False
         ),
     }
-    replicas[SERVER_TABLE].is_repeat = is_same_registration
-    return replicas
 
 
 def build_readers(node):
--- a/packages/auburnwall-state/src/auburnwall/state/table/replica.py
+++ b/packages/auburnwall-state/src/auburnwall/state/table/replica.py
@@ -1,8 +1,9 @@
 """A local replica of one table, which never reverts to older records.
 
 The store can come back from a copy that is some seconds old. It then has a new era: it
-has lost the records of those seconds and gives their offsets out again. The replica
-keeps what it knows of the changed keys for a time, in which their writers write them
+has lost the records of those seconds and gives their offsets out again. Where the
+values of a key tell which is newer, the replica goes by the newer one at once. It keeps
+what it knows of the other changed keys for a time, in which their writers write them
 again, and only then takes over what the store has.
 """
 
@@ -14,6 +15,7 @@
 
 from ..exceptions import LogTruncatedError
 from .base import TableRecord
+from .order import OffsetOrder
 
 # Keys whose recent records a node retains for peers that cannot read the table
 # themselves: the last minute at about 50 changes a second.
@@ -30,10 +32,11 @@
 class TableReplica:
     """Follow a table and notify ``listeners`` of each record, including removals.
 
-    The replica reflects all records before the offset ``end``, which is -1 before the
-    first read; it holds the newest one of each key. ``complete_at`` is the last time at
-    which it was known to be complete, on the node's monotonic clock, or ``None``.
-    ``source`` is where the last answer came from, ``STORE`` or the name of a peer.
+    The replica holds the newest record of each key before the offset ``end``, which is
+    -1 before the first read. ``order`` is the table's ``RecordOrder``. ``read_at`` is
+    the last time at which the replica was known to hold all records, on the node's
+    monotonic clock, or ``None``. ``source`` is where the last answer came from,
+    ``STORE`` or the name of a peer.
 
     ``era`` is the store's era of these offsets. ``unsettled`` maps each key that an
     older copy of the store has changed to its record there, ``None`` if it has none;
@@ -41,7 +44,7 @@
     are notified of records that may be older than their key's last record.
 
     ``loaded_at`` is the time at which the replica was begun, by its first load or anew.
-    If ``survives_pause`` is false, it is begun anew in a new era if ``complete_at`` is
+    If ``survives_pause`` is false, it is begun anew in a new era if ``read_at`` is
     ``None`` then, because the node was paused: others may have written in that era what
     is newer than all that this node knows. ``reset_listeners`` are called before.
 
@@ -57,6 +60,7 @@
         client,
         clock,
         *,
+        order=None,
         settle_s=SETTLE_S,
         is_repeat=lambda old, new: False,
         survives_pause=True,
@@ -65,7 +69,7 @@
         self.entries = {}
         self.end = -1
         self.era = 0
-        self.complete_at = None
+        self.read_at = None
         self.source = STORE
         self.reloading = False
         self.unsettled = {}
@@ -76,24 +80,43 @@
         self.loaded_at = None
         self._client = client
         self._clock = clock
+        self._order = order or OffsetOrder()
         self._settle_s = settle_s
         self._is_repeat = is_repeat
         self._survives_pause = survives_pause
         self._settle_at = 0.0
+        # ``read_at`` when the first of the unsettled keys was found.
+        self._complete_until = None
         # The newest record of each key that changed, by key in the order of offsets.
         self._recent = {}
         # ``_recent`` lacks no key's newest record from this offset on.
         self._recent_from = 0
         self._changed = Event()
 
+    @property
+    def complete_at(self):
+        """Return the last time at which all that the table held was in force.
+
+        It is on the node's monotonic clock, ``None`` if it is not known. While keys are
+        unsettled it stands still.
+        """
+        if self.read_at is None or not self.unsettled:
+            return self.read_at
+        return self._complete_until
+
     def age_s(self):
-        """Return seconds since the replica was known to be complete, or ``None``."""
-        if self.complete_at is None:
-            return None
-        return self._clock.monotonic() - self.complete_at
+        """Return the seconds since the replica was complete, or ``None``."""
+        return self._seconds_since(self.complete_at)
+
+    def read_age_s(self):
+        """Return the seconds since the replica held all records, or ``None``."""
+        return self._seconds_since(self.read_at)
+
+    def _seconds_since(self, at):
+        return None if at is None else self._clock.monotonic() - at
 
     def is_in_time(self, bound_s):
-        """Return whether the replica is known to be no older than ``bound_s``."""
+        """Return whether the replica was complete within the last ``bound_s``."""
         age_s = self.age_s()
         return age_s is not None and age_s <= bound_s
 
@@ -141,7 +164,7 @@
         if end >= self.end:
             self.end = end
             if complete_at is not None:
-                self.complete_at = max(self.complete_at or complete_at, complete_at)
+                self.read_at = max(self.read_at or complete_at, complete_at)
 
     def apply_written(self, result, entries, complete_at):
         """Apply the records that a conditional write of this node has appended.
@@ -192,7 +215,7 @@
             return
         self.source = source
         if era > self.era and self.end >= 0:
-            if self.complete_at is not None or self._survives_pause:
+            if self.read_at is not None or self._survives_pause:
                 self._enter_era(records, end, complete_at, era)
                 return
             self._begin_anew(era)
@@ -211,7 +234,7 @@
         self._forget_recent(end)
         self._apply_reloaded(removals + sorted(changed))
         self.end = end
-        self.complete_at = max(self.complete_at or complete_at, complete_at)
+        self.read_at = max(self.read_at or complete_at, complete_at)
 
     def settle_due(self):
         """Take over the store's records of unsettled keys when their time is over."""
@@ -234,13 +257,20 @@
     def _enter_era(self, records, end, complete_at, era):
         """Continue with the table of a new era; keep changed keys for a time."""
         stored = {record.key: record for record in records}
-        unsettled = {}
+        unsettled, newer = {}, []
         for key in {*self.entries, *stored}:
             known, record = self.entries.get(key), stored.get(key)
-            if known is not None and record is not None and known.value == record.value:
-                self.entries[key] = record
+            if record is not None and (known is None or known.value != record.value):
+                verdict = self._order.compare(key, record.value, known and known.value)
+            else:
+                verdict = 0 if record is not None else None
+            if verdict == 1:
+                newer.append(record)
+            elif known is not None and verdict is not None:
+                self.entries[key] = known._replace(offset=record.offset)
                 continue
-            unsettled[key] = record
+            else:
+                unsettled[key] = record
             if known is not None:
                 self.entries[key] = known._replace(offset=EARLIER_ERA_OFFSET)
         event(
@@ -250,12 +280,16 @@
             instead_of=self.era,
             end=end,
             end_before=self.end,
+            newer=len(newer),
             unsettled=len(unsettled),
         )
+        if not self.unsettled:
+            self._complete_until = self.read_at
         self.unsettled = unsettled
         self._settle_at = self._clock.monotonic() + self._settle_s
-        self.era, self.end, self.complete_at = era, end, complete_at
+        self.era, self.end, self.read_at = era, end, complete_at
         self._forget_recent(end)
+        self._apply_reloaded(newer)
         for record in filter(None, unsettled.values()):
             for listener in self.held_listeners:
                 listener(record)
--- a/tests/fleet/test_knowledge.py
+++ b/tests/fleet/test_knowledge.py
@@ -101,7 +101,7 @@
         two = self.node("two", survives_pause=False)
         two.writer.become_planner()
         newer = two.form("a", "c")
-        node.replica.complete_at = None
+        node.replica.read_at = None
         node.replica.refresh(0.0)
         return newer
 
@@ -117,7 +117,7 @@
         self.assertTrue(knowledge.is_sufficient())
         self.clock.now += 4.0
         self.table.lose(2)
-        self.one.replica.complete_at = None
+        self.one.replica.read_at = None
         self.one.replica.refresh(0.0)
         self.assertFalse(knowledge.is_sufficient())
 
--- a/tests/fleet/test_planner_model.py
+++ b/tests/fleet/test_planner_model.py
@@ -197,7 +197,7 @@
     def step(self):
         now = self._world.clock.now
         if now - self._last_step_at > MAX_PAUSE_S:
-            self.fleet.complete_at = self._entries.complete_at = None
+            self.fleet.read_at = self._entries.read_at = None
         self._last_step_at = now
         try:
             self.fleet.refresh(0.0)
--- a/tests/processes/test_configuration_day.py
+++ b/tests/processes/test_configuration_day.py
@@ -9,7 +9,7 @@
 from datetime import datetime
 
 from standins.modelserver import TOPIC
-from standins.platformconfig import registration_entry
+from standins.platformconfig import OPERATOR_TOPIC, registration_entry
 
 from .configuration_day import Day, DayCluster, draw, play
 from .configuration_run import CONFIG_S, CONTACT_S, NODES, RELAYS_ENV
@@ -18,6 +18,8 @@
 # Time in which a leaving server must be noticed, in seconds.
 DRAIN_S = 2.0
 LOSSES, DAY_S = 3, 18.0
+# Longest wait of a read of the store, in seconds.
+LONG_POLL_S = 1.2
 
 
 class DayTestCase(PlatformClusterTestCase):
@@ -56,11 +58,16 @@
 
     def test_node_that_missed_a_version_whose_record_is_gone(self):
         """The newest record that is left is that of an older version, written late."""
+        name = self.names[0]
         with Day(self.cluster, 1) as day:
-            self.cluster.signal(self.names[0], signal.SIGSTOP)
+            # Its waiting read would get the version before the node is resumed.
+            self.cluster.set_door(name, "silent")
+            time.sleep(LONG_POLL_S)
+            self.cluster.signal(name, signal.SIGSTOP)
             day.write_late()
-            day.cluster.expire_store_history("keyed.op")
-            self.cluster.signal(self.names[0], signal.SIGCONT)
+            self.cluster.expire_store_history(OPERATOR_TOPIC)
+            self.cluster.set_door(name, "")
+            self.cluster.signal(name, signal.SIGCONT)
             time.sleep(CONTACT_S + CONFIG_S)
         self.check(day)
 
--- a/tests/routed/test_configuration_answers.py
+++ b/tests/routed/test_configuration_answers.py
@@ -108,7 +108,7 @@
 
     def test_age_is_none_after_a_pause(self):
         self.put(4, 7)
-        self.replica.complete_at = None
+        self.replica.read_at = None
         self.assertIsNone(self.source.provenance()["config_age_s"])
 
     def test_version_that_may_be_late_is_counted(self):
@@ -125,7 +125,7 @@
     def test_refused_version_is_counted_until_a_later_one_is_in_force(self):
         self.put(0, 1)
         self.put(1, 2, Routes="none")
-        self.assertEqual(self.source.pending, PendingVersion(None, 1, "refused"))
+        self.assertEqual(self.source.pending, PendingVersion(2, 1, "refused"))
         self.assertEqual(self.warn.call_args.args, ("bad configuration",))
         self.assertEqual(self.source.config.version, 1)
         self.put(2, 3)
--- a/tests/routed/test_table_keeper.py
+++ b/tests/routed/test_table_keeper.py
@@ -182,7 +182,7 @@
         self.assertNotEqual(self.peers.asked, [])
 
     def test_node_asks_at_once_after_a_pause(self):
-        self.replica.complete_at = None
+        self.replica.read_at = None
         self.peers.read()
         self.keeper.check()
         self.assertTrue(self.replica.is_in_time(CONFIG_S))
--- a/tests/state/test_era.py
+++ b/tests/state/test_era.py
@@ -206,6 +206,7 @@
                 key.partition("/")[2] if key.startswith("out/") else None
             ),
             decode_config=lambda data: SimpleNamespace(version=int(data), routes=()),
+            version=int,
         )
         self.source = ConfigSource(self.replica, codec)
 
