--- a/packages/auburnwall-node/src/auburnwall/node/routed/handler.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/handler.py
@@ -1,5 +1,7 @@
 """Serves the calls of peers."""
 
+from math import ceil
+
 from auburnwall.wire.peer.ttypes import TableRow, TableRows
 
 
@@ -48,7 +50,7 @@
         return TableRows(
             whole,
             replica.end,
-            round(age_s * 1000) if age_s is not None else -1,
+            ceil(age_s * 1000) if age_s is not None else -1,
             [
                 TableRow(r.offset, r.key, r.value or b"", r.value is None)
                 for r in records
