--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -148,6 +148,7 @@
             cut_off=self.fleet_reach.is_cut_off(),
             lost_services=self.reach.lost_services,
             slow_paces=self.start_times.paces_to_tell(),
+            config_version=self.source.config.version if self.source.config else None,
         )
 
     def is_ready(self):
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peer_status.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peer_status.py
@@ -34,7 +34,10 @@
 
 
 class ReceivedDigest(NamedTuple):
-    """The last digest of a relay, without this node's own requests in ``running``."""
+    """The last digest of a relay, without this node's own requests in ``running``.
+
+    ``config_version`` is the relay's, ``None`` if it does not tell.
+    """
 
     relay: str
     incarnation: str
@@ -42,6 +45,7 @@
     load: Load
     running: dict
     received_at: float
+    config_version: int | None = None
 
 
 class PublishedStatuses:
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -286,6 +286,25 @@
             if heartbeat.pulse.node in live and table in heartbeat.pulse.table_ends
         }
 
+    def config_versions(self):
+        """Return the version of the configuration in force at the peers, by live peer.
+
+        Only peers that exchange heartbeats with this node are known, and its relay.
+        Peers of earlier builds do not tell.
+        """
+        live = self.live()
+        versions = {
+            heartbeat.pulse.node: heartbeat.pulse.config_version
+            for heartbeat in self._recent_heartbeats()
+        }
+        if digest := self._recent_digest():
+            versions[digest.relay] = digest.config_version
+        return {
+            name: version
+            for name, version in versions.items()
+            if name in live and version is not None
+        }
+
     def load(self, name):
         """Return how many requests the peers report in flight at a group or server."""
         return self._cached("running", self._sum_running).get(name, 0)
@@ -327,6 +346,7 @@
             published.nodes_since(-1 if whole else version),
             [] if whole else published.lost_since(version),
             self.fleet_load(),
+            self._own_pulse().config_version,
         )
 
     def full_pulse(self):
@@ -457,6 +477,7 @@
             reply.load,
             subtract_running(reply.load.running, sent.running),
             now,
+            reply.config_version,
         )
         self._sums.clear()
         self._pass_on(reply.load, relay)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/source.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/source.py
@@ -4,6 +4,7 @@
 
 from auburnwall.base.logs import event, warn
 from auburnwall.routing.routes import RouteTable
+from auburnwall.state.table.replica import OUTDATED
 
 # What becomes of a version of the configuration.
 IN_FORCE, IN_FORCE_LATE = "in force", "late"
@@ -67,6 +68,15 @@
         """Return the current ``RoutingConfig``, or ``None``."""
         return self.table.config if self.table else None
 
+    def newest_version(self):
+        """Return the highest version that was read, -1 if there is none.
+
+        It may be one that could not be decoded.
+        """
+        in_force = self.config.version if self.config else -1
+        pending = self.pending.version if self.pending else None
+        return in_force if pending is None else max(in_force, pending)
+
     def is_current(self):
         """Return whether the copy of the operators' table is no older than allowed."""
         return self._notice_s is None or self._replica.is_in_time(self._notice_s)
@@ -129,11 +139,14 @@
         self._record_version(why)
         self.pending = PendingVersion(version, record.offset, why)
 
-    def _note_held(self, record):
+    def _note_held(self, record, why):
         """Log a version that the copy holds and does not put in force."""
         if not self._codec.is_config(record.key) or record.value is None:
             return
         version = self._codec.version(record.value)
+        if why == OUTDATED:
+            self._skip(version, record)
+            return
         self._set_pending(version, record, HELD)
         event(
             "configuration held back",
--- a/packages/auburnwall-node/src/auburnwall/node/routed/table_keeper.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/table_keeper.py
@@ -38,7 +38,9 @@
     ``peers`` has the methods ``live()``, ``table_ends(table)``, ``address(name)`` and
     ``call(...)`` of ``Peers``. ``spawn(function, *args)`` runs a task beside others.
     With ``catches_up`` a peer that has read further is asked at once, which suits
-    tables that all nodes read as soon as they change. ``on_read()`` is called after
+    tables that all nodes read as soon as they change. ``peers_with_newer()`` returns
+    the names of peers that go by a newer record than any in the copy; such a peer is
+    asked for its whole table. ``on_read()`` is called after
     each answer that makes the copy younger. ``reader_call_began_at()`` is as in
     ``TableReader``. Call ``check`` every ``CHECK_INTERVAL_S``.
     """
@@ -53,6 +55,7 @@
         bound_s,
         *,
         catches_up=False,
+        peers_with_newer=list,
         on_read=lambda: None,
         drop_connections=lambda: None,
         reader_call_began_at=lambda: None,
@@ -64,11 +67,13 @@
         self._rng = rng
         self._spawn = spawn
         self._catches_up = catches_up
+        self._peers_with_newer = peers_with_newer
         self._on_read = on_read
         self._drop_connections = drop_connections
         self._reader_call_began_at = reader_call_began_at
         self._began_at = clock.monotonic()
         self._behind_end = -1
+        self._behind_newer = set()
         self._rounds = 0
         self._next_round_at = 0.0
         self._is_reading = False
@@ -90,20 +95,28 @@
     def check(self):
         """Ask the store and peers if the copy is behind a peer, or nearly too old."""
         self._replica.settle_due()
-        ahead = self._peers_ahead()
-        if not ahead and self.time_left_s() > 0.0:
+        ahead, newer = self._peers_ahead(), self._peers_that_stay_newer()
+        if not ahead and not newer and self.time_left_s() > 0.0:
             self._end_rounds()
             return
         now = self._clock.monotonic()
         if now < self._next_round_at:
             return
         if self._rounds == 0:
-            self._log("table stale", peers_ahead=ahead[:PEERS_PER_ROUND])
+            self._log(
+                "table stale",
+                peers_ahead=ahead[:PEERS_PER_ROUND],
+                peers_newer=newer[:PEERS_PER_ROUND],
+            )
             # The connections that are idle now may be as dead as the one in use.
             self._drop_connections()
         round_s = min(FIRST_ROUND_S * 2**self._rounds, MAX_ROUND_S)
         self._next_round_at = now + (FIRST_ROUND_S if ahead else round_s)
         self._rounds += 1
+        if newer:
+            self._spawn(self._ask_peer, self._rng.choice(newer), True)
+        if not ahead and self.time_left_s() > 0.0:
+            return
         if not self._is_reading and self._is_reader_waiting(now):
             self._spawn(self._read_store)
         for name in self._peers_to_ask(ahead):
@@ -127,6 +140,12 @@
         ahead = [name for name, end in ends.items() if end > self._replica.end]
         return sorted(ahead, key=lambda name: (-ends[name], name))
 
+    def _peers_that_stay_newer(self):
+        """Return the peers that have had a newer record since the last check."""
+        newer = set(self._peers_with_newer())
+        before, self._behind_newer = self._behind_newer, newer
+        return sorted(newer & before)
+
     def _peers_to_ask(self, ahead):
         """Return the peers to ask now: those ahead, the last helper, then in turn."""
         live = sorted(self._peers.live())
@@ -153,10 +172,15 @@
             self._is_reading = False
         self._note_answer(before)
 
-    def _ask_peer(self, name):
+    def _ask_peer(self, name, whole=False):
         before = self._replica.read_at
         copied = copy_from_peer(
-            self._replica, self._peers, self._clock, name, total_s=PEER_CALL_S
+            self._replica,
+            self._peers,
+            self._clock,
+            name,
+            total_s=PEER_CALL_S,
+            whole=whole,
         )
         if copied and self._note_answer(before):
             self._last_helper = name
--- a/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
@@ -120,7 +120,12 @@
 
     cfg = node.cfg
     return {
-        OPERATOR_TABLE: keeper(OPERATOR_TABLE, cfg.config_notice_s, catches_up=True),
+        OPERATOR_TABLE: keeper(
+            OPERATOR_TABLE,
+            cfg.config_notice_s,
+            catches_up=True,
+            peers_with_newer=lambda: _peers_with_newer_version(node),
+        ),
         SERVER_TABLE: keeper(
             SERVER_TABLE, cfg.drain_notice_s, on_read=node.registry.record_read
         ),
@@ -128,6 +133,13 @@
     }
 
 
+def _peers_with_newer_version(node):
+    """Return the peers that go by a higher version than this node has read."""
+    known = node.source.newest_version()
+    versions = node.peers.config_versions()
+    return [name for name, version in versions.items() if version > known]
+
+
 def _operator_wait_s(node):
     """Return how long a read of the operators' table waits for records, in seconds.
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
@@ -45,6 +45,8 @@
 FLEET_WAIT_S, FIRST_COPY_S = 0.8, 0.1
 # Longest call for such a copy, and pause between two of them, in seconds.
 FIRST_COPY_CALL_S, FIRST_COPY_PAUSE_S = 0.4, 0.02
+# Offset by which a peer is asked for the newest record of each key.
+WHOLE_TABLE = -1
 # Initial and maximum pause between reads while the store fails, in seconds.
 FIRST_BACKOFF_S, MAX_BACKOFF_S = 0.1, 1.0
 
@@ -285,12 +287,21 @@
 
 
 def copy_from_peer(
-    replica, peers, clock, name, *, max_age_s=None, wait_s=0.0, total_s=None
+    replica,
+    peers,
+    clock,
+    name,
+    *,
+    max_age_s=None,
+    wait_s=0.0,
+    total_s=None,
+    whole=False,
 ):
     """Copy a table from a peer unless its copy is too old; return whether it succeeded.
 
     The peer waits up to ``wait_s`` for a new record, and the whole call takes at most
-    ``total_s``. Its copy may be ``max_age_s`` old. All are in seconds.
+    ``total_s``. Its copy may be ``max_age_s`` old. All are in seconds. With ``whole``
+    it sends the newest record of each key, whatever this copy holds.
     """
     asked_at = clock.monotonic()
     try:
@@ -299,7 +310,7 @@
             address,
             "rows",
             replica.table,
-            replica.end,
+            WHOLE_TABLE if whole else replica.end,
             int(1000 * wait_s),
             replica.era,
             total_s=total_s,
--- a/packages/auburnwall-state/src/auburnwall/state/table/replica.py
+++ b/packages/auburnwall-state/src/auburnwall/state/table/replica.py
@@ -13,7 +13,7 @@
 
 from auburnwall.base.logs import event
 
-from ..exceptions import LogTruncatedError
+from ..exceptions import LogTruncatedError, LogUnavailableError
 from .base import TableRecord
 from .order import OffsetOrder
 
@@ -23,6 +23,12 @@
 # Time in which operators and servers have written again what the store has lost, in
 # seconds.
 SETTLE_S = 2.0
+# Records of the history that are read after a load, to find values that an older one
+# has replaced. A late write is late by seconds, so there are few between them.
+HISTORY_RECORDS = 8
+# Why a record of the copy is not in force: the store has lost records and its key is
+# not settled, or an older value was written after a newer one.
+UNSETTLED, OUTDATED = "unsettled", "outdated"
 # Source of records that were read from the store; else it is the name of a peer.
 STORE = "store"
 # Offset of an entry from an earlier era; any record of the new era replaces it.
@@ -48,7 +54,8 @@
     ``None`` then, because the node was paused: others may have written in that era what
     is newer than all that this node knows. ``reset_listeners`` are called before.
 
-    ``held_listeners`` are notified of each record of a new era that is not applied yet.
+    ``held_listeners`` are notified of each record that is not put in force, and why:
+    ``UNSETTLED`` or ``OUTDATED``.
 
     ``is_repeat(old, new)`` tells whether a value says nothing new. Of such records only
     ``repeat_listeners`` are notified, with the key, and peers do not get them.
@@ -138,7 +145,7 @@
             batch = self._client.read(self.table, self.end, wait_s=wait_s)
         except LogTruncatedError as exc:
             event("table history dropped", table=self.table, oldest=exc.oldest)
-            self._reload(asked_at)
+            self._reload(asked_at, exc.oldest)
             return
         if batch.era != self.era:
             self._reload(asked_at)
@@ -250,9 +257,37 @@
             for key, record in unsettled.items()
         )
 
-    def _reload(self, asked_at):
+    def _reload(self, asked_at, oldest=0):
         batch = self._client.newest(self.table)
         self.replace(batch.records, batch.end, asked_at, batch.era)
+        if self._order.within_era:
+            self._read_history(oldest)
+
+    def _read_history(self, oldest):
+        """Look for values that an older one has replaced, in the last records."""
+        start = max(self.end - HISTORY_RECORDS, oldest, 0)
+        if start >= self.end:
+            return
+        try:
+            batch = self._client.read(self.table, start, wait_s=0.0)
+        except LogTruncatedError as exc:
+            if exc.oldest > oldest:
+                self._read_history(exc.oldest)
+            return
+        except LogUnavailableError as exc:
+            event("table history not read", table=self.table, why=exc.detail)
+            return
+        if batch.era != self.era:
+            return
+        for record in batch.records:
+            current = self.entries.get(record.key)
+            if (
+                record.offset < self.end
+                and self._verdict(record, current) == 1
+                and record.offset < current.offset
+            ):
+                self._apply(record, keep_for_peers=False)
+                self._notify_held(current, OUTDATED)
 
     def _enter_era(self, records, end, complete_at, era):
         """Continue with the table of a new era; keep changed keys for a time."""
@@ -291,8 +326,7 @@
         self._forget_recent(end)
         self._apply_reloaded(newer)
         for record in filter(None, unsettled.values()):
-            for listener in self.held_listeners:
-                listener(record)
+            self._notify_held(record, UNSETTLED)
 
     def _begin_anew(self, era):
         """Count what is known for nothing against the table of a new era."""
@@ -330,7 +364,18 @@
 
     def _apply(self, record, keep_for_peers=True):
         current = self.entries.get(record.key)
-        if current is not None and current.offset > record.offset:
+        verdict = self._verdict(record, current)
+        if verdict == -1:
+            if record.offset < current.offset:
+                return
+            # Peers get the newer value in place of the record that follows it.
+            self.entries[record.key] = current._replace(offset=record.offset)
+            if keep_for_peers:
+                self._keep_for_peers(self.entries[record.key])
+            if record.offset > current.offset:
+                self._notify_held(record, OUTDATED)
+            return
+        if verdict != 1 and current is not None and current.offset > record.offset:
             return
         self.unsettled.pop(record.key, None)
         if (
@@ -342,9 +387,11 @@
             for listener in self.repeat_listeners:
                 listener(record.key)
             return
+        if verdict == 1 and current.offset > record.offset:
+            record = record._replace(offset=current.offset)
         if keep_for_peers:
             self._keep_for_peers(record)
-        if current is not None and current.offset == record.offset:
+        if verdict != 1 and current is not None and current.offset == record.offset:
             return
         if record.value is None:
             self.entries.pop(record.key, None)
@@ -353,6 +400,19 @@
         for listener in self.listeners:
             listener(record)
 
+    def _verdict(self, record, current):
+        """Return how the values of a record and of its key's current one compare.
+
+        ``None`` if only their offsets tell which is newer.
+        """
+        if not self._order.within_era or current is None or record.value is None:
+            return None
+        return self._order.compare(record.key, record.value, current.value)
+
+    def _notify_held(self, record, why):
+        for listener in self.held_listeners:
+            listener(record, why)
+
     def _keep_for_peers(self, record):
         self._recent.pop(record.key, None)
         self._recent[record.key] = record
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
@@ -225,7 +225,8 @@
  * reads all of them from the store. `cut_off` and `lost_services` are as in
  * `NodeStatus`, `leaving`, `crashes`, `sound_parts`, `limits`, `newest_demand` and
  * `slow_paces` are as in `Load`. `members` are the nodes that report to it, and
- * `member_load` is the load of these.
+ * `member_load` is the load of these. `config_version` is the version of the
+ * configuration that it goes by; nodes of earlier builds do not tell it.
  */
 struct Pulse {
   1: string node
@@ -248,6 +249,7 @@
   18: list<string> lost_services
   19: optional map<string, double> newest_demand
   20: optional map<string, SlowPace> slow_paces
+  21: optional i64 config_version
 }
 
 /**
@@ -256,6 +258,7 @@
  * `nodes` holds the live nodes whose status changed after the version that the caller
  * named, `lost` the names of those that are no longer live since. If `whole`, `nodes`
  * holds all live nodes. `load` is that of all live nodes, the caller included.
+ * `config_version` is the sender's.
  */
 struct FleetDigest {
   1: string incarnation
@@ -264,6 +267,7 @@
   4: list<NodeStatus> nodes
   5: list<string> lost
   6: Load load
+  7: optional i64 config_version
 }
 
 struct TableRow {
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/Peer.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/Peer.py
@@ -933,11 +933,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype232, _size229) = iprot.readListBegin()
-                    for _i233 in range(_size229):
-                        _elem234 = ClaimAsk()
-                        _elem234.read(iprot)
-                        self.asks.append(_elem234)
+                    (_etype268, _size265) = iprot.readListBegin()
+                    for _i269 in range(_size265):
+                        _elem270 = ClaimAsk()
+                        _elem270.read(iprot)
+                        self.asks.append(_elem270)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -958,8 +958,8 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter235 in self.asks:
-                iter235.write(oprot)
+            for iter271 in self.asks:
+                iter271.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1011,11 +1011,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype239, _size236) = iprot.readListBegin()
-                    for _i240 in range(_size236):
-                        _elem241 = ClaimVerdict()
-                        _elem241.read(iprot)
-                        self.success.append(_elem241)
+                    (_etype275, _size272) = iprot.readListBegin()
+                    for _i276 in range(_size272):
+                        _elem277 = ClaimVerdict()
+                        _elem277.read(iprot)
+                        self.success.append(_elem277)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1037,8 +1037,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter242 in self.success:
-                iter242.write(oprot)
+            for iter278 in self.success:
+                iter278.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.error is not None:
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
@@ -1783,23 +1783,23 @@
             elif fid == 10:
                 if ftype == TType.MAP:
                     self.newest_demand = {}
-                    (_ktype230, _vtype231, _size229) = iprot.readMapBegin()
-                    for _i233 in range(_size229):
-                        _key234 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val235 = iprot.readDouble()
-                        self.newest_demand[_key234] = _val235
+                    (_ktype92, _vtype93, _size91) = iprot.readMapBegin()
+                    for _i95 in range(_size91):
+                        _key96 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val97 = iprot.readDouble()
+                        self.newest_demand[_key96] = _val97
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.MAP:
                     self.slow_paces = {}
-                    (_ktype229, _vtype230, _size231) = iprot.readMapBegin()
-                    for _i232 in range(_size231):
-                        _key233 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val234 = SlowPace()
-                        _val234.read(iprot)
-                        self.slow_paces[_key233] = _val234
+                    (_ktype99, _vtype100, _size98) = iprot.readMapBegin()
+                    for _i102 in range(_size98):
+                        _key103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val104 = SlowPace()
+                        _val104.read(iprot)
+                        self.slow_paces[_key103] = _val104
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1816,17 +1816,17 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter91, viter92 in self.running.items():
-                oprot.writeString(kiter91.encode('utf-8') if sys.version_info[0] == 2 else kiter91)
-                oprot.writeI32(viter92)
+            for kiter105, viter106 in self.running.items():
+                oprot.writeString(kiter105.encode('utf-8') if sys.version_info[0] == 2 else kiter105)
+                oprot.writeI32(viter106)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.demand))
-            for kiter93, viter94 in self.demand.items():
-                oprot.writeString(kiter93.encode('utf-8') if sys.version_info[0] == 2 else kiter93)
-                oprot.writeDouble(viter94)
+            for kiter107, viter108 in self.demand.items():
+                oprot.writeString(kiter107.encode('utf-8') if sys.version_info[0] == 2 else kiter107)
+                oprot.writeDouble(viter108)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.nodes_with_traffic is not None:
@@ -1840,59 +1840,59 @@
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.suspects))
-            for kiter95, viter96 in self.suspects.items():
-                oprot.writeString(kiter95.encode('utf-8') if sys.version_info[0] == 2 else kiter95)
-                oprot.writeI32(viter96)
+            for kiter109, viter110 in self.suspects.items():
+                oprot.writeString(kiter109.encode('utf-8') if sys.version_info[0] == 2 else kiter109)
+                oprot.writeI32(viter110)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.leaving))
-            for kiter97, viter98 in self.leaving.items():
-                oprot.writeString(kiter97.encode('utf-8') if sys.version_info[0] == 2 else kiter97)
-                oprot.writeI64(viter98)
+            for kiter111, viter112 in self.leaving.items():
+                oprot.writeString(kiter111.encode('utf-8') if sys.version_info[0] == 2 else kiter111)
+                oprot.writeI64(viter112)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.crashes))
-            for kiter99, viter100 in self.crashes.items():
-                oprot.writeString(kiter99.encode('utf-8') if sys.version_info[0] == 2 else kiter99)
-                oprot.writeListBegin(TType.STRING, len(viter100))
-                for iter101 in viter100:
-                    oprot.writeString(iter101.encode('utf-8') if sys.version_info[0] == 2 else iter101)
+            for kiter113, viter114 in self.crashes.items():
+                oprot.writeString(kiter113.encode('utf-8') if sys.version_info[0] == 2 else kiter113)
+                oprot.writeListBegin(TType.STRING, len(viter114))
+                for iter115 in viter114:
+                    oprot.writeString(iter115.encode('utf-8') if sys.version_info[0] == 2 else iter115)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.sound_parts is not None:
             oprot.writeFieldBegin('sound_parts', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.sound_parts))
-            for iter102 in self.sound_parts:
-                oprot.writeString(iter102.encode('utf-8') if sys.version_info[0] == 2 else iter102)
+            for iter116 in self.sound_parts:
+                oprot.writeString(iter116.encode('utf-8') if sys.version_info[0] == 2 else iter116)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.MAP, 9)
             oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.limits))
-            for kiter103, viter104 in self.limits.items():
-                oprot.writeString(kiter103.encode('utf-8') if sys.version_info[0] == 2 else kiter103)
-                viter104.write(oprot)
+            for kiter117, viter118 in self.limits.items():
+                oprot.writeString(kiter117.encode('utf-8') if sys.version_info[0] == 2 else kiter117)
+                viter118.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.newest_demand is not None:
             oprot.writeFieldBegin('newest_demand', TType.MAP, 10)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.newest_demand))
-            for kiter236, viter237 in self.newest_demand.items():
-                oprot.writeString(kiter236.encode('utf-8') if sys.version_info[0] == 2 else kiter236)
-                oprot.writeDouble(viter237)
+            for kiter119, viter120 in self.newest_demand.items():
+                oprot.writeString(kiter119.encode('utf-8') if sys.version_info[0] == 2 else kiter119)
+                oprot.writeDouble(viter120)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.slow_paces is not None:
             oprot.writeFieldBegin('slow_paces', TType.MAP, 11)
             oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.slow_paces))
-            for kiter235, viter236 in self.slow_paces.items():
-                oprot.writeString(kiter235.encode('utf-8') if sys.version_info[0] == 2 else kiter235)
-                viter236.write(oprot)
+            for kiter121, viter122 in self.slow_paces.items():
+                oprot.writeString(kiter121.encode('utf-8') if sys.version_info[0] == 2 else kiter121)
+                viter122.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1997,10 +1997,10 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.lost_services = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.lost_services.append(_elem110)
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost_services.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2049,8 +2049,8 @@
         if self.lost_services is not None:
             oprot.writeFieldBegin('lost_services', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.lost_services))
-            for iter111 in self.lost_services:
-                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            for iter129 in self.lost_services:
+                oprot.writeString(iter129.encode('utf-8') if sys.version_info[0] == 2 else iter129)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2082,7 +2082,8 @@
     reads all of them from the store. `cut_off` and `lost_services` are as in
     `NodeStatus`, `leaving`, `crashes`, `sound_parts`, `limits`, `newest_demand` and
     `slow_paces` are as in `Load`. `members` are the nodes that report to it, and
-    `member_load` is the load of these.
+    `member_load` is the load of these. `config_version` is the version of the
+    configuration that it goes by; nodes of earlier builds do not tell it.
 
     Attributes:
      - node
@@ -2105,11 +2106,12 @@
      - lost_services
      - newest_demand
      - slow_paces
+     - config_version
 
     """
 
 
-    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None, limits=None, cut_off=None, lost_services=None, newest_demand=None, slow_paces=None,):
+    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None, limits=None, cut_off=None, lost_services=None, newest_demand=None, slow_paces=None, config_version=None,):
         self.node = node
         self.incarnation = incarnation
         self.ready = ready
@@ -2130,6 +2132,7 @@
         self.lost_services = lost_services
         self.newest_demand = newest_demand
         self.slow_paces = slow_paces
+        self.config_version = config_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2168,43 +2171,43 @@
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.table_ends = {}
-                    (_ktype113, _vtype114, _size112) = iprot.readMapBegin()
-                    for _i116 in range(_size112):
-                        _key117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val118 = iprot.readI64()
-                        self.table_ends[_key117] = _val118
+                    (_ktype131, _vtype132, _size130) = iprot.readMapBegin()
+                    for _i134 in range(_size130):
+                        _key135 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val136 = iprot.readI64()
+                        self.table_ends[_key135] = _val136
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.MAP:
                     self.running = {}
-                    (_ktype120, _vtype121, _size119) = iprot.readMapBegin()
-                    for _i123 in range(_size119):
-                        _key124 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val125 = iprot.readI32()
-                        self.running[_key124] = _val125
+                    (_ktype138, _vtype139, _size137) = iprot.readMapBegin()
+                    for _i141 in range(_size137):
+                        _key142 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val143 = iprot.readI32()
+                        self.running[_key142] = _val143
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.MAP:
                     self.demand = {}
-                    (_ktype127, _vtype128, _size126) = iprot.readMapBegin()
-                    for _i130 in range(_size126):
-                        _key131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val132 = iprot.readDouble()
-                        self.demand[_key131] = _val132
+                    (_ktype145, _vtype146, _size144) = iprot.readMapBegin()
+                    for _i148 in range(_size144):
+                        _key149 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val150 = iprot.readDouble()
+                        self.demand[_key149] = _val150
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.suspects = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.suspects.append(_elem138)
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.suspects.append(_elem156)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2216,11 +2219,11 @@
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = NodeStatus()
-                        _elem144.read(iprot)
-                        self.members.append(_elem144)
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = NodeStatus()
+                        _elem162.read(iprot)
+                        self.members.append(_elem162)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2233,49 +2236,49 @@
             elif fid == 13:
                 if ftype == TType.MAP:
                     self.leaving = {}
-                    (_ktype146, _vtype147, _size145) = iprot.readMapBegin()
-                    for _i149 in range(_size145):
-                        _key150 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val151 = iprot.readI64()
-                        self.leaving[_key150] = _val151
+                    (_ktype164, _vtype165, _size163) = iprot.readMapBegin()
+                    for _i167 in range(_size163):
+                        _key168 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val169 = iprot.readI64()
+                        self.leaving[_key168] = _val169
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.MAP:
                     self.crashes = {}
-                    (_ktype153, _vtype154, _size152) = iprot.readMapBegin()
-                    for _i156 in range(_size152):
-                        _key157 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val158 = []
-                        (_etype162, _size159) = iprot.readListBegin()
-                        for _i163 in range(_size159):
-                            _elem164 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                            _val158.append(_elem164)
+                    (_ktype171, _vtype172, _size170) = iprot.readMapBegin()
+                    for _i174 in range(_size170):
+                        _key175 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val176 = []
+                        (_etype180, _size177) = iprot.readListBegin()
+                        for _i181 in range(_size177):
+                            _elem182 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _val176.append(_elem182)
                         iprot.readListEnd()
-                        self.crashes[_key157] = _val158
+                        self.crashes[_key175] = _val176
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.sound_parts = []
-                    (_etype168, _size165) = iprot.readListBegin()
-                    for _i169 in range(_size165):
-                        _elem170 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.sound_parts.append(_elem170)
+                    (_etype186, _size183) = iprot.readListBegin()
+                    for _i187 in range(_size183):
+                        _elem188 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.sound_parts.append(_elem188)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.MAP:
                     self.limits = {}
-                    (_ktype172, _vtype173, _size171) = iprot.readMapBegin()
-                    for _i175 in range(_size171):
-                        _key176 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val177 = ServerLimit()
-                        _val177.read(iprot)
-                        self.limits[_key176] = _val177
+                    (_ktype190, _vtype191, _size189) = iprot.readMapBegin()
+                    for _i193 in range(_size189):
+                        _key194 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val195 = ServerLimit()
+                        _val195.read(iprot)
+                        self.limits[_key194] = _val195
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2287,36 +2290,41 @@
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.lost_services = []
-                    (_etype181, _size178) = iprot.readListBegin()
-                    for _i182 in range(_size178):
-                        _elem183 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.lost_services.append(_elem183)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost_services.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.MAP:
                     self.newest_demand = {}
-                    (_ktype239, _vtype240, _size238) = iprot.readMapBegin()
-                    for _i242 in range(_size238):
-                        _key243 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val244 = iprot.readDouble()
-                        self.newest_demand[_key243] = _val244
+                    (_ktype203, _vtype204, _size202) = iprot.readMapBegin()
+                    for _i206 in range(_size202):
+                        _key207 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val208 = iprot.readDouble()
+                        self.newest_demand[_key207] = _val208
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.MAP:
                     self.slow_paces = {}
-                    (_ktype237, _vtype238, _size239) = iprot.readMapBegin()
-                    for _i240 in range(_size239):
-                        _key241 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val242 = SlowPace()
-                        _val242.read(iprot)
-                        self.slow_paces[_key241] = _val242
+                    (_ktype210, _vtype211, _size209) = iprot.readMapBegin()
+                    for _i213 in range(_size209):
+                        _key214 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val215 = SlowPace()
+                        _val215.read(iprot)
+                        self.slow_paces[_key214] = _val215
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2350,32 +2358,32 @@
         if self.table_ends is not None:
             oprot.writeFieldBegin('table_ends', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_ends))
-            for kiter184, viter185 in self.table_ends.items():
-                oprot.writeString(kiter184.encode('utf-8') if sys.version_info[0] == 2 else kiter184)
-                oprot.writeI64(viter185)
+            for kiter216, viter217 in self.table_ends.items():
+                oprot.writeString(kiter216.encode('utf-8') if sys.version_info[0] == 2 else kiter216)
+                oprot.writeI64(viter217)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 7)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter186, viter187 in self.running.items():
-                oprot.writeString(kiter186.encode('utf-8') if sys.version_info[0] == 2 else kiter186)
-                oprot.writeI32(viter187)
+            for kiter218, viter219 in self.running.items():
+                oprot.writeString(kiter218.encode('utf-8') if sys.version_info[0] == 2 else kiter218)
+                oprot.writeI32(viter219)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.demand is not None:
             oprot.writeFieldBegin('demand', TType.MAP, 8)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.demand))
-            for kiter188, viter189 in self.demand.items():
-                oprot.writeString(kiter188.encode('utf-8') if sys.version_info[0] == 2 else kiter188)
-                oprot.writeDouble(viter189)
+            for kiter220, viter221 in self.demand.items():
+                oprot.writeString(kiter220.encode('utf-8') if sys.version_info[0] == 2 else kiter220)
+                oprot.writeDouble(viter221)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 9)
             oprot.writeListBegin(TType.STRING, len(self.suspects))
-            for iter190 in self.suspects:
-                oprot.writeString(iter190.encode('utf-8') if sys.version_info[0] == 2 else iter190)
+            for iter222 in self.suspects:
+                oprot.writeString(iter222.encode('utf-8') if sys.version_info[0] == 2 else iter222)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.has_traffic is not None:
@@ -2385,8 +2393,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter191 in self.members:
-                iter191.write(oprot)
+            for iter223 in self.members:
+                iter223.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.member_load is not None:
@@ -2396,35 +2404,35 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.MAP, 13)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.leaving))
-            for kiter192, viter193 in self.leaving.items():
-                oprot.writeString(kiter192.encode('utf-8') if sys.version_info[0] == 2 else kiter192)
-                oprot.writeI64(viter193)
+            for kiter224, viter225 in self.leaving.items():
+                oprot.writeString(kiter224.encode('utf-8') if sys.version_info[0] == 2 else kiter224)
+                oprot.writeI64(viter225)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.MAP, 14)
             oprot.writeMapBegin(TType.STRING, TType.LIST, len(self.crashes))
-            for kiter194, viter195 in self.crashes.items():
-                oprot.writeString(kiter194.encode('utf-8') if sys.version_info[0] == 2 else kiter194)
-                oprot.writeListBegin(TType.STRING, len(viter195))
-                for iter196 in viter195:
-                    oprot.writeString(iter196.encode('utf-8') if sys.version_info[0] == 2 else iter196)
+            for kiter226, viter227 in self.crashes.items():
+                oprot.writeString(kiter226.encode('utf-8') if sys.version_info[0] == 2 else kiter226)
+                oprot.writeListBegin(TType.STRING, len(viter227))
+                for iter228 in viter227:
+                    oprot.writeString(iter228.encode('utf-8') if sys.version_info[0] == 2 else iter228)
                 oprot.writeListEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.sound_parts is not None:
             oprot.writeFieldBegin('sound_parts', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.sound_parts))
-            for iter197 in self.sound_parts:
-                oprot.writeString(iter197.encode('utf-8') if sys.version_info[0] == 2 else iter197)
+            for iter229 in self.sound_parts:
+                oprot.writeString(iter229.encode('utf-8') if sys.version_info[0] == 2 else iter229)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.MAP, 16)
             oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.limits))
-            for kiter198, viter199 in self.limits.items():
-                oprot.writeString(kiter198.encode('utf-8') if sys.version_info[0] == 2 else kiter198)
-                viter199.write(oprot)
+            for kiter230, viter231 in self.limits.items():
+                oprot.writeString(kiter230.encode('utf-8') if sys.version_info[0] == 2 else kiter230)
+                viter231.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.cut_off is not None:
@@ -2434,26 +2442,30 @@
         if self.lost_services is not None:
             oprot.writeFieldBegin('lost_services', TType.LIST, 18)
             oprot.writeListBegin(TType.STRING, len(self.lost_services))
-            for iter200 in self.lost_services:
-                oprot.writeString(iter200.encode('utf-8') if sys.version_info[0] == 2 else iter200)
+            for iter232 in self.lost_services:
+                oprot.writeString(iter232.encode('utf-8') if sys.version_info[0] == 2 else iter232)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.newest_demand is not None:
             oprot.writeFieldBegin('newest_demand', TType.MAP, 19)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.newest_demand))
-            for kiter245, viter246 in self.newest_demand.items():
-                oprot.writeString(kiter245.encode('utf-8') if sys.version_info[0] == 2 else kiter245)
-                oprot.writeDouble(viter246)
+            for kiter233, viter234 in self.newest_demand.items():
+                oprot.writeString(kiter233.encode('utf-8') if sys.version_info[0] == 2 else kiter233)
+                oprot.writeDouble(viter234)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.slow_paces is not None:
             oprot.writeFieldBegin('slow_paces', TType.MAP, 20)
             oprot.writeMapBegin(TType.STRING, TType.STRUCT, len(self.slow_paces))
-            for kiter243, viter244 in self.slow_paces.items():
-                oprot.writeString(kiter243.encode('utf-8') if sys.version_info[0] == 2 else kiter243)
-                viter244.write(oprot)
+            for kiter235, viter236 in self.slow_paces.items():
+                oprot.writeString(kiter235.encode('utf-8') if sys.version_info[0] == 2 else kiter235)
+                viter236.write(oprot)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 21)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2479,6 +2491,7 @@
     `nodes` holds the live nodes whose status changed after the version that the caller
     named, `lost` the names of those that are no longer live since. If `whole`, `nodes`
     holds all live nodes. `load` is that of all live nodes, the caller included.
+    `config_version` is the sender's.
 
     Attributes:
      - incarnation
@@ -2487,17 +2500,19 @@
      - nodes
      - lost
      - load
+     - config_version
 
     """
 
 
-    def __init__(self, incarnation=None, version=None, whole=None, nodes=None, lost=None, load=None,):
+    def __init__(self, incarnation=None, version=None, whole=None, nodes=None, lost=None, load=None, config_version=None,):
         self.incarnation = incarnation
         self.version = version
         self.whole = whole
         self.nodes = nodes
         self.lost = lost
         self.load = load
+        self.config_version = config_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2526,21 +2541,21 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.nodes = []
-                    (_etype204, _size201) = iprot.readListBegin()
-                    for _i205 in range(_size201):
-                        _elem206 = NodeStatus()
-                        _elem206.read(iprot)
-                        self.nodes.append(_elem206)
+                    (_etype240, _size237) = iprot.readListBegin()
+                    for _i241 in range(_size237):
+                        _elem242 = NodeStatus()
+                        _elem242.read(iprot)
+                        self.nodes.append(_elem242)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.lost = []
-                    (_etype210, _size207) = iprot.readListBegin()
-                    for _i211 in range(_size207):
-                        _elem212 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.lost.append(_elem212)
+                    (_etype246, _size243) = iprot.readListBegin()
+                    for _i247 in range(_size243):
+                        _elem248 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost.append(_elem248)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2550,6 +2565,11 @@
                     self.load.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2575,21 +2595,25 @@
         if self.nodes is not None:
             oprot.writeFieldBegin('nodes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.nodes))
-            for iter213 in self.nodes:
-                iter213.write(oprot)
+            for iter249 in self.nodes:
+                iter249.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lost is not None:
             oprot.writeFieldBegin('lost', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.lost))
-            for iter214 in self.lost:
-                oprot.writeString(iter214.encode('utf-8') if sys.version_info[0] == 2 else iter214)
+            for iter250 in self.lost:
+                oprot.writeString(iter250.encode('utf-8') if sys.version_info[0] == 2 else iter250)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.load is not None:
             oprot.writeFieldBegin('load', TType.STRUCT, 6)
             self.load.write(oprot)
             oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 7)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2752,11 +2776,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype218, _size215) = iprot.readListBegin()
-                    for _i219 in range(_size215):
-                        _elem220 = TableRow()
-                        _elem220.read(iprot)
-                        self.rows.append(_elem220)
+                    (_etype254, _size251) = iprot.readListBegin()
+                    for _i255 in range(_size251):
+                        _elem256 = TableRow()
+                        _elem256.read(iprot)
+                        self.rows.append(_elem256)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2795,8 +2819,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter221 in self.rows:
-                iter221.write(oprot)
+            for iter257 in self.rows:
+                iter257.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2948,10 +2972,10 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.excluded_servers = []
-                    (_etype225, _size222) = iprot.readListBegin()
-                    for _i226 in range(_size222):
-                        _elem227 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded_servers.append(_elem227)
+                    (_etype261, _size258) = iprot.readListBegin()
+                    for _i262 in range(_size258):
+                        _elem263 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded_servers.append(_elem263)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3025,8 +3049,8 @@
         if self.excluded_servers is not None:
             oprot.writeFieldBegin('excluded_servers', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.excluded_servers))
-            for iter228 in self.excluded_servers:
-                oprot.writeString(iter228.encode('utf-8') if sys.version_info[0] == 2 else iter228)
+            for iter264 in self.excluded_servers:
+                oprot.writeString(iter264.encode('utf-8') if sys.version_info[0] == 2 else iter264)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wait is not None:
@@ -3415,6 +3439,7 @@
     (18, TType.LIST, 'lost_services', (TType.STRING, 'UTF8', False), None, ),  # 18
     (19, TType.MAP, 'newest_demand', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 19
     (20, TType.MAP, 'slow_paces', (TType.STRING, 'UTF8', TType.STRUCT, [SlowPace, None], False), None, ),  # 20
+    (21, TType.I64, 'config_version', None, None, ),  # 21
 )
 all_structs.append(FleetDigest)
 FleetDigest.thrift_spec = (
@@ -3425,6 +3450,7 @@
     (4, TType.LIST, 'nodes', (TType.STRUCT, [NodeStatus, None], False), None, ),  # 4
     (5, TType.LIST, 'lost', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.STRUCT, 'load', [Load, None], None, ),  # 6
+    (7, TType.I64, 'config_version', None, None, ),  # 7
 )
 all_structs.append(TableRow)
 TableRow.thrift_spec = (
--- a/tests/platform/test_record_orders.py
+++ b/tests/platform/test_record_orders.py
@@ -1,7 +1,7 @@
 """A copy goes by the newest value of a key, wherever that stands in the store's log.
 
 Guards against a version, an evacuation or a server's leaving that is held back after
-the store has lost records.
+the store has lost records, and against older values that are written late.
 """
 
 import json
@@ -9,13 +9,16 @@
 from unittest import mock
 
 from auburnwall.fleet.registrations import Registry
+from auburnwall.node.routed.handler import RoutedHandler
 from auburnwall.node.routed.source import ConfigSource
+from auburnwall.node.routed.tables import WHOLE_TABLE, learn_from_peer
 from auburnwall.platform.operator import OperatorDecoder, VersionOrder
 from auburnwall.platform.servers import (
     RegistrationOrder,
     decode_registration,
     is_same_registration,
 )
+from auburnwall.state.exceptions import LogUnavailableError
 from auburnwall.state.table.replica import SETTLE_S, TableReplica
 from standins.platformconfig import registration_entry, routes
 from tests.state.test_era import DrilledTable
@@ -77,7 +80,7 @@
         self.refresh(SETTLE_S + 0.1)
         self.assertEqual(self.in_force(), 8)
         self.assertEqual(self.replica.unsettled, {})
-        records, _ = self.replica.records_for_peer(-1, self.replica.era)
+        records, _ = self.replica.records_for_peer(WHOLE_TABLE, self.replica.era)
         self.assertEqual([record.value for record in records], [version(8)])
 
     def test_evacuation_of_the_new_era_counts_at_once(self):
@@ -116,6 +119,72 @@
         self.assertEqual(self.source.pending.why, "held back")
 
 
+class LateWriteTests(OperatorTestCase):
+    """Version 8 is written, then version 7 is carried out late."""
+
+    def setUp(self):
+        super().setUp()
+        self.write(6)
+        self.refresh()
+        self.write(8)
+        self.write(7)
+
+    def peer(self):
+        return RoutedHandler(None, {"operator": self.replica}, None, self.clock)
+
+    def learn(self, replica, *, whole=False):
+        end = WHOLE_TABLE if whole else replica.end
+        rows = self.peer().rows("operator", end, 0, replica.era)
+        return learn_from_peer(replica, rows, self.clock.now, self.clock.now)
+
+    def test_node_keeps_the_newer_version_and_tells_of_the_older_one(self):
+        self.refresh()
+        self.assertEqual(self.in_force(), 8)
+        self.assertEqual(self.source.pending[:2], (7, 2))
+        self.assertEqual(self.source.pending.why, "skipped")
+        self.assertEqual(self.replica.age_s(), 0.0)
+
+    def test_node_that_starts_finds_the_newer_version_in_the_history(self):
+        replica, source = self.new_node()
+        replica.refresh(0.0)
+        self.assertEqual(self.in_force(source), 8)
+
+    def test_node_that_starts_without_the_history_goes_by_what_there_is(self):
+        def read(*args, **kwargs):
+            raise LogUnavailableError("silent")
+
+        replica, source = self.new_node()
+        with mock.patch.object(self.table, "read", read):
+            replica.refresh(0.0)
+        self.assertEqual(self.in_force(source), 7)
+        self.refresh()
+        self.learn(replica, whole=True)
+        self.assertEqual(self.in_force(source), 8)
+
+    def test_peers_get_the_newer_version(self):
+        early, late = self.new_node(), self.new_node()
+        self.learn(early[0])
+        self.refresh()
+        for replica, source in (early, late):
+            self.learn(replica)
+            self.assertEqual(self.in_force(source), 8)
+
+    def test_history_takes_no_older_record_of_another_key(self):
+        self.table.write(OUT, b"{}")
+        self.table.write(OUT, None)
+        replica, source = self.new_node()
+        replica.refresh(0.0)
+        self.assertEqual(source.evacuated_data_centers, set())
+        self.assertEqual(self.in_force(source), 8)
+
+    def test_later_version_counts(self):
+        self.refresh()
+        self.write(9)
+        self.refresh()
+        self.assertEqual(self.in_force(), 9)
+        self.assertIsNone(self.source.pending)
+
+
 class RegistrationTests(unittest.TestCase):
     def setUp(self):
         self.table, self.clock = DrilledTable(), FakeClock()
--- a/tests/processes/test_configuration_day.py
+++ b/tests/processes/test_configuration_day.py
@@ -6,6 +6,7 @@
 
 import signal
 import time
+from concurrent.futures import ThreadPoolExecutor
 from datetime import datetime
 
 from standins.modelserver import TOPIC
@@ -71,6 +72,16 @@
             time.sleep(CONTACT_S + CONFIG_S)
         self.check(day)
 
+    def test_all_nodes_start_after_an_older_version_was_written_late(self):
+        """Nobody knows the newer version; the store's history has it."""
+        with Day(self.cluster, 1) as day:
+            day.write_late()
+            with ThreadPoolExecutor(NODES) as pool:
+                for name in self.names:
+                    pool.submit(day.disturb_node, name, "kill", 0.1)
+            time.sleep(CONTACT_S + CONFIG_S)
+        self.check(day)
+
     def test_day_of_many_versions(self):
         with Day(self.cluster, 14) as day:
             play(day, draw(14, DAY_S), DAY_S)
--- a/tests/routed/test_configuration_answers.py
+++ b/tests/routed/test_configuration_answers.py
@@ -12,7 +12,7 @@
 from auburnwall.node.routed.source import ConfigSource, PendingVersion
 from auburnwall.platform.operator import OperatorDecoder
 from auburnwall.state.table.base import TableRecord
-from auburnwall.state.table.replica import TableReplica
+from auburnwall.state.table.replica import UNSETTLED, TableReplica
 from tests.state.test_table import FakeClock
 
 from .support import FrontWithServers, config, send_call
@@ -96,7 +96,7 @@
         body = json.dumps({**config(), "Version": 9}).encode()
         record = TableRecord(2, "config", body)
         for listener in self.replica.held_listeners:
-            listener(record)
+            listener(record, UNSETTLED)
         provenance = self.source.provenance()
         self.assertEqual(provenance["config_version"], 7)
         self.assertEqual(provenance["config_pending_version"], 9)
--- a/tests/routed/test_table_keeper.py
+++ b/tests/routed/test_table_keeper.py
@@ -3,13 +3,16 @@
 import random
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 from auburnwall.node.routed.handler import RoutedHandler
 from auburnwall.node.routed.table_keeper import (
     CHECK_INTERVAL_S,
+    MAX_ROUND_S,
     PEERS_PER_ROUND,
     TableKeeper,
 )
+from auburnwall.node.routed.tables import WHOLE_TABLE
 from auburnwall.state.exceptions import LogUnavailableError
 from auburnwall.state.table.replica import TableReplica
 from auburnwall.wire.exceptions import PeerUnavailableError
@@ -187,6 +190,29 @@
         self.keeper.check()
         self.assertTrue(self.replica.is_in_time(CONFIG_S))
 
+    def test_peer_that_goes_by_a_newer_record_is_asked_for_its_whole_table(self):
+        """The copies end alike; the heartbeats tell a newer version at two checks."""
+        self.peers.read()
+        newer = ["n4"]
+        self.keeper._peers_with_newer = lambda: newer
+        calls = self.access.calls
+        with mock.patch.object(self.peers, "call", wraps=self.peers.call) as call:
+            self.keeper.check()
+            self.assertEqual(self.peers.asked, [])
+            self.keeper.check()
+            newer.clear()
+            self.clock.now += MAX_ROUND_S
+            self.keeper.check()
+        self.assertEqual(self.peers.asked, ["n4"])
+        self.assertEqual(call.call_args.args[3], WHOLE_TABLE)
+        self.assertEqual(self.access.calls, calls)
+
+    def test_questions_for_a_newer_record_become_rarer(self):
+        """The peer's build reads what this one cannot."""
+        self.keeper._peers_with_newer = lambda: ["n4"]
+        self.run_for(10.0, reads=True)
+        self.assertLessEqual(len(self.peers.asked), 10.0 / MAX_ROUND_S + 3)
+
     def test_start_leaves_the_first_read_its_time(self):
         replica = TableReplica("operator", self.access, self.clock)
         keeper = TableKeeper(
