--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -52,6 +52,7 @@
     FLEET_TABLE,
     OPERATOR_TABLE,
     SERVER_TABLE,
+    apply_bounds,
     build_keepers,
     build_readers,
     build_replicas,
@@ -439,6 +440,7 @@
     def _apply_settings(self, cfg):
         self.shutdown.cfg = cfg
         self._retry_budgets.clear()  # New ones get the changed settings.
+        apply_bounds(self)
 
     def reload(self):
         """Read the settings again now; this is the SIGHUP handler."""
--- a/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/settings.py
@@ -29,7 +29,7 @@
     cores: float = 1.0
     memory_mb: float = 0.0
     drain_notice_s: float = 2.0
-    config_notice_s: float = 3.0
+    config_notice_s: float = 2.0
     repeat_share: float = 0.1
     repeat_reserve: float = 10.0
     repeat_window_s: float = 10.0
--- a/packages/auburnwall-node/src/auburnwall/node/routed/settings_reload.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/settings_reload.py
@@ -20,8 +20,6 @@
         "max_mesh_nodes",
         "memory_mb",
         "cores",
-        "config_notice_s",
-        "drain_notice_s",
     }
 )
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/source.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/source.py
@@ -58,7 +58,7 @@
         self.evacuated_data_centers = set()
         self._replica = replica
         self._codec = codec
-        self._notice_s = notice_s
+        self.notice_s = notice_s
         self._record_version = record_version
         replica.listeners.append(self._apply)
         replica.held_listeners.append(self._note_held)
@@ -79,7 +79,7 @@
 
     def is_current(self):
         """Return whether the copy of the operators' table is no older than allowed."""
-        return self._notice_s is None or self._replica.is_in_time(self._notice_s)
+        return self.notice_s is None or self._replica.is_in_time(self.notice_s)
 
     def provenance(self):
         """Return what this node goes by, as fields of a log line or an error response.
--- a/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
@@ -133,6 +133,18 @@
     }
 
 
+def apply_bounds(node):
+    """Apply changed bounds on the ages of the copies, in ``node.cfg``."""
+    cfg = node.cfg
+    node.source.notice_s = cfg.config_notice_s
+    for table, bound_s in (
+        (OPERATOR_TABLE, cfg.config_notice_s),
+        (SERVER_TABLE, cfg.drain_notice_s),
+    ):
+        node.readers[table].notice_s = node.keepers[table].bound_s = bound_s
+    node.readers[SERVER_TABLE].max_followed_age_s = _max_followed_age_s(node)
+
+
 def _peers_with_newer_version(node):
     """Return the peers that go by a higher version than this node has read."""
     known = node.source.newest_version()
--- a/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/tables.py
@@ -152,9 +152,9 @@
         self._pause_s = pause_s
         self._on_read = on_read or (lambda: None)
         self._peer_to_follow = peer_to_follow
-        self._max_followed_age_s = max_followed_age_s
+        self.max_followed_age_s = max_followed_age_s
         self._follow_pause_s = follow_pause_s
-        self._notice_s = notice_s
+        self.notice_s = notice_s
         self._start = start
         self._first_copy_ends_at = None
         self._knew_peers = False
@@ -215,7 +215,7 @@
         if name is None:
             return False
         return self._copy_from_peer(
-            name, self._max_followed_age_s, total_s=FIRST_COPY_CALL_S
+            name, self.max_followed_age_s, total_s=FIRST_COPY_CALL_S
         )
 
     def _copy_from_followed_peer(self):
@@ -244,21 +244,21 @@
 
         The peer waits for a new record in at most half of the time that is left.
         """
-        if self._notice_s is None:
-            return self._copy_from_peer(name, self._max_followed_age_s, RELAY_WAIT_S)
-        age_s = self.replica.age_s()
-        left_s = -1.0 if age_s is None else self._notice_s - STORE_READ_S - age_s
+        if self.notice_s is None:
+            return self._copy_from_peer(name, self.max_followed_age_s, RELAY_WAIT_S)
+        age_s = self.replica.read_age_s()
+        left_s = -1.0 if age_s is None else self.notice_s - STORE_READ_S - age_s
         if left_s < MIN_COPY_S:
             event(
                 "table copy outdated",
                 table=self.replica.table,
                 peer=name,
                 age_s=age_s and round(age_s, 3),
-                notice_s=self._notice_s,
+                notice_s=self.notice_s,
             )
             return False
         wait_s = min(RELAY_WAIT_S, left_s / 2)
-        return self._copy_from_peer(name, self._max_followed_age_s, wait_s, left_s)
+        return self._copy_from_peer(name, self.max_followed_age_s, wait_s, left_s)
 
     def _record_store_failure(self, exc):
         if self.reads_store:
--- a/tests/processes/configuration_day.py
+++ b/tests/processes/configuration_day.py
@@ -165,8 +165,8 @@
             for _ in range(self._rng.choice((1, 1, 2))):
                 self._rng.choice(
                     (
-                        self._add_route,
-                        self._add_route,
+                        self.add_route,
+                        self.add_route,
                         self._move_route,
                         self._remove_route,
                         self._add_key,
@@ -280,7 +280,7 @@
         body["Version"] = version.number
         self.cluster.put(OPERATOR_TOPIC, CONFIG_KEY, body)
 
-    def _add_route(self):
+    def add_route(self):
         self._set_route(f"/r{next(self._added)}/", self._rng.choice(SERVICES))
 
     def _move_route(self):
--- a/tests/processes/test_configuration_day.py
+++ b/tests/processes/test_configuration_day.py
@@ -8,9 +8,10 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 from datetime import datetime
+from unittest import mock
 
 from standins.modelserver import TOPIC
-from standins.platformconfig import OPERATOR_TOPIC, registration_entry
+from standins.platformconfig import OPERATOR_TOPIC, SETTINGS, registration_entry
 
 from .configuration_day import Day, DayCluster, draw, play
 from .configuration_run import CONFIG_S, CONTACT_S, NODES, RELAYS_ENV
@@ -114,6 +115,33 @@
         return None
 
 
+class ChangedBoundTests(DayTestCase):
+    """Nodes start with another bound, which the operator lowers to the users'."""
+
+    NODES = 2
+
+    def setUp(self):
+        name = "demo.platform_cluster.SETTINGS"
+        bound = SETTINGS.replace("ConfigMs=2000", "ConfigMs=8000")
+        self.enterContext(mock.patch(name, bound))
+        super().setUp()
+
+    def test_bound_that_is_lowered_while_nodes_run(self):
+        for name in self.names:
+            path = self.cluster.settings_path(name)
+            text = path.read_text("utf-8").replace("ConfigMs=8000", "ConfigMs=2000")
+            path.write_text(text, "utf-8")
+            self.cluster.signal(name, signal.SIGHUP)
+        with Day(self.cluster, 1) as day:
+            for name in self.names:
+                self.cluster.set_door(name, "silent")
+            time.sleep(2 * LONG_POLL_S)
+            day.add_route()
+            day.write()
+            time.sleep(CONFIG_S + CONTACT_S)
+        self.check(day)
+
+
 class RelayedAcknowledgedVersionTests(DayTestCase):
     """Two nodes are relays, which read the store for the others."""
 
--- a/tests/routed/test_tables.py
+++ b/tests/routed/test_tables.py
@@ -234,7 +234,7 @@
         """Its age is that of the last read that has ended, up to twice the wait."""
         best = self.nodes[self.reader_of("norte")]
         follower = self.follower_of(best)
-        follower.reader._max_followed_age_s = MAX_OPERATOR_AGE_S
+        follower.reader.max_followed_age_s = MAX_OPERATOR_AGE_S
         self.clock.now += 2 * RELAYED_LONG_POLL_S
         calls = self.table.calls
         follower.reader.step()
