Hold the soak's nodes against the versions that may be in force

The soak writes versions all the while, asks all nodes at the same moments, and has two kinds of trouble more: a store that loses its newest records and acknowledges a version, and an older version that is carried out late. They are drawn by a generator of their own, so seeds draw the other troubles as before.

--- a/tests/processes/configuration_day.py
+++ b/tests/processes/configuration_day.py
@@ -32,7 +32,7 @@
     routes,
 )
 
-from .configuration_history import Answer, History, Version
+from .configuration_history import DECIDED, Answer, History, Version
 from .configuration_run import CONFIG_S, CONTACT_S, NODES, RELAYS_ENV, DoorsCluster
 
 # Pauses between two versions, in seconds: most are up to the first, a share up to the
@@ -110,15 +110,18 @@
 class Day:
     """Writes versions drawn from a seed and asks all nodes, in threads of its own.
 
-    ``history`` holds the versions, ``answers`` what the nodes answered.
+    ``history`` holds the versions, ``answers`` what the nodes answered. Routes move
+    between the ``services``.
     """
 
-    def __init__(self, cluster, seed):
+    def __init__(self, cluster, seed, services=SERVICES, earlier_routes=EARLIER_ROUTES):
         self.cluster = cluster
         self.history = History(CONFIG_S)
         self.answers = []
         self._rng = random.Random(f"versions of {seed}")
         self._seed = seed
+        self._services = services
+        self._earlier_routes = earlier_routes
         self._routes = {"/look/": "desk"}
         self._keys = frozenset({KEY})
         # Monotonic time of the last change of each route and key.
@@ -160,7 +163,7 @@
         self._quiet_until = time.monotonic() + seconds
 
     def change(self):
-        """Change one or two routes or keys of the next version."""
+        """Change a route or key of the next version, or two."""
         with self._lock:
             for _ in range(self._rng.choice((1, 1, 2))):
                 self._rng.choice(
@@ -218,8 +221,10 @@
     def is_excused(self, answer):
         """Return whether an answer's node had not been in touch for long enough."""
         return any(
-            name == answer.node and from_at <= answer.sent_at <= until_at
-            for name, from_at, until_at in self._out_of_touch
+            name == answer.node
+            and from_at <= answer.sent_at <= until_at
+            and answer.status in statuses
+            for name, from_at, until_at, statuses in self._out_of_touch
         )
 
     def breaches(self):
@@ -227,13 +232,26 @@
         answers = itertools.filterfalse(self.is_excused, self.answers)
         return list(filter(None, map(self.history.breach, answers)))
 
+    def begin_out_of_touch(self, name, statuses=DECIDED):
+        """Excuse a node's answers of ``statuses`` until it is in touch again.
+
+        That is ``CONTACT_S`` after the returned function, which takes no arguments, is
+        called.
+        """
+        window, began_at = len(self._out_of_touch), time.monotonic()
+        self._out_of_touch.append((name, began_at, float("inf"), statuses))
+
+        def end():
+            ends_at = time.monotonic() + CONTACT_S
+            self._out_of_touch[window] = name, began_at, ends_at, statuses
+
+        return end
+
     def disturb_node(self, name, trouble, for_s):
         """Pause, stop or kill a node, or add one; return when that is over."""
-        began_at = time.monotonic()
         if trouble == "add":
             name = f"edge-norte-new-{next(self._added)}"
-        window = len(self._out_of_touch)
-        self._out_of_touch.append((name, began_at, float("inf")))
+        end_window = self.begin_out_of_touch(name)
         if trouble == "add":
             self.cluster.add_node(name, self.cluster.store)
             self._start(self._ask, name)
@@ -245,8 +263,7 @@
             else:
                 self.cluster.process(name).wait(10.0)
                 self.cluster.launch_node(name)
-        ends_at = time.monotonic() + CONTACT_S
-        self._out_of_touch[window] = name, began_at, ends_at
+        end_window()
 
     def _start(self, target, *args):
         self._threads.append(threading.Thread(target=target, args=args))
@@ -269,7 +286,7 @@
     def _put(self, version):
         body = routes()
         look = body["Routes"][-1]
-        earlier = ((f"/earlier{n}/", "desk") for n in range(EARLIER_ROUTES))
+        earlier = ((f"/earlier{n}/", "desk") for n in range(self._earlier_routes))
         prefixes = itertools.chain(version.routes.items(), earlier)
         body["Routes"] = body["Routes"][:-1] + [
             {**look, "Name": p.strip("/"), "PathPrefix": p, "Service": service}
@@ -281,11 +298,13 @@
         self.cluster.put(OPERATOR_TOPIC, CONFIG_KEY, body)
 
     def add_route(self):
-        self._set_route(f"/r{next(self._added)}/", self._rng.choice(SERVICES))
+        self._set_route(f"/r{next(self._added)}/", self._rng.choice(self._services))
 
     def _move_route(self):
         prefix = self._rng.choice(list(self._routes)[-3:])
-        self._set_route(prefix, SERVICES[1 - SERVICES.index(self._routes[prefix])])
+        others = [name for name in self._services if name != self._routes[prefix]]
+        if others:
+            self._set_route(prefix, self._rng.choice(others))
 
     def _remove_route(self):
         added = list(self._routes)[1:]
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -22,6 +22,11 @@
 LINK_CUTS, MAX_LINK_CUTS = ("hang", "reset", "refuse"), 3
 
 
+# Series of versions of the configuration in trouble: the store loses its newest records
+# and acknowledges a version, or an older version is carried out after a newer one.
+VERSION_TROUBLES, MAX_VERSION_TROUBLES = ("lost records", "late version"), 2
+
+
 class Trouble(NamedTuple):
     """One injected fault: ``kind`` affects ``target`` from ``at_s`` on, for ``for_s``.
 
@@ -50,7 +55,7 @@
         trouble = _draw_one(rng)
         if trouble.kind not in NODE_KINDS or _leaves_a_node(trouble, troubles):
             troubles.append(trouble)
-    return sorted(troubles + _draw_link_cuts(seed))
+    return sorted(troubles + _draw_link_cuts(seed) + _draw_version_troubles(seed))
 
 
 def _draw_link_cuts(seed):
@@ -71,6 +76,17 @@
     ]
 
 
+def _draw_version_troubles(seed):
+    """Return troubles of ``VERSION_TROUBLES``, by a generator of their own as well."""
+    rng = random.Random(f"versions of {seed}")
+    return [
+        Trouble(
+            rng.uniform(0.0, TROUBLE_PERIOD_S), 0.0, rng.choice(VERSION_TROUBLES), ""
+        )
+        for _ in range(rng.randint(0, MAX_VERSION_TROUBLES))
+    ]
+
+
 def _draw_one(rng):
     at_s, for_s = rng.uniform(0.0, TROUBLE_PERIOD_S), rng.uniform(0.3, MAX_TROUBLE_S)
     kind = rng.choice(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,5 +1,6 @@
 """One run: troubles drawn from a seed, callers at the same time, and the checks."""
 
+import math
 import os
 import random
 import shutil
@@ -8,8 +9,10 @@
 
 import gevent
 
+from tests.processes.configuration_day import Day
+
 from .callers import DEADLINE_S, NOT_RUN, RESPONSE_MARGIN_S, Callers
-from .plan import NODES, draw
+from .plan import NODE_KINDS, NODES, draw
 from .world import SoakCluster
 
 # The time after the last trouble in which every node must serve again. In it, nodes
@@ -19,6 +22,12 @@
 # take, as a busy machine delays it.
 STOP_GRACE_S, STOP_MARGIN_S = 4.0, 2.0
 CHECK_INTERVAL_S = 0.05
+# Routes that each version has besides those that change.
+EARLIER_ROUTES = 20
+# Status of the answers by which a node serves a request.
+SERVED = (200,)
+# Answers by an older configuration that are reported for a run.
+MAX_BREACHES = 3
 # Directory in which the logs of runs that found a violation are retained.
 FAILED_RUNS = Path(__file__).parents[2] / "out" / "soak"
 
@@ -32,6 +41,8 @@
         self.cluster = SoakCluster(out)
         self.troubles = draw(seed)
         self._pauses = []
+        self._day = Day(self.cluster, seed, ("desk",), EARLIER_ROUTES)
+        self._end_out_of_touch = {}
 
     def run(self):
         """Return the violations, as lines, and the callers' outcomes."""
@@ -39,11 +50,15 @@
             self._wait_until_served("start")
             callers = Callers(self.cluster, random.Random(self.seed))
             watch = gevent.spawn(self._watch_groups)
-            self._inject_troubles()
-            self._wait_until_served("recovery")
+            with self._day:
+                versions = gevent.spawn(self._day.write_until, math.inf)
+                self._inject_troubles()
+                self._wait_until_served("recovery")
+                versions.kill()
             callers.stop()
             watch.kill()
             self._check(callers.outcomes)
+            self.violations += map(str, self._day.breaches()[:MAX_BREACHES])
         return self.violations, callers.outcomes
 
     def _inject_troubles(self):
@@ -57,6 +72,13 @@
         gevent.joinall(tasks, timeout=30.0)
 
     def _begin_trouble(self, trouble):
+        if trouble.kind == "lost records":
+            self._day.lose()
+            return
+        if trouble.kind == "late version":
+            self._day.write_late()
+            return
+        self._end_out_of_touch[trouble] = self._excuse(trouble)
         self.cluster.begin(trouble)
         if trouble.kind == "term":
             gevent.spawn(self._watch_stop, trouble)
@@ -66,6 +88,23 @@
 
     def _end_trouble(self, trouble):
         self.cluster.end(trouble)
+        for end in self._end_out_of_touch.pop(trouble, ()):
+            end()
+
+    def _excuse(self, trouble):
+        """Excuse the answers of nodes that are not in touch; return how that ends.
+
+        While a node has no store, it serves by what it knows; a final refusal needs a
+        copy that is in time also then.
+        """
+        excuse = self._day.begin_out_of_touch
+        if trouble.kind in NODE_KINDS:
+            return [excuse(trouble.target)]
+        if trouble.kind == "store":
+            return [excuse(name, SERVED) for name in NODES]
+        if trouble.kind == "store way":
+            return [excuse(trouble.target, SERVED)]
+        return []
 
     def _watch_stop(self, trouble):
         """Check that a node exits with status 0 in its grace period after SIGTERM."""
