Tell of an older version where none is in force, and say what was measured on what

A node whose only version cannot be decoded raised an error in its reader when an older one followed: the line about it named the version in force, which there was none of (test_older_version_after_one_that_is_refused_is_told failed with AttributeError). The branch that keeps the newer value is a method of its own.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/source.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/source.py
@@ -167,8 +167,8 @@
             offset=record.offset,
             version=version,
             source=self._replica.source,
-            in_force=self.config.version,
-            in_force_offset=self.origin.offset,
+            in_force=self.version(),
+            in_force_offset=self.origin.offset if self.origin else None,
         )
 
     def _refuse(self, record, exc):
--- a/packages/auburnwall-state/src/auburnwall/state/table/replica.py
+++ b/packages/auburnwall-state/src/auburnwall/state/table/replica.py
@@ -366,14 +366,7 @@
         current = self.entries.get(record.key)
         verdict = self._verdict(record, current)
         if verdict == -1:
-            if record.offset < current.offset:
-                return
-            # Peers get the newer value in place of the record that follows it.
-            self.entries[record.key] = current._replace(offset=record.offset)
-            if keep_for_peers:
-                self._keep_for_peers(self.entries[record.key])
-            if record.offset > current.offset:
-                self._notify_held(record, OUTDATED)
+            self._pass_over(record, current, keep_for_peers)
             return
         if verdict != 1 and current is not None and current.offset > record.offset:
             return
@@ -400,6 +393,15 @@
         for listener in self.listeners:
             listener(record)
 
+    def _pass_over(self, record, current, keep_for_peers):
+        """Keep the current value in place of a record with an older one."""
+        if record.offset <= current.offset:
+            return
+        newer = self.entries[record.key] = current._replace(offset=record.offset)
+        if keep_for_peers:
+            self._keep_for_peers(newer)
+        self._notify_held(record, OUTDATED)
+
     def _verdict(self, record, current):
         """Return how the values of a record and of its key's current one compare.
 
--- a/tests/platform/test_record_orders.py
+++ b/tests/platform/test_record_orders.py
@@ -177,6 +177,19 @@
         self.assertEqual(source.evacuated_data_centers, set())
         self.assertEqual(self.in_force(source), 8)
 
+    def test_older_version_after_one_that_is_refused_is_told(self):
+        """The node has none in force: it cannot decode the only one that it has read."""
+        self.table.records.clear()
+        body = {**json.loads(version(8)), "Routes": "none"}
+        self.table.write("config", json.dumps(body).encode())
+        replica, source = self.new_node()
+        replica.refresh(0.0)
+        self.write(7)
+        replica.refresh(0.0)
+        self.assertIsNone(source.version())
+        self.assertEqual(source.pending[::2], (7, "skipped"))
+        self.assertEqual(replica.end, 2)
+
     def test_later_version_counts(self):
         self.refresh()
         self.write(9)
--- a/tests/processes/configuration_day.py
+++ b/tests/processes/configuration_day.py
@@ -222,7 +222,7 @@
         """Return whether an answer's node had not been in touch for long enough."""
         return any(
             name == answer.node
-            and from_at <= answer.sent_at <= until_at
+            and from_at <= answer.sent_at <= until_at()
             and answer.status in statuses
             for name, from_at, until_at, statuses in self._out_of_touch
         )
@@ -238,14 +238,10 @@
         That is ``CONTACT_S`` after the returned function, which takes no arguments, is
         called.
         """
-        window, began_at = len(self._out_of_touch), time.monotonic()
-        self._out_of_touch.append((name, began_at, float("inf"), statuses))
-
-        def end():
-            ends_at = time.monotonic() + CONTACT_S
-            self._out_of_touch[window] = name, began_at, ends_at, statuses
-
-        return end
+        ends_at = [float("inf")]
+        window = name, time.monotonic(), lambda: ends_at[-1], statuses
+        self._out_of_touch.append(window)
+        return lambda: ends_at.append(time.monotonic() + CONTACT_S)
 
     def disturb_node(self, name, trouble, for_s):
         """Pause, stop or kill a node, or add one; return when that is over."""
