--- a/tests/platform/test_record_orders.py
+++ b/tests/platform/test_record_orders.py
@@ -178,7 +178,7 @@
         self.assertEqual(self.in_force(source), 8)
 
     def test_older_version_after_one_that_is_refused_is_told(self):
-        """The node has none in force: it cannot decode the only one that it has read."""
+        """None is in force: the node cannot decode the only one that it has read."""
         self.table.records.clear()
         body = {**json.loads(version(8)), "Routes": "none"}
         self.table.write("config", json.dumps(body).encode())
