Refuse nothing for good at a start before a peer has told its version

The older one had been written late, and the store had dropped its history just before the node's first read; it goes by the newer one only when it hears a peer, 0.45 s later.

Now a final refusal needs a peer that goes by no higher version, or 1 s after the first read; before that it is 503, not run, with a time to come back. Nodes that were started already, and those without peers after that second, answer as before.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -57,6 +57,7 @@
     build_readers,
     build_replicas,
 )
+from .version_confirmation import VersionConfirmation
 from .views import PlanningView, SuspectCandidates
 
 # Timeout of a call to a peer, in seconds.
@@ -249,6 +250,12 @@
             self.lateness,
         )
         self.peers.config_version = self.source.version
+        self.source.is_confirmed = VersionConfirmation(
+            self.replicas[OPERATOR_TABLE],
+            self.source.newest_version,
+            self.peers.config_versions,
+            clock,
+        ).is_over
         self.fleet_reach = FleetReach(
             self.reach, self.peers, self.fleet, self.source, self.rng
         )
--- a/packages/auburnwall-node/src/auburnwall/node/routed/source.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/source.py
@@ -48,13 +48,15 @@
     for each version that is read.
 
     ``pending`` is the ``PendingVersion`` that was read last, if none that came after it
-    is in force; otherwise ``None``.
+    is in force; otherwise ``None``. ``is_confirmed()`` is whether peers had the time to
+    tell a higher version after the start; see ``VersionConfirmation``.
     """
 
     def __init__(self, replica, codec, notice_s=None, record_version=lambda o: None):
         self.table = None
         self.origin = None
         self.pending = None
+        self.is_confirmed = lambda: True
         self.evacuated_data_centers = set()
         self._replica = replica
         self._codec = codec
@@ -82,7 +84,14 @@
         return in_force if pending is None else max(in_force, pending)
 
     def is_current(self):
-        """Return whether the copy of the operators' table is no older than allowed."""
+        """Return whether the version in force is known to be recent enough.
+
+        The copy of the operators' table is no older than allowed, and was confirmed
+        after the node's start.
+        """
+        return self.is_confirmed() and self._is_in_time()
+
+    def _is_in_time(self):
         return self.notice_s is None or self._replica.is_in_time(self.notice_s)
 
     def provenance(self):
@@ -187,7 +196,7 @@
         That is the age of the copy before this version was read.
         """
         age_s = self._replica.age_s()
-        is_late = age_s is not None and not self.is_current()
+        is_late = age_s is not None and not self._is_in_time()
         self._record_version(IN_FORCE_LATE if is_late else IN_FORCE)
         event(
             "configuration in force",
--- a/tests/processes/test_configuration_day.py
+++ b/tests/processes/test_configuration_day.py
@@ -76,6 +76,19 @@
             time.sleep(CONTACT_S + CONFIG_S)
         self.check(day)
 
+    def test_node_that_starts_refuses_nothing_by_an_older_version(self):
+        """Not even before it is in touch: the store's history is gone."""
+        with Day(self.cluster, 1) as day:
+            day.write_late()
+            self.cluster.expire_store_history(OPERATOR_TOPIC)
+            time.sleep(CONFIG_S)
+            for name in self.names[:3]:
+                day.disturb_node(name, "kill", 0.0)
+            time.sleep(CONTACT_S)
+        refusals = [answer for answer in day.answers if answer.status in (404, 401)]
+        breaches = list(filter(None, map(day.history.breach, refusals)))
+        self.assertEqual(breaches, [])
+
     def test_all_nodes_start_after_an_older_version_was_written_late(self):
         """Nobody knows the newer version; the store's history has it."""
         with Day(self.cluster, 1) as day:
--- /dev/null
+++ b/tests/routed/test_version_confirmation.py
@@ -0,0 +1,63 @@
+"""A node that starts refuses for good only once its peers could tell a newer version.
+
+Guards against 404 and 401 by an older version that is the newest record in the store.
+"""
+
+import unittest
+from types import SimpleNamespace
+
+from auburnwall.node.routed.version_confirmation import (
+    CONFIRM_S,
+    VersionConfirmation,
+)
+from tests.state.test_table import FakeClock
+
+
+class VersionConfirmationTests(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.peers = FakeClock(), {}
+        self.replica = SimpleNamespace(loaded_at=None)
+        self.newest = 158
+        self.confirmation = VersionConfirmation(
+            self.replica, lambda: self.newest, lambda: self.peers, self.clock
+        )
+
+    def load(self):
+        self.replica.loaded_at = self.clock.now
+
+    def test_nothing_is_confirmed_before_the_first_read(self):
+        self.peers["n2"] = 158
+        self.clock.now += CONFIRM_S
+        self.assertFalse(self.confirmation.is_over())
+
+    def test_peer_with_the_same_version_confirms_it(self):
+        self.load()
+        self.assertFalse(self.confirmation.is_over())
+        self.peers["n2"] = 158
+        self.assertTrue(self.confirmation.is_over())
+
+    def test_peer_with_a_higher_version_does_not_until_it_is_copied(self):
+        self.load()
+        self.peers.update(n2=160, n3=158)
+        self.assertFalse(self.confirmation.is_over())
+        self.newest = 160
+        self.assertTrue(self.confirmation.is_over())
+
+    def test_node_without_peers_goes_by_what_it_has_read_after_a_time(self):
+        self.load()
+        self.clock.now += CONFIRM_S - 0.01
+        self.assertFalse(self.confirmation.is_over())
+        self.clock.now += 0.02
+        self.assertTrue(self.confirmation.is_over())
+
+    def test_later_versions_of_peers_do_not_end_it(self):
+        """From then on the age of the copy and the keeper answer for it."""
+        self.load()
+        self.peers["n2"] = 158
+        self.assertTrue(self.confirmation.is_over())
+        self.peers["n2"] = 170
+        self.assertTrue(self.confirmation.is_over())
+
+
+if __name__ == "__main__":
+    unittest.main()
