Write the line of a version that is passed over in one place

Cause, found in a last reading of the change: two methods of ConfigSource wrote the same fields for a version that is held back or skipped, and newest_version() derived the version in force once more beside version(). No change of behaviour; names and fields of the lines are as before. 70 tests of these modules pass, and the process test of nodes that start.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/source.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/source.py
@@ -79,9 +79,8 @@
 
         It may be one that could not be decoded.
         """
-        in_force = self.config.version if self.config else -1
-        pending = self.pending.version if self.pending else None
-        return in_force if pending is None else max(in_force, pending)
+        versions = self.version(), self.pending.version if self.pending else None
+        return max((v for v in versions if v is not None), default=-1)
 
     def is_current(self):
         """Return whether the version in force is known to be recent enough.
@@ -159,25 +158,25 @@
         version = self._codec.version(record.value)
         if why == OUTDATED:
             self._skip(version, record)
-            return
-        self._set_pending(version, record, HELD)
-        event(
-            "configuration held back",
-            offset=record.offset,
-            version=version,
-            source=self._replica.source,
-            in_force=self.version(),
-        )
+        else:
+            self._pass_over("configuration held back", version, record, HELD)
 
     def _skip(self, version, record):
-        self._set_pending(version, record, SKIPPED)
+        offset = self.origin.offset if self.origin else None
+        self._pass_over(
+            "old configuration", version, record, SKIPPED, in_force_offset=offset
+        )
+
+    def _pass_over(self, name, version, record, why, **fields):
+        """Log a version that is not put in force, as the event ``name``."""
+        self._set_pending(version, record, why)
         event(
-            "old configuration",
+            name,
             offset=record.offset,
             version=version,
             source=self._replica.source,
             in_force=self.version(),
-            in_force_offset=self.origin.offset if self.origin else None,
+            **fields,
         )
 
     def _refuse(self, record, exc):
