Confirm a version at a start only by peers that are sure of theirs

Callers of nodes that had started together got 404 and 401 by an older version of the configuration, although each node waits for a peer's word before it refuses for good.

Cause: the first peer that told no higher version confirmed it, also one that had itself just started from the same record of the store, or that had stood still. Heartbeats tell now whether the sender would refuse for good by its version: it has confirmed it, and its copy is within the bound. Only such a peer confirms; a higher version counts from anyone. Where nobody is sure, as after a start of all nodes, it takes the 1 s that a node without peers waits.

Wire: Pulse.config_is_current and FleetDigest.config_is_current, both optional. A node of an earlier build tells neither, so it confirms nothing, and a node that hears only such waits for 1 s.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -127,6 +127,7 @@
 
     def pulse(self):
         """Return this node's heartbeat, a ``Pulse`` without the nodes behind it."""
+        config = self.source.status()
         return Pulse(
             node=self.identity.node,
             incarnation=self.identity.incarnation,
@@ -150,7 +151,8 @@
             cut_off=self.fleet_reach.is_cut_off(),
             lost_services=self.reach.lost_services,
             slow_paces=self.start_times.paces_to_tell(),
-            config_version=self.source.version(),
+            config_version=config.version,
+            config_is_current=config.is_current,
         )
 
     def is_ready(self):
@@ -249,11 +251,11 @@
             cfg.max_mesh_nodes,
             self.lateness,
         )
-        self.peers.config_version = self.source.version
+        self.peers.config_status = self.source.status
         self.source.is_confirmed = VersionConfirmation(
             self.replicas[OPERATOR_TABLE],
             self.source.newest_version,
-            self.peers.config_versions,
+            self.peers.config_statuses,
             clock,
         ).is_over
         self.fleet_reach = FleetReach(
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peer_status.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peer_status.py
@@ -33,10 +33,21 @@
     reports: bool
 
 
+class ConfigStatus(NamedTuple):
+    """The version of the configuration that a node goes by, ``None`` if not told.
+
+    ``is_current`` is whether the node would refuse a request for good by it: it has
+    confirmed the version after its start, and its copy is recent enough.
+    """
+
+    version: int | None = None
+    is_current: bool = False
+
+
 class ReceivedDigest(NamedTuple):
     """The last digest of a relay, without this node's own requests in ``running``.
 
-    ``config_version`` is the relay's, ``None`` if it does not tell.
+    ``config`` is the relay's ``ConfigStatus``.
     """
 
     relay: str
@@ -45,7 +56,7 @@
     load: Load
     running: dict
     received_at: float
-    config_version: int | None = None
+    config: ConfigStatus
 
 
 class PublishedStatuses:
@@ -104,6 +115,11 @@
     )
 
 
+def config_status_of(source):
+    """Return the ``ConfigStatus`` in a heartbeat or a digest."""
+    return ConfigStatus(source.config_version, bool(source.config_is_current))
+
+
 def to_wire(name, status, age_s):
     """Return a node's status as ``NodeStatus``, heard of ``age_s`` seconds ago."""
     return NodeStatus(
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -18,9 +18,11 @@
     sum_running,
 )
 from .peer_status import (
+    ConfigStatus,
     Heartbeat,
     PublishedStatuses,
     ReceivedDigest,
+    config_status_of,
     member_statuses,
     status_of,
 )
@@ -69,9 +71,8 @@
     servers told it, and ``on_crashes(crashes, sound_parts, node)`` with the crashes
     that it has seen and the parts of prompts that it knows to be sound.
     ``on_paces(paces, node, includes_own)`` is called with the paces of slow groups that
-    a peer has measured, or with those of all nodes. ``config_version()`` returns the
-    version of the configuration in force here, ``None`` if there is none. ``lateness``
-    is the node's ``LoopLateness``.
+    a peer has measured, or with those of all nodes. ``config_status()`` returns this
+    node's ``ConfigStatus``. ``lateness`` is the node's ``LoopLateness``.
     """
 
     def __init__(
@@ -91,7 +92,7 @@
         self.on_limits = lambda limits, node: None
         self.on_crashes = lambda crashes, sound_parts, node: None
         self.on_paces = lambda paces, node, includes_own: None
-        self.config_version = lambda: None
+        self.config_status = ConfigStatus
         self._identity = identity
         self._state = state
         self._pool = pool
@@ -288,23 +289,23 @@
             if heartbeat.pulse.node in live and table in heartbeat.pulse.table_ends
         }
 
-    def config_versions(self):
-        """Return the version of the configuration in force at the peers, by live peer.
+    def config_statuses(self):
+        """Return the ``ConfigStatus`` of the live peers that tell a version, by peer.
 
         Only peers that exchange heartbeats with this node are known, and its relay.
         Peers of earlier builds do not tell.
         """
         live = self.live()
-        versions = {
-            heartbeat.pulse.node: heartbeat.pulse.config_version
+        statuses = {
+            heartbeat.pulse.node: config_status_of(heartbeat.pulse)
             for heartbeat in self._recent_heartbeats()
         }
         if digest := self._recent_digest():
-            versions[digest.relay] = digest.config_version
+            statuses[digest.relay] = digest.config
         return {
-            name: version
-            for name, version in versions.items()
-            if name in live and version is not None
+            name: status
+            for name, status in statuses.items()
+            if name in live and status.version is not None
         }
 
     def load(self, name):
@@ -348,7 +349,7 @@
             published.nodes_since(-1 if whole else version),
             [] if whole else published.lost_since(version),
             self.fleet_load(),
-            self.config_version(),
+            *self.config_status(),
         )
 
     def full_pulse(self):
@@ -479,7 +480,7 @@
             reply.load,
             subtract_running(reply.load.running, sent.running),
             now,
-            reply.config_version,
+            config_status_of(reply),
         )
         self._sums.clear()
         self._pass_on(reply.load, relay)
--- a/packages/auburnwall-node/src/auburnwall/node/routed/source.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/source.py
@@ -6,6 +6,8 @@
 from auburnwall.routing.routes import RouteTable
 from auburnwall.state.table.replica import OUTDATED
 
+from .peer_status import ConfigStatus
+
 # What becomes of a version of the configuration.
 IN_FORCE, IN_FORCE_LATE = "in force", "late"
 REFUSED, SKIPPED, HELD = "refused", "skipped", "held back"
@@ -74,6 +76,10 @@
         """Return the version in force, or ``None``."""
         return self.config.version if self.config else None
 
+    def status(self):
+        """Return the ``ConfigStatus`` of this node, for its peers."""
+        return ConfigStatus(self.version(), self.is_current())
+
     def newest_version(self):
         """Return the highest version that was read, -1 if there is none.
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/table_readers.py
@@ -149,8 +149,8 @@
 def _peers_with_newer_version(node):
     """Return the peers that go by a higher version than this node has read."""
     known = node.source.newest_version()
-    versions = node.peers.config_versions()
-    return [name for name, version in versions.items() if version > known]
+    statuses = node.peers.config_statuses()
+    return [name for name, status in statuses.items() if status.version > known]
 
 
 def _operator_wait_s(node):
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer.thrift
@@ -226,7 +226,8 @@
  * `NodeStatus`, `leaving`, `crashes`, `sound_parts`, `limits`, `newest_demand` and
  * `slow_paces` are as in `Load`. `members` are the nodes that report to it, and
  * `member_load` is the load of these. `config_version` is the version of the
- * configuration that it goes by; nodes of earlier builds do not tell it.
+ * configuration that it goes by, `config_is_current` whether it would refuse a request
+ * for good by that version; nodes of earlier builds tell neither.
  */
 struct Pulse {
   1: string node
@@ -250,6 +251,7 @@
   19: optional map<string, double> newest_demand
   20: optional map<string, SlowPace> slow_paces
   21: optional i64 config_version
+  22: optional bool config_is_current
 }
 
 /**
@@ -258,7 +260,7 @@
  * `nodes` holds the live nodes whose status changed after the version that the caller
  * named, `lost` the names of those that are no longer live since. If `whole`, `nodes`
  * holds all live nodes. `load` is that of all live nodes, the caller included.
- * `config_version` is the sender's.
+ * `config_version` and `config_is_current` are the sender's.
  */
 struct FleetDigest {
   1: string incarnation
@@ -268,6 +270,7 @@
   5: list<string> lost
   6: Load load
   7: optional i64 config_version
+  8: optional bool config_is_current
 }
 
 struct TableRow {
--- a/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
+++ b/packages/auburnwall-wire/src/auburnwall/wire/peer/ttypes.py
@@ -2083,7 +2083,8 @@
     `NodeStatus`, `leaving`, `crashes`, `sound_parts`, `limits`, `newest_demand` and
     `slow_paces` are as in `Load`. `members` are the nodes that report to it, and
     `member_load` is the load of these. `config_version` is the version of the
-    configuration that it goes by; nodes of earlier builds do not tell it.
+    configuration that it goes by, `config_is_current` whether it would refuse a request
+    for good by that version; nodes of earlier builds tell neither.
 
     Attributes:
      - node
@@ -2107,11 +2108,12 @@
      - newest_demand
      - slow_paces
      - config_version
+     - config_is_current
 
     """
 
 
-    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None, limits=None, cut_off=None, lost_services=None, newest_demand=None, slow_paces=None, config_version=None,):
+    def __init__(self, node=None, incarnation=None, ready=None, stopping=None, reads_tables=None, table_ends=None, running=None, demand=None, suspects=None, has_traffic=None, members=None, member_load=None, leaving=None, crashes=None, sound_parts=None, limits=None, cut_off=None, lost_services=None, newest_demand=None, slow_paces=None, config_version=None, config_is_current=None,):
         self.node = node
         self.incarnation = incarnation
         self.ready = ready
@@ -2133,6 +2135,7 @@
         self.newest_demand = newest_demand
         self.slow_paces = slow_paces
         self.config_version = config_version
+        self.config_is_current = config_is_current
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2325,6 +2328,11 @@
                     self.config_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.BOOL:
+                    self.config_is_current = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2466,6 +2474,10 @@
             oprot.writeFieldBegin('config_version', TType.I64, 21)
             oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
+        if self.config_is_current is not None:
+            oprot.writeFieldBegin('config_is_current', TType.BOOL, 22)
+            oprot.writeBool(self.config_is_current)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2491,7 +2503,7 @@
     `nodes` holds the live nodes whose status changed after the version that the caller
     named, `lost` the names of those that are no longer live since. If `whole`, `nodes`
     holds all live nodes. `load` is that of all live nodes, the caller included.
-    `config_version` is the sender's.
+    `config_version` and `config_is_current` are the sender's.
 
     Attributes:
      - incarnation
@@ -2501,11 +2513,12 @@
      - lost
      - load
      - config_version
+     - config_is_current
 
     """
 
 
-    def __init__(self, incarnation=None, version=None, whole=None, nodes=None, lost=None, load=None, config_version=None,):
+    def __init__(self, incarnation=None, version=None, whole=None, nodes=None, lost=None, load=None, config_version=None, config_is_current=None,):
         self.incarnation = incarnation
         self.version = version
         self.whole = whole
@@ -2513,6 +2526,7 @@
         self.lost = lost
         self.load = load
         self.config_version = config_version
+        self.config_is_current = config_is_current
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2570,6 +2584,11 @@
                     self.config_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.config_is_current = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2614,6 +2633,10 @@
             oprot.writeFieldBegin('config_version', TType.I64, 7)
             oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
+        if self.config_is_current is not None:
+            oprot.writeFieldBegin('config_is_current', TType.BOOL, 8)
+            oprot.writeBool(self.config_is_current)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3440,6 +3463,7 @@
     (19, TType.MAP, 'newest_demand', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 19
     (20, TType.MAP, 'slow_paces', (TType.STRING, 'UTF8', TType.STRUCT, [SlowPace, None], False), None, ),  # 20
     (21, TType.I64, 'config_version', None, None, ),  # 21
+    (22, TType.BOOL, 'config_is_current', None, None, ),  # 22
 )
 all_structs.append(FleetDigest)
 FleetDigest.thrift_spec = (
@@ -3451,6 +3475,7 @@
     (5, TType.LIST, 'lost', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.STRUCT, 'load', [Load, None], None, ),  # 6
     (7, TType.I64, 'config_version', None, None, ),  # 7
+    (8, TType.BOOL, 'config_is_current', None, None, ),  # 8
 )
 all_structs.append(TableRow)
 TableRow.thrift_spec = (
--- a/tests/processes/test_configuration_day.py
+++ b/tests/processes/test_configuration_day.py
@@ -21,6 +21,9 @@
 LOSSES, DAY_S = 3, 18.0
 # Longest wait of a read of the store, in seconds.
 LONG_POLL_S = 1.2
+# Time for which nodes stand still while others start, in seconds. Within it these are
+# up and have exchanged heartbeats; their wait for a peer's word is longer.
+STANDSTILL_S = 1.0
 
 
 class DayTestCase(PlatformClusterTestCase):
@@ -38,6 +41,12 @@
         worst = sorted(breaches, key=lambda breach: -breach.late_s)[:2]
         self.assertEqual(len(breaches), 0, worst)
 
+    def check_refusals(self, day):
+        """Check the final refusals, also of nodes that are out of touch."""
+        refusals = [answer for answer in day.answers if answer.status in (404, 401)]
+        breaches = list(filter(None, map(day.history.breach, refusals)))
+        self.assertEqual(breaches, [])
+
 
 class VersionCases:
     """Tests of nodes with relays and without."""
@@ -85,9 +94,25 @@
             for name in self.names[:3]:
                 day.disturb_node(name, "kill", 0.0)
             time.sleep(CONTACT_S)
-        refusals = [answer for answer in day.answers if answer.status in (404, 401)]
-        breaches = list(filter(None, map(day.history.breach, refusals)))
-        self.assertEqual(breaches, [])
+        self.check_refusals(day)
+
+    def test_nodes_that_start_together_do_not_confirm_an_older_version(self):
+        """Those that know the newer one stand still until the others have spoken."""
+        starting, knowing = self.names[:4], self.names[4:]
+        with Day(self.cluster, 1) as day:
+            day.write_late()
+            self.cluster.expire_store_history(OPERATOR_TOPIC)
+            time.sleep(CONFIG_S)
+            for name in knowing:
+                self.cluster.signal(name, signal.SIGSTOP)
+            with ThreadPoolExecutor(len(starting)) as pool:
+                for name in starting:
+                    pool.submit(day.disturb_node, name, "kill", 0.0)
+            time.sleep(STANDSTILL_S)
+            for name in knowing:
+                self.cluster.signal(name, signal.SIGCONT)
+            time.sleep(CONTACT_S)
+        self.check_refusals(day)
 
     def test_all_nodes_start_after_an_older_version_was_written_late(self):
         """Nobody knows the newer version; the store's history has it."""
