Split peers.py and its tests by what they are about

What a follower knows from its relay's digests is relay_digest, what peers tell of the model servers is peer_news, and the count of a node's unreachable time is where the node is removed.

--- a/packages/auburnwall-node/src/auburnwall/node/routed/announcement.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/announcement.py
@@ -4,6 +4,10 @@
 from auburnwall.fleet.formation.records import NODE_PREFIX, NodeRecord
 from auburnwall.state.exceptions import StateError
 
+# A node that has been unreachable for this long is removed from the fleet table, in
+# seconds.
+REMOVE_AFTER_S = 30.0
+
 
 class Announcement:
     """Keep the nodes' records in the fleet table current.
@@ -11,12 +15,14 @@
     ``cores()`` returns how much of a processor this node has, in cores.
     """
 
-    def __init__(self, identity, state, writer, peers, cores):
+    def __init__(self, identity, state, writer, peers, clock, cores):
         self._identity = identity
         self._state = state
         self._writer = writer
         self._peers = peers
+        self._clock = clock
         self._cores = cores
+        self._unreachable_since = {}
 
     def announce(self):
         """Write this node's record, if the table does not have it."""
@@ -41,8 +47,12 @@
             event("node record not written", step=exc.step, why=exc.detail)
 
     def remove_unreachable_nodes(self):
-        """Remove the records of nodes that no peer has heard of for a long time."""
-        names = self._peers.nodes_to_remove()
+        """Remove the records of nodes unreachable for ``REMOVE_AFTER_S``.
+
+        That time is counted from the first call that finds the node not live; a call
+        that finds it live resets the count. So this must be called regularly.
+        """
+        names = self._nodes_to_remove()
         if not names:
             return
         try:
@@ -51,3 +61,17 @@
             event("node removal failed", step=exc.step, why=exc.detail)
             return
         event("unreachable nodes removed", peers=names)
+
+    def _nodes_to_remove(self):
+        """Return the sorted names of the nodes to be removed."""
+        now, live = self._clock.monotonic(), self._peers.live()
+        self._unreachable_since = {
+            name: self._unreachable_since.get(name, now)
+            for name in self._state.nodes
+            if name not in live and name != self._identity.node
+        }
+        return sorted(
+            name
+            for name, since in self._unreachable_since.items()
+            if now - since >= REMOVE_AFTER_S
+        )
--- a/packages/auburnwall-node/src/auburnwall/node/routed/node.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/node.py
@@ -262,7 +262,12 @@
             self.reach, self.peers, self.fleet, self.source, self.rng
         )
         self.announcement = Announcement(
-            self.identity, self.fleet, self.writer, self.peers, lambda: self.cfg.cores
+            self.identity,
+            self.fleet,
+            self.writer,
+            self.peers,
+            clock,
+            lambda: self.cfg.cores,
         )
         self.election = Election(self.fleet, self.writer, self.peers, self.identity)
         self.knowledge = PlannerKnowledge(self.fleet, cfg.first_start, clock)
@@ -301,12 +306,12 @@
             clock, self.reach, self._service_of, settle_s=self.peers.settle_s
         )
         self.suspects.listeners.append(self.member_monitor.suspect_group)
-        self.peers.on_suspects = self._suspect_for_peer
-        self.peers.on_sound = self.suspects.end_reports
-        self.peers.on_leaving = self.notices.note_peer_leaving
-        self.peers.on_limits = self.notices.note_peer_limits
+        self.peers.news.on_suspects = self._suspect_for_peer
+        self.peers.news.on_sound = self.suspects.end_reports
+        self.peers.news.on_leaving = self.notices.note_peer_leaving
+        self.peers.news.on_limits = self.notices.note_peer_limits
         self.crash_evidence = CrashEvidence(clock, self.peers.settle_s)
-        self.peers.on_crashes = self.crash_evidence.note_peers
+        self.peers.news.on_crashes = self.crash_evidence.note_peers
         self.blocked_parts = BlockedParts(
             self.crash_evidence, self.fleet, self.writer, clock
         )
@@ -323,7 +328,7 @@
             self.source, self._requests_at, clock, self.lateness
         )
         self.in_flight.new_timing = self.start_times.new_timing
-        self.peers.on_paces = self.start_times.note_peer_paces
+        self.peers.news.on_paces = self.start_times.note_peer_paces
         view_parts = (
             self.source,
             self.candidate_index,
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peer_status.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peer_status.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from auburnwall.wire.peer.ttypes import Load, NodeStatus, Pulse
+from auburnwall.wire.peer.ttypes import NodeStatus, Pulse
 
 
 class PeerStatus(NamedTuple):
@@ -44,21 +44,6 @@
     is_current: bool = False
 
 
-class ReceivedDigest(NamedTuple):
-    """The last digest of a relay, without this node's own requests in ``running``.
-
-    ``config`` is the relay's ``ConfigStatus``.
-    """
-
-    relay: str
-    incarnation: str
-    version: int
-    load: Load
-    running: dict
-    received_at: float
-    config: ConfigStatus
-
-
 class PublishedStatuses:
     """The statuses in this node's digests, and the version at which each changed.
 
--- a/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/peers.py
@@ -13,20 +13,19 @@
 from .fleet_load import (
     load_of_pulse,
     loads_in,
-    subtract_running,
     sum_loads,
     sum_running,
 )
+from .peer_news import PeerNews
 from .peer_status import (
     ConfigStatus,
     Heartbeat,
     PublishedStatuses,
-    ReceivedDigest,
     config_status_of,
     member_statuses,
     status_of,
 )
-from .suspect_reports import SuspectReports, is_suspected
+from .relay_digest import RelayDigest
 from .topology import Topology, relay_rank
 
 # Maximum rate of heartbeat calls that a node starts, per second.
@@ -54,9 +53,6 @@
 # Time for which sums over the peers are reused if no heartbeat has arrived, and in a
 # relay, where heartbeats arrive all the time, in any case. In seconds.
 SUMS_REUSED_S = 0.1
-# A node that has been unreachable for this long is removed from the fleet table, in
-# seconds.
-REMOVE_AFTER_S = 30.0
 
 
 class Peers:
@@ -64,15 +60,9 @@
 
     ``own_pulse()`` returns this node's heartbeat without the nodes that report to it.
     Fleets of up to ``max_mesh_nodes`` nodes have no relays; ``is_mesh`` is whether this
-    is one. ``on_suspects(names, node)`` is called with the groups that a peer, or a
-    node behind it, suspects, ``on_sound(names, node)`` with those that it no longer
-    suspects while it has requests there, ``on_leaving(servers, node)`` with the servers
-    that told it that they leave, ``on_limits(limits, node)`` with the limits that
-    servers told it, and ``on_crashes(crashes, sound_parts, node)`` with the crashes
-    that it has seen and the parts of prompts that it knows to be sound.
-    ``on_paces(paces, node, includes_own)`` is called with the paces of slow groups that
-    a peer has measured, or with those of all nodes. ``config_status()`` returns this
-    node's ``ConfigStatus``. ``lateness`` is the node's ``LoopLateness``.
+    is one. ``config_status()`` returns this node's ``ConfigStatus``. ``lateness`` is
+    the node's ``LoopLateness``. ``news`` is the ``PeerNews`` that tells what peers have
+    seen.
     """
 
     def __init__(
@@ -86,12 +76,7 @@
         max_mesh_nodes,
         lateness=None,
     ):
-        self.on_suspects = lambda names, node: None
-        self.on_sound = lambda names, node: None
-        self.on_leaving = lambda servers, node: None
-        self.on_limits = lambda limits, node: None
-        self.on_crashes = lambda crashes, sound_parts, node: None
-        self.on_paces = lambda paces, node, includes_own: None
+        self.news = PeerNews(clock, REPORT_PERIOD_S)
         self.config_status = ConfigStatus
         self._identity = identity
         self._state = state
@@ -102,15 +87,10 @@
         self._lateness = lateness or LoopLateness(clock)
         self._heartbeats = {}
         self._statuses = {}
-        self._suspect_reports = SuspectReports(
-            clock, 2 * REPORT_PERIOD_S, REPORT_PERIOD_S
-        )
-        self._digest = None
-        self._digest_nodes = {}
+        self._digest = RelayDigest(identity.node, clock)
         self._published = PublishedStatuses()
         self._called_nodes = set()
         self._lost_nodes_called = 0
-        self._unreachable_since = {}
         self._topology = Topology(identity.node, max_mesh_nodes)
         self._links = self._topology.links
         self._sums = {}
@@ -134,7 +114,7 @@
         for known in (self._heartbeats, self._statuses):
             for name in [name for name in known if name not in self._state.nodes]:
                 del known[name]
-        self._suspect_reports.keep_only(self._state.nodes)
+        self.news.keep_only(self._state.nodes)
 
     def report(self):
         """Report to this node's relay, if it has one, and apply its digest."""
@@ -143,20 +123,14 @@
         if name is None or name not in self._state.nodes:
             return
         pulse = self.full_pulse()
-        digest = self._digest if self._digest and self._digest.relay == name else None
+        digest_of, version = self._digest.known_to(name)
         try:
-            reply = self.call(
-                self.address(name),
-                "report",
-                pulse,
-                digest.incarnation if digest else "",
-                digest.version if digest else 0,
-            )
+            reply = self.call(self.address(name), "report", pulse, digest_of, version)
         except PeerUnavailableError as exc:
             self._topology.note_failed_report(name, self._clock.monotonic())
             event("relay lost", peer=name, step="report", why=exc.detail)
             return
-        if digest is None:
+        if not digest_of:
             event("relay chosen", peer=name, nodes=len(reply.nodes))
         self._apply_digest(name, pulse, reply)
 
@@ -173,8 +147,7 @@
         ):
             event("heartbeats", relay=links.parent, partners=len(links.partners))
         if links.parent is None:
-            self._digest = None
-            self._digest_nodes.clear()
+            self._digest.clear()
         self._sums.clear()
 
     def call_lost_node(self):
@@ -241,27 +214,6 @@
         late_s = self._lateness.recent_s()
         return self._cached("not lost", lambda: self._find_live(late_s))
 
-    def nodes_to_remove(self):
-        """Return the sorted names of the nodes to be removed from the fleet table.
-
-        These have been unreachable for ``REMOVE_AFTER_S``. That time is counted from
-        the first call of this method that finds the node not live; a call that finds it
-        live resets the count. So this method must be called regularly.
-        """
-        now = self._clock.monotonic()
-        others = [name for name in self._state.nodes if name != self._identity.node]
-        live = self.live()
-        self._unreachable_since = {
-            name: self._unreachable_since.get(name, now)
-            for name in others
-            if name not in live
-        }
-        return sorted(
-            name
-            for name, since in self._unreachable_since.items()
-            if now - since >= REMOVE_AFTER_S
-        )
-
     def planner_candidates(self):
         """Return the incarnations of the nodes that may plan, by node name.
 
@@ -394,24 +346,10 @@
         oldest_at = self._clock.monotonic() - self._max_age_s() - paused_s
         return {
             name: status
-            for name, status in self._known_statuses().items()
+            for name, status in self._digest.newest_statuses(self._statuses).items()
             if status.heard_at >= oldest_at and self._is_current(name, status)
         }
 
-    def _known_statuses(self):
-        """Return the newest status of each peer, from its relay or from itself."""
-        if self._digest is None:
-            return self._statuses
-        heard_at = self._digest.received_at
-        statuses = {
-            name: status._replace(heard_at=heard_at)
-            for name, status in self._digest_nodes.items()
-        }
-        for name, status in self._statuses.items():
-            if name not in statuses or status.heard_at > heard_at:
-                statuses[name] = status
-        return statuses
-
     def _is_current(self, name, status):
         node = self._state.nodes.get(name)
         return (
@@ -433,7 +371,7 @@
         return [h for h in self._heartbeats.values() if h.received_at >= oldest_at]
 
     def _recent_digest(self, paused_s=0.0):
-        digest = self._digest
+        digest = self._digest.last
         if digest is None or self._links.parent is None:
             return None
         age_s = self._clock.monotonic() - digest.received_at
@@ -465,50 +403,12 @@
         return self._published
 
     def _apply_digest(self, relay, sent, reply):
-        now = self._clock.monotonic()
-        if reply.whole:
-            self._digest_nodes.clear()
-        for node in reply.nodes:
-            if node.node != self._identity.node:
-                self._digest_nodes[node.node] = status_of(node, now)
-        for name in reply.lost:
-            self._digest_nodes.pop(name, None)
-        self._digest = ReceivedDigest(
-            relay,
-            reply.incarnation,
-            reply.version,
-            reply.load,
-            subtract_running(reply.load.running, sent.running),
-            now,
-            config_status_of(reply),
-        )
+        self._digest.apply(relay, sent, reply)
         self._sums.clear()
         self._pass_on(reply.load, relay)
 
     def _pass_on(self, load, node):
-        """Pass on the suspect groups, servers' notices and crashes in a ``Load``.
-
-        Where all nodes exchange heartbeats, one of them has many requests at a group
-        and its suspicion is enough. In a larger fleet it has one or two, which may
-        stand still for other reasons.
-        """
-        suspects = [
-            name
-            for name, count in load.suspects.items()
-            if self.is_mesh or is_suspected(count, load.running.get(name, 0))
-        ]
-        if suspects:
-            self.on_suspects(sorted(suspects), node)
-        sound = self._suspect_reports.update(node, load) - set(suspects)
-        if sound:
-            self.on_sound(sorted(sound), node)
-        if load.leaving:
-            self.on_leaving(load.leaving, node)
-        if load.limits:
-            self.on_limits(load.limits, node)
-        self.on_paces(load.slow_paces or {}, node, not self.is_mesh)
-        if load.crashes or load.sound_parts:
-            self.on_crashes(load.crashes or {}, load.sound_parts or (), node)
+        self.news.pass_on(load, node, self.is_mesh)
 
     def _call_loop(self, name):
         failed = False
--- a/tests/routed/test_scale_mechanisms.py
+++ b/tests/routed/test_scale_mechanisms.py
@@ -12,7 +12,7 @@
 from unittest import mock  # noqa: E402
 
 from auburnwall.fleet.server_notices import ServerNotices  # noqa: E402
-from auburnwall.node.routed import peers  # noqa: E402
+from auburnwall.node.routed import peer_news, peers  # noqa: E402
 
 from .support import KEY, FrontWithServers  # noqa: E402
 from .test_peers import DIRECTORY_LIMIT_S, Network  # noqa: E402
@@ -54,7 +54,7 @@
 
     def test_one_stalled_stream_takes_a_group_from_all_without_the_threshold(self):
         self.assertEqual(self.nodes_that_hear_of_one_stall(), 0)
-        with mock.patch.object(peers, "is_suspected", lambda count, running: True):
+        with mock.patch.object(peer_news, "is_suspected", lambda count, running: True):
             self.assertGreater(self.nodes_that_hear_of_one_stall(), 50)
 
 
--- a/tests/routed/test_slow_paces.py
+++ b/tests/routed/test_slow_paces.py
@@ -34,7 +34,7 @@
         told = {"n01", "n04", "n07"}
         for name, node in network.nodes.items():
             starts[name] = new_start_times(network.clock)
-            node.peers.on_paces = starts[name].note_peer_paces
+            node.peers.news.on_paces = starts[name].note_peer_paces
             if name in told:
                 own_pulse = node.pulse
 
