Play a store whose waiting reads are answered early and arrive late

Of the ways in which a copy's age can be told too young this one had not been played: an empty answer that is made at the beginning of a read that waits and sent at its end, so that the copy is up to 1.0 s older than told.

--- a/standins/store.py
+++ b/standins/store.py
@@ -44,7 +44,9 @@
     that the store can treat its callers differently. ``"many"`` answers 429 there,
     ``"short"`` does so for the share ``SHORT`` of the calls,
     ``"slow"`` sends ``SLOW_BYTES`` bytes each ``SLOW_INTERVAL_S``, ``"delayed"`` sends
-    each response ``DELAY_S`` after it is made, and ``"refuse"`` takes no connections.
+    each response ``DELAY_S`` after it is made, ``"early"`` makes the response to a read
+    that waits at once and sends it after the wait, and ``"refuse"`` takes no
+    connections.
     ``"hushed"`` sends nothing more on the connections that are open then.
 
     ``keep_copy`` and ``go_back`` play a store that loses its newest records: it
@@ -192,10 +194,19 @@
         query = bottle.request.query
         topic, start = query["Topic"], int(query["From"])
         wait_s = int(query.get("WaitMs", 0)) / 1000
+        door = self._door()
+        if door is not None and door.trouble == "early":
+            body = self._response(topic, start)
+            gevent.sleep(0.0 if len(self._topics[topic]) > start else wait_s)
+            return body
         with gevent.Timeout(wait_s, False):
             era = self.era
             while wait_s and len(self._topics[topic]) <= start and self.era == era:
                 self._appended.wait()
+        return self._response(topic, start)
+
+    def _response(self, topic, start):
+        """Return the response to a read of a topic's records from ``start`` on."""
         if start < self._first_offset[topic]:
             return _json_response({"First": self._first_offset[topic]}, 410)
         records = self._topics[topic]
--- a/tests/processes/test_configuration_day.py
+++ b/tests/processes/test_configuration_day.py
@@ -18,7 +18,7 @@
 
 # Time in which a leaving server must be noticed, in seconds.
 DRAIN_S = 2.0
-LOSSES, DAY_S = 3, 18.0
+LOSSES, EARLY_VERSIONS, DAY_S = 3, 8, 18.0
 # Longest wait of a read of the store, in seconds.
 LONG_POLL_S = 1.2
 # Time for which nodes stand still while others start, in seconds. Within it these are
@@ -124,6 +124,18 @@
             time.sleep(CONTACT_S + CONFIG_S)
         self.check(day)
 
+    def test_store_whose_waiting_reads_are_answered_early_and_arrive_late(self):
+        """The copies are then older than they are told to be."""
+        with Day(self.cluster, 1) as day:
+            for name in self.names:
+                self.cluster.set_door(name, "early")
+            for _ in range(EARLY_VERSIONS):
+                time.sleep(LONG_POLL_S)
+                day.add_route()
+                day.write()
+            time.sleep(CONFIG_S + CONTACT_S)
+        self.check(day)
+
     def test_day_of_many_versions(self):
         with Day(self.cluster, 14) as day:
             play(day, draw(14, DAY_S), DAY_S)
