--- a/packages/auburnwall-node/src/auburnwall/node/routed/relay_digest.py
+++ b/packages/auburnwall-node/src/auburnwall/node/routed/relay_digest.py
@@ -24,9 +24,10 @@
 
 
 class RelayDigest:
-    """The digest of the relay of node ``own_name``, as of its last change.
+    """What the relay of node ``own_name`` has told it in its digests.
 
-    ``last`` is the ``ReceivedDigest``, ``None`` if there is none.
+    ``last`` is the ``ReceivedDigest``, ``None`` if there is none. It names the nodes
+    that have changed; those of all digests are kept.
     """
 
     def __init__(self, own_name, clock):
--- a/standins/store.py
+++ b/standins/store.py
@@ -46,8 +46,7 @@
     ``"slow"`` sends ``SLOW_BYTES`` bytes each ``SLOW_INTERVAL_S``, ``"delayed"`` sends
     each response ``DELAY_S`` after it is made, ``"early"`` makes the response to a read
     that waits at once and sends it after the wait, and ``"refuse"`` takes no
-    connections.
-    ``"hushed"`` sends nothing more on the connections that are open then.
+    connections. ``"hushed"`` sends nothing more on the connections that are open then.
 
     ``keep_copy`` and ``go_back`` play a store that loses its newest records: it
     continues from the copy in a new era, and gives the offsets of the lost records out
@@ -117,8 +116,7 @@
 
     def _apply_trouble(self):
         bottle.response.headers["Store-Era"] = str(self.era)
-        door = self._door()
-        for trouble in (self.trouble, door.trouble if door else ""):
+        for trouble in (self.trouble, self._door_trouble()):
             if trouble == "busy":
                 bottle.abort(503, "busy")
             if trouble == "many" or (trouble == "short" and random.random() < SHORT):
@@ -132,6 +130,11 @@
         port = environ["SERVER_PORT"]
         return next((d for a, d in self.doors.items() if a.endswith(f":{port}")), None)
 
+    def _door_trouble(self):
+        """Return the trouble of the caller's door, empty if there is none."""
+        door = self._door()
+        return door.trouble if door else ""
+
     def _hold_if_hushed(self):
         """Send nothing on a connection that was open when its door was hushed."""
         sock = bottle.request.environ["standin.socket"]
@@ -143,10 +146,9 @@
     def _body(self, data):
         """Return a response body, which trickles if the caller's door is slow."""
         self._hold_if_hushed()
-        door = self._door()
-        if door is not None and door.trouble == "delayed":
+        if self._door_trouble() == "delayed":
             gevent.sleep(DELAY_S)
-        if door is None or door.trouble != "slow":
+        if self._door_trouble() != "slow":
             return data
         bottle.response.content_length = len(data)
         return _trickle(data)
@@ -194,8 +196,7 @@
         query = bottle.request.query
         topic, start = query["Topic"], int(query["From"])
         wait_s = int(query.get("WaitMs", 0)) / 1000
-        door = self._door()
-        if door is not None and door.trouble == "early":
+        if self._door_trouble() == "early":
             body = self._response(topic, start)
             gevent.sleep(0.0 if len(self._topics[topic]) > start else wait_s)
             return body
--- a/tests/processes/configuration_day.py
+++ b/tests/processes/configuration_day.py
@@ -230,7 +230,7 @@
     def breaches(self):
         """Return the ``Breach`` of each answer by a node in touch that has one."""
         answers = itertools.filterfalse(self.is_excused, self.answers)
-        return list(filter(None, map(self.history.breach, answers)))
+        return self.history.breaches(answers)
 
     def begin_out_of_touch(self, name, statuses=DECIDED):
         """Excuse a node's answers of ``statuses`` until it is in touch again.
--- a/tests/processes/configuration_history.py
+++ b/tests/processes/configuration_history.py
@@ -100,3 +100,7 @@
             )
         )
         return Breach(answer, oldest.number, late_s)
+
+    def breaches(self, answers):
+        """Return the ``Breach`` of each answer that has one."""
+        return list(filter(None, map(self.breach, answers)))
--- a/tests/processes/test_configuration_day.py
+++ b/tests/processes/test_configuration_day.py
@@ -44,8 +44,7 @@
     def check_refusals(self, day):
         """Check the final refusals, also of nodes that are out of touch."""
         refusals = [answer for answer in day.answers if answer.status in (404, 401)]
-        breaches = list(filter(None, map(day.history.breach, refusals)))
-        self.assertEqual(breaches, [])
+        self.assertEqual(day.history.breaches(refusals), [])
 
 
 class VersionCases:
